--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Start sites, send load and measure."""
--- /dev/null
+++ b/src/mustardvale/daemon.py
@@ -0,0 +1,93 @@
+"""Run an entry instance (`mustardvaled`)."""
+
+import os
+import secrets
+import sys
+from collections import abc
+
+from mustardvale import errors
+from mustardvale import settings as setting_table
+from mustardvale.internal import (
+    configuration,
+    handlers,
+    log_streams,
+    membership,
+    state,
+)
+from mustardvale.internal.edge import (
+    codec,
+    codec_peer,
+    codec_upstream,
+    entry_metrics,
+    http_client,
+    http_server,
+    logs,
+    peer_socket,
+    performer,
+    runtime,
+)
+
+EXIT_BAD_SETTINGS = 2
+SEED_BITS = 63
+
+
+def initial_state(settings: setting_table.Settings) -> state.State:
+    """Return the state of an instance that has not started yet."""
+    return state.State(
+        identity=membership.Identity(
+            instance_id=settings.instance_id,
+            address=settings.address,
+            peer_address=settings.peer_address,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+        ),
+        seed=settings.seed or secrets.randbits(SEED_BITS),
+        configuration=configuration.ConfigurationState(settings.environment),
+        log=log_streams.LogState(settings.log_address),
+        membership=membership.Membership(settings.list_address),
+    )
+
+
+def build(settings: setting_table.Settings) -> runtime.Runtime:
+    """Return an entry instance whose loop can be run."""
+    loop = runtime.Runtime(
+        handlers.reduce,
+        initial_state(settings),
+        performer.perform,
+        entry_metrics.build(),
+    )
+    loop.client = http_client.HttpClient(
+        codec_upstream,
+        loop.poller,
+        loop.occur,
+    ).register(loop)
+    loop.peers = peer_socket.PeerSocket(
+        settings.peer_address,
+        codec_peer,
+        loop.poller,
+        loop.occur,
+        loop.metrics.count,
+    ).register(loop)
+    host, _, port = settings.address.rpartition(':')
+    loop.server = http_server.HttpServer(
+        (host, int(port)),
+        codec,
+        loop.occur,
+        f'{settings.instance_id}-{secrets.token_hex(4)}',
+    ).register(loop)
+    return loop
+
+
+def main(arguments: abc.Sequence[str] | None = None) -> None:
+    """Run the daemon until it is stopped."""
+    try:
+        settings = setting_table.read(
+            sys.argv[1:] if arguments is None else arguments,
+            os.environ,
+        )
+    except errors.SettingsError as error:
+        for problem in error.problems:
+            sys.stderr.write(f'mustardvaled: {problem}\n')
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+    logs.configure(settings.log_level, settings.instance_id)
+    build(settings).run()
--- /dev/null
+++ b/src/mustardvale/errors.py
@@ -0,0 +1,179 @@
+"""Define the error codes and exceptions of the public interface."""
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.Enum):
+    """Say what became of a request that got no answer.
+
+    `NOT_RUN` is stated only when it is certain. `UNKNOWN` means that the
+    request may have run and that the system will not send it again.
+    """
+
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+class Scope(enum.Enum):
+    """Say what a `not_run` outcome speaks of.
+
+    `KEY` covers every earlier call with the same idempotency key, `CALL` only
+    the call that is answered.
+    """
+
+    KEY = 'key'
+    CALL = 'call'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ErrorCode:
+    """Describe one kind of error: its name, HTTP status and remedy."""
+
+    name: str
+    status: int
+    remedy: str
+
+
+MALFORMED_REQUEST = ErrorCode(
+    'malformed_request',
+    400,
+    'Correct the request; the message names the part.',
+)
+UNAUTHORIZED = ErrorCode(
+    'unauthorized',
+    401,
+    'Send the key of a client account as a bearer token.',
+)
+FORBIDDEN = ErrorCode(
+    'forbidden',
+    403,
+    'Ask the operators to grant the account this use.',
+)
+NOT_FOUND = ErrorCode('not_found', 404, 'Check the path against the docs.')
+UNKNOWN_MODEL = ErrorCode(
+    'unknown_model',
+    404,
+    'Use a model that the environment document names.',
+)
+UNKNOWN_OPERATION = ErrorCode(
+    'unknown_operation',
+    404,
+    'Use a service operation that the environment document names.',
+)
+PAYLOAD_TOO_LARGE = ErrorCode(
+    'payload_too_large',
+    413,
+    'Send a smaller request.',
+)
+IDEMPOTENCY_KEY_REQUIRED = ErrorCode(
+    'idempotency_key_required',
+    400,
+    'Send a UUID version 7 in the Idempotency-Key header.',
+)
+IDEMPOTENCY_KEY_INVALID = ErrorCode(
+    'idempotency_key_invalid',
+    400,
+    'Make the key a UUID version 7 with the current time.',
+)
+IDEMPOTENCY_KEY_REUSED = ErrorCode(
+    'idempotency_key_reused',
+    422,
+    'Use a new key for a different request.',
+)
+IDEMPOTENCY_KEY_EXPIRED = ErrorCode(
+    'idempotency_key_expired',
+    409,
+    'Check whether the action took effect before using a new key.',
+)
+OUTCOME_UNKNOWN = ErrorCode(
+    'outcome_unknown',
+    504,
+    'Repeat with the same key later, or check the service itself.',
+)
+RATE_LIMITED = ErrorCode(
+    'rate_limited',
+    429,
+    'Wait for the time in Retry-After.',
+)
+OVERLOADED = ErrorCode('overloaded', 503, 'Wait for the time in Retry-After.')
+DEADLINE_EXCEEDED = ErrorCode(
+    'deadline_exceeded',
+    504,
+    'Allow more time or ask for fewer tokens.',
+)
+LOG_UNAVAILABLE = ErrorCode(
+    'log_unavailable',
+    503,
+    'Repeat with the same key when the log is back.',
+)
+NO_UPSTREAM = ErrorCode(
+    'no_upstream',
+    503,
+    'Wait for the time in Retry-After.',
+)
+SUSPECT_REQUEST = ErrorCode(
+    'suspect_request',
+    422,
+    'Do not repeat this request: runners that ran it have failed.',
+)
+NOT_READY = ErrorCode(
+    'not_ready',
+    503,
+    'Use another entry address, or wait.',
+)
+STOPPING = ErrorCode('stopping', 503, 'Use another entry address.')
+INTERNAL_ERROR = ErrorCode(
+    'internal_error',
+    500,
+    'Report the error with the request id.',
+)
+
+ALL_CODES = (
+    MALFORMED_REQUEST,
+    UNAUTHORIZED,
+    FORBIDDEN,
+    NOT_FOUND,
+    UNKNOWN_MODEL,
+    UNKNOWN_OPERATION,
+    PAYLOAD_TOO_LARGE,
+    IDEMPOTENCY_KEY_REQUIRED,
+    IDEMPOTENCY_KEY_INVALID,
+    IDEMPOTENCY_KEY_REUSED,
+    IDEMPOTENCY_KEY_EXPIRED,
+    OUTCOME_UNKNOWN,
+    RATE_LIMITED,
+    OVERLOADED,
+    DEADLINE_EXCEEDED,
+    LOG_UNAVAILABLE,
+    NO_UPSTREAM,
+    SUSPECT_REQUEST,
+    NOT_READY,
+    STOPPING,
+    INTERNAL_ERROR,
+)
+
+
+class MustardvaleError(Exception):
+    """Report an error with a code that programs can act on."""
+
+    def __init__(self, code: str, message: str) -> None:
+        super().__init__(f'{code}: {message}')
+        self.code = code
+        self.message = message
+
+
+class DocumentError(MustardvaleError):
+    """Report everything that is wrong with an environment document."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__('document_invalid', '; '.join(problems))
+        self.problems = problems
+
+
+class SettingsError(MustardvaleError):
+    """Report everything that is wrong with the settings of a daemon."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__('settings_invalid', '; '.join(problems))
+        self.problems = problems
--- /dev/null
+++ b/src/mustardvale/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the parts that are not a public interface."""
--- /dev/null
+++ b/src/mustardvale/internal/configuration.py
@@ -0,0 +1,146 @@
+"""Keep the environment document that is in force."""
+
+import dataclasses
+import hashlib
+from typing import TYPE_CHECKING
+
+from mustardvale import document as documents
+from mustardvale import errors
+from mustardvale.internal import (
+    effects,
+    events,
+    log_streams,
+    promotions,
+    records,
+    streams,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationState:
+    """Hold the folded stream and the document that this instance applies.
+
+    `document` stays the last one that this release could read, so `applied`
+    may be behind `promoted.version`. `in_force_since` is a wall time.
+    """
+
+    environment: str = ''
+    promoted: promotions.Promoted = promotions.Promoted()
+    document: documents.Document | None = None
+    applied_version: int = 0
+    in_force_since: float = 0
+    caught_up: bool = False
+
+
+def follow_environment(
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start to tail the stream of this instance's environment."""
+    stream = streams.EnvironmentStream(state.configuration.environment)
+    return log_streams.follow(stream, state)
+
+
+@log_streams.on_stored.register(streams.EnvironmentStream)
+def fold_stored(
+    stream: streams.EnvironmentStream,
+    stored: records.StoredRecord,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Fold a record and apply the document that it puts in force."""
+    folded = promotions.fold(
+        stored.record,
+        stored.offset,
+        state.configuration.promoted,
+    )
+    configuration = dataclasses.replace(
+        state.configuration,
+        promoted=folded.promoted,
+    )
+    following = dataclasses.replace(state, configuration=configuration)
+    count = effects.Count('promotions', (folded.verdict.value,))
+    return apply_promoted(event, following).with_effects(count)
+
+
+def apply_promoted(
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Apply the document in force once its stream was read to the end."""
+    configuration = state.configuration
+    promoted = configuration.promoted
+    if not configuration.caught_up or (
+        promoted.version == configuration.applied_version
+    ):
+        return transitions.Transition(state)
+    try:
+        document = documents.parse(promoted.document)
+    except errors.DocumentError as error:
+        return reject_promoted(error, state)
+    assert promoted.version > configuration.applied_version, (
+        'the version in force never goes back'
+    )
+    configuration = dataclasses.replace(
+        configuration,
+        document=document,
+        applied_version=promoted.version,
+        in_force_since=event.wall,
+    )
+    return transitions.Transition(
+        dataclasses.replace(state, configuration=configuration),
+        (
+            effects.LogChange(
+                'document in force',
+                (('version', promoted.version), ('offset', promoted.offset)),
+            ),
+            effects.SetGauge('document_version', promoted.version),
+        ),
+    )
+
+
+def reject_promoted(
+    error: errors.DocumentError,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Keep the last document when this release cannot read the new one."""
+    return transitions.Transition(
+        state,
+        (
+            effects.Count('documents_unreadable'),
+            effects.LogChange(
+                'document cannot be read, the last one stays in force',
+                (
+                    ('version', state.configuration.promoted.version),
+                    ('problems', list(error.problems)),
+                ),
+            ),
+        ),
+    )
+
+
+@log_streams.on_caught_up.register(streams.EnvironmentStream)
+def note_caught_up(
+    stream: streams.EnvironmentStream,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Apply the document in force after the first whole read."""
+    configuration = dataclasses.replace(state.configuration, caught_up=True)
+    following = dataclasses.replace(state, configuration=configuration)
+    return apply_promoted(event, following)
+
+
+def find_account(
+    account_key: str,
+    state: 'states.State',
+) -> documents.ClientAccount | None:
+    """Return the client account that a key belongs to."""
+    document = state.configuration.document
+    if document is None or not account_key:
+        return None
+    digest = hashlib.sha256(account_key.encode()).hexdigest()
+    return document.find_account(digest)
--- /dev/null
+++ b/src/mustardvale/internal/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Connect the reducer to sockets, clocks, metrics and logs."""
--- /dev/null
+++ b/src/mustardvale/internal/edge/codec.py
@@ -0,0 +1,236 @@
+"""Decode requests of callers and encode their answers (HTTP and JSON)."""
+
+import functools
+import json
+from typing import Any
+from urllib import parse
+
+import msgspec
+
+from mustardvale import errors
+from mustardvale.internal import replies
+from mustardvale.internal.edge import wire
+
+BEARER = 'Bearer '
+MAXIMUM_TOKENS = 4096
+MILLISECONDS = 1000
+
+
+class AnswerBody(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Hold the JSON body of a request for a model answer."""
+
+    model: str
+    prompt: str
+    maximum_tokens: int
+    adapter: str = ''
+    delivered: tuple[str, ...] = ()
+
+
+def decode_request(raw: wire.RawRequest) -> replies.Wanted:
+    """Decode a request, or raise `wire.DecodeError`."""
+    parts = raw.path.strip('/').split('/')
+    if raw.method == 'POST' and parts == ['v1', 'answers']:
+        return decode_answer_wanted(raw)
+    if raw.method == 'POST' and parts[:2] == ['v1', 'actions']:
+        return decode_action_wanted(parts[2:], raw)
+    if raw.method == 'GET':
+        return decode_get(raw)
+    raise unknown_path(raw)
+
+
+def unknown_path(raw: wire.RawRequest) -> wire.DecodeError:
+    """Describe a path or method that does not exist."""
+    return wire.DecodeError(
+        errors.NOT_FOUND.status,
+        errors.NOT_FOUND.name,
+        f'no {raw.method} on {raw.path}',
+    )
+
+
+def malformed(message: str) -> wire.DecodeError:
+    """Describe a request that does not decode."""
+    return wire.DecodeError(
+        errors.MALFORMED_REQUEST.status,
+        errors.MALFORMED_REQUEST.name,
+        message,
+    )
+
+
+def common_fields(raw: wire.RawRequest) -> dict[str, Any]:
+    """Return the fields that every request carries."""
+    authorization = raw.headers.get('authorization', '')
+    return {
+        'account_key': authorization.removeprefix(BEARER).strip(),
+        'deadline_seconds': decode_deadline(raw),
+        'traceparent': raw.headers.get('traceparent', ''),
+        'caller_address': raw.peer,
+    }
+
+
+def decode_deadline(raw: wire.RawRequest) -> float:
+    """Return the time that the caller allows in seconds, 0 if it says none."""
+    text = raw.headers.get('mustardvale-deadline-ms', '0')
+    if not text.isdecimal():
+        raise malformed('Mustardvale-Deadline-Ms must be a whole number')
+    return int(text) / MILLISECONDS
+
+
+def decode_answer_wanted(raw: wire.RawRequest) -> replies.AnswerWanted:
+    """Decode a request for a model answer."""
+    try:
+        body = msgspec.json.decode(raw.body, type=AnswerBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise malformed(f'body: {error}') from error
+    if not 0 < body.maximum_tokens <= MAXIMUM_TOKENS:
+        raise malformed(f'maximum_tokens must be 1 to {MAXIMUM_TOKENS}')
+    prompt = tuple(body.prompt.split())
+    if not prompt:
+        raise malformed('prompt must not be empty')
+    return replies.AnswerWanted(
+        model=body.model,
+        adapter=body.adapter,
+        prompt=prompt,
+        delivered=body.delivered,
+        maximum_tokens=body.maximum_tokens,
+        **common_fields(raw),
+    )
+
+
+def decode_action_wanted(
+    parts: list[str],
+    raw: wire.RawRequest,
+) -> replies.ActionWanted:
+    """Decode a request for an operation of a service."""
+    if len(parts) != 2:
+        raise unknown_path(raw)
+    return replies.ActionWanted(
+        service=parts[0],
+        operation=parts[1],
+        idempotency_key=raw.headers.get('idempotency-key', ''),
+        body=raw.body,
+        **common_fields(raw),
+    )
+
+
+def decode_get(raw: wire.RawRequest) -> replies.Wanted:
+    """Decode a request that reads."""
+    query = dict(parse.parse_qsl(raw.query))
+    common = common_fields(raw)
+    if raw.path == '/v1/entries':
+        return replies.EntriesWanted(
+            caller_id=query.get('caller', ''),
+            availability_zone=query.get('availability_zone', ''),
+            **common,
+        )
+    if raw.path == '/v1/status':
+        return replies.StatusWanted(**common)
+    if raw.path == '/readyz':
+        return replies.ReadinessWanted(**common)
+    if raw.path == '/livez':
+        return replies.LivenessWanted(**common)
+    if raw.path == '/metrics':
+        return replies.MetricsWanted(**common)
+    if raw.path == '/v1/spans':
+        return replies.SpansWanted(**common)
+    raise unknown_path(raw)
+
+
+@functools.singledispatch
+def encode_reply(reply: Any) -> wire.RawReply:
+    """Encode a whole answer as JSON."""
+    return wire.RawReply(200, msgspec.json.encode(reply))
+
+
+@encode_reply.register(replies.RequestError)
+def encode_request_error(reply: replies.RequestError) -> wire.RawReply:
+    """Encode an error with its code, outcome and remedy."""
+    headers: tuple[tuple[str, str], ...] = ()
+    if reply.retry_after_seconds:
+        seconds = max(round(reply.retry_after_seconds), 1)
+        headers = (('Retry-After', str(seconds)),)
+    return wire.RawReply(
+        reply.code.status,
+        msgspec.json.encode({'error': describe_error(reply)}),
+        headers,
+    )
+
+
+def describe_error(reply: replies.RequestError) -> dict[str, Any]:
+    """Return the JSON object of an error."""
+    return {
+        'code': reply.code.name,
+        'message': reply.message,
+        'outcome': reply.outcome.value,
+        'scope': reply.scope.value,
+        'retry_after_seconds': reply.retry_after_seconds,
+        'remedy': reply.code.remedy,
+    }
+
+
+@encode_reply.register(replies.ActionDone)
+def encode_action_done(reply: replies.ActionDone) -> wire.RawReply:
+    """Encode the answer of a plain service as it came."""
+    replayed = str(reply.replayed).lower()
+    return wire.RawReply(
+        reply.status,
+        reply.body,
+        (('Mustardvale-Replayed', replayed),),
+        reply.content_type,
+    )
+
+
+@encode_reply.register(replies.Readiness)
+def encode_readiness(reply: replies.Readiness) -> wire.RawReply:
+    """Encode readiness with the status that health checks expect."""
+    return wire.RawReply(
+        200 if reply.ready else 503,
+        msgspec.json.encode(reply),
+    )
+
+
+@encode_reply.register(replies.Text)
+def encode_text(reply: replies.Text) -> wire.RawReply:
+    """Encode text that is made at the edge."""
+    return wire.RawReply(200, reply.text, content_type=reply.content_type)
+
+
+@functools.singledispatch
+def encode_part(part: Any) -> bytes:
+    """Encode one line of a streamed answer."""
+    return msgspec.json.encode(part) + b'\n'
+
+
+@encode_part.register(replies.AnswerEnd)
+def encode_answer_end(part: replies.AnswerEnd) -> bytes:
+    """Encode the end mark."""
+    end = {'end': True, 'tokens': part.tokens, 'version': part.version}
+    return msgspec.json.encode(end) + b'\n'
+
+
+@encode_part.register(replies.RequestError)
+def encode_error_part(part: replies.RequestError) -> bytes:
+    """Encode the line of an answer that was cut."""
+    return msgspec.json.encode({'error': describe_error(part)}) + b'\n'
+
+
+def encode_error(error: wire.DecodeError) -> wire.RawReply:
+    """Encode the answer to a request that did not decode."""
+    body = {
+        'error': {
+            'code': error.code,
+            'message': error.message,
+            'outcome': errors.Outcome.NOT_RUN.value,
+            'scope': errors.Scope.CALL.value,
+            'retry_after_seconds': 0,
+            'remedy': remedy_of(error.code),
+        },
+    }
+    return wire.RawReply(error.status, json.dumps(body).encode())
+
+
+def remedy_of(name: str) -> str:
+    """Return the remedy for an error code."""
+    return next(
+        (code.remedy for code in errors.ALL_CODES if code.name == name),
+        '',
+    )
--- /dev/null
+++ b/src/mustardvale/internal/edge/codec_records.py
@@ -0,0 +1,49 @@
+"""Encode and decode the records of the log (JSON)."""
+
+import types
+from typing import Any
+
+import msgspec
+
+from mustardvale.internal import records
+
+KINDS: types.MappingProxyType[str, type[records.Record]] = (
+    types.MappingProxyType(
+        {
+            'promotion': records.Promotion,
+            'document_snapshot': records.DocumentSnapshot,
+            'action_attempt': records.ActionAttempt,
+            'attempt_abandoned': records.AttemptAbandoned,
+            'attempt_done': records.AttemptDone,
+            'plan_proposal': records.PlanProposal,
+        }
+    )
+)
+
+KIND_NAMES = types.MappingProxyType(
+    {kind: name for name, kind in KINDS.items()}
+)
+
+
+def to_object(record: records.Record) -> dict[str, Any]:
+    """Return the JSON object of a record."""
+    return {
+        'kind': KIND_NAMES[type(record)],
+        'fields': msgspec.to_builtins(record),
+    }
+
+
+def from_object(candidate: Any) -> records.Record:
+    """Return the record of a JSON object.
+
+    One that does not decode becomes an `UnknownRecord`, so that a record of a
+    newer release stops no reader.
+    """
+    name = candidate.get('kind') if isinstance(candidate, dict) else None
+    kind = KINDS.get(str(name))
+    if kind is None:
+        return records.UnknownRecord(str(name))
+    try:
+        return msgspec.convert(candidate.get('fields'), kind)
+    except msgspec.ValidationError:
+        return records.UnknownRecord(str(name))
--- /dev/null
+++ b/src/mustardvale/internal/edge/codec_upstream.py
@@ -0,0 +1,244 @@
+"""Encode calls to upstreams and the platform (HTTP and JSON)."""
+
+import functools
+from typing import Any
+from urllib import parse
+
+import msgspec
+
+from mustardvale.internal import calls, records
+from mustardvale.internal.edge import codec_records, wire
+
+OK = 200
+MILLISECONDS = 1000
+UNAVAILABLE = 503
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """Hold one record as the log service returns it."""
+
+    offset: int
+    appended_at: float
+    record: Any
+
+
+class ReadBody(msgspec.Struct, frozen=True):
+    """Hold the answer of the log service to a read."""
+
+    records: tuple[StoredObject, ...]
+    earliest_offset: int
+    next_offset: int
+
+
+def decode_json(body: bytes, kind: type[Any]) -> Any:
+    """Decode JSON into a type, or raise `wire.DecodeError`."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise wire.DecodeError(502, 'malformed_answer', str(error)) from error
+
+
+def is_leaving(raw: wire.RawAnswer) -> bool:
+    """Return whether an upstream says that it is leaving."""
+    return raw.headers.get('mustardvale-leaving', '') == 'true'
+
+
+@functools.singledispatch
+def encode_call(call: Any) -> wire.RawCall:
+    """Encode a call."""
+    raise TypeError(f'no encoding for {type(call).__name__}')
+
+
+@functools.singledispatch
+def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+    """Decode the answer to a call, or raise `wire.DecodeError`."""
+    raise TypeError(f'no decoding for {type(call).__name__}')
+
+
+def decode_part(call: Any, line: bytes) -> Any:
+    """Decode a line of a streamed answer; no call of ours streams."""
+    raise TypeError(f'{type(call).__name__} is not streamed')
+
+
+def refused(raw: wire.RawAnswer) -> calls.PlatformRefused:
+    """Describe an error status of the platform."""
+    return calls.PlatformRefused(raw.status, raw.body[:200].decode('latin-1'))
+
+
+@encode_call.register(calls.RunSteps)
+def encode_run_steps(call: calls.RunSteps) -> wire.RawCall:
+    """Encode steps."""
+    return wire.RawCall('POST', '/v1/steps', msgspec.json.encode(call))
+
+
+@decode_answer.register(calls.RunSteps)
+def decode_run_steps(
+    call: calls.RunSteps,
+    raw: wire.RawAnswer,
+) -> calls.StepsRun | calls.StepsRefused:
+    """Decode the results of steps."""
+    if raw.status != OK:
+        return calls.StepsRefused(raw.status, is_leaving(raw))
+    answer: calls.StepsRun = decode_json(raw.body, calls.StepsRun)
+    if len(answer.results) != len(call.steps):
+        raise wire.DecodeError(
+            502,
+            'malformed_answer',
+            f'{len(answer.results)} results to {len(call.steps)} steps',
+        )
+    return answer
+
+
+@encode_call.register(calls.CloseSession)
+def encode_close_session(call: calls.CloseSession) -> wire.RawCall:
+    """Encode the close of a session."""
+    session = parse.quote(call.session, safe='')
+    return wire.RawCall('DELETE', f'/v1/sessions/{session}')
+
+
+@decode_answer.register(calls.CloseSession)
+def decode_close_session(
+    call: calls.CloseSession,
+    raw: wire.RawAnswer,
+) -> calls.SessionClosed:
+    """Decode the confirmation, which is the same for an unknown session."""
+    return calls.SessionClosed()
+
+
+@encode_call.register(calls.ReadLoad)
+def encode_read_load(call: calls.ReadLoad) -> wire.RawCall:
+    """Encode a question for the load."""
+    return wire.RawCall('GET', '/v1/load')
+
+
+@decode_answer.register(calls.ReadLoad)
+def decode_read_load(
+    call: calls.ReadLoad,
+    raw: wire.RawAnswer,
+) -> calls.LoadReport | calls.PlatformRefused:
+    """Decode a load report."""
+    if raw.status != OK:
+        return refused(raw)
+    report: calls.LoadReport = decode_json(raw.body, calls.LoadReport)
+    return report
+
+
+@encode_call.register(calls.RunAction)
+def encode_run_action(call: calls.RunAction) -> wire.RawCall:
+    """Encode an operation of a plain service.
+
+    A new connection is used, because on an idle one that the service closes at
+    the same moment it is not certain whether the request was received.
+    """
+    operation = parse.quote(call.operation, safe='')
+    return wire.RawCall(
+        'POST',
+        f'/v1/operations/{operation}',
+        call.body,
+        (
+            ('idempotency-key', call.idempotency_key),
+            ('mustardvale-request', call.request_id),
+            ('mustardvale-attempt', call.attempt_id),
+            ('traceparent', call.traceparent),
+        ),
+        fresh_connection=bool(call.attempt_id),
+    )
+
+
+@decode_answer.register(calls.RunAction)
+def decode_run_action(
+    call: calls.RunAction,
+    raw: wire.RawAnswer,
+) -> calls.ActionAnswer:
+    """Decode the answer of a plain service as it came."""
+    return calls.ActionAnswer(
+        raw.status,
+        raw.body,
+        raw.headers.get('content-type', 'application/json'),
+        leaving=raw.status == UNAVAILABLE and is_leaving(raw),
+    )
+
+
+@encode_call.register(calls.AppendRecords)
+def encode_append(call: calls.AppendRecords) -> wire.RawCall:
+    """Encode an append of records."""
+    body = {'records': [codec_records.to_object(one) for one in call.records]}
+    return wire.RawCall(
+        'POST',
+        f'/v1/streams/{call.stream.name}/records',
+        msgspec.json.encode(body),
+    )
+
+
+@decode_answer.register(calls.AppendRecords)
+def decode_append(
+    call: calls.AppendRecords,
+    raw: wire.RawAnswer,
+) -> calls.RecordsAppended | calls.PlatformRefused:
+    """Decode the offset of an append."""
+    if raw.status != OK:
+        return refused(raw)
+    answer: calls.RecordsAppended = decode_json(
+        raw.body,
+        calls.RecordsAppended,
+    )
+    return answer
+
+
+@encode_call.register(calls.ReadRecords)
+def encode_read(call: calls.ReadRecords) -> wire.RawCall:
+    """Encode a read of a stream."""
+    query = parse.urlencode(
+        {
+            'from': call.from_offset,
+            'limit': call.limit,
+            'wait_ms': int(call.wait_seconds * MILLISECONDS),
+        }
+    )
+    return wire.RawCall(
+        'GET', f'/v1/streams/{call.stream.name}/records?{query}'
+    )
+
+
+@decode_answer.register(calls.ReadRecords)
+def decode_read(
+    call: calls.ReadRecords,
+    raw: wire.RawAnswer,
+) -> calls.RecordsRead | calls.PlatformRefused:
+    """Decode the records of a read."""
+    if raw.status != OK:
+        return refused(raw)
+    body: ReadBody = decode_json(raw.body, ReadBody)
+    return calls.RecordsRead(
+        tuple(
+            records.StoredRecord(
+                stored.offset,
+                stored.appended_at,
+                codec_records.from_object(stored.record),
+            )
+            for stored in body.records
+        ),
+        body.earliest_offset,
+        body.next_offset,
+    )
+
+
+@encode_call.register(calls.ListInstances)
+def encode_list(call: calls.ListInstances) -> wire.RawCall:
+    """Encode a question for the instance list."""
+    return wire.RawCall('GET', '/v1/instances')
+
+
+@decode_answer.register(calls.ListInstances)
+def decode_list(
+    call: calls.ListInstances,
+    raw: wire.RawAnswer,
+) -> calls.InstancesListed | calls.PlatformRefused:
+    """Decode the instance list."""
+    if raw.status != OK:
+        return refused(raw)
+    answer: calls.InstancesListed = decode_json(
+        raw.body,
+        calls.InstancesListed,
+    )
+    return answer
--- /dev/null
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -0,0 +1,398 @@
+"""Call other processes over HTTP/1.1 with circuits sockets under h11."""
+
+import collections
+import errno
+import socket
+from collections import abc
+from typing import Any, Protocol
+
+import circuits
+import h11
+import immutables
+
+from mustardvale.internal import events
+from mustardvale.internal.edge import deadlines, wire
+
+MAXIMUM_CONNECTIONS_PER_ADDRESS = 64
+MAXIMUM_WAITING_CALLS_PER_ADDRESS = 4096
+MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
+RECEIVE_BYTES = 64 * 1024
+
+PENDING_CONNECT = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
+
+
+class CallCodec(Protocol):
+    """Encode calls and decode their answers."""
+
+    def encode_call(self, call: Any) -> wire.RawCall:
+        """Encode a call."""
+
+    def decode_answer(self, call: Any, raw: wire.RawAnswer) -> Any:
+        """Decode the answer to a call, or raise `wire.DecodeError`."""
+
+    def decode_part(self, call: Any, line: bytes) -> Any:
+        """Decode one line of a streamed answer."""
+
+
+class PendingCall:
+    """Track one call from its start to its answer or failure."""
+
+    def __init__(self, call: Any, address: str, raw: wire.RawCall) -> None:
+        self.call = call
+        self.address = address
+        self.raw = raw
+        self.sent = False
+        self.ended = False
+        self.connection: Connection | None = None
+        self.status = 0
+        self.headers: immutables.Map[str, str] = immutables.Map()
+        self.received = bytearray()
+
+
+class Connection:
+    """Hold one connection and the call that uses it."""
+
+    def __init__(self, address: str, sock: socket.socket) -> None:
+        self.address = address
+        self.sock = sock
+        self.protocol = h11.Connection(h11.CLIENT)
+        self.pending: PendingCall | None = None
+        self.output = b''
+        self.connected = False
+
+
+class AddressPool:
+    """Hold the connections to one address and the calls that wait for one."""
+
+    def __init__(self) -> None:
+        self.idle: list[Connection] = []
+        self.open_count = 0
+        self.waiting: collections.deque[PendingCall] = collections.deque()
+
+
+class HttpClient(circuits.Component):
+    """Perform calls and report each one's answer or failure exactly once."""
+
+    channel = 'client'
+
+    def __init__(
+        self,
+        codec: CallCodec,
+        poller: Any,
+        occur: abc.Callable[..., None],
+    ) -> None:
+        super().__init__()
+        self.codec = codec
+        self.poller = poller
+        self.occur = occur
+        self.pools: dict[str, AddressPool] = {}
+        self.connections: dict[socket.socket, Connection] = {}
+        self.deadlines = deadlines.Deadlines(self.expire).register(self)
+
+    def start_call(self, call: Any, address: str, timeout: float) -> None:
+        """Start a call, or queue it when all connections are in use."""
+        pending = PendingCall(call, address, self.codec.encode_call(call))
+        pool = self.pools.setdefault(address, AddressPool())
+        self.deadlines.set_timer(pending, timeout)
+        if pool.idle and not pending.raw.fresh_connection:
+            self.use(pool.idle.pop(), pending)
+        elif pool.open_count < MAXIMUM_CONNECTIONS_PER_ADDRESS:
+            self.connect(pool, pending)
+        elif len(pool.waiting) < MAXIMUM_WAITING_CALLS_PER_ADDRESS:
+            pool.waiting.append(pending)
+        else:
+            self.fail(pending, events.FailureKind.OVERLOADED, 'queue is full')
+
+    def connect(self, pool: AddressPool, pending: PendingCall) -> None:
+        """Open a connection for a call."""
+        host, _, port = pending.address.rpartition(':')
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setblocking(False)
+        connection = Connection(pending.address, sock)
+        connection.pending = pending
+        pending.connection = connection
+        pool.open_count += 1
+        self.connections[sock] = connection
+        code = sock.connect_ex((host, int(port)))
+        if code in PENDING_CONNECT:
+            self.poller.addWriter(self, sock)
+        else:
+            self.close(connection, events.FailureKind.REFUSED, str(code))
+
+    def use(self, connection: Connection, pending: PendingCall) -> None:
+        """Send a call on an open connection."""
+        connection.pending = pending
+        pending.connection = connection
+        raw = pending.raw
+        request = h11.Request(
+            method=raw.method,
+            target=raw.target,
+            headers=[
+                ('host', connection.address),
+                ('content-length', str(len(raw.body))),
+                ('content-type', 'application/json'),
+                *raw.headers,
+            ],
+        )
+        head = connection.protocol.send(request) or b''
+        body = connection.protocol.send(h11.Data(data=raw.body)) or b''
+        end = connection.protocol.send(h11.EndOfMessage()) or b''
+        connection.output = head + body + end
+        self.write_output(connection)
+
+    def write_output(self, connection: Connection) -> None:
+        """Write as much of the queued output as the socket takes."""
+        pending = connection.pending
+        try:
+            count = connection.sock.send(connection.output)
+        except BlockingIOError:
+            count = 0
+        except OSError as error:
+            self.close(connection, events.FailureKind.CLOSED, str(error))
+            return
+        if pending is not None and count:
+            pending.sent = True
+        connection.output = connection.output[count:]
+        self.watch_writable(connection)
+
+    def watch_writable(self, connection: Connection) -> None:
+        """Watch for a writable socket only while output is queued."""
+        writing = self.poller.isWriting(connection.sock)
+        if connection.output and not writing:
+            self.poller.addWriter(self, connection.sock)
+        elif writing and not connection.output:
+            self.poller.removeWriter(connection.sock)
+
+    @circuits.handler('_write')
+    def on_writable(self, sock: socket.socket) -> None:
+        """Complete a connect, or go on writing."""
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        if connection.connected:
+            self.write_output(connection)
+            return
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.close(connection, events.FailureKind.REFUSED, str(code))
+            return
+        connection.connected = True
+        self.poller.addReader(self, sock)
+        pending = connection.pending
+        assert pending is not None, 'a connection opens for a call'
+        self.use(connection, pending)
+
+    @circuits.handler('_read')
+    def on_readable(self, sock: socket.socket) -> None:
+        """Read an answer."""
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        try:
+            received = sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.close(connection, events.FailureKind.CLOSED, str(error))
+            return
+        if not received and connection.pending is None:
+            self.close(connection, events.FailureKind.CLOSED, 'idle')
+            return
+        self.feed(connection, received)
+
+    @circuits.handler('_disconnect')
+    def on_disconnected(self, sock: socket.socket) -> None:
+        """Fail the call of a connection that broke."""
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        kind = events.FailureKind.CLOSED
+        if not connection.connected:
+            kind = events.FailureKind.REFUSED
+        self.close(connection, kind, 'connection broke')
+
+    def feed(self, connection: Connection, received: bytes) -> None:
+        """Give received bytes to the protocol and handle its events."""
+        try:
+            connection.protocol.receive_data(received)
+            more = True
+            while more:
+                more = self.handle_next(connection)
+        except h11.RemoteProtocolError as error:
+            kind = events.FailureKind.MALFORMED
+            if not received:
+                kind = events.FailureKind.CLOSED
+            self.close(connection, kind, str(error))
+
+    def handle_next(self, connection: Connection) -> bool:
+        """Handle one protocol event; return whether to ask for another."""
+        event = connection.protocol.next_event()
+        pending = connection.pending
+        if pending is None or event in (h11.NEED_DATA, h11.PAUSED):
+            return False
+        if isinstance(event, h11.Response):
+            pending.status = event.status_code
+            pending.headers = immutables.Map(
+                {
+                    name.decode('latin-1'): text.decode('latin-1')
+                    for name, text in event.headers
+                }
+            )
+        elif isinstance(event, h11.Data):
+            self.take_body(connection, pending, bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.finish(connection, pending)
+            return False
+        return connection.pending is pending
+
+    def take_body(
+        self,
+        connection: Connection,
+        pending: PendingCall,
+        body: bytes,
+    ) -> None:
+        """Keep a piece of an answer, or report the whole lines of a stream."""
+        pending.received += body
+        if len(pending.received) > MAXIMUM_ANSWER_BYTES:
+            self.close(
+                connection,
+                events.FailureKind.MALFORMED,
+                f'answer exceeds {MAXIMUM_ANSWER_BYTES} bytes',
+            )
+            return
+        if not pending.raw.streamed or pending.status != 200:
+            return
+        *lines, rest = bytes(pending.received).split(b'\n')
+        pending.received = bytearray(rest)
+        for line in lines:
+            self.report_part(pending, line)
+
+    def report_part(self, pending: PendingCall, line: bytes) -> None:
+        """Report one line of a streamed answer."""
+        self.occur(
+            events.CallPartArrived,
+            call=pending.call,
+            address=pending.address,
+            part=self.codec.decode_part(pending.call, line),
+        )
+
+    def finish(self, connection: Connection, pending: PendingCall) -> None:
+        """Report an answer and reuse or close its connection."""
+        connection.pending = None
+        answer = wire.RawAnswer(
+            pending.status,
+            pending.headers,
+            bytes(pending.received),
+        )
+        if connection.protocol.our_state is h11.DONE and (
+            connection.protocol.their_state is h11.DONE
+        ):
+            connection.protocol.start_next_cycle()
+            self.release(connection)
+        else:
+            self.discard(connection)
+        self.report_answer(pending, answer)
+
+    def report_answer(
+        self,
+        pending: PendingCall,
+        answer: wire.RawAnswer,
+    ) -> None:
+        """Report a decoded answer, or a failure when it does not decode."""
+        if not self.end(pending):
+            return
+        try:
+            decoded = self.codec.decode_answer(pending.call, answer)
+        except wire.DecodeError as error:
+            self.report_failure(
+                pending,
+                events.FailureKind.MALFORMED,
+                error.message,
+            )
+            return
+        self.occur(
+            events.CallAnswered,
+            call=pending.call,
+            address=pending.address,
+            answer=decoded,
+        )
+
+    def release(self, connection: Connection) -> None:
+        """Give a connection to the next waiting call or keep it idle."""
+        pool = self.pools[connection.address]
+        while pool.waiting:
+            following = pool.waiting.popleft()
+            if not following.ended:
+                self.use(connection, following)
+                return
+        pool.idle.append(connection)
+
+    def discard(self, connection: Connection) -> None:
+        """Close a connection and open one for the next waiting call."""
+        if self.connections.pop(connection.sock, None) is None:
+            return
+        self.poller.discard(connection.sock)
+        connection.sock.close()
+        pool = self.pools[connection.address]
+        pool.open_count -= 1
+        if connection in pool.idle:
+            pool.idle.remove(connection)
+        while pool.waiting:
+            following = pool.waiting.popleft()
+            if not following.ended:
+                self.connect(pool, following)
+                return
+
+    def close(
+        self,
+        connection: Connection,
+        kind: events.FailureKind,
+        detail: str,
+    ) -> None:
+        """Close a connection and fail its call."""
+        pending = connection.pending
+        connection.pending = None
+        self.discard(connection)
+        if pending is not None:
+            self.fail(pending, kind, detail)
+
+    def expire(self, pending: PendingCall) -> None:
+        """Fail a call whose time is over; its connection is not reused."""
+        connection = pending.connection
+        if connection is None:
+            self.fail(pending, events.FailureKind.TIMED_OUT, 'no connection')
+        elif connection.pending is pending:
+            self.close(connection, events.FailureKind.TIMED_OUT, 'no answer')
+
+    def fail(
+        self,
+        pending: PendingCall,
+        kind: events.FailureKind,
+        detail: str,
+    ) -> None:
+        """Report the failure of a call unless it has ended."""
+        if self.end(pending):
+            self.report_failure(pending, kind, detail)
+
+    def report_failure(
+        self,
+        pending: PendingCall,
+        kind: events.FailureKind,
+        detail: str,
+    ) -> None:
+        """Report a failure."""
+        self.occur(
+            events.CallFailed,
+            call=pending.call,
+            address=pending.address,
+            failure=events.Failure(kind, pending.sent, detail),
+        )
+
+    def end(self, pending: PendingCall) -> bool:
+        """Mark a call as ended; return whether it had not ended before."""
+        if pending.ended:
+            return False
+        pending.ended = True
+        self.deadlines.cancel_timer(pending)
+        return True
--- /dev/null
+++ b/src/mustardvale/internal/edge/http_server.py
@@ -0,0 +1,222 @@
+"""Serve callers over HTTP with circuits.web."""
+
+import socket
+from collections import abc
+from typing import Any, Protocol
+
+import circuits
+import immutables
+from circuits.net import sockets
+from circuits.web import events as web_events
+from circuits.web import http
+
+from mustardvale.internal import events
+from mustardvale.internal.edge import wire
+
+MAXIMUM_QUEUED_BYTES = 256 * 1024
+
+
+class CallerCodec(Protocol):
+    """Decode requests of callers and encode what they are answered."""
+
+    def decode_request(self, raw: wire.RawRequest) -> Any:
+        """Decode a request, or raise `wire.DecodeError`."""
+
+    def encode_reply(self, reply: Any) -> wire.RawReply:
+        """Encode a whole answer."""
+
+    def encode_part(self, part: Any) -> bytes:
+        """Encode one part of a streamed answer."""
+
+    def encode_error(self, error: wire.DecodeError) -> wire.RawReply:
+        """Encode the answer to a request that did not decode."""
+
+
+class Exchange:
+    """Track one request from its arrival to the end of its answer."""
+
+    def __init__(self, request: Any, response: Any) -> None:
+        self.request = request
+        self.response = response
+        self.streaming = False
+        self.queued_bytes = 0
+        self.blocked = False
+
+
+class HttpServer(circuits.Component):
+    """Report requests as events and send the answers that effects carry."""
+
+    channel = 'web'
+
+    def __init__(
+        self,
+        bind: tuple[str, int],
+        codec: CallerCodec,
+        occur: abc.Callable[..., None],
+        id_prefix: str,
+    ) -> None:
+        super().__init__()
+        self.codec = codec
+        self.occur = occur
+        self.id_prefix = id_prefix
+        self.request_count = 0
+        self.exchanges: dict[str, Exchange] = {}
+        self.request_ids: dict[socket.socket, str] = {}
+        self.tcp = sockets.TCPServer(bind, channel='web').register(self)
+        self.http = http.HTTP(self.tcp, channel='web').register(self)
+
+    @circuits.handler('request', priority=1)
+    def on_request(self, event: Any, request: Any, response: Any) -> bool:
+        """Report a request."""
+        self.request_count += 1
+        request_id = f'{self.id_prefix}-{self.request_count}'
+        self.exchanges[request_id] = Exchange(request, response)
+        self.request_ids[request.sock] = request_id
+        try:
+            wanted = self.codec.decode_request(to_raw(request))
+        except wire.DecodeError as error:
+            self.send_raw(request_id, self.codec.encode_error(error))
+            return True
+        self.occur(
+            events.CallerRequested,
+            request_id=request_id,
+            wanted=wanted,
+        )
+        return True
+
+    @circuits.handler('httperror', priority=1)
+    def on_http_error(
+        self,
+        event: Any,
+        request: Any,
+        response: Any,
+        code: int | None = None,
+        **_: Any,
+    ) -> None:
+        """Answer what circuits.web rejects without its error page."""
+        event.stop()
+        status = int(code or event.code)
+        error = wire.DecodeError(status, 'malformed_request', 'bad request')
+        response.close = True
+        self.respond(response, self.codec.encode_error(error))
+
+    @circuits.handler('disconnect')
+    def on_disconnect(self, sock: socket.socket) -> None:
+        """Report a caller that left before the end of its answer."""
+        request_id = self.request_ids.pop(sock, None)
+        if self.exchanges.pop(request_id or '', None) is not None:
+            self.occur(events.CallerLeft, request_id=request_id)
+
+    @circuits.handler('_write')
+    def on_written(self, sock: socket.socket) -> None:
+        """Report a blocked caller whose output has been written."""
+        request_id = self.request_ids.get(sock)
+        exchange = self.exchanges.get(request_id or '')
+        if exchange is None or self.tcp._buffers.get(sock):
+            return
+        exchange.queued_bytes = 0
+        if exchange.blocked:
+            exchange.blocked = False
+            self.occur(events.CallerCaughtUp, request_id=request_id)
+
+    def reply(self, request_id: str, reply: Any) -> None:
+        """Answer a request whole; a caller that has left is ignored."""
+        self.send_raw(request_id, self.codec.encode_reply(reply))
+
+    def fail_request(self, request_id: str) -> None:
+        """Answer a request that failed inside the reducer."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None and exchange.streaming:
+            self.close_caller(request_id)
+            return
+        error = wire.DecodeError(500, 'internal_error', 'internal error')
+        self.send_raw(request_id, self.codec.encode_error(error))
+
+    def send_raw(self, request_id: str, raw: wire.RawReply) -> None:
+        """Send an encoded whole answer."""
+        exchange = self.take(request_id)
+        if exchange is not None:
+            self.respond(exchange.response, raw)
+
+    def respond(self, response: Any, raw: wire.RawReply) -> None:
+        """Send an encoded answer on a response of circuits.web."""
+        set_head(response, raw)
+        response.body = raw.body
+        self.fire(web_events.response(response))
+
+    def stream_part(self, request_id: str, part: Any) -> None:
+        """Send one part of a streamed answer; report a slow caller."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is None:
+            return
+        self.begin_stream(exchange)
+        body = self.codec.encode_part(part)
+        self.fire(web_events.stream(exchange.response, body))
+        exchange.queued_bytes += len(body)
+        if exchange.queued_bytes > MAXIMUM_QUEUED_BYTES and (
+            not exchange.blocked
+        ):
+            exchange.blocked = True
+            self.occur(events.CallerBlocked, request_id=request_id)
+
+    def end_stream(self, request_id: str, end: Any) -> None:
+        """Send the end mark and complete a streamed answer."""
+        exchange = self.take(request_id)
+        if exchange is None:
+            return
+        self.begin_stream(exchange)
+        body = self.codec.encode_part(end)
+        self.fire(web_events.stream(exchange.response, body))
+        self.fire(web_events.stream(exchange.response, None))
+
+    def begin_stream(self, exchange: Exchange) -> None:
+        """Send the head of a streamed answer once."""
+        if exchange.streaming:
+            return
+        exchange.streaming = True
+        response = exchange.response
+        head = wire.RawReply(200, None, (), 'application/x-ndjson')
+        set_head(response, head)
+        response.stream = True
+        # An empty tuple keeps circuits.web from announcing a content length.
+        response.body = ()
+        self.fire(web_events.response(response))
+
+    def close_caller(self, request_id: str) -> None:
+        """Close a connection so that its caller sees a cut answer."""
+        exchange = self.take(request_id)
+        if exchange is not None:
+            self.tcp.close(exchange.request.sock)
+
+    def take(self, request_id: str) -> Exchange | None:
+        """Forget a request and return what is known of it."""
+        exchange = self.exchanges.pop(request_id, None)
+        if exchange is not None:
+            self.request_ids.pop(exchange.request.sock, None)
+        return exchange
+
+    def is_flushed(self) -> bool:
+        """Return whether no output is queued for any caller."""
+        return not any(self.tcp._buffers.values())
+
+
+def set_head(response: Any, raw: wire.RawReply) -> None:
+    """Set the status and headers of a response."""
+    response.status = raw.status
+    response.headers['Content-Type'] = raw.content_type
+    for name, text in raw.headers:
+        response.headers[name] = text
+
+
+def to_raw(request: Any) -> wire.RawRequest:
+    """Convert a request of circuits.web."""
+    return wire.RawRequest(
+        method=request.method,
+        path=request.path,
+        query=request.qs or '',
+        headers=immutables.Map(
+            {name.lower(): text for name, text in request.headers.items()}
+        ),
+        body=request.body.read(),
+        peer=f'{request.remote.ip}:{request.remote.port}',
+    )
--- /dev/null
+++ b/src/mustardvale/internal/edge/peer_socket.py
@@ -0,0 +1,113 @@
+"""Exchange messages with other entry instances over ZeroMQ."""
+
+from collections import abc
+from typing import Any, Protocol
+
+import circuits
+import zmq
+
+from mustardvale.internal import events
+
+HIGH_WATER_MARK_MESSAGES = 256
+MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class PeerDecodeError(Exception):
+    """Report a frame that is no message of ours."""
+
+
+class PeerCodec(Protocol):
+    """Encode and decode messages between entry instances."""
+
+    def encode_message(self, sender: str, message: Any) -> bytes:
+        """Encode a message."""
+
+    def decode_message(self, frame: bytes) -> tuple[str, Any]:
+        """Decode sender and message, or raise `PeerDecodeError`."""
+
+
+class PeerSocket(circuits.Component):
+    """Send to and receive from peers without blocking.
+
+    A separate socket receives, so that sending does not consume the edge of
+    its readiness descriptor.
+    """
+
+    channel = 'peers'
+
+    def __init__(
+        self,
+        address: str,
+        codec: PeerCodec,
+        poller: Any,
+        occur: abc.Callable[..., None],
+        count: abc.Callable[..., None],
+    ) -> None:
+        super().__init__()
+        self.address = address
+        self.codec = codec
+        self.occur = occur
+        self.count = count
+        self.context = zmq.Context()
+        self.receiver = self.context.socket(zmq.PULL)
+        self.receiver.set(zmq.MAXMSGSIZE, MAXIMUM_MESSAGE_BYTES)
+        self.receiver.set(zmq.RCVHWM, HIGH_WATER_MARK_MESSAGES)
+        self.receiver.bind(f'tcp://{address}')
+        self.senders: dict[str, zmq.Socket[bytes]] = {}
+        poller.addReader(self, self.receiver.get(zmq.FD))
+        circuits.Timer(0, drain(), self.channel).register(self)
+
+    @circuits.handler('_read', 'drain')
+    def on_readable(self, *_: Any) -> None:
+        """Drain the socket, because its descriptor is edge-triggered."""
+        while int(self.receiver.get(zmq.EVENTS)) & zmq.POLLIN:
+            self.receive(self.receiver.recv(zmq.NOBLOCK))
+
+    def receive(self, frame: bytes) -> None:
+        """Report a message; a frame that does not decode is counted."""
+        try:
+            sender, message = self.codec.decode_message(frame)
+        except PeerDecodeError:
+            self.count('peer_frames_rejected')
+            return
+        self.occur(events.PeerMessageReceived, sender=sender, message=message)
+
+    def connect_peers(self, addresses: tuple[str, ...]) -> None:
+        """Keep connections to exactly these addresses."""
+        for gone in set(self.senders) - set(addresses):
+            self.senders.pop(gone).close(linger=0)
+        for address in addresses:
+            self.sender_to(address)
+
+    def sender_to(self, address: str) -> 'zmq.Socket[bytes]':
+        """Return the sending socket to an address."""
+        sender = self.senders.get(address)
+        if sender is None:
+            sender = self.context.socket(zmq.PUSH)
+            sender.set(zmq.SNDHWM, HIGH_WATER_MARK_MESSAGES)
+            sender.set(zmq.LINGER, 0)
+            # Messages for a peer that is down are dropped, not delivered late.
+            sender.set(zmq.IMMEDIATE, 1)
+            sender.connect(f'tcp://{address}')
+            self.senders[address] = sender
+        return sender
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a message, or count it as dropped when the peer is not there."""
+        frame = self.codec.encode_message(self.address, message)
+        try:
+            self.sender_to(address).send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            self.count('peer_messages_dropped')
+
+    @circuits.handler('stopped', channel='*')
+    def on_stopped(self, *_: Any) -> None:
+        """Close all sockets."""
+        for sender in self.senders.values():
+            sender.close(linger=0)
+        self.receiver.close(linger=0)
+        self.context.term()
+
+
+class drain(circuits.Event):  # noqa: N801
+    """Ask for a first look at the socket, whose edge may have passed."""
--- /dev/null
+++ b/src/mustardvale/internal/edge/tracing.py
@@ -0,0 +1,62 @@
+"""Keep finished spans for export."""
+
+import collections
+from typing import Any
+
+from opentelemetry import trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.trace.propagation import tracecontext
+
+from mustardvale.internal import effects
+
+MAXIMUM_SPANS_KEPT = 2048
+NANOSECONDS = 1_000_000_000
+
+PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+
+
+class KeepingProcessor(sdk_trace.SpanProcessor):
+    """Keep the latest finished spans.
+
+    The batch processor of the SDK is not used because it starts a thread.
+    """
+
+    def __init__(self) -> None:
+        self.finished: collections.deque[Any] = collections.deque(
+            maxlen=MAXIMUM_SPANS_KEPT,
+        )
+
+    def on_end(self, span: Any) -> None:
+        """Keep a finished span."""
+        self.finished.append(span)
+
+
+class SpanRecorder:
+    """Turn span effects into spans of the OpenTelemetry SDK."""
+
+    def __init__(self) -> None:
+        self.processor = KeepingProcessor()
+        self.provider = sdk_trace.TracerProvider(
+            resource=resources.Resource({'service.name': 'mustardvale'}),
+            shutdown_on_exit=False,
+        )
+        self.provider.add_span_processor(self.processor)
+        self.tracer = self.provider.get_tracer('mustardvale')
+
+    def record(self, span: effects.RecordSpan, wall_offset: float) -> None:
+        """Record a finished span under the context that its caller sent."""
+        context = PROPAGATOR.extract({'traceparent': span.traceparent})
+        started = self.tracer.start_span(
+            span.name,
+            context=context,
+            kind=trace.SpanKind.SERVER,
+            attributes=dict(span.attributes),
+            start_time=to_nanoseconds(span.started_at + wall_offset),
+        )
+        started.end(to_nanoseconds(span.ended_at + wall_offset))
+
+
+def to_nanoseconds(seconds: float) -> int:
+    """Convert seconds since the epoch."""
+    return int(seconds * NANOSECONDS)
--- /dev/null
+++ b/src/mustardvale/internal/edge/wire.py
@@ -0,0 +1,61 @@
+"""Define HTTP messages as the codecs see them."""
+
+import dataclasses
+
+import immutables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawRequest:
+    """Hold a received request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: immutables.Map[str, str]
+    body: bytes
+    peer: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawReply:
+    """Hold an answer to be sent; no body means a streamed answer."""
+
+    status: int
+    body: bytes | None
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = 'application/json'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawCall:
+    """Hold a request to be sent to another process."""
+
+    method: str
+    target: str
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+    streamed: bool = False
+    fresh_connection: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """Hold a received answer; header names are in lower case."""
+
+    status: int
+    headers: immutables.Map[str, str]
+    body: bytes
+
+
+class DecodeError(Exception):
+    """Report a message that does not decode.
+
+    `status` and `code` are what a caller is answered with.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.message = message
--- /dev/null
+++ b/src/mustardvale/internal/generations.py
@@ -0,0 +1,160 @@
+"""Describe the model answers in flight and how they proceed.
+
+A session is a runner's state for one attempt of one answer. Its id is
+`<request id>.<attempt>`. No step is sent twice in one session: when the result
+of a step is lost, the attempt is over and the next one has new sessions.
+"""
+
+import dataclasses
+
+import immutables
+
+from mustardvale import document as documents
+from mustardvale.internal import calls, chains, replies
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Generation:
+    """Describe one answer in flight.
+
+    `tokens` are the prompt and every token delivered so far, `sent_tokens`
+    counts those delivered on this connection or an earlier one. `position` is
+    the index of the first input of the awaited step and `stage` its stage.
+    Times are in seconds of the monotonic clock.
+    """
+
+    request_id: str
+    account: str
+    wanted: replies.AnswerWanted
+    model: documents.Model
+    deadline_at: float
+    started_at: float
+    tokens: tuple[str, ...]
+    sent_tokens: int
+    attempt: int = 0
+    chain: tuple[chains.Stage, ...] = ()
+    stage: int = 0
+    position: int = 0
+    inputs: int = 0
+    blocked: bool = False
+    ready_step: bool = False
+    first_token_at: float = 0
+    last_token_at: float = 0
+    step_started_at: float = 0
+    failed_upstreams: frozenset[str] = frozenset()
+    last_problem: str = ''
+
+    @property
+    def session(self) -> str:
+        """Return the id of the sessions of the current attempt."""
+        return f'{self.request_id}.{self.attempt}'
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all wanted tokens were delivered."""
+        return self.sent_tokens >= self.wanted.maximum_tokens
+
+    @property
+    def current_stage(self) -> chains.Stage:
+        """Return the stage of the awaited step."""
+        return self.chain[self.stage]
+
+
+Generations = immutables.Map[str, Generation]
+
+
+def start_attempt(
+    generation: Generation,
+    chain: tuple[chains.Stage, ...],
+    now: float,
+) -> Generation:
+    """Begin a new attempt whose first step is the prefill of all tokens."""
+    assert chain, 'an attempt needs a chain'
+    return dataclasses.replace(
+        generation,
+        attempt=generation.attempt + 1,
+        chain=chain,
+        stage=0,
+        position=0,
+        inputs=len(generation.tokens),
+        ready_step=False,
+        step_started_at=now,
+    )
+
+
+def first_step(generation: Generation) -> calls.Step:
+    """Build the step at the first stage from the tokens not yet run."""
+    return build_step(generation, generation.tokens[generation.position :])
+
+
+def build_step(generation: Generation, inputs: tuple[str, ...]) -> calls.Step:
+    """Build the awaited step with its inputs."""
+    assert len(inputs) == generation.inputs, 'one input for each position'
+    return calls.Step(
+        session=generation.session,
+        model=generation.model.name,
+        version=generation.model.version,
+        adapter=generation.wanted.adapter,
+        position=generation.position,
+        inputs=inputs,
+    )
+
+
+def is_awaited(
+    generation: Generation,
+    address: str,
+    result: calls.StepResult,
+) -> bool:
+    """Return whether a result belongs to the step that is awaited now."""
+    if not generation.chain or generation.ready_step:
+        return False
+    awaited = (
+        generation.session,
+        generation.position,
+        generation.current_stage.address,
+    )
+    return awaited == (result.session, result.position, address)
+
+
+def next_stage(generation: Generation, now: float) -> Generation:
+    """Move on to the next stage of the same positions."""
+    return dataclasses.replace(
+        generation,
+        stage=generation.stage + 1,
+        step_started_at=now,
+    )
+
+
+def take_token(generation: Generation, token: str, now: float) -> Generation:
+    """Add a token and move on to the first stage of the next position."""
+    return dataclasses.replace(
+        generation,
+        tokens=(*generation.tokens, token),
+        sent_tokens=generation.sent_tokens + 1,
+        stage=0,
+        position=generation.position + generation.inputs,
+        inputs=1,
+        first_token_at=generation.first_token_at or now,
+        last_token_at=now,
+        step_started_at=now,
+    )
+
+
+def abandon_attempt(
+    generation: Generation,
+    address: str,
+    problem: str,
+) -> Generation:
+    """End the current attempt; its late results are no longer awaited."""
+    return dataclasses.replace(
+        generation,
+        chain=(),
+        ready_step=False,
+        failed_upstreams=generation.failed_upstreams | {address},
+        last_problem=problem,
+    )
+
+
+def request_of(session: str) -> str:
+    """Return the request id of a session id."""
+    return session.rpartition('.')[0]
--- /dev/null
+++ b/src/mustardvale/internal/handlers.py
@@ -0,0 +1,26 @@
+"""Import every module that registers handlers with the reducer."""
+
+from mustardvale.internal import (
+    answers,
+    configuration,
+    entries,
+    lifecycle,
+    log_streams,
+    membership,
+    reducer,
+    statuses,
+    upstreams,
+)
+
+REGISTERED = (
+    answers,
+    configuration,
+    entries,
+    lifecycle,
+    log_streams,
+    membership,
+    statuses,
+    upstreams,
+)
+
+reduce = reducer.reduce
--- /dev/null
+++ b/src/mustardvale/internal/log_streams.py
@@ -0,0 +1,374 @@
+"""Tail streams of the log service and append to them in groups."""
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+import immutables
+
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    records,
+    reducer,
+    streams,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+READ_LIMIT_RECORDS = 500
+READ_WAIT_SECONDS = 10.0
+READ_TIMEOUT_SECONDS = 12.0
+APPEND_TIMEOUT_SECONDS = 2.0
+RETRY_SECONDS = 0.5
+APPEND_GROUP_RECORDS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tail:
+    """Describe how far one stream has been read.
+
+    `caught_up` is true once a read reached the end of the stream.
+    """
+
+    next_offset: int = 0
+    caught_up: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendQueue:
+    """Hold records to append; at most one append per stream is in flight."""
+
+    in_flight: tuple[records.Record, ...] = ()
+    waiting: tuple[records.Record, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogState:
+    """Hold the state of all streams that this instance uses.
+
+    `available` is false from a failed call until one is answered.
+    """
+
+    address: str = ''
+    available: bool = True
+    tails: immutables.Map[streams.Stream, Tail] = immutables.Map()
+    queues: immutables.Map[streams.Stream, AppendQueue] = immutables.Map()
+
+
+@functools.singledispatch
+def on_stored(
+    stream: streams.Stream,
+    stored: records.StoredRecord,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Fold one record of a stream."""
+    raise TypeError(f'no fold for {type(stream).__name__}')
+
+
+@functools.singledispatch
+def on_caught_up(
+    stream: streams.Stream,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Act on having read a stream up to its end."""
+    return transitions.Transition(state)
+
+
+@functools.singledispatch
+def on_gap(
+    stream: streams.Stream,
+    earliest_offset: int,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Act on records that retention dropped before they were read."""
+    return transitions.Transition(state)
+
+
+@functools.singledispatch
+def on_append_failed(
+    record: records.Record,
+    event: events.CallFailed | events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Act on an append that failed, which may have taken effect."""
+    return transitions.Transition(state)
+
+
+def with_log(state: 'states.State', log: LogState) -> 'states.State':
+    """Replace the part of the state that this module owns."""
+    return dataclasses.replace(state, log=log)
+
+
+def follow(
+    stream: streams.Stream,
+    state: 'states.State',
+    from_offset: int = 0,
+) -> transitions.Transition['states.State']:
+    """Start to tail a stream."""
+    tail = Tail(next_offset=from_offset)
+    log = dataclasses.replace(
+        state.log,
+        tails=state.log.tails.set(stream, tail),
+    )
+    return read_on(stream, with_log(state, log))
+
+
+def unfollow(stream: streams.Stream, state: 'states.State') -> 'states.State':
+    """Stop tailing a stream; the answer to a pending read is ignored."""
+    if stream not in state.log.tails:
+        return state
+    log = dataclasses.replace(
+        state.log,
+        tails=state.log.tails.delete(stream),
+    )
+    return with_log(state, log)
+
+
+def read_on(
+    stream: streams.Stream,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Read the records that follow those read so far."""
+    call = calls.ReadRecords(
+        stream=stream,
+        from_offset=state.log.tails[stream].next_offset,
+        limit=READ_LIMIT_RECORDS,
+        wait_seconds=READ_WAIT_SECONDS,
+    )
+    effect = effects.Call(call, state.log.address, READ_TIMEOUT_SECONDS)
+    return transitions.Transition(state, (effect,))
+
+
+def append(
+    stream: streams.Stream,
+    record: records.Record,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append a record with the next group of its stream."""
+    queue = state.log.queues.get(stream, AppendQueue())
+    queue = dataclasses.replace(queue, waiting=(*queue.waiting, record))
+    return send_group(stream, queue, state)
+
+
+def send_group(
+    stream: streams.Stream,
+    queue: AppendQueue,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append what waits unless an append is in flight."""
+    to_send: tuple[effects.Effect, ...] = ()
+    if queue.waiting and not queue.in_flight:
+        queue = AppendQueue(
+            in_flight=queue.waiting[:APPEND_GROUP_RECORDS],
+            waiting=queue.waiting[APPEND_GROUP_RECORDS:],
+        )
+        call = calls.AppendRecords(stream, queue.in_flight)
+        to_send = (
+            effects.Call(call, state.log.address, APPEND_TIMEOUT_SECONDS),
+        )
+    log = dataclasses.replace(
+        state.log,
+        queues=state.log.queues.set(stream, queue),
+    )
+    return transitions.Transition(with_log(state, log), to_send)
+
+
+def set_available(
+    available: bool,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Note whether the log service answers, and log the change."""
+    if state.log.available == available:
+        return transitions.Transition(state)
+    log = dataclasses.replace(state.log, available=available)
+    message = 'log service answers again' if available else 'log service fails'
+    return transitions.Transition(
+        with_log(state, log),
+        (
+            effects.LogChange(message),
+            effects.SetGauge('log_available', int(available)),
+        ),
+    )
+
+
+@reducer.on_answer.register(calls.ReadRecords)
+def take_read(
+    call: calls.ReadRecords,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Fold the records of a read and read on."""
+    tail = state.log.tails.get(call.stream)
+    if tail is None or tail.next_offset != call.from_offset:
+        return transitions.Transition(state)
+    if not isinstance(event.answer, calls.RecordsRead):
+        return retry_read(call, state)
+    transition = set_available(True, state)
+    if event.answer.earliest_offset > tail.next_offset:
+        transition = transition.then(
+            lambda now: on_gap(
+                call.stream,
+                event.answer.earliest_offset,
+                event,
+                now,
+            ),
+        )
+    for stored in event.answer.records:
+        transition = transition.then(
+            functools.partial(fold_one, call.stream, stored, event),
+        )
+    return transition.then(
+        functools.partial(finish_read, call.stream, event),
+    )
+
+
+def fold_one(
+    stream: streams.Stream,
+    stored: records.StoredRecord,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Fold one record and move the tail behind it."""
+    tail = state.log.tails.get(stream)
+    if tail is None or stored.offset < tail.next_offset:
+        return transitions.Transition(state)
+    tail = dataclasses.replace(tail, next_offset=stored.offset + 1)
+    log = dataclasses.replace(
+        state.log,
+        tails=state.log.tails.set(stream, tail),
+    )
+    return on_stored(stream, stored, event, with_log(state, log))
+
+
+def finish_read(
+    stream: streams.Stream,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Note the end of a stream when it is reached, and read on."""
+    tail = state.log.tails.get(stream)
+    if tail is None:
+        return transitions.Transition(state)
+    reached = max(tail.next_offset, event.answer.earliest_offset)
+    caught_up = reached >= event.answer.next_offset
+    tail = Tail(reached, tail.caught_up or caught_up)
+    log = dataclasses.replace(
+        state.log,
+        tails=state.log.tails.set(stream, tail),
+    )
+    transition = transitions.Transition(with_log(state, log))
+    if caught_up:
+        transition = transition.then(
+            lambda now: on_caught_up(stream, event, now),
+        )
+    return transition.then(lambda now: read_if_followed(stream, now))
+
+
+def read_if_followed(
+    stream: streams.Stream,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Read on unless the stream is no longer followed."""
+    if stream not in state.log.tails:
+        return transitions.Transition(state)
+    return read_on(stream, state)
+
+
+@reducer.on_failure.register(calls.ReadRecords)
+def take_read_failure(
+    call: calls.ReadRecords,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Read again after a pause."""
+    return retry_read(call, state)
+
+
+def retry_read(
+    call: calls.ReadRecords,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Note that the log fails and read again after a pause."""
+    return set_available(False, state).with_effects(
+        effects.Count('log_failures', ('read',)),
+        effects.SetTimer(timers.ReadDue(call.stream), RETRY_SECONDS),
+    )
+
+
+@reducer.on_timer.register(timers.ReadDue)
+def read_again(
+    timer: timers.ReadDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Read a stream again."""
+    return read_if_followed(timer.stream, state)
+
+
+@reducer.on_answer.register(calls.AppendRecords)
+def take_append(
+    call: calls.AppendRecords,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send the next group; readers learn of the records by reading."""
+    if not isinstance(event.answer, calls.RecordsAppended):
+        return fail_append(call, event, state)
+    queue = state.log.queues[call.stream]
+    return set_available(True, state).then(
+        lambda now: send_group(
+            call.stream,
+            AppendQueue(waiting=queue.waiting),
+            now,
+        ),
+    )
+
+
+@reducer.on_failure.register(calls.AppendRecords)
+def take_append_failure(
+    call: calls.AppendRecords,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Report a failed append."""
+    return fail_append(call, event, state)
+
+
+def fail_append(
+    call: calls.AppendRecords,
+    event: events.CallFailed | events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Report every record of a failed append and pause before the next."""
+    transition = set_available(False, state).with_effects(
+        effects.Count('log_failures', ('append',)),
+        effects.SetTimer(timers.AppendDue(call.stream), RETRY_SECONDS),
+    )
+    for record in call.records:
+        transition = transition.then(
+            functools.partial(on_append_failed, record, event),
+        )
+    return transition
+
+
+@reducer.on_timer.register(timers.AppendDue)
+def append_again(
+    timer: timers.AppendDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send the next group of a stream after a failed append."""
+    queue = state.log.queues[timer.stream]
+    return send_group(
+        timer.stream,
+        AppendQueue(waiting=queue.waiting),
+        state,
+    )
--- /dev/null
+++ b/src/mustardvale/internal/reducer.py
@@ -0,0 +1,136 @@
+"""Dispatch events to the handlers that the concept modules register.
+
+`reduce` is the only way in which the state of an entry instance changes.
+"""
+
+import functools
+from typing import TYPE_CHECKING, Any
+
+from mustardvale.internal import (
+    calls,
+    events,
+    messages,
+    replies,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+type_error = 'no handler is registered for {0}'
+
+
+@functools.singledispatch
+def reduce(
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Return the next state and the effects of an event."""
+    raise TypeError(type_error.format(type(event).__name__))
+
+
+@functools.singledispatch
+def on_timer(
+    timer: timers.Timer,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Handle a timer."""
+    raise TypeError(type_error.format(type(timer).__name__))
+
+
+@functools.singledispatch
+def on_request(
+    wanted: replies.Wanted,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Handle a request of a caller."""
+    raise TypeError(type_error.format(type(wanted).__name__))
+
+
+@functools.singledispatch
+def on_answer(
+    call: Any,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Handle the answer to a call."""
+    raise TypeError(type_error.format(type(call).__name__))
+
+
+@functools.singledispatch
+def on_failure(
+    call: Any,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Handle a call that ended without an answer."""
+    raise TypeError(type_error.format(type(call).__name__))
+
+
+@functools.singledispatch
+def on_peer_message(
+    message: messages.PeerMessage,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Handle a message of a peer."""
+    raise TypeError(type_error.format(type(message).__name__))
+
+
+@reduce.register(events.TimerFired)
+def reduce_timer(
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Dispatch on the timer."""
+    return on_timer(event.timer, event, state)
+
+
+@reduce.register(events.CallerRequested)
+def reduce_request(
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Dispatch on what the caller wants."""
+    return on_request(event.wanted, event, state)
+
+
+@reduce.register(events.CallAnswered)
+def reduce_answer(
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Dispatch on the call that was answered."""
+    return on_answer(event.call, event, state)
+
+
+@reduce.register(events.CallFailed)
+def reduce_failure(
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Dispatch on the call that failed."""
+    return on_failure(event.call, event, state)
+
+
+@reduce.register(events.PeerMessageReceived)
+def reduce_peer_message(
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Dispatch on the message of a peer."""
+    return on_peer_message(event.message, event, state)
+
+
+@on_answer.register(calls.CloseSession)
+@on_failure.register(calls.CloseSession)
+def ignore_close_result(
+    call: calls.CloseSession,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ignore the result of a close, which engines also do after a time."""
+    return transitions.Transition(state)
--- /dev/null
+++ b/src/mustardvale/internal/refusals.py
@@ -0,0 +1,56 @@
+"""Refuse requests of callers."""
+
+from typing import TYPE_CHECKING
+
+from mustardvale import errors
+from mustardvale.internal import effects, events, replies, transitions
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+def refuse(
+    request_id: str,
+    code: errors.ErrorCode,
+    message: str,
+    state: 'states.State',
+    retry_after_seconds: float = 0,
+) -> transitions.Transition['states.State']:
+    """Refuse a request of which nothing was sent to any upstream."""
+    if code.status == 503 and not retry_after_seconds:
+        retry_after_seconds = RETRY_AFTER_SECONDS
+    error = replies.RequestError(
+        code,
+        message,
+        errors.Outcome.NOT_RUN,
+        retry_after_seconds=retry_after_seconds,
+    )
+    return transitions.Transition(
+        state,
+        (
+            effects.Reply(request_id, error),
+            effects.Count('refusals', (code.name,)),
+        ),
+    )
+
+
+def refuse_account(
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request without the key of a client account."""
+    if state.configuration.document is None:
+        return refuse(
+            event.request_id,
+            errors.NOT_READY,
+            'no environment document is in force yet',
+            state,
+        )
+    return refuse(
+        event.request_id,
+        errors.UNAUTHORIZED,
+        'the bearer token is not the key of a client account',
+        state,
+    )
--- /dev/null
+++ b/src/mustardvale/internal/state.py
@@ -0,0 +1,35 @@
+"""Define the state of an entry instance."""
+
+import dataclasses
+
+import immutables
+
+from mustardvale.internal import configuration as configurations
+from mustardvale.internal import generations as generation_tables
+from mustardvale.internal import (
+    lifecycle,
+    log_streams,
+    routing,
+    step_calls,
+)
+from mustardvale.internal import membership as memberships
+from mustardvale.internal import upstreams as upstream_tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class State:
+    """Hold everything that an entry instance knows.
+
+    `seed` is the source of all random draws.
+    """
+
+    identity: memberships.Identity
+    seed: int
+    policy: routing.Policy = routing.ExpectedCompletion()
+    configuration: configurations.ConfigurationState
+    log: log_streams.LogState
+    membership: memberships.Membership
+    upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
+    step_queues: step_calls.StepQueues = immutables.Map()
+    generations: generation_tables.Generations = immutables.Map()
+    stopping: lifecycle.Stopping | None = None
--- /dev/null
+++ b/src/mustardvale/internal/statuses.py
@@ -0,0 +1,167 @@
+"""Answer what operators and health checks ask."""
+
+from typing import TYPE_CHECKING
+
+from mustardvale.internal import (
+    effects,
+    events,
+    membership,
+    messages,
+    reducer,
+    replies,
+    transitions,
+    upstreams,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+
+@reducer.on_request.register(replies.ReadinessWanted)
+def answer_readiness(
+    wanted: replies.ReadinessWanted,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer whether this instance takes requests."""
+    readiness = replies.Readiness(True)
+    if state.membership.own_state != membership.LIVE:
+        readiness = replies.Readiness(False, 'the instance is leaving')
+    elif state.configuration.document is None:
+        readiness = replies.Readiness(False, 'no document is in force yet')
+    return transitions.Transition(
+        state,
+        (effects.Reply(event.request_id, readiness),),
+    )
+
+
+@reducer.on_request.register(replies.StatusWanted)
+def answer_status(
+    wanted: replies.StatusWanted,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer with all that this instance knows."""
+    own = describe_instance(membership.build_heartbeat(state), 0)
+    peers = tuple(
+        describe_instance(peer.heartbeat, event.at - peer.heard_at)
+        for peer in state.membership.peers.values()
+        if peer.heartbeat is not None
+    )
+    status = replies.Status(
+        instances=(own, *peers),
+        upstreams=tuple(
+            describe_upstream(upstream, event.at)
+            for upstream in state.upstreams.by_id.values()
+        ),
+        accounts=describe_accounts(state),
+    )
+    return transitions.Transition(
+        state,
+        (effects.Reply(event.request_id, status),),
+    )
+
+
+def describe_instance(
+    heartbeat: messages.Heartbeat,
+    heard_seconds_ago: float,
+) -> replies.InstanceStatus:
+    """Describe an entry instance by its heartbeat."""
+    return replies.InstanceStatus(
+        instance_id=heartbeat.instance_id,
+        address=heartbeat.address,
+        availability_zone=heartbeat.availability_zone,
+        state=heartbeat.state,
+        environment=heartbeat.environment,
+        document_version=heartbeat.document_version,
+        document_offset=heartbeat.document_offset,
+        in_force_since=heartbeat.in_force_since,
+        heard_seconds_ago=round(heard_seconds_ago, 3),
+    )
+
+
+def describe_upstream(
+    upstream: upstreams.Upstream,
+    now: float,
+) -> replies.UpstreamStatus:
+    """Describe an upstream."""
+    report = upstream.report
+    layers = f'{report.first_layer}-{report.end_layer}' if report else ''
+    return replies.UpstreamStatus(
+        instance_id=upstream.listed.instance_id,
+        pool=upstream.listed.pool,
+        address=upstream.listed.address,
+        availability_zone=upstream.listed.availability_zone,
+        state=upstream_state(upstream, now),
+        in_flight=upstream.in_flight,
+        queued=report.queued if report else 0,
+        layers=layers,
+    )
+
+
+def upstream_state(upstream: upstreams.Upstream, now: float) -> str:
+    """Name the state of an upstream."""
+    if upstream.leaving or upstream.listed.state.value == membership.LEAVING:
+        return 'leaving'
+    if upstream.ejected_until > now:
+        return 'ejected'
+    return 'usable' if upstream.report else 'unreported'
+
+
+def describe_accounts(
+    state: 'states.State',
+) -> tuple[replies.AccountStatus, ...]:
+    """Describe the client accounts of the document in force."""
+    document = state.configuration.document
+    if document is None:
+        return ()
+    return tuple(
+        replies.AccountStatus(
+            name=account.name,
+            priority=account.priority.value,
+            requests_per_second=account.requests_per_second,
+            tokens_per_second=account.tokens_per_second,
+            share=1,
+        )
+        for account in document.client_accounts
+    )
+
+
+@reducer.on_request.register(replies.LivenessWanted)
+def answer_liveness(
+    wanted: replies.LivenessWanted,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer that the loop runs."""
+    alive = replies.Readiness(True)
+    return transitions.Transition(
+        state,
+        (effects.Reply(event.request_id, alive),),
+    )
+
+
+@reducer.on_request.register(replies.MetricsWanted)
+def answer_metrics(
+    wanted: replies.MetricsWanted,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer with the metrics, which the edge holds."""
+    return transitions.Transition(
+        state,
+        (effects.Reply(event.request_id, replies.MetricsPage()),),
+    )
+
+
+@reducer.on_request.register(replies.SpansWanted)
+def answer_spans(
+    wanted: replies.SpansWanted,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer with the latest spans, which the edge holds."""
+    return transitions.Transition(
+        state,
+        (effects.Reply(event.request_id, replies.SpansPage()),),
+    )
--- /dev/null
+++ b/src/mustardvale/internal/step_calls.py
@@ -0,0 +1,78 @@
+"""Send the steps that wait for one runner together in one call."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import immutables
+
+from mustardvale.internal import calls, effects, transitions, upstreams
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+# A second call lets steps join the runner's next iteration while the first
+# call still waits for the current one.
+CALLS_IN_FLIGHT_PER_RUNNER = 2
+STEPS_PER_CALL = 256
+STEP_TIMEOUT_SECONDS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepQueue:
+    """Hold the steps that wait for a runner and the calls in flight to it."""
+
+    calls_in_flight: int = 0
+    waiting: tuple[calls.Step, ...] = ()
+
+
+StepQueues = immutables.Map[str, StepQueue]
+
+
+def enqueue(
+    address: str,
+    step: calls.Step,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send a step with the next call to its runner."""
+    queue = state.step_queues.get(address, StepQueue())
+    queue = dataclasses.replace(queue, waiting=(*queue.waiting, step))
+    state = upstreams.add_in_flight(address, 1, state)
+    return send_waiting(address, queue, state)
+
+
+def send_waiting(
+    address: str,
+    queue: StepQueue,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send one call with the waiting steps if another may be in flight."""
+    to_send: tuple[effects.Effect, ...] = ()
+    if queue.waiting and queue.calls_in_flight < CALLS_IN_FLIGHT_PER_RUNNER:
+        steps = queue.waiting[:STEPS_PER_CALL]
+        to_send = (
+            effects.Call(calls.RunSteps(steps), address, STEP_TIMEOUT_SECONDS),
+        )
+        queue = StepQueue(
+            queue.calls_in_flight + 1,
+            queue.waiting[STEPS_PER_CALL:],
+        )
+    queues = state.step_queues.set(address, queue)
+    return transitions.Transition(
+        dataclasses.replace(state, step_queues=queues),
+        to_send,
+    )
+
+
+def end_call(
+    address: str,
+    call: calls.RunSteps,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Account for a call that ended and send what waits."""
+    queue = state.step_queues.get(address, StepQueue())
+    queue = dataclasses.replace(
+        queue,
+        calls_in_flight=max(queue.calls_in_flight - 1, 0),
+    )
+    state = upstreams.add_in_flight(address, -len(call.steps), state)
+    return send_waiting(address, queue, state)
--- /dev/null
+++ b/src/mustardvale/internal/transitions.py
@@ -0,0 +1,32 @@
+"""Define the result of one reduction."""
+
+import dataclasses
+from collections import abc
+from typing import Generic, TypeVar
+
+from mustardvale.internal import effects as effect_types
+
+StateT = TypeVar('StateT')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transition(Generic[StateT]):
+    """Pair the next state with the effects that the edge has to perform."""
+
+    state: StateT
+    effects: tuple[effect_types.Effect, ...] = ()
+
+    def then(
+        self,
+        step: abc.Callable[[StateT], 'Transition[StateT]'],
+    ) -> 'Transition[StateT]':
+        """Apply a further step to the state and append its effects."""
+        following = step(self.state)
+        return Transition(following.state, self.effects + following.effects)
+
+    def with_effects(
+        self,
+        *further: effect_types.Effect,
+    ) -> 'Transition[StateT]':
+        """Append effects."""
+        return Transition(self.state, self.effects + further)
--- /dev/null
+++ b/standins/json_codec.py
@@ -0,0 +1,57 @@
+"""Encode what all stand-ins answer (HTTP and JSON)."""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from mustardvale.internal.edge import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuse a request with an HTTP status."""
+
+    status: int
+    message: str
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """Confirm a request."""
+
+    done: bool = True
+
+
+def encode_reply(reply: Any) -> wire.RawReply:
+    """Encode a whole answer."""
+    if isinstance(reply, Refused):
+        headers = (('Mustardvale-Leaving', 'true'),) if reply.leaving else ()
+        body = msgspec.json.encode({'error': reply.message})
+        return wire.RawReply(reply.status, body, headers)
+    return wire.RawReply(200, msgspec.json.encode(reply))
+
+
+def encode_part(part: Any) -> bytes:
+    """Encode one line of a streamed answer."""
+    return msgspec.json.encode(part) + b'\n'
+
+
+def encode_error(error: wire.DecodeError) -> wire.RawReply:
+    """Encode the answer to a request that did not decode."""
+    body = msgspec.json.encode({'error': error.message})
+    return wire.RawReply(error.status, body)
+
+
+def decode_body(raw: wire.RawRequest, kind: type[Any]) -> Any:
+    """Decode a JSON body into a type."""
+    try:
+        return msgspec.json.decode(raw.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise wire.DecodeError(400, 'malformed', str(error)) from error
+
+
+def unknown(raw: wire.RawRequest) -> wire.DecodeError:
+    """Describe a path that does not exist."""
+    return wire.DecodeError(404, 'not_found', f'{raw.method} {raw.path}')
--- /dev/null
+++ b/standins/list_codec.py
@@ -0,0 +1,31 @@
+"""Decode requests to the stand-in of the instance list."""
+
+import types
+from typing import Any
+
+from mustardvale.internal import calls
+from mustardvale.internal.edge import wire
+from standins import instance_list, json_codec
+
+encode_reply = json_codec.encode_reply
+encode_part = json_codec.encode_part
+encode_error = json_codec.encode_error
+
+BODIES = types.MappingProxyType(
+    {
+        ('POST', '/faults'): instance_list.Faults,
+        ('PUT', '/v1/instances'): instance_list.SetInstances,
+        ('POST', '/v1/instances/state'): instance_list.SetState,
+        ('POST', '/v1/instances/remove'): instance_list.Remove,
+    }
+)
+
+
+def decode_request(raw: wire.RawRequest) -> Any:
+    """Decode a request, or raise `wire.DecodeError`."""
+    if (raw.method, raw.path) == ('GET', '/v1/instances'):
+        return calls.ListInstances()
+    kind = BODIES.get((raw.method, raw.path))
+    if kind is None:
+        raise json_codec.unknown(raw)
+    return json_codec.decode_body(raw, kind)
--- /dev/null
+++ b/standins/log_service.py
@@ -0,0 +1,376 @@
+"""Stand in for the platform's log service."""
+
+import dataclasses
+import functools
+from typing import Any
+
+import immutables
+
+from mustardvale.internal import effects, events, transitions
+from standins import json_codec
+
+RETENTION_SWEEP_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Append:
+    """Ask to append records; all or none are stored."""
+
+    stream: str
+    records: tuple[Any, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Ask for records from an offset on, waiting for at least one."""
+
+    stream: str
+    from_offset: int
+    limit: int
+    wait_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Faults:
+    """Hold the faults that are switched on.
+
+    `lose_answers` counts appends that take effect without an answer.
+    """
+
+    down: bool = False
+    delay_seconds: float = 0
+    lose_answers: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Appended:
+    """Hold the offset of the first appended record."""
+
+    first_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """Hold one record."""
+
+    offset: int
+    appended_at: float
+    record: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAnswer:
+    """Hold the records of a read."""
+
+    records: tuple[Stored, ...]
+    earliest_offset: int
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """Hold the records of one stream by offset."""
+
+    records: immutables.Map[int, Stored] = immutables.Map()
+    earliest_offset: int = 0
+    next_offset: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitOver:
+    """Time out a read that waits for records."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendLater:
+    """Carry out an append whose delay is over."""
+
+    request_id: str
+    append: Append
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SweepDue:
+    """Drop records that are older than the retention."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Hold all streams and the reads that wait."""
+
+    retention_seconds: float
+    appends_per_second: float
+    streams: immutables.Map[str, Stream] = immutables.Map()
+    waiting: immutables.Map[str, Read] = immutables.Map()
+    faults: Faults = Faults()
+    credit: float = 0
+    credited_at: float = 0
+
+
+Transition = transitions.Transition[State]
+
+
+@functools.singledispatch
+def reduce(event: events.Event, state: State) -> Transition:
+    """Ignore events that concern no stream."""
+    return transitions.Transition(state)
+
+
+@reduce.register(events.InstanceStarted)
+def start(event: events.InstanceStarted, state: State) -> Transition:
+    """Start to sweep."""
+    sweep = effects.SetTimer(SweepDue(), RETENTION_SWEEP_SECONDS)
+    return transitions.Transition(state, (sweep,))
+
+
+@reduce.register(events.StopRequested)
+def stop(event: events.StopRequested, state: State) -> Transition:
+    """Stop at once."""
+    return transitions.Transition(state, (effects.StopLoop(),))
+
+
+@reduce.register(events.CallerRequested)
+def receive(event: events.CallerRequested, state: State) -> Transition:
+    """Dispatch on the request."""
+    if state.faults.down and not isinstance(event.wanted, Faults):
+        return answer(event.request_id, DOWN, state)
+    return on_request(event.wanted, event, state)
+
+
+@reduce.register(events.CallerLeft)
+def forget_reader(event: events.CallerLeft, state: State) -> Transition:
+    """Forget a read whose caller left."""
+    return transitions.Transition(without_waiting(event.request_id, state))
+
+
+@reduce.register(events.TimerFired)
+def elapse(event: events.TimerFired, state: State) -> Transition:
+    """Dispatch on the timer."""
+    return on_timer(event.timer, event, state)
+
+
+@functools.singledispatch
+def on_timer(timer: Any, event: events.TimerFired, state: State) -> Transition:
+    """Handle a timer."""
+    raise TypeError(type(timer).__name__)
+
+
+@functools.singledispatch
+def on_request(
+    wanted: Any,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Handle a request."""
+    raise TypeError(type(wanted).__name__)
+
+
+DOWN = json_codec.Refused(503, 'the log service is down')
+TOO_MANY = json_codec.Refused(429, 'too many appends')
+
+
+def answer(request_id: str, reply: Any, state: State) -> Transition:
+    """Answer a request."""
+    return transitions.Transition(
+        state,
+        (effects.Reply(request_id, reply),),
+    )
+
+
+@on_request.register(Faults)
+def set_faults(
+    wanted: Faults,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Switch faults; an outage also ends the reads that wait."""
+    changed = dataclasses.replace(state, faults=wanted)
+    transition = answer(event.request_id, json_codec.Done(), changed)
+    if not wanted.down:
+        return transition
+    ended = tuple(
+        effects.Reply(request_id, DOWN) for request_id in state.waiting
+    )
+    cleared = dataclasses.replace(changed, waiting=immutables.Map())
+    return transitions.Transition(cleared, transition.effects + ended)
+
+
+@on_request.register(Append)
+def receive_append(
+    wanted: Append,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Store records at once or after the delay, at the allowed rate."""
+    state = add_credit(event.at, state)
+    if state.credit < 1:
+        return answer(event.request_id, TOO_MANY, state)
+    state = dataclasses.replace(state, credit=state.credit - 1)
+    if state.faults.delay_seconds:
+        later = AppendLater(event.request_id, wanted)
+        delay = effects.SetTimer(later, state.faults.delay_seconds)
+        return transitions.Transition(state, (delay,))
+    return store(wanted, event.request_id, event, state)
+
+
+def add_credit(now: float, state: State) -> State:
+    """Refill the token bucket of appends, which holds one second's worth."""
+    gained = (now - state.credited_at) * state.appends_per_second
+    credit = min(state.credit + gained, state.appends_per_second)
+    return dataclasses.replace(state, credit=credit, credited_at=now)
+
+
+@on_timer.register(AppendLater)
+def append_later(
+    timer: AppendLater,
+    event: events.TimerFired,
+    state: State,
+) -> Transition:
+    """Store records after the delay."""
+    return store(timer.append, timer.request_id, event, state)
+
+
+def store(
+    wanted: Append,
+    request_id: str,
+    event: events.Event,
+    state: State,
+) -> Transition:
+    """Store records, answer and wake the reads that wait for them."""
+    stream = state.streams.get(wanted.stream, Stream())
+    first = stream.next_offset
+    table = stream.records
+    for index, record in enumerate(wanted.records):
+        offset = first + index
+        table = table.set(offset, Stored(offset, event.wall, record))
+    stream = dataclasses.replace(
+        stream,
+        records=table,
+        next_offset=first + len(wanted.records),
+    )
+    state = dataclasses.replace(
+        state,
+        streams=state.streams.set(wanted.stream, stream),
+    )
+    if state.faults.lose_answers:
+        return lose_answer(request_id, state).then(
+            lambda now: wake_readers(wanted.stream, now),
+        )
+    return answer(request_id, Appended(first), state).then(
+        lambda now: wake_readers(wanted.stream, now),
+    )
+
+
+def lose_answer(request_id: str, state: State) -> Transition:
+    """Close the connection in place of an answer."""
+    faults = dataclasses.replace(
+        state.faults,
+        lose_answers=state.faults.lose_answers - 1,
+    )
+    return transitions.Transition(
+        dataclasses.replace(state, faults=faults),
+        (effects.CloseCaller(request_id),),
+    )
+
+
+def wake_readers(name: str, state: State) -> Transition:
+    """Answer the reads that wait for records of a stream."""
+    transition: Transition = transitions.Transition(state)
+    for request_id, read in state.waiting.items():
+        if read.stream == name:
+            transition = transition.then(
+                functools.partial(answer_read, request_id, read),
+            )
+    return transition
+
+
+@on_request.register(Read)
+def receive_read(
+    wanted: Read,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Answer a read, or let it wait for records."""
+    stream = state.streams.get(wanted.stream, Stream())
+    behind = wanted.from_offset < stream.earliest_offset
+    if (
+        wanted.from_offset < stream.next_offset
+        or behind
+        or (wanted.wait_seconds <= 0)
+    ):
+        return answer_read(event.request_id, wanted, state)
+    waiting = state.waiting.set(event.request_id, wanted)
+    timer = WaitOver(event.request_id)
+    return transitions.Transition(
+        dataclasses.replace(state, waiting=waiting),
+        (effects.SetTimer(timer, wanted.wait_seconds),),
+    )
+
+
+@on_timer.register(WaitOver)
+def end_wait(
+    timer: WaitOver,
+    event: events.TimerFired,
+    state: State,
+) -> Transition:
+    """Answer a read without records."""
+    read = state.waiting.get(timer.request_id)
+    if read is None:
+        return transitions.Transition(state)
+    return answer_read(timer.request_id, read, state)
+
+
+def answer_read(request_id: str, read: Read, state: State) -> Transition:
+    """Answer a read with what is stored."""
+    stream = state.streams.get(read.stream, Stream())
+    first = max(read.from_offset, stream.earliest_offset)
+    end = min(first + read.limit, stream.next_offset)
+    found = ReadAnswer(
+        tuple(stream.records[offset] for offset in range(first, end)),
+        stream.earliest_offset,
+        stream.next_offset,
+    )
+    return answer(
+        request_id,
+        found,
+        without_waiting(request_id, state),
+    ).with_effects(effects.CancelTimer(WaitOver(request_id)))
+
+
+def without_waiting(request_id: str, state: State) -> State:
+    """Forget a read that waits."""
+    if request_id not in state.waiting:
+        return state
+    waiting = state.waiting.delete(request_id)
+    return dataclasses.replace(state, waiting=waiting)
+
+
+@on_timer.register(SweepDue)
+def sweep(
+    timer: SweepDue,
+    event: events.TimerFired,
+    state: State,
+) -> Transition:
+    """Drop what is older than the retention."""
+    limit = event.wall - state.retention_seconds
+    streams = state.streams
+    for name, stream in state.streams.items():
+        streams = streams.set(name, drop_before(limit, stream))
+    return transitions.Transition(
+        dataclasses.replace(state, streams=streams),
+        (effects.SetTimer(timer, RETENTION_SWEEP_SECONDS),),
+    )
+
+
+def drop_before(limit: float, stream: Stream) -> Stream:
+    """Drop the records that were appended before a wall time."""
+    earliest = stream.earliest_offset
+    table = stream.records
+    while earliest < stream.next_offset and (
+        table[earliest].appended_at < limit
+    ):
+        table = table.delete(earliest)
+        earliest += 1
+    return Stream(table, earliest, stream.next_offset)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,40 @@
+"""Build the process of a stand-in."""
+
+import secrets
+from typing import Any
+
+from mustardvale.internal.edge import (
+    http_client,
+    http_server,
+    logs,
+    metrics,
+    performer,
+    runtime,
+)
+
+
+def run(
+    name: str,
+    address: str,
+    reduce: runtime.Reduce,
+    state: Any,
+    codec: http_server.CallerCodec,
+    call_codec: http_client.CallCodec | None = None,
+) -> None:
+    """Serve a reducer at `host:port` until the process is stopped."""
+    logs.configure('INFO', name)
+    loop = runtime.Runtime(reduce, state, performer.perform, metrics.Metrics())
+    host, _, port = address.rpartition(':')
+    loop.server = http_server.HttpServer(
+        (host, int(port)),
+        codec,
+        loop.occur,
+        f'{name}-{secrets.token_hex(4)}',
+    ).register(loop)
+    if call_codec is not None:
+        loop.client = http_client.HttpClient(
+            call_codec,
+            loop.poller,
+            loop.occur,
+        ).register(loop)
+    loop.run()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Guard what the project promises."""
