Check model answers under losses, repeats and deaths of runners

Cause: nothing showed that a lost, repeated or late step result leaves the tokens of an answer unchanged. Change: a stateful test drives the reducer with engine stand-ins; calls are answered in any order, lost after they ran, repeated, or cut by an engine that restarts without its sessions.

--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,293 @@
+"""Guard model answers against losses, repeats and deaths of runners."""
+
+import dataclasses
+import unittest
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    handlers,
+    replies,
+    transitions,
+    upstreams,
+)
+from standins import engine, reference_model
+from tests import entry_states
+
+RANGES = ((0, 8), (8, 16), (16, 24))
+RUNNERS = tuple(
+    entry_states.build_runner(f'runner-{number}', *RANGES[number // 2])
+    for number in range(6)
+)
+INITIAL_STATE = entry_states.build_state(RUNNERS)
+PROMPT = ('how', 'is', 'the', 'rind')
+TOKENS = 4
+STEP_SECONDS = 0.01
+
+
+def build_engine(runner: upstreams.Upstream) -> engine.State:
+    """Return an engine stand-in without sessions."""
+    report = runner.report
+    assert report is not None
+    return engine.State(
+        engine.Held(
+            instance_id=report.instance_id,
+            accelerator='standard',
+            model=report.model,
+            version=report.version,
+            adapters=report.adapters,
+            layers=entry_states.LAYERS,
+            first_layer=report.first_layer,
+            end_layer=report.end_layer,
+            iteration_seconds=0.004,
+            input_seconds=0,
+        ),
+    )
+
+
+class AnswerMachine(stateful.RuleBasedStateMachine):
+    """Run answers over engines whose calls are lost, late or repeated."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.state = INITIAL_STATE
+        self.engines = {
+            runner.listed.address: build_engine(runner) for runner in RUNNERS
+        }
+        self.pending: list[effects.Call] = []
+        self.repeatable: list[events.CallAnswered] = []
+        self.applied: set[tuple[str, str, int]] = set()
+        # An engine that restarted refuses the next step of a session it lost.
+        self.lost_sessions: set[tuple[str, str]] = set()
+        self.parts: dict[str, list[replies.TokenPart]] = {}
+        self.ended: dict[str, Any] = {}
+        self.started: list[str] = []
+
+    def occur(self, event: events.Event) -> None:
+        """Reduce one event and keep what it sends."""
+        transition: transitions.Transition[Any] = handlers.reduce(
+            event,
+            self.state,
+        )
+        self.state = transition.state
+        for effect in transition.effects:
+            self.keep(effect)
+
+    def keep(self, effect: effects.Effect) -> None:
+        """Keep a call, part or end."""
+        if isinstance(effect, effects.Call):
+            if isinstance(effect.call, calls.RunSteps):
+                self.pending.append(effect)
+        elif isinstance(effect, effects.StreamPart):
+            assert effect.request_id not in self.ended, 'a part after the end'
+            self.parts[effect.request_id].append(effect.part)
+        elif isinstance(effect, effects.StreamEnd):
+            assert effect.request_id not in self.ended, 'a second end'
+            self.ended[effect.request_id] = effect.end
+        elif isinstance(effect, effects.Reply):
+            assert effect.request_id not in self.ended, 'a second answer'
+            self.ended[effect.request_id] = effect.reply
+
+    def run_on_engine(self, sent: effects.Call) -> calls.StepsRun:
+        """Apply the steps of a call to its engine and check each one."""
+        results: tuple[calls.StepResult, ...] = ()
+        for step in sent.call.steps:
+            key = (sent.address, step.session, step.position)
+            assert key not in self.applied, 'a step was sent twice'
+            self.applied.add(key)
+            ran = engine.run_step(step, self.engines[sent.address])
+            lost = (sent.address, step.session) in self.lost_sessions
+            assert bool(ran.outcome.error) <= lost, ran.outcome.error
+            self.engines[sent.address] = ran.state
+            results = (*results, ran.outcome)
+        return calls.StepsRun(results)
+
+    def take_pending(self, choice: int) -> effects.Call:
+        """Take one call in flight; any may be the next to end."""
+        self.now += STEP_SECONDS
+        return self.pending.pop(choice % len(self.pending))
+
+    @stateful.rule()
+    def start_answer(self) -> None:
+        """Ask for an answer."""
+        request_id = f'entry-0-{len(self.started)}'
+        self.started.append(request_id)
+        self.parts[request_id] = []
+        wanted = replies.AnswerWanted(
+            account_key=entry_states.ACCOUNT_KEY,
+            model='affinage',
+            prompt=PROMPT,
+            maximum_tokens=TOKENS,
+            deadline_seconds=3600,
+        )
+        self.occur(
+            events.CallerRequested(
+                at=self.now,
+                request_id=request_id,
+                wanted=wanted,
+            ),
+        )
+
+    @stateful.precondition(lambda self: self.pending)
+    @stateful.rule(choice=strategies.integers(0, 50))
+    def answer_call(self, choice: int) -> None:
+        """Run a call on its engine and deliver the answer."""
+        sent = self.take_pending(choice)
+        answered = events.CallAnswered(
+            at=self.now,
+            call=sent.call,
+            address=sent.address,
+            answer=self.run_on_engine(sent),
+        )
+        self.repeatable.append(answered)
+        self.occur(answered)
+
+    @stateful.precondition(lambda self: self.pending)
+    @stateful.rule(choice=strategies.integers(0, 50))
+    def lose_answer(self, choice: int) -> None:
+        """Run a call on its engine and lose the answer."""
+        sent = self.take_pending(choice)
+        self.run_on_engine(sent)
+        self.fail(sent, events.FailureKind.TIMED_OUT)
+
+    @stateful.precondition(lambda self: self.pending)
+    @stateful.rule(choice=strategies.integers(0, 50))
+    def restart_engine(self, choice: int) -> None:
+        """Kill the engine of a call; its sessions and calls are lost."""
+        sent = self.take_pending(choice)
+        self.lost_sessions.update(
+            (sent.address, session)
+            for session in self.engines[sent.address].sessions
+        )
+        self.engines[sent.address] = dataclasses.replace(
+            self.engines[sent.address],
+            sessions=engine.immutables.Map(),
+        )
+        lost = [call for call in self.pending if call.address == sent.address]
+        self.pending = [
+            call for call in self.pending if call.address != sent.address
+        ]
+        for call in (sent, *lost):
+            self.fail(call, events.FailureKind.CLOSED)
+
+    def fail(self, sent: effects.Call, kind: events.FailureKind) -> None:
+        """Report the failure of a call."""
+        self.occur(
+            events.CallFailed(
+                at=self.now,
+                call=sent.call,
+                address=sent.address,
+                failure=events.Failure(kind, sent=True),
+            ),
+        )
+
+    @stateful.precondition(lambda self: self.repeatable)
+    @stateful.rule(choice=strategies.integers(0, 50))
+    def repeat_results(self, choice: int) -> None:
+        """Deliver results once more, as a late or crossed answer would."""
+        late = self.repeatable[choice % len(self.repeatable)]
+        self.occur(dataclasses.replace(late, at=self.now))
+
+    @stateful.rule()
+    def pass_time(self) -> None:
+        """Let ejections end and pending restarts come due."""
+        self.now += 30
+        for request_id, generation in tuple(self.state.generations.items()):
+            timer = handlers.answers.timers.RestartDue(
+                request_id,
+                generation.attempt,
+            )
+            self.occur(events.TimerFired(at=self.now, timer=timer))
+
+    @stateful.invariant()
+    def tokens_are_those_of_the_model(self) -> None:
+        """Guard against lost, repeated, changed or foreign tokens."""
+        expected = reference_model.answer(
+            'affinage',
+            '3',
+            '',
+            entry_states.LAYERS,
+            PROMPT,
+            TOKENS,
+        )
+        for request_id, parts in self.parts.items():
+            indexes = [part.index for part in parts]
+            assert indexes == list(range(len(parts)))
+            tokens = tuple(part.token for part in parts)
+            assert tokens == expected[: len(parts)]
+            end = self.ended.get(request_id)
+            if isinstance(end, replies.AnswerEnd):
+                assert end.tokens == len(parts) == TOKENS
+
+
+AnswerMachine.TestCase.settings = hypothesis.settings(
+    max_examples=120,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+)
+
+
+class AnswersUnderFaults(AnswerMachine.TestCase):  # type: ignore[misc, name-defined]
+    """Every layer runs once for each token, and every part comes once."""
+
+
+class SlowCaller(unittest.TestCase):
+    """A caller that reads slowly stops the steps of its answer alone."""
+
+    def setUp(self) -> None:
+        """Start one answer and bring it to its first token."""
+        self.machine = AnswerMachine()
+        self.machine.start_answer()
+        self.request_id = self.machine.started[0]
+
+    def test_no_step_is_sent_while_blocked(self) -> None:
+        """Guard against output that grows without bound."""
+        self.machine.occur(
+            events.CallerBlocked(at=1000, request_id=self.request_id),
+        )
+        for _ in range(3):
+            self.machine.answer_call(0)
+        self.assertEqual(len(self.machine.parts[self.request_id]), 1)
+        self.assertEqual(self.machine.pending, [])
+
+    def test_steps_go_on_when_caught_up(self) -> None:
+        """Guard against an answer that never goes on."""
+        self.test_no_step_is_sent_while_blocked()
+        self.machine.occur(
+            events.CallerCaughtUp(at=1001, request_id=self.request_id),
+        )
+        while self.machine.pending:
+            self.machine.answer_call(0)
+        self.assertIsInstance(
+            self.machine.ended[self.request_id],
+            replies.AnswerEnd,
+        )
+
+
+class CallerLeaves(unittest.TestCase):
+    """The sessions of a caller that left are closed upstream."""
+
+    def test_sessions_are_closed(self) -> None:
+        """Guard against runners that keep state for nobody."""
+        machine = AnswerMachine()
+        machine.start_answer()
+        transition = handlers.reduce(
+            events.CallerLeft(at=1000, request_id=machine.started[0]),
+            machine.state,
+        )
+        closed = [
+            effect
+            for effect in transition.effects
+            if isinstance(effect, effects.Call)
+            and isinstance(effect.call, calls.CloseSession)
+        ]
+        self.assertEqual(len(closed), 3)
+        self.assertFalse(transition.state.generations)
