Start and stop the processes of a site

bench/sites.py starts the log service, the instance list, model runners in stages, the action service when its module exists, and entry instances. It publishes the example document as a promotion record and waits until every entry instance is ready and holds a load report of each upstream.

--- /dev/null
+++ b/bench/site_specs.py
@@ -0,0 +1,307 @@
+"""Describe the sites that run today and the processes of each."""
+
+import dataclasses
+import importlib.util
+import pathlib
+import types
+
+from bench import processes
+from mustardvale import document as documents
+
+EXAMPLES = processes.ROOT / 'examples'
+ACTION_SERVICE_MODULE = 'standins.action_service_main'
+ENTRY_POOL = 'entry'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accelerator:
+    """Describe a kind of accelerator: the time of one iteration.
+
+    An iteration takes `iteration_ms`, and `input_ms` more for each input.
+    """
+
+    name: str
+    iteration_ms: float
+    input_ms: float
+
+
+ACCELERATORS = (
+    Accelerator('standard', 4, 0.02),
+    Accelerator('fast', 3, 0.01),
+    Accelerator('slow', 6, 0.04),
+    Accelerator('wide', 5, 0.01),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Name the region and the availability zones of a site."""
+
+    region: str
+    zones: tuple[str, ...]
+
+
+PLACES = types.MappingProxyType(
+    {
+        'cooperative': Place(
+            'east-mids',
+            ('melton-vault', 'hartington-cave', 'colston-store'),
+        ),
+        'directorate': Place(
+            'astana',
+            ('astana-a', 'astana-b', 'astana-c'),
+        ),
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiteSpec:
+    """Say how large a site is.
+
+    `runners` are spread evenly over `stages`. `document_path` replaces the
+    example document of the site.
+    """
+
+    name: str = 'cooperative'
+    entries: int = 6
+    runners: int = 12
+    stages: int = 3
+    action_runners: int = 3
+    seed: int = 1
+    list_lag_seconds: float = 0
+    retention_seconds: float = 3600
+    appends_per_second: float = 300
+    runners_per_process: int = 1
+    accelerators: tuple[Accelerator, ...] = ACCELERATORS
+    document_path: pathlib.Path | None = None
+    entry_arguments: tuple[str, ...] = ()
+
+    @property
+    def place(self) -> Place:
+        """Return the region and zones."""
+        return PLACES[self.name]
+
+    def read_document(self) -> str:
+        """Return the text of the document of the site."""
+        path = self.document_path or EXAMPLES / f'{self.name}.toml'
+        return path.read_text()
+
+    def zone_of(self, index: int) -> str:
+        """Return the availability zone of the instance with an index."""
+        return self.place.zones[index % len(self.place.zones)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """Describe one instance that the platform's list shows.
+
+    `process` is the name of its process, which several runners may share.
+    """
+
+    instance_id: str
+    pool: str
+    address: str
+    availability_zone: str
+    process: str
+    peer_address: str = ''
+    accelerator: Accelerator = ACCELERATORS[0]
+    first_layer: int = 0
+    end_layer: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold all members of a site and the addresses of its platform."""
+
+    spec: SiteSpec
+    document: documents.Document
+    log_address: str
+    list_address: str
+    entries: tuple[Member, ...]
+    runners: tuple[Member, ...]
+    action_runners: tuple[Member, ...]
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Return everything that the instance list shows."""
+        return self.entries + self.runners + self.action_runners
+
+
+def build_plan(spec: SiteSpec) -> Plan:
+    """Choose addresses, zones and layer ranges for a site."""
+    document = documents.parse(spec.read_document())
+    addresses = iter(
+        processes.find_addresses(
+            2 + 2 * spec.entries + spec.runners + spec.action_runners,
+        )
+    )
+    return Plan(
+        spec=spec,
+        document=document,
+        log_address=next(addresses),
+        list_address=next(addresses),
+        entries=tuple(
+            Member(
+                instance_id=f'entry-{index}',
+                pool=ENTRY_POOL,
+                address=next(addresses),
+                availability_zone=spec.zone_of(index),
+                process=f'entry-{index}',
+                peer_address=next(addresses),
+            )
+            for index in range(spec.entries)
+        ),
+        runners=tuple(
+            build_runner(index, next(addresses), document.models[0], spec)
+            for index in range(spec.runners)
+        ),
+        action_runners=tuple(
+            build_action_runner(index, next(addresses), document, spec)
+            for index in range(count_action_runners(spec, document))
+        ),
+    )
+
+
+def count_action_runners(
+    spec: SiteSpec,
+    document: documents.Document,
+) -> int:
+    """Return how many runners of the action service can be started."""
+    if importlib.util.find_spec(ACTION_SERVICE_MODULE) is None:
+        return 0
+    return spec.action_runners if document.services else 0
+
+
+def build_action_runner(
+    index: int,
+    address: str,
+    document: documents.Document,
+    spec: SiteSpec,
+) -> Member:
+    """Describe one runner of the action service."""
+    return Member(
+        instance_id=f'action-{index}',
+        pool=document.services[0].pool,
+        address=address,
+        availability_zone=spec.zone_of(index),
+        process=f'action-{index}',
+    )
+
+
+def build_runner(
+    index: int,
+    address: str,
+    model: documents.Model,
+    spec: SiteSpec,
+) -> Member:
+    """Describe one model runner: its stage, layers, accelerator and process."""
+    stage = index % spec.stages
+    rank = index // spec.stages
+    return Member(
+        instance_id=f'runner-{index}',
+        pool=model.pool,
+        address=address,
+        # The zone moves on with the rank as well, so that each stage has
+        # runners in every zone.
+        availability_zone=spec.zone_of(stage + rank),
+        process=f'runners-{index // spec.runners_per_process}',
+        accelerator=spec.accelerators[rank % len(spec.accelerators)],
+        first_layer=stage * model.layers // spec.stages,
+        end_layer=(stage + 1) * model.layers // spec.stages,
+    )
+
+
+def describe_processes(plan: Plan) -> tuple[processes.ProcessSpec, ...]:
+    """Return the processes of a site in the order of their start."""
+    return (
+        describe_log(plan),
+        describe_list(plan),
+        *(describe_runner(member, plan) for member in plan.runners),
+        *(describe_action_runner(member) for member in plan.action_runners),
+        *(describe_entry(member, plan) for member in plan.entries),
+    )
+
+
+def describe_log(plan: Plan) -> processes.ProcessSpec:
+    """Describe the process of the log service."""
+    return processes.ProcessSpec(
+        'log',
+        'standins.log_main',
+        plan.log_address,
+        (
+            f'--address={plan.log_address}',
+            f'--retention_seconds={plan.spec.retention_seconds}',
+            f'--appends_per_second={plan.spec.appends_per_second}',
+        ),
+    )
+
+
+def describe_list(plan: Plan) -> processes.ProcessSpec:
+    """Describe the process of the instance list."""
+    return processes.ProcessSpec(
+        'list',
+        'standins.list_main',
+        plan.list_address,
+        (
+            f'--address={plan.list_address}',
+            f'--lag_seconds={plan.spec.list_lag_seconds}',
+        ),
+    )
+
+
+def describe_runner(member: Member, plan: Plan) -> processes.ProcessSpec:
+    """Describe the process of a model runner."""
+    model = plan.document.models[0]
+    return processes.ProcessSpec(
+        member.process,
+        'standins.engine_main',
+        member.address,
+        (
+            f'--address={member.address}',
+            f'--instance_id={member.instance_id}',
+            f'--model={model.name}',
+            f'--version={model.version}',
+            f'--layers={model.layers}',
+            f'--first_layer={member.first_layer}',
+            f'--end_layer={member.end_layer}',
+            f'--adapters={"+".join(model.adapters)}',
+            f'--accelerator={member.accelerator.name}',
+            f'--iteration_ms={member.accelerator.iteration_ms}',
+            f'--input_ms={member.accelerator.input_ms}',
+        ),
+    )
+
+
+def describe_action_runner(member: Member) -> processes.ProcessSpec:
+    """Describe the process of a runner of the action service."""
+    return processes.ProcessSpec(
+        member.process,
+        ACTION_SERVICE_MODULE,
+        member.address,
+        (
+            f'--address={member.address}',
+            f'--instance_id={member.instance_id}',
+        ),
+    )
+
+
+def describe_entry(member: Member, plan: Plan) -> processes.ProcessSpec:
+    """Describe the process of an entry instance."""
+    return processes.ProcessSpec(
+        member.process,
+        'bench.entry_main',
+        member.address,
+        (
+            f'--instance-id={member.instance_id}',
+            f'--address={member.address}',
+            f'--peer-address={member.peer_address}',
+            f'--availability-zone={member.availability_zone}',
+            f'--region={plan.spec.place.region}',
+            f'--environment={plan.document.environment}',
+            f'--log-address={plan.log_address}',
+            f'--list-address={plan.list_address}',
+            f'--seed={plan.spec.seed + int(member.instance_id.split("-")[1])}',
+            *plan.spec.entry_arguments,
+        ),
+    )
--- /dev/null
+++ b/bench/sites.py
@@ -0,0 +1,267 @@
+"""Start, stop and disturb all processes of one site.
+
+    with sites.Site(site_specs.SiteSpec(runners=6)) as site:
+        site.kill('runner-0')
+        site.set_faults('log', {'down': True})
+
+An instance is named by its id (`entry-0`, `runner-3`, `action-1`), the platform
+by `log` and `list`. The logs stay in `site.directory`.
+"""
+
+import functools
+import pathlib
+import tempfile
+import types
+from typing import Any
+
+from bench import processes, site_specs
+from mustardvale.internal import promotions, records
+from mustardvale.internal.edge import codec_records
+
+START_TIMEOUT_SECONDS = 30.0
+STOP_TIMEOUT_SECONDS = 3.0
+# A planned stop of an entry instance lasts as long as callers keep addresses.
+PLANNED_STOP_TIMEOUT_SECONDS = 60.0
+READ_LIMIT = 1000
+
+
+class Site:
+    """Control the processes of one site."""
+
+    def __init__(
+        self,
+        spec: site_specs.SiteSpec | None = None,
+        directory: pathlib.Path | None = None,
+    ) -> None:
+        self.spec = spec or site_specs.SiteSpec()
+        self.plan = site_specs.build_plan(self.spec)
+        self.directory = directory or pathlib.Path(
+            tempfile.mkdtemp(prefix=f'mustardvale-{self.spec.name}-'),
+        )
+        self.processes = {
+            described.name: processes.Process(described, self.directory)
+            for described in site_specs.describe_processes(self.plan)
+        }
+        self.members = {
+            member.instance_id: member for member in self.plan.members
+        }
+
+    def __enter__(self) -> 'Site':
+        """Start the site."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Stop the site."""
+        self.stop()
+
+    @property
+    def entry_addresses(self) -> tuple[str, ...]:
+        """Return the caller addresses of all entry instances."""
+        return tuple(entry.address for entry in self.plan.entries)
+
+    def start(self) -> None:
+        """Start everything, publish the document and wait for readiness."""
+        for process in self.processes.values():
+            process.start()
+        for address, target in (
+            (self.plan.log_address, '/v1/streams/orders/records'),
+            (self.plan.list_address, '/v1/instances'),
+        ):
+            processes.wait_until(
+                functools.partial(processes.answers, address, target),
+                START_TIMEOUT_SECONDS,
+                f'answer of {address}',
+            )
+        self.publish(self.spec.read_document())
+        self.list_members()
+        self.wait_until_ready()
+        self.wait_until_usable()
+
+    def stop(self) -> None:
+        """Stop all processes by id: SIGTERM, then SIGKILL."""
+        for process in self.processes.values():
+            # An entry instance would go on serving callers for a while.
+            if process.spec.name.startswith('entry'):
+                process.kill()
+            else:
+                process.begin_stop()
+        for process in self.processes.values():
+            process.stop(STOP_TIMEOUT_SECONDS)
+
+    def list_members(self) -> None:
+        """Write all members to the instance list, which shows them later."""
+        rows = [
+            {
+                'instance_id': member.instance_id,
+                'pool': member.pool,
+                'address': member.address,
+                'availability_zone': member.availability_zone,
+                'region': self.spec.place.region,
+                'peer_address': member.peer_address,
+            }
+            for member in self.plan.members
+        ]
+        self.post_to_list('PUT', '/v1/instances', {'instances': rows})
+
+    def post_to_list(self, method: str, target: str, body: Any) -> None:
+        """Change the instance list."""
+        address = self.plan.list_address
+        answer = processes.request(method, address, target, body)
+        if answer.status != 200:
+            raise processes.ProcessError(f'{target}: {answer.body!r}')
+
+    def mark_leaving(self, name: str) -> None:
+        """Mark a member as leaving in the instance list."""
+        body = {'instance_id': name, 'state': 'leaving'}
+        self.post_to_list('POST', '/v1/instances/state', body)
+
+    def mark_live(self, name: str) -> None:
+        """Mark a member as live in the instance list."""
+        body = {'instance_id': name, 'state': 'live'}
+        self.post_to_list('POST', '/v1/instances/state', body)
+
+    def remove_from_list(self, name: str) -> None:
+        """Remove a member from the instance list."""
+        body = {'instance_id': name}
+        self.post_to_list('POST', '/v1/instances/remove', body)
+
+    def read_promoted(self) -> promotions.Promoted:
+        """Fold the environment stream and return the document in force."""
+        stream = f'environment.{self.plan.document.environment}'
+        promoted = promotions.Promoted()
+        offset = 0
+        while True:
+            target = f'/v1/streams/{stream}/records?from={offset}'
+            answer = processes.request('GET', self.plan.log_address, target)
+            page = answer.as_json()
+            for stored in page['records']:
+                record = codec_records.from_object(stored['record'])
+                offset = stored['offset'] + 1
+                folded = promotions.fold(record, stored['offset'], promoted)
+                promoted = folded.promoted
+            if offset >= page['next_offset']:
+                return promoted
+
+    def publish(self, document: str, operator: str = 'bench') -> int:
+        """Promote a document over the one in force; return its offset."""
+        promoted = self.read_promoted()
+        record = records.Promotion(
+            promotion_id=f'{operator}-{promoted.as_of + 1}',
+            operator=operator,
+            based_on_version=promoted.version,
+            based_on_offset=promoted.offset,
+            document=document,
+        )
+        stream = f'environment.{self.plan.document.environment}'
+        answer = processes.request(
+            'POST',
+            self.plan.log_address,
+            f'/v1/streams/{stream}/records',
+            {'records': [codec_records.to_object(record)]},
+        )
+        if answer.status != 200:
+            raise processes.ProcessError(f'promotion: {answer.body!r}')
+        return int(answer.as_json()['first_offset'])
+
+    def wait_until_ready(
+        self,
+        timeout_seconds: float = START_TIMEOUT_SECONDS,
+    ) -> None:
+        """Wait until `/readyz` of each running entry instance answers 200."""
+        for entry in self.plan.entries:
+            self.wait_for_entry(entry.instance_id, timeout_seconds)
+
+    def wait_for_entry(
+        self,
+        name: str,
+        timeout_seconds: float = START_TIMEOUT_SECONDS,
+    ) -> None:
+        """Wait until `/readyz` of one entry instance answers 200."""
+        process = self.process_of(name)
+        process.check_running()
+        processes.wait_until(
+            lambda: processes.answers(process.spec.address, '/readyz', 200),
+            timeout_seconds,
+            f'readiness of {name}, log {process.log_path}',
+        )
+
+    def wait_until_usable(
+        self,
+        timeout_seconds: float = START_TIMEOUT_SECONDS,
+    ) -> None:
+        """Wait until every entry instance has a report of each upstream."""
+        for entry in self.plan.entries:
+            processes.wait_until(
+                functools.partial(self.sees_upstreams, entry.address),
+                timeout_seconds,
+                f'usable upstreams at {entry.instance_id}',
+            )
+
+    def sees_upstreams(self, address: str) -> bool:
+        """Return whether an entry instance holds every upstream as usable."""
+        status = processes.request('GET', address, '/v1/status').as_json()
+        usable = [
+            upstream['instance_id']
+            for upstream in status['upstreams']
+            if upstream['state'] == 'usable'
+        ]
+        wanted = len(self.plan.runners) + len(self.plan.action_runners)
+        return len(usable) >= wanted
+
+    def process_of(self, name: str) -> processes.Process:
+        """Return the process of an instance, of the log or of the list."""
+        member = self.members.get(name)
+        return self.processes[member.process if member else name]
+
+    def kill(self, name: str) -> None:
+        """End the process of an instance without notice."""
+        self.process_of(name).kill()
+
+    def stop_gracefully(
+        self,
+        name: str,
+        timeout_seconds: float = PLANNED_STOP_TIMEOUT_SECONDS,
+    ) -> int:
+        """Stop an instance as planned and return its exit status."""
+        process = self.process_of(name)
+        process.begin_stop()
+        return process.wait(timeout_seconds)
+
+    def freeze(self, name: str) -> None:
+        """Pause the process of an instance (SIGSTOP)."""
+        self.process_of(name).freeze()
+
+    def resume(self, name: str) -> None:
+        """Let a paused instance go on (SIGCONT)."""
+        self.process_of(name).resume()
+
+    def start_again(self, name: str) -> None:
+        """Start an instance that has ended, at the same address."""
+        self.process_of(name).start()
+
+    def restart(self, name: str) -> None:
+        """Kill an instance and start it again at the same address."""
+        self.kill(name)
+        self.start_again(name)
+
+    def address_of(self, name: str) -> str:
+        """Return the address of an instance, of the log or of the list."""
+        member = self.members.get(name)
+        return member.address if member else self.processes[name].spec.address
+
+    def set_faults(self, name: str, faults: dict[str, Any]) -> None:
+        """Replace the faults of a stand-in; `{}` switches all off."""
+        address = self.address_of(name)
+        answer = processes.request('POST', address, '/faults', faults)
+        if answer.status != 200:
+            raise processes.ProcessError(f'faults of {name}: {answer.body!r}')
