Send load that checks every answer

bench/load.py sends model answers, idempotent actions and actions with UUIDv7 keys in an open loop, resumes cut answers at another entry address, compares every answer with the reference model, and writes a history (bench/load_history.py describes it) and a summary.

--- /dev/null
+++ b/bench/load_answers.py
@@ -0,0 +1,240 @@
+"""Ask for model answers, resume them and check their tokens."""
+
+import dataclasses
+import functools
+from typing import Any
+
+from bench import (
+    load_calls,
+    load_history,
+    load_requests,
+    load_state,
+    load_work,
+)
+from mustardvale.internal import effects, events, replies, transitions
+from standins import reference_model
+
+
+@load_requests.build_call.register(load_work.AnswerWork)
+def build_ask_answer(
+    work: load_work.AnswerWork,
+    request: load_state.Request,
+    account: str,
+    deadline_seconds: float,
+) -> load_calls.AskAnswer:
+    """Ask for the tokens that are missing."""
+    return load_calls.AskAnswer(
+        request_id=request.request_id,
+        call=request.calls,
+        account=account,
+        model=work.model,
+        adapter=work.adapter,
+        prompt=work.prompt,
+        delivered=request.tokens,
+        maximum_tokens=work.maximum_tokens,
+        deadline_seconds=deadline_seconds,
+    )
+
+
+@load_requests.describe_start.register(load_work.AnswerWork)
+def describe_answer_start(
+    work: load_work.AnswerWork,
+    request: load_state.Request,
+) -> dict[str, Any]:
+    """Return what is asked for."""
+    return {
+        'target': work.model,
+        'adapter': work.adapter,
+        'prompt': work.prompt,
+        'maximum_tokens': work.maximum_tokens,
+        'delivered': len(request.tokens),
+    }
+
+
+def take_part(
+    called: load_calls.AskAnswer,
+    event: events.CallPartArrived,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Take a part of the current call; parts of earlier calls are late."""
+    request = load_requests.find_current(called, state)
+    if request is None:
+        return transitions.Transition(state, (effects.Count('late_parts'),))
+    return on_part(event.part, request, event, state)
+
+
+@functools.singledispatch
+def on_part(
+    part: Any,
+    request: load_state.Request,
+    event: events.CallPartArrived,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Take one part of a model answer."""
+    raise TypeError(type(part).__name__)
+
+
+@on_part.register(replies.TokenPart)
+def take_token(
+    part: replies.TokenPart,
+    request: load_state.Request,
+    event: events.CallPartArrived,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Add a token, which must be the next one."""
+    if part.index != len(request.tokens):
+        problem = f'token {part.index} in place of {len(request.tokens)}'
+        return load_requests.finish(request, 'wrong', event, state, problem)
+    moved = dataclasses.replace(
+        request,
+        tokens=(*request.tokens, part.token),
+        last_token_at=event.at,
+    )
+    noted = (
+        observe_token(request, event),
+        effects.Count('tokens', (str(event.at <= state.ends_at),)),
+        *load_requests.stall_timer(moved, state),
+    )
+    is_first = len(request.tokens) == request.call_first
+    if is_first or (
+        event.at - request.recorded_at > load_history.TOKENS_PERIOD_SECONDS
+    ):
+        moved = dataclasses.replace(moved, recorded_at=event.at)
+        line = load_requests.record(
+            'tokens',
+            moved,
+            event,
+            count=len(moved.tokens),
+        )
+        noted = (*noted, line)
+    return transitions.Transition(load_state.with_request(moved, state), noted)
+
+
+def observe_token(
+    request: load_state.Request,
+    event: events.Event,
+) -> effects.Effect:
+    """Observe the time to the first token or since the last one.
+
+    A gap that spans two calls counts as well, because the caller waits for it.
+    """
+    if not request.tokens:
+        waited = event.at - request.wanted_at
+        return effects.Observe('first_token', waited)
+    return effects.Observe('between_tokens', event.at - request.last_token_at)
+
+
+@on_part.register(load_calls.AnswerEnded)
+def take_end(
+    part: load_calls.AnswerEnded,
+    request: load_state.Request,
+    event: events.CallPartArrived,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Check a whole answer and end its request."""
+    request = load_requests.close_segment(request, part.version)
+    line = load_requests.record(
+        'end',
+        request,
+        event,
+        count=part.tokens,
+        version=part.version,
+    )
+    problem = find_problem(request, part, state.plan)
+    verdict = 'wrong' if problem else 'right'
+    waited = event.at - request.wanted_at
+    ended = load_requests.finish(request, verdict, event, state, problem)
+    return transitions.Transition(
+        ended.state,
+        (
+            line,
+            effects.Observe('answer', waited),
+            effects.Count('answers', (str(event.at <= state.ends_at),)),
+            *ended.effects,
+        ),
+    )
+
+
+@on_part.register(load_calls.ErrorAnswer)
+def take_cut(
+    part: load_calls.ErrorAnswer,
+    request: load_state.Request,
+    event: events.CallPartArrived,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Resume an answer that ended with an error line."""
+    return load_requests.take_error(request, part, event, state)
+
+
+def take_closed_stream(
+    called: load_calls.AskAnswer,
+    event: events.CallAnswered,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Resume an answer whose stream ended without an end mark."""
+    request = load_requests.find_current(called, state)
+    if request is None:
+        return transitions.Transition(state)
+    error = event.answer
+    if isinstance(error, load_calls.StreamClosed):
+        error = load_calls.ErrorAnswer('truncated')
+    return load_requests.take_error(request, error, event, state)
+
+
+def give_up_call(
+    timer: load_state.Stalled,
+    event: events.TimerFired,
+    state: load_state.State,
+) -> load_state.Transition:
+    """Resume an answer elsewhere when its next token does not come."""
+    request = state.requests.get(timer.request_id)
+    if request is None or request.calls != timer.call:
+        return transitions.Transition(state)
+    error = load_calls.ErrorAnswer('stalled')
+    return load_requests.take_error(request, error, event, state)
+
+
+def find_problem(
+    request: load_state.Request,
+    end: load_calls.AnswerEnded,
+    plan: load_state.LoadPlan,
+) -> str:
+    """Return what is wrong with a whole answer, or an empty text."""
+    work = request.work
+    assert isinstance(work, load_work.AnswerWork), 'only answers have tokens'
+    if end.tokens != len(request.tokens):
+        return f'end mark says {end.tokens}, got {len(request.tokens)}'
+    if end.tokens != work.maximum_tokens:
+        return f'{end.tokens} tokens, asked for {work.maximum_tokens}'
+    for segment in request.segments:
+        versions = (segment.version,) if segment.version else plan.versions
+        if not any(
+            matches(segment, version, request, plan) for version in versions
+        ):
+            return f'tokens {segment.first} to {segment.end} differ'
+    return ''
+
+
+def matches(
+    segment: load_state.Segment,
+    version: str,
+    request: load_state.Request,
+    plan: load_state.LoadPlan,
+) -> bool:
+    """Return whether a version gives these tokens after the earlier ones."""
+    work = request.work
+    assert isinstance(work, load_work.AnswerWork), 'only answers have tokens'
+    model = plan.document.find_model(work.model)
+    assert model is not None, 'the work was drawn from the document'
+    count = segment.end - segment.first
+    if not count:
+        return True
+    expected = reference_model.answer(
+        work.model,
+        version,
+        work.adapter,
+        model.layers,
+        work.prompt + request.tokens[: segment.first],
+        count,
+    )
+    return expected == request.tokens[segment.first : segment.end]
--- /dev/null
+++ b/bench/load_codec.py
@@ -0,0 +1,200 @@
+"""Encode the calls of the load tool and decode their answers."""
+
+import functools
+from typing import Any
+from urllib import parse
+
+import msgspec
+
+from bench import load_calls
+from mustardvale.internal import replies
+from mustardvale.internal.edge import wire
+
+OK = 200
+MILLISECONDS = 1000
+
+
+class ErrorObject(msgspec.Struct, frozen=True):
+    """Hold the error object of the public interface."""
+
+    code: str
+    message: str = ''
+    outcome: str = ''
+    scope: str = ''
+    retry_after_seconds: float = 0
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Hold the body of an error answer."""
+
+    error: ErrorObject
+
+
+class StreamLine(msgspec.Struct, frozen=True):
+    """Hold any line of a streamed answer."""
+
+    index: int = -1
+    token: str = ''
+    end: bool = False
+    tokens: int = 0
+    version: str = ''
+    error: ErrorObject | None = None
+
+
+def malformed(message: str) -> load_calls.ErrorAnswer:
+    """Describe what is no message of the public interface."""
+    return load_calls.ErrorAnswer('malformed', message=message[:200])
+
+
+def from_object(
+    kind: str,
+    status: int,
+    error: ErrorObject,
+) -> load_calls.ErrorAnswer:
+    """Describe a decoded error."""
+    return load_calls.ErrorAnswer(
+        kind,
+        status,
+        error.code,
+        error.outcome,
+        error.scope,
+        error.message,
+        error.retry_after_seconds,
+    )
+
+
+def decode_refusal(raw: wire.RawAnswer) -> load_calls.ErrorAnswer:
+    """Decode an error in place of an answer."""
+    try:
+        body = msgspec.json.decode(raw.body, type=ErrorBody)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return malformed(f'status {raw.status}: {raw.body!r}')
+    return from_object('refused', raw.status, body.error)
+
+
+def common_headers(
+    account: str,
+    deadline_seconds: float,
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers of every request."""
+    return (
+        ('authorization', f'Bearer {account}-key'),
+        (
+            'mustardvale-deadline-ms',
+            str(int(deadline_seconds * MILLISECONDS)),
+        ),
+    )
+
+
+@functools.singledispatch
+def encode_call(call: Any) -> wire.RawCall:
+    """Encode a call."""
+    raise TypeError(type(call).__name__)
+
+
+@functools.singledispatch
+def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+    """Decode the answer to a call."""
+    raise TypeError(type(call).__name__)
+
+
+def decode_part(call: Any, line: bytes) -> Any:
+    """Decode one line of a model answer."""
+    try:
+        decoded = msgspec.json.decode(line, type=StreamLine)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return malformed(repr(line))
+    if decoded.error is not None:
+        return from_object('cut', OK, decoded.error)
+    if decoded.end:
+        return load_calls.AnswerEnded(decoded.tokens, decoded.version)
+    return replies.TokenPart(decoded.index, decoded.token)
+
+
+@encode_call.register(load_calls.AskEntries)
+def encode_ask_entries(call: load_calls.AskEntries) -> wire.RawCall:
+    """Encode a question for entry addresses."""
+    query = parse.urlencode(
+        {
+            'caller': call.caller_id,
+            'availability_zone': call.availability_zone,
+        }
+    )
+    return wire.RawCall('GET', f'/v1/entries?{query}')
+
+
+@decode_answer.register(load_calls.AskEntries)
+def decode_ask_entries(
+    call: load_calls.AskEntries,
+    raw: wire.RawAnswer,
+) -> replies.EntriesFound | load_calls.ErrorAnswer:
+    """Decode entry addresses."""
+    if raw.status != OK:
+        return decode_refusal(raw)
+    try:
+        return msgspec.json.decode(raw.body, type=replies.EntriesFound)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return malformed(repr(raw.body))
+
+
+@encode_call.register(load_calls.AskAnswer)
+def encode_ask_answer(call: load_calls.AskAnswer) -> wire.RawCall:
+    """Encode a request for a model answer."""
+    body = {
+        'model': call.model,
+        'adapter': call.adapter,
+        'prompt': ' '.join(call.prompt),
+        'delivered': call.delivered,
+        'maximum_tokens': call.maximum_tokens,
+    }
+    return wire.RawCall(
+        'POST',
+        '/v1/answers',
+        msgspec.json.encode(body),
+        common_headers(call.account, call.deadline_seconds),
+        streamed=True,
+    )
+
+
+@decode_answer.register(load_calls.AskAnswer)
+def decode_ask_answer(
+    call: load_calls.AskAnswer,
+    raw: wire.RawAnswer,
+) -> load_calls.StreamClosed | load_calls.ErrorAnswer:
+    """Decode the end of a stream, or the error in place of one."""
+    if raw.status != OK:
+        return decode_refusal(raw)
+    return load_calls.StreamClosed()
+
+
+@encode_call.register(load_calls.AskAction)
+def encode_ask_action(call: load_calls.AskAction) -> wire.RawCall:
+    """Encode a request for an operation."""
+    headers = common_headers(call.account, call.deadline_seconds)
+    if call.idempotency_key:
+        headers = (*headers, ('idempotency-key', call.idempotency_key))
+    return wire.RawCall(
+        'POST',
+        f'/v1/actions/{call.service}/{call.operation}',
+        call.body,
+        headers,
+    )
+
+
+@decode_answer.register(load_calls.AskAction)
+def decode_ask_action(
+    call: load_calls.AskAction,
+    raw: wire.RawAnswer,
+) -> load_calls.ActionAnswered | load_calls.ErrorAnswer:
+    """Decode the answer of a service, or an error of the entry instance.
+
+    Only the entry instance's own errors lack `Mustardvale-Replayed`.
+    """
+    replayed = raw.headers.get('mustardvale-replayed')
+    if replayed is None:
+        return decode_refusal(raw)
+    return load_calls.ActionAnswered(
+        raw.status,
+        raw.body,
+        replayed == 'true',
+    )
--- /dev/null
+++ b/bench/load_metrics.py
@@ -0,0 +1,155 @@
+"""Count and measure what the load tool sees, and summarise it."""
+
+import collections
+import dataclasses
+import json
+from typing import Any
+
+from hdrh import histogram  # type: ignore[import-untyped]
+
+from mustardvale.internal.edge import metrics
+
+MICROSECONDS = 1_000_000
+MILLISECOND_IN_MICROSECONDS = 1000
+HIGHEST_MICROSECONDS = 120 * MICROSECONDS
+SIGNIFICANT_FIGURES = 3
+HISTOGRAMS = ('first_token', 'between_tokens', 'answer', 'action', 'start_lag')
+IN_TIME = 'True'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Latency:
+    """Hold percentiles of a latency in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """Summarise a run.
+
+    Rates count what came before the end of the arrivals. `refusals` are errors
+    by code, `failures` other calls without an answer by code or kind. Both
+    count calls; `verdicts` count requests. `recovered` requests needed more
+    than one call.
+    """
+
+    seconds: float
+    requests: int
+    requests_per_second: float
+    answers_per_second: float
+    tokens_per_second: float
+    calls: dict[str, int]
+    verdicts: dict[str, dict[str, int]]
+    refusals: dict[str, int]
+    failures: dict[str, int]
+    recovered: int
+    wrong_answers: int
+    cut: int
+    reducer_errors: int
+    latency: dict[str, Latency]
+
+    def to_json(self) -> str:
+        """Return the summary as JSON."""
+        return json.dumps(dataclasses.asdict(self), indent=2)
+
+
+class LoadMetrics(metrics.Metrics):
+    """Keep counters and HDR histograms."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.counts: dict[str, collections.Counter[tuple[str, ...]]] = (
+            collections.defaultdict(collections.Counter)
+        )
+        self.recorded = {
+            name: histogram.HdrHistogram(
+                1,
+                HIGHEST_MICROSECONDS,
+                SIGNIFICANT_FIGURES,
+            )
+            for name in HISTOGRAMS
+        }
+
+    def count(
+        self,
+        name: str,
+        labels: tuple[str, ...] = (),
+        amount: float = 1,
+    ) -> None:
+        """Add to a counter."""
+        self.counts[name][labels] += int(amount)
+
+    def observe(
+        self,
+        name: str,
+        seconds: float,
+        labels: tuple[str, ...] = (),
+    ) -> None:
+        """Record a duration."""
+        micros = max(int(seconds * MICROSECONDS), 1)
+        self.recorded[name].record_value(min(micros, HIGHEST_MICROSECONDS))
+
+    def by_label(self, name: str) -> dict[str, int]:
+        """Return the counts of a counter by its first label."""
+        return {labels[0]: count for labels, count in self.counts[name].items()}
+
+    def total(self, name: str) -> int:
+        """Return the sum of a counter over all labels."""
+        return sum(self.counts[name].values())
+
+    def verdicts(self) -> dict[str, dict[str, int]]:
+        """Return the verdicts by kind of work."""
+        found: dict[str, dict[str, int]] = {}
+        for (work, verdict), count in self.counts['verdicts'].items():
+            found.setdefault(work, {})[verdict] = count
+        return found
+
+    def summarise(self, seconds: float) -> Summary:
+        """Summarise a run whose arrivals lasted `seconds`."""
+        verdicts = self.verdicts()
+        return Summary(
+            seconds=round(seconds, 3),
+            requests=self.total('requests'),
+            requests_per_second=self.rate('requests', seconds),
+            answers_per_second=self.rate('answers', seconds),
+            tokens_per_second=self.rate('tokens', seconds),
+            calls=self.by_label('calls'),
+            verdicts=verdicts,
+            refusals=self.by_label('refusals'),
+            failures=self.by_label('failures'),
+            recovered=self.total('recovered'),
+            wrong_answers=sum(
+                found.get('wrong', 0) for found in verdicts.values()
+            ),
+            cut=sum(found.get('cut', 0) for found in verdicts.values()),
+            reducer_errors=self.total('reducer_errors'),
+            latency={
+                name: describe(recorded)
+                for name, recorded in self.recorded.items()
+            },
+        )
+
+    def rate(self, name: str, seconds: float) -> float:
+        """Return how many came in time, per second."""
+        return round(self.counts[name][(IN_TIME,)] / seconds, 2)
+
+
+def describe(recorded: Any) -> Latency:
+    """Return the percentiles of a histogram of microseconds."""
+
+    def milliseconds(percentile: float) -> float:
+        micros = float(recorded.get_value_at_percentile(percentile))
+        return round(micros / MILLISECOND_IN_MICROSECONDS, 3)
+
+    return Latency(
+        recorded.get_total_count(),
+        milliseconds(50),
+        milliseconds(95),
+        milliseconds(99),
+        milliseconds(100),
+    )
--- /dev/null
+++ b/bench/load_work.py
@@ -0,0 +1,172 @@
+"""Draw the work that the load tool sends from a seed."""
+
+import dataclasses
+import functools
+import json
+import uuid
+
+from mustardvale import document as documents
+from mustardvale.internal import draws
+
+WORDS = 5000
+KEY_RANDOM_BITS = 74
+DRAW_BITS = 53
+MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerWork:
+    """Describe a model answer to ask for."""
+
+    model: str
+    adapter: str
+    prompt: tuple[str, ...]
+    maximum_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActionWork:
+    """Describe an operation to ask for; one that is idempotent has no key."""
+
+    service: str
+    operation: str
+    idempotent: bool
+    key: str
+    body: bytes
+
+
+Work = AnswerWork | ActionWork
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mix:
+    """Say what is asked for and how often.
+
+    Shares are relative weights. A prompt has a prefix that its account uses
+    in every prompt, and a tail of its own; lengths are in tokens.
+    """
+
+    answers: float = 0.6
+    idempotent_actions: float = 0.2
+    actions: float = 0.2
+    prefix_tokens: int = 12
+    tail_tokens: int = 12
+    minimum_tokens: int = 8
+    maximum_tokens: int = 32
+    adapter_share: float = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drawn:
+    """Pair the next seed with the work that was drawn."""
+
+    seed: int
+    work: Work
+
+
+def draw_below(seed: int, limit: int) -> tuple[int, int]:
+    """Return the next seed and a whole number from 0 up to `limit`."""
+    drawn = draws.draw(seed)
+    return drawn.seed, min(int(drawn.unit * limit), limit - 1)
+
+
+def build_key(wall: float, seed: int) -> tuple[int, str]:
+    """Return the next seed and a UUID version 7 (RFC 9562) for a time."""
+    bits = 0
+    for _ in range(2):
+        drawn = draws.draw(seed)
+        seed = drawn.seed
+        bits = (bits << DRAW_BITS) | int(drawn.unit * (1 << DRAW_BITS))
+    bits &= (1 << KEY_RANDOM_BITS) - 1
+    number = (
+        (int(wall * MILLISECONDS) << 80)
+        | (7 << 76)
+        | ((bits >> 62) << 64)
+        | (2 << 62)
+        | (bits & ((1 << 62) - 1))
+    )
+    return seed, str(uuid.UUID(int=number))
+
+
+def draw_work(
+    request_id: str,
+    account: str,
+    mix: Mix,
+    document: documents.Document,
+    wall: float,
+    seed: int,
+) -> Drawn:
+    """Draw one piece of work for a client account."""
+    drawn = draws.draw(seed)
+    shares = (mix.answers, mix.idempotent_actions, mix.actions)
+    point = drawn.unit * sum(shares)
+    if point < mix.answers or not document.services:
+        return draw_answer(account, mix, document, drawn.seed)
+    idempotent = point < mix.answers + mix.idempotent_actions
+    return draw_action(request_id, idempotent, document, wall, drawn.seed)
+
+
+def draw_answer(
+    account: str,
+    mix: Mix,
+    document: documents.Document,
+    seed: int,
+) -> Drawn:
+    """Draw a model answer."""
+    model = document.models[0]
+    seed, extra = draw_below(
+        seed,
+        mix.maximum_tokens - mix.minimum_tokens + 1,
+    )
+    drawn = draws.draw(seed)
+    adapter = ''
+    if model.adapters and drawn.unit < mix.adapter_share:
+        seed, index = draw_below(drawn.seed, len(model.adapters))
+        adapter = model.adapters[index]
+    else:
+        seed = drawn.seed
+    seed, tail_tokens = draw_below(seed, mix.tail_tokens)
+    tail: tuple[str, ...] = ()
+    for _ in range(tail_tokens + 1):
+        seed, word = draw_below(seed, WORDS)
+        tail = (*tail, f'q{word}')
+    return Drawn(
+        seed,
+        AnswerWork(
+            model.name,
+            adapter,
+            account_prefix(account, mix.prefix_tokens) + tail,
+            mix.minimum_tokens + extra,
+        ),
+    )
+
+
+@functools.lru_cache(maxsize=1024)
+def account_prefix(account: str, count: int) -> tuple[str, ...]:
+    """Return the tokens that every prompt of an account starts with."""
+    return tuple(f'{account}-{index}' for index in range(count))
+
+
+def draw_action(
+    request_id: str,
+    idempotent: bool,
+    document: documents.Document,
+    wall: float,
+    seed: int,
+) -> Drawn:
+    """Draw an operation of the service; its body names the request."""
+    service = document.services[0]
+    fitting = tuple(
+        operation.name
+        for operation in service.operations
+        if operation.idempotent is idempotent
+    )
+    seed, index = draw_below(seed, len(fitting))
+    key = ''
+    if not idempotent:
+        seed, key = build_key(wall, seed)
+    body = json.dumps({'request': request_id}).encode()
+    return Drawn(
+        seed,
+        ActionWork(service.name, fitting[index], idempotent, key, body),
+    )
--- /dev/null
+++ b/tests/test_load_tool.py
@@ -0,0 +1,248 @@
+"""Guard what the load tool finds wrong and how it goes on after an error."""
+
+import dataclasses
+import json
+import pathlib
+import unittest
+import uuid
+
+from bench import (
+    load_calls,
+    load_codec,
+    load_history,
+    load_reducer,
+    load_requests,
+    load_state,
+    load_work,
+)
+from mustardvale import document
+from mustardvale.internal import effects, events, replies
+from standins import reference_model
+
+EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples/cooperative.toml'
+DOCUMENT = document.parse(EXAMPLE.read_text())
+PLAN = load_state.LoadPlan(
+    run_id='load',
+    document=DOCUMENT,
+    bootstrap=('a:1', 'b:1'),
+    callers=2,
+    versions=('3',),
+)
+WORK = load_work.AnswerWork('affinage', '', ('how', 'old'), 3)
+ACTION = load_work.ActionWork('cellar-ledger', 'log-wheel', False, 'k', b'{}')
+RIGHT = reference_model.answer('affinage', '3', '', 24, WORK.prompt, 3)
+CUT = load_calls.ErrorAnswer('cut', 200, 'no_upstream', 'unknown', 'call')
+NOT_RUN = load_calls.ErrorAnswer(
+    'refused', 503, 'overloaded', 'not_run', 'call'
+)
+
+
+def begin(work: load_work.Work) -> load_state.Transition:
+    """Start a run with one request."""
+    state = load_state.State(
+        PLAN, 1, load_state.build_callers(PLAN), ends_at=100
+    )
+    request = load_state.Request('load-0', 0, work, wanted_at=1)
+    return load_requests.call(request, events.Event(at=1), state)
+
+
+def calls_of(transition: load_state.Transition) -> list[effects.Call]:
+    """Return the calls that a transition makes."""
+    return [
+        effect
+        for effect in transition.effects
+        if isinstance(effect, effects.Call)
+    ]
+
+
+def verdicts_of(transition: load_state.Transition) -> list[str]:
+    """Return the verdicts that a transition records."""
+    return [
+        dict(effect.fields)['verdict']
+        for effect in transition.effects
+        if isinstance(effect, load_history.Record) and effect.event == 'verdict'
+    ]
+
+
+def reduce(event: events.Event, before: load_state.Transition):
+    """Reduce an event after a transition."""
+    return load_reducer.reduce(event, before.state)
+
+
+def take_part(call: effects.Call, part: object, before):
+    """Let a part of a call arrive."""
+    event = events.CallPartArrived(
+        at=2, call=call.call, address=call.address, part=part
+    )
+    return reduce(event, before)
+
+
+def take_tokens(call: effects.Call, tokens, first: int, before):
+    """Let tokens of a call arrive."""
+    for index, token in enumerate(tokens, first):
+        part = replies.TokenPart(index, token)
+        before = take_part(call, part, before)
+    return before
+
+
+def take_answer(call: effects.Call, answer: object, before):
+    """Let the answer to a call arrive."""
+    event = events.CallAnswered(
+        at=2, call=call.call, address=call.address, answer=answer
+    )
+    return reduce(event, before)
+
+
+def call_again(before: load_state.Transition) -> load_state.Transition:
+    """Let the wait before the next call be over."""
+    timers = [
+        effect.timer
+        for effect in before.effects
+        if isinstance(effect, effects.SetTimer)
+        and isinstance(effect.timer, load_state.CallDue)
+    ]
+    return reduce(events.TimerFired(at=3, timer=timers[0]), before)
+
+
+class AnswerCheck(unittest.TestCase):
+    """Only the answer of the reference model is right."""
+
+    def end(self, tokens, end: load_calls.AnswerEnded) -> list[str]:
+        """Return the verdicts on one whole answer."""
+        begun = begin(WORK)
+        call = calls_of(begun)[0]
+        return verdicts_of(
+            take_part(call, end, take_tokens(call, tokens, 0, begun))
+        )
+
+    def test_verdicts(self) -> None:
+        """Guard against a wrong answer that is counted as right."""
+        end = load_calls.AnswerEnded(3, '3')
+        self.assertEqual(self.end(RIGHT, end), ['right'])
+        self.assertEqual(self.end((*RIGHT[:2], 'w0'), end), ['wrong'])
+        self.assertEqual(self.end(RIGHT[:2], end), ['wrong'])
+        short = load_calls.AnswerEnded(2, '3')
+        self.assertEqual(self.end(RIGHT[:2], short), ['wrong'])
+        other = load_calls.AnswerEnded(3, '4')
+        self.assertEqual(self.end(RIGHT, other), ['wrong'])
+
+    def test_token_out_of_order(self) -> None:
+        """Guard against tokens that are left out or come twice."""
+        begun = begin(WORK)
+        call = calls_of(begun)[0]
+        taken = take_tokens(call, RIGHT[:1], 1, begun)
+        self.assertEqual(verdicts_of(taken), ['wrong'])
+
+
+class CutAnswer(unittest.TestCase):
+    """A cut answer is resumed elsewhere with the tokens it has."""
+
+    def cut(self, *, error_line: bool):
+        """Cut an answer after two tokens and call again."""
+        begun = begin(WORK)
+        call = calls_of(begun)[0]
+        taken = take_tokens(call, RIGHT[:2], 0, begun)
+        if error_line:
+            ended = take_part(call, CUT, taken)
+        else:
+            ended = take_answer(call, load_calls.StreamClosed(), taken)
+        return call, call_again(ended)
+
+    def test_resume(self) -> None:
+        """Guard against a truncated answer that counts as whole."""
+        for error_line in (True, False):
+            first, again = self.cut(error_line=error_line)
+            call = calls_of(again)[0]
+            self.assertNotEqual(call.address, first.address)
+            self.assertEqual(call.call.delivered, RIGHT[:2])
+            taken = take_tokens(call, RIGHT[2:], 2, again)
+            ended = take_part(call, load_calls.AnswerEnded(3, '3'), taken)
+            self.assertEqual(verdicts_of(ended), ['right'])
+
+    def test_late_parts(self) -> None:
+        """Guard against tokens of a call that was given up."""
+        first, again = self.cut(error_line=True)
+        late = take_tokens(first, RIGHT[2:], 2, again)
+        self.assertEqual(late.state.requests['load-0'].tokens, RIGHT[:2])
+
+    def test_stall(self) -> None:
+        """Guard against waiting for a frozen entry instance."""
+        begun = begin(WORK)
+        timer = load_state.Stalled('load-0', 1)
+        stalled = reduce(events.TimerFired(at=6, timer=timer), begun)
+        again = call_again(stalled)
+        self.assertEqual(calls_of(again)[0].address, 'b:1')
+
+
+class ActionOutcome(unittest.TestCase):
+    """An action is called again with the key that it had."""
+
+    def test_same_key(self) -> None:
+        """Guard against a retry that could run an action twice."""
+        begun = begin(ACTION)
+        failed = events.CallFailed(
+            at=2,
+            call=calls_of(begun)[0].call,
+            address='a:1',
+            failure=events.Failure(events.FailureKind.CLOSED, sent=True),
+        )
+        again = call_again(reduce(failed, begun))
+        self.assertEqual(calls_of(again)[0].call.idempotency_key, 'k')
+        refused = take_answer(calls_of(again)[0], NOT_RUN, again)
+        self.assertTrue(refused.state.requests['load-0'].unknown)
+
+    def test_repeat_is_compared(self) -> None:
+        """Guard against a repeat that runs the action again."""
+        begun = begin(ACTION)
+        request = dataclasses.replace(
+            begun.state.requests['load-0'],
+            repeat=True,
+        )
+        begun = load_requests.call(request, events.Event(at=1), begun.state)
+        bodies = [
+            b'{"operation":"log-wheel","execution":%d}' % number
+            for number in (1, 2)
+        ]
+        first = load_calls.ActionAnswered(200, bodies[0], replayed=False)
+        again = take_answer(calls_of(begun)[0], first, begun)
+        second = load_calls.ActionAnswered(200, bodies[1], replayed=False)
+        ended = take_answer(calls_of(again)[0], second, again)
+        self.assertEqual(verdicts_of(ended), ['wrong'])
+
+
+class DrawnWork(unittest.TestCase):
+    """Work is drawn from the seed alone."""
+
+    def test_key_is_version_7(self) -> None:
+        """Guard against keys that the entry instance rejects."""
+        _, text = load_work.build_key(1_700_000_000.5, 7)
+        key = uuid.UUID(text)
+        self.assertEqual((key.version, key.variant), (7, uuid.RFC_4122))
+        self.assertEqual(key.int >> 80, 1_700_000_000_500)
+
+    def test_same_seed_same_work(self) -> None:
+        """Guard against runs that cannot be repeated."""
+        drawn = [
+            load_work.draw_work('r', 'n', PLAN.mix, DOCUMENT, 1, seed)
+            for seed in (5, 5, 6)
+        ]
+        self.assertEqual(drawn[0], drawn[1])
+        self.assertNotEqual(drawn[0], drawn[2])
+
+
+class StreamLines(unittest.TestCase):
+    """Lines of a stream are told apart by their fields."""
+
+    def test_lines(self) -> None:
+        """Guard against an error line that is taken for a token."""
+        asked = calls_of(begin(WORK))[0].call
+        error = {'error': {'code': 'no_upstream', 'outcome': 'unknown'}}
+        cases = (
+            ({'index': 0, 'token': 'w1'}, replies.TokenPart),
+            ({'end': True, 'tokens': 1}, load_calls.AnswerEnded),
+            (error, load_calls.ErrorAnswer),
+        )
+        for line, kind in cases:
+            decoded = load_codec.decode_part(asked, json.dumps(line).encode())
+            self.assertIsInstance(decoded, kind)
+        self.assertEqual(load_codec.decode_part(asked, b'x').kind, 'malformed')
