Run the demo of one site

bin/demo starts the stand-ins and entry instances of a site, sends a mixed load for 20 s, prints what was served in tables and stops everything. The exit code is 1 if an answer was wrong or stayed cut. Actions are part of the load once the stand-in of the action service exists.

--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,190 @@
+"""Start one site with stand-ins, send a mixed load and print what was served.
+
+    bin/demo [--site cooperative|directorate] [--runners 40] [--seconds 20]
+
+The exit code is 1 if an answer was wrong or stayed cut, and 2 if the site or
+the load tool did not run.
+"""
+
+import collections
+import json
+import pathlib
+import signal
+import sys
+import time
+from collections import abc
+from typing import Any
+
+import fire
+
+from bench import processes, site_specs, sites
+
+EXIT_FAILED = 1
+EXIT_NOT_RUN = 2
+LOAD_MARGIN_SECONDS = 40
+LATENCIES = (
+    ('first_token', 'to the first token'),
+    ('between_tokens', 'between tokens'),
+    ('answer', 'whole model answer'),
+    ('action', 'action'),
+)
+
+
+def run_load(
+    site: sites.Site,
+    seconds: float,
+    rate: float,
+    seed: int,
+) -> dict[str, Any]:
+    """Send load to a site and return the summary."""
+    summary = site.directory / 'summary.json'
+    options = {
+        'entries': ','.join(site.entry_addresses),
+        'document': str(site.spec.document_file),
+        'history': str(site.directory / 'history.jsonl'),
+        'summary': str(summary),
+        'zones': ','.join(site.spec.place.zones),
+        'duration_seconds': seconds,
+        'rate': rate,
+        'seed': seed,
+    }
+    if not site.plan.action_runners:
+        options |= {'actions': 0, 'idempotent_actions': 0}
+    load = processes.Process(
+        processes.ProcessSpec(
+            'load',
+            'bench.load',
+            '',
+            tuple(f'--{name}={text}' for name, text in options.items()),
+        ),
+        site.directory,
+    )
+    load.start()
+    try:
+        load.wait(seconds + LOAD_MARGIN_SECONDS)
+    finally:
+        load.kill()
+    if not summary.exists():
+        raise processes.ProcessError(f'no summary:\n{load.read_log()}')
+    found: dict[str, Any] = json.loads(summary.read_text())
+    return found
+
+
+def format_table(rows: abc.Sequence[abc.Sequence[Any]]) -> str:
+    """Return rows as a table; the first row holds the titles."""
+    texts = [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*texts, strict=True)
+    ]
+    lines = [
+        '  '.join(
+            cell.ljust(width) if index == 0 else cell.rjust(width)
+            for index, (cell, width) in enumerate(zip(row, widths, strict=True))
+        ).rstrip()
+        for row in texts
+    ]
+    lines.insert(1, '  '.join('-' * width for width in widths))
+    return '\n'.join(lines)
+
+
+def served_rows(summary: dict[str, Any]) -> list[list[Any]]:
+    """Return what became of the requests, by kind of work."""
+    verdicts = ('right', 'wrong', 'cut', 'refused', 'failed')
+    rows: list[list[Any]] = [['requests', 'total', *verdicts]]
+    for work, found in sorted(summary['verdicts'].items()):
+        counts = [found.get(verdict, 0) for verdict in verdicts]
+        rows.append([work, sum(counts), *counts])
+    return rows
+
+
+def latency_rows(summary: dict[str, Any]) -> list[list[Any]]:
+    """Return the latencies in milliseconds."""
+    rows: list[list[Any]] = [['latency (ms)', 'count', 'p50', 'p95', 'p99']]
+    for name, title in LATENCIES:
+        found = summary['latency'][name]
+        if found['count']:
+            percentiles = [found[f'{key}_ms'] for key in ('p50', 'p95', 'p99')]
+            rows.append([title, found['count'], *percentiles])
+    return rows
+
+
+def entry_rows(history: pathlib.Path) -> list[list[Any]]:
+    """Return the calls and errors of each entry address."""
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    with history.open() as lines:
+        for line in lines:
+            event = json.loads(line)
+            counts[event['entry'], event['event']] += 1
+    rows: list[list[Any]] = [['entry instance', 'calls', 'whole', 'errors']]
+    for address in sorted({address for address, _ in counts}):
+        names = ('start', 'end', 'error')
+        rows.append([address, *(counts[address, name] for name in names)])
+    return rows
+
+
+def report(site: sites.Site, summary: dict[str, Any]) -> None:
+    """Print what was served."""
+    history = site.directory / 'history.jsonl'
+    for rows in (
+        served_rows(summary),
+        entry_rows(history),
+        latency_rows(summary),
+    ):
+        print(f'{format_table(rows)}\n')
+    print(
+        f'{summary["requests_per_second"]} requests/s and'
+        f' {summary["tokens_per_second"]} tokens/s over'
+        f' {summary["seconds"]} s; {summary["recovered"]} requests needed more'
+        ' than one call',
+    )
+    for title in ('refusals', 'failures'):
+        if summary[title]:
+            print(f'{title} of single calls: {summary[title]}')
+    print(f'history: {history}')
+
+
+def exit_on_signal(number: int, _: Any) -> None:
+    """Leave through the context managers, which stop all processes."""
+    raise SystemExit(128 + number)
+
+
+def main(
+    site: str = 'cooperative',
+    runners: int = 12,
+    entries: int = 6,
+    seconds: float = 20,
+    rate: float = 20,
+    seed: int = 1,
+) -> None:
+    """Run the demo of one site."""
+    if site not in site_specs.PLACES:
+        sys.exit(f'--site must be one of {", ".join(site_specs.PLACES)}')
+    signal.signal(signal.SIGTERM, exit_on_signal)
+    spec = site_specs.SiteSpec(site, entries=entries, runners=runners)
+    started = time.monotonic()
+    try:
+        with sites.Site(spec) as running:
+            plan = running.plan
+            print(
+                f'{site}: {len(plan.entries)} entry instances,'
+                f' {len(plan.runners)} model runners in {spec.stages} stages,'
+                f' {len(plan.action_runners)} action runners, ready after'
+                f' {time.monotonic() - started:.1f} s\n',
+                flush=True,
+            )
+            summary = run_load(running, seconds, rate, seed)
+            report(running, summary)
+    except processes.ProcessError as error:
+        print(f'the demo did not run: {error}', file=sys.stderr)
+        sys.exit(EXIT_NOT_RUN)
+    running_now = sum(one.is_running for one in running.processes.values())
+    print(
+        f'{running_now} of {len(running.processes)} processes still run,'
+        f' {time.monotonic() - started:.1f} s in all',
+    )
+    if summary['wrong_answers'] or summary['cut'] or running_now:
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/bench/site_specs.py
+++ b/bench/site_specs.py
@@ -82,10 +82,14 @@
         """Return the region and zones."""
         return PLACES[self.name]
 
+    @property
+    def document_file(self) -> pathlib.Path:
+        """Return the file of the document of the site."""
+        return self.document_path or EXAMPLES / f'{self.name}.toml'
+
     def read_document(self) -> str:
         """Return the text of the document of the site."""
-        path = self.document_path or EXAMPLES / f'{self.name}.toml'
-        return path.read_text()
+        return self.document_file.read_text()
 
     def zone_of(self, index: int) -> str:
         """Return the availability zone of the instance with an index."""
