Run idempotent operations and stand in for the services

The stand-in of a plain service keeps a ledger of its executions, so that tests can count how often an operation ran.

--- /dev/null
+++ b/src/mustardvale/internal/action_requests.py
@@ -0,0 +1,195 @@
+"""Describe requests for actions and answer those who made them."""
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from mustardvale import errors
+from mustardvale.internal import (
+    effects,
+    events,
+    messages,
+    refusals,
+    replies,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+Result = replies.ActionDone | replies.RequestError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Mark a data class as the source of a request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller(Origin):
+    """Name the request of a caller that is connected to this instance."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardingPeer(Origin):
+    """Name the request that a peer forwarded."""
+
+    forward_id: str
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ActionRequest:
+    """Describe one call of a service operation; times are monotonic.
+
+    `idempotency_key` is empty for an operation that is idempotent.
+    """
+
+    origin: Origin
+    account: str
+    service: str
+    operation: str
+    pool: str
+    idempotency_key: str = ''
+    body: bytes
+    body_digest: str = ''
+    received_at: float
+    deadline_at: float
+    traceparent: str = ''
+
+
+@functools.singledispatch
+def deliver(origin: Origin, result: Result) -> effects.Effect:
+    """Return the effect that gives a result to its origin."""
+    raise TypeError(type(origin).__name__)
+
+
+@deliver.register(Caller)
+def deliver_to_caller(origin: Caller, result: Result) -> effects.Effect:
+    """Reply to a caller."""
+    return effects.Reply(origin.request_id, result)
+
+
+@deliver.register(ForwardingPeer)
+def deliver_to_peer(origin: ForwardingPeer, result: Result) -> effects.Effect:
+    """Report to the peer that forwarded the request."""
+    return effects.SendToPeer(
+        origin.peer_address,
+        to_outcome(result, origin.forward_id),
+    )
+
+
+@functools.singledispatch
+def to_outcome(result: Result, forward_id: str) -> messages.ActionOutcome:
+    """Describe a result to the peer that forwarded the request."""
+    raise TypeError(type(result).__name__)
+
+
+@to_outcome.register(replies.ActionDone)
+def done_to_outcome(
+    result: replies.ActionDone,
+    forward_id: str,
+) -> messages.ActionOutcome:
+    """Describe the answer of a service."""
+    return messages.ActionOutcome(
+        forward_id=forward_id,
+        status=result.status,
+        content_type=result.content_type,
+        body=result.body,
+        replayed=result.replayed,
+    )
+
+
+@to_outcome.register(replies.RequestError)
+def error_to_outcome(
+    result: replies.RequestError,
+    forward_id: str,
+) -> messages.ActionOutcome:
+    """Describe an error."""
+    return messages.ActionOutcome(
+        forward_id=forward_id,
+        error_code=result.code.name,
+        message=result.message,
+        outcome=result.outcome.value,
+        scope=result.scope.value,
+        retry_after_seconds=result.retry_after_seconds,
+    )
+
+
+def from_outcome(outcome: messages.ActionOutcome) -> Result:
+    """Return the result that a peer reports."""
+    if not outcome.error_code:
+        return replies.ActionDone(
+            outcome.status,
+            outcome.content_type,
+            outcome.body,
+            outcome.replayed,
+        )
+    return replies.RequestError(
+        find_code(outcome.error_code),
+        outcome.message,
+        errors.Outcome(outcome.outcome),
+        errors.Scope(outcome.scope),
+        outcome.retry_after_seconds,
+    )
+
+
+def find_code(name: str) -> errors.ErrorCode:
+    """Return the error code of a name; a newer release may send others."""
+    return next(
+        (code for code in errors.ALL_CODES if code.name == name),
+        errors.INTERNAL_ERROR,
+    )
+
+
+def not_run(
+    code: errors.ErrorCode,
+    message: str,
+    scope: errors.Scope = errors.Scope.CALL,
+) -> replies.RequestError:
+    """Describe a request of which nothing was or will be sent."""
+    retry_after = refusals.RETRY_AFTER_SECONDS if code.status == 503 else 0
+    return replies.RequestError(
+        code,
+        message,
+        errors.Outcome.NOT_RUN,
+        scope,
+        retry_after,
+    )
+
+
+def unknown(
+    message: str,
+    code: errors.ErrorCode = errors.OUTCOME_UNKNOWN,
+) -> replies.RequestError:
+    """Describe a request that may have run and is not sent again."""
+    return replies.RequestError(code, message, errors.Outcome.UNKNOWN)
+
+
+def settle(
+    request: ActionRequest,
+    result: Result,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give a request its result."""
+    end = 'done'
+    if isinstance(result, replies.RequestError):
+        end = result.code.name
+    return transitions.Transition(
+        state,
+        (
+            deliver(request.origin, result),
+            effects.Count('actions', (end,)),
+            effects.Observe('action_seconds', event.at - request.received_at),
+            effects.RecordSpan(
+                'action',
+                request.traceparent,
+                request.received_at,
+                event.at,
+                (('operation', request.operation), ('end', end)),
+            ),
+        ),
+    )
--- a/src/mustardvale/internal/calls.py
+++ b/src/mustardvale/internal/calls.py
@@ -98,10 +98,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunAction:
-    """Run one operation of a plain service.
-
-    `attempt_id` is empty for an operation that is idempotent.
-    """
+    """Run one operation of a plain service that must not run twice."""
 
     request_id: str
     service: str
@@ -112,6 +109,11 @@
     traceparent: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunOperation(RunAction):
+    """Run an idempotent operation, which has no key and no attempt."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ActionAnswer:
     """Hold the answer of a plain service."""
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -21,6 +21,8 @@
     ('refusals', 'Refused requests', ('code',)),
     ('attempts_abandoned', 'Attempts of answers given up', ('problem',)),
     ('late_step_results', 'Step results that were not awaited', ()),
+    ('actions', 'Actions by how they ended', ('end',)),
+    ('operation_retries', 'Idempotent operations sent again', ()),
     ('ejections', 'Upstreams ejected', ('pool',)),
     ('promotions', 'Records of the environment stream', ('verdict',)),
     ('documents_unreadable', 'Documents that did not parse', ()),
@@ -32,6 +34,7 @@
 
 HISTOGRAMS = (
     ('first_token_seconds', 'Time from a request to its first token'),
+    ('action_seconds', 'Time from a request for an action to its end'),
     ('between_tokens_seconds', 'Time between two tokens of an answer'),
 )
 
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -83,12 +83,12 @@
     """
 
     forward_id: str
-    status: int
-    content_type: str
-    body: bytes
-    replayed: bool
-    error_code: str
-    message: str
-    outcome: str
-    scope: str
-    retry_after_seconds: float
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+    replayed: bool = False
+    error_code: str = ''
+    message: str = ''
+    outcome: str = ''
+    scope: str = ''
+    retry_after_seconds: float = 0
--- /dev/null
+++ b/src/mustardvale/internal/service_runners.py
@@ -0,0 +1,56 @@
+"""Choose the runner of a plain service for one operation."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from mustardvale.internal import routing, upstreams
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChosenRunner:
+    """Hold the address of a runner, empty if none is usable, and the state.
+
+    The state has the seed for the next draw.
+    """
+
+    address: str
+    state: 'states.State'
+
+
+def choose(
+    pool: str,
+    excluded: frozenset[str],
+    now: float,
+    state: 'states.State',
+) -> ChosenRunner:
+    """Choose a usable runner of a pool whose address is not excluded."""
+    candidates = tuple(
+        describe(upstream)
+        for upstream in state.upstreams.by_id.values()
+        if upstream.listed.pool == pool
+        and upstream.listed.address not in excluded
+        and upstreams.is_usable(upstream, now)
+    )
+    if not candidates:
+        return ChosenRunner('', state)
+    choice = routing.choose(state.policy, candidates, state.seed)
+    chosen = state.upstreams.by_id[choice.candidate.instance_id]
+    return ChosenRunner(
+        chosen.listed.address,
+        dataclasses.replace(state, seed=choice.seed),
+    )
+
+
+def describe(upstream: upstreams.Upstream) -> routing.Candidate:
+    """Describe a runner to a policy."""
+    report = upstream.report
+    assert report is not None, 'only reported upstreams are usable'
+    return routing.Candidate(
+        instance_id=upstream.listed.instance_id,
+        in_flight=upstream.in_flight,
+        queued=report.queued,
+        step_seconds=report.step_seconds,
+    )
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -56,6 +56,13 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperationDeadline(Timer):
+    """End an idempotent operation whose time is over."""
+
+    request_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPhaseDue(Timer):
     """Go on with a planned stop."""
--- /dev/null
+++ b/standins/action_service.py
@@ -0,0 +1,292 @@
+"""Stand in for a plain service, with a ledger of what it executed."""
+
+import dataclasses
+import functools
+from typing import Any
+
+import immutables
+
+from mustardvale.internal import calls, effects, events, transitions
+from standins import json_codec
+
+LEAVING = json_codec.Refused(503, 'the service is leaving', leaving=True)
+REFUSED = json_codec.Refused(503, 'the service refuses operations')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """Ask to run one operation; key and attempt may be empty."""
+
+    name: str
+    idempotency_key: str
+    attempt_id: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Faults:
+    """Hold the faults that are switched on.
+
+    A service that is down closes connections, one that refuses answers 503,
+    and a frozen one answers nothing; none of them executes an operation.
+    `lose_answers` counts operations that are executed without an answer.
+    """
+
+    down: bool = False
+    refuse: bool = False
+    freeze: bool = False
+    leaving: bool = False
+    delay_seconds: float = 0
+    lose_answers: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerWanted:
+    """Ask for the counts of executions."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ledger:
+    """Count executions per idempotency key, attempt and operation."""
+
+    by_key: immutables.Map[str, int] = immutables.Map()
+    by_attempt: immutables.Map[str, int] = immutables.Map()
+    by_operation: immutables.Map[str, int] = immutables.Map()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerPage:
+    """Hold the counts as they are encoded."""
+
+    by_key: dict[str, int]
+    by_attempt: dict[str, int]
+    by_operation: dict[str, int]
+    repeats_refused: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperationDone:
+    """Answer an operation with the number of its execution."""
+
+    instance_id: str
+    operation: str
+    execution: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExecuteLater:
+    """Execute an operation whose delay is over."""
+
+    request_id: str
+    operation: Operation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Hold the ledger, the answers by key and the operations that wait.
+
+    Only a service with `checks_keys` answers a repeated key from `answers`.
+    """
+
+    instance_id: str
+    checks_keys: bool = False
+    seconds: float = 0
+    ledger: Ledger = Ledger()
+    answers: immutables.Map[str, OperationDone] = immutables.Map()
+    waiting: immutables.Map[str, Operation] = immutables.Map()
+    executions: int = 0
+    repeats_refused: int = 0
+    faults: Faults = Faults()
+
+
+Transition = transitions.Transition[State]
+
+
+@functools.singledispatch
+def reduce(event: events.Event, state: State) -> Transition:
+    """Ignore events that concern no operation."""
+    return transitions.Transition(state)
+
+
+@reduce.register(events.StopRequested)
+def stop(event: events.StopRequested, state: State) -> Transition:
+    """Stop at once."""
+    return transitions.Transition(state, (effects.StopLoop(),))
+
+
+@reduce.register(events.CallerRequested)
+def receive(event: events.CallerRequested, state: State) -> Transition:
+    """Dispatch on the request."""
+    return on_request(event.wanted, event, state)
+
+
+@functools.singledispatch
+def on_request(
+    wanted: Any,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Handle a request."""
+    raise TypeError(type(wanted).__name__)
+
+
+def answer(request_id: str, reply: Any, state: State) -> Transition:
+    """Answer a request."""
+    return transitions.Transition(
+        state,
+        (effects.Reply(request_id, reply),),
+    )
+
+
+@on_request.register(Faults)
+def set_faults(
+    wanted: Faults,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Switch faults."""
+    changed = dataclasses.replace(state, faults=wanted)
+    return answer(event.request_id, json_codec.Done(), changed)
+
+
+@on_request.register(LedgerWanted)
+def show_ledger(
+    wanted: LedgerWanted,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Answer with the counts, also while faults are switched on."""
+    page = LedgerPage(
+        dict(state.ledger.by_key),
+        dict(state.ledger.by_attempt),
+        dict(state.ledger.by_operation),
+        state.repeats_refused,
+    )
+    return answer(event.request_id, page, state)
+
+
+@on_request.register(calls.ReadLoad)
+def report_load(
+    wanted: calls.ReadLoad,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Report the load."""
+    if state.faults.freeze:
+        return transitions.Transition(state)
+    if state.faults.down:
+        return transitions.Transition(
+            state,
+            (effects.CloseCaller(event.request_id),),
+        )
+    report = calls.LoadReport(
+        instance_id=state.instance_id,
+        queued=len(state.waiting),
+        step_seconds=state.seconds + state.faults.delay_seconds,
+        leaving=state.faults.leaving,
+    )
+    return answer(event.request_id, report, state)
+
+
+@on_request.register(Operation)
+def receive_operation(
+    wanted: Operation,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Execute an operation after its time, unless a fault prevents it."""
+    faults = state.faults
+    if faults.freeze:
+        return transitions.Transition(state)
+    if faults.down:
+        return transitions.Transition(
+            state,
+            (effects.CloseCaller(event.request_id),),
+        )
+    if faults.refuse or faults.leaving:
+        refusal = LEAVING if faults.leaving else REFUSED
+        return answer(event.request_id, refusal, state)
+    seconds = state.seconds + faults.delay_seconds
+    if not seconds:
+        return execute(wanted, event.request_id, state)
+    waiting = state.waiting.set(event.request_id, wanted)
+    timer = ExecuteLater(event.request_id, wanted)
+    return transitions.Transition(
+        dataclasses.replace(state, waiting=waiting),
+        (effects.SetTimer(timer, seconds),),
+    )
+
+
+@reduce.register(events.TimerFired)
+def execute_later(event: events.TimerFired, state: State) -> Transition:
+    """Execute an operation whose time is over."""
+    later: ExecuteLater = event.timer
+    waiting = state.waiting.delete(later.request_id)
+    return execute(
+        later.operation,
+        later.request_id,
+        dataclasses.replace(state, waiting=waiting),
+    )
+
+
+def execute(wanted: Operation, request_id: str, state: State) -> Transition:
+    """Count an execution and answer, or answer a repeated key as before."""
+    earlier = state.answers.get(wanted.idempotency_key)
+    if state.checks_keys and earlier is not None:
+        repeats = state.repeats_refused + 1
+        return answer(
+            request_id,
+            earlier,
+            dataclasses.replace(state, repeats_refused=repeats),
+        )
+    executed = enter(wanted, state)
+    done = OperationDone(
+        executed.instance_id,
+        wanted.name,
+        executed.executions,
+    )
+    if wanted.idempotency_key:
+        executed = dataclasses.replace(
+            executed,
+            answers=executed.answers.set(wanted.idempotency_key, done),
+        )
+    if executed.faults.lose_answers:
+        return lose_answer(request_id, executed)
+    return answer(request_id, done, executed)
+
+
+def enter(wanted: Operation, state: State) -> State:
+    """Enter an execution in the ledger."""
+    ledger = state.ledger
+    ledger = Ledger(
+        add_one(ledger.by_key, wanted.idempotency_key),
+        add_one(ledger.by_attempt, wanted.attempt_id),
+        add_one(ledger.by_operation, wanted.name),
+    )
+    return dataclasses.replace(
+        state,
+        ledger=ledger,
+        executions=state.executions + 1,
+    )
+
+
+def add_one(
+    counts: immutables.Map[str, int],
+    name: str,
+) -> immutables.Map[str, int]:
+    """Add one to the count of a name; an empty one is not counted."""
+    if not name:
+        return counts
+    return counts.set(name, counts.get(name, 0) + 1)
+
+
+def lose_answer(request_id: str, state: State) -> Transition:
+    """Close the connection in place of an answer."""
+    faults = dataclasses.replace(
+        state.faults,
+        lose_answers=state.faults.lose_answers - 1,
+    )
+    return transitions.Transition(
+        dataclasses.replace(state, faults=faults),
+        (effects.CloseCaller(request_id),),
+    )
--- /dev/null
+++ b/standins/action_service_main.py
@@ -0,0 +1,30 @@
+"""Run the stand-in of a plain service."""
+
+import fire
+
+from standins import action_service, action_service_codec, processes
+
+
+def serve(
+    address: str,
+    instance_id: str,
+    checks_keys: bool = False,
+    operation_ms: float = 0,
+) -> None:
+    """Serve operations at `host:port`."""
+    state = action_service.State(
+        instance_id=str(instance_id),
+        checks_keys=checks_keys,
+        seconds=operation_ms / 1000,
+    )
+    processes.run(
+        state.instance_id,
+        address,
+        action_service.reduce,
+        state,
+        action_service_codec,
+    )
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
