Send an action at most once by attempts in the log

An instance appends an attempt, reads the partition up to it and sends only if the fold gives its attempt the key. A given-up attempt is dead at once; its abandonment is appended until it is read back. Answers are stored in the log and given to repeats. The instance that tails a partition is chosen by rendezvous; others forward to it.

Appends to one stream are followed by a pause of 67 ms, so that 16 partitions stay under the rate of the log; an append refused with 429 is repeated and is not taken for an outage.

The readers forget a key by the append times in the log and not by their own clocks: with their own clocks one reader can still hold a key as done that another has forgotten and gives to a late attempt.

The HTTP client kept the connections of actions idle and counted them, so that after 64 actions to a runner the next one waited for the load report. A call that needs a new connection now replaces an idle one.

--- a/src/mustardvale/internal/actions.py
+++ b/src/mustardvale/internal/actions.py
@@ -1,14 +1,19 @@
 """Check requests for actions and pass them to the part that runs them."""
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from mustardvale import document as documents
 from mustardvale import errors
 from mustardvale.internal import (
+    action_keys,
     action_requests,
+    claims,
     configuration,
     events,
+    forwards,
     operations,
+    partitions,
     reducer,
     refusals,
     replies,
@@ -51,7 +56,34 @@
     request = build_request(wanted, account, event, state)
     if operation.idempotent:
         return operations.start(event.request_id, request, event, state)
-    raise NotImplementedError('operations that must not run twice')
+    return receive_keyed(wanted, request, event, state)
+
+
+def receive_keyed(
+    wanted: replies.ActionWanted,
+    request: action_requests.ActionRequest,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Run an action that must not run twice, here or at its owner."""
+    problem = action_keys.find_problem(wanted.idempotency_key, event.wall)
+    if problem is not None:
+        return action_requests.settle(request, problem, event, state)
+    keyed = dataclasses.replace(
+        request,
+        idempotency_key=action_keys.canonical(wanted.idempotency_key),
+        body_digest=action_keys.digest_body(
+            wanted.service,
+            wanted.operation,
+            wanted.body,
+        ),
+    )
+    key = action_keys.ActionKey(keyed.account, keyed.idempotency_key)
+    number = action_keys.partition_of(key)
+    owner = partitions.find_owner(number, event.at, state)
+    if owner is None:
+        return claims.receive(keyed, event, state)
+    return forwards.forward(event.request_id, keyed, owner, event, state)
 
 
 def find_operation(
--- /dev/null
+++ b/src/mustardvale/internal/claims.py
@@ -0,0 +1,304 @@
+"""Claim the right to send an action by appending an attempt to the log."""
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from mustardvale import errors
+from mustardvale.internal import (
+    action_calls,
+    action_keys,
+    action_requests,
+    action_results,
+    attempts,
+    effects,
+    events,
+    log_streams,
+    partitions,
+    records,
+    reducer,
+    streams,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+CLAIM_SECONDS = 2.0
+MAXIMUM_CALLS = 4096
+
+
+def with_actions(
+    state: 'states.State',
+    table: action_calls.ActionTable,
+) -> 'states.State':
+    """Replace the table of calls."""
+    return dataclasses.replace(state, actions=table)
+
+
+def receive(
+    request: action_requests.ActionRequest,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Take a call whose key was checked and which this instance runs."""
+    if len(state.actions.by_id) >= MAXIMUM_CALLS:
+        error = action_requests.not_run(
+            errors.OVERLOADED,
+            f'{MAXIMUM_CALLS} actions are in flight',
+        )
+        return action_requests.settle(request, error, event, state)
+    call = action_calls.ActionCall(
+        state.actions.count,
+        action_keys.ActionKey(request.account, request.idempotency_key),
+        request,
+    )
+    deadline = effects.SetTimer(
+        timers.ActionDeadline(call.call_id),
+        request.deadline_at - event.at,
+    )
+    number = action_keys.partition_of(call.key)
+    state = with_actions(state, state.actions.add(call))
+    return (
+        partitions.use(number, event.at, state)
+        .with_effects(deadline)
+        .then(functools.partial(consider, call.call_id, event))
+    )
+
+
+def consider(
+    call_id: int,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Act on the status of the key of a call that waits."""
+    call = state.actions.by_id.get(call_id)
+    if call is None or not isinstance(call.phase, action_calls.Waiting):
+        return transitions.Transition(state)
+    holder = state.actions.holder(call.key)
+    if holder is not None:
+        if holder.request.body_digest != call.request.body_digest:
+            return end(call, action_results.reused(), event, state)
+        return transitions.Transition(state)
+    partition = state.partitions[action_keys.partition_of(call.key)]
+    status = partition.table.find(call.key).status
+    return consider_status(status, call, event, state)
+
+
+def consider_key(
+    key: action_keys.ActionKey,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Act on a change of the status of a key in the order of the calls."""
+    transition = transitions.Transition(state)
+    for call in state.actions.of_key(key):
+        transition = transition.then(
+            functools.partial(consider, call.call_id, event),
+        )
+    return transition
+
+
+@functools.singledispatch
+def consider_status(
+    status: attempts.Status,
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Act on the status of a key that no call of this instance holds."""
+    raise TypeError(type(status).__name__)
+
+
+@consider_status.register(attempts.Free)
+def consider_free(
+    status: attempts.Free,
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append an attempt, unless the log fails or records were dropped."""
+    partition = state.partitions[action_keys.partition_of(call.key)]
+    if not partitions.is_provable(call.key, partition):
+        return end(call, action_results.dropped(), event, state)
+    if not state.log.available:
+        return end(call, action_results.log_fails(), event, state)
+    return claim(call, event, state)
+
+
+@consider_status.register(attempts.Attempted)
+def consider_attempted(
+    status: attempts.Attempted,
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Wait for the holder of the key, unless it is known to be over.
+
+    An attempt of this instance that no call holds was sent without an answer,
+    or belongs to an earlier process of the same name.
+    """
+    if status.body_digest != call.request.body_digest:
+        return end(call, action_results.reused(), event, state)
+    own = status.instance_id == state.identity.instance_id
+    if own and status.attempt_id not in state.actions.abandoning:
+        return end(call, action_results.lost(), event, state)
+    return transitions.Transition(state)
+
+
+@consider_status.register(attempts.Done)
+def consider_done(
+    status: attempts.Done,
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer with the stored answer."""
+    if status.record.body_digest != call.request.body_digest:
+        return end(call, action_results.reused(), event, state)
+    return end(call, action_results.stored(status.record), event, state)
+
+
+def claim(
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append the record of a new attempt."""
+    identity = state.identity
+    number = state.actions.count
+    attempt_id = f'{identity.instance_id}.{identity.incarnation}.{number}'
+    claiming = dataclasses.replace(
+        call,
+        phase=action_calls.Claiming(attempt_id, event.at),
+    )
+    table = dataclasses.replace(
+        state.actions.replace(claiming),
+        count=number + 1,
+    )
+    record = records.ActionAttempt(
+        attempt_id=attempt_id,
+        account=call.key.account,
+        idempotency_key=call.key.idempotency_key,
+        body_digest=call.request.body_digest,
+        instance_id=identity.instance_id,
+    )
+    timer = timers.ClaimDeadline(attempt_id)
+    return append(call.key, record, with_actions(state, table)).with_effects(
+        effects.SetTimer(timer, CLAIM_SECONDS),
+    )
+
+
+def append(
+    key: action_keys.ActionKey,
+    record: records.Record,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append a record to the partition of a key."""
+    stream = streams.AttemptStream(action_keys.partition_of(key))
+    return log_streams.append(stream, record, state)
+
+
+def lose(
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Wait for the attempt that holds the key."""
+    waiting = dataclasses.replace(call, phase=action_calls.Waiting())
+    timer = timers.ClaimDeadline(call.phase.attempt_id)
+    return (
+        transitions.Transition(
+            with_actions(state, state.actions.replace(waiting)),
+            (effects.CancelTimer(timer),),
+        )
+    ).then(functools.partial(consider_key, call.key, event))
+
+
+def abandon(
+    call: action_calls.ActionCall,
+    result: action_requests.Result,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Decide never to send an attempt, and end its call.
+
+    The decision holds from here on. The record only frees the key for others.
+    """
+    attempt_id = call.phase.attempt_id
+    table = state.actions.start_abandoning(attempt_id, call.key)
+    record = records.AttemptAbandoned(
+        attempt_id,
+        call.key.account,
+        call.key.idempotency_key,
+    )
+    return append(call.key, record, with_actions(state, table)).then(
+        lambda now: end(call, result, event, now),
+    )
+
+
+def end(
+    call: action_calls.ActionCall,
+    result: action_requests.Result,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give a call its result, forget it and consider the others."""
+    answered = answer(call, result, event, state)
+    return answered.then(lambda now: forget(call, event, now))
+
+
+def answer(
+    call: action_calls.ActionCall,
+    result: action_requests.Result,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give a call its result unless it has one."""
+    if call.answered:
+        return transitions.Transition(state)
+    answered = dataclasses.replace(call, answered=True)
+    state = with_actions(state, state.actions.replace(answered))
+    cancel = effects.CancelTimer(timers.ActionDeadline(call.call_id))
+    return action_requests.settle(
+        call.request,
+        result,
+        event,
+        state,
+    ).with_effects(cancel)
+
+
+def forget(
+    call: action_calls.ActionCall,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Forget a call and consider the others with its key."""
+    state = with_actions(state, state.actions.remove(call))
+    cancel = effects.CancelTimer(timers.ClaimDeadline(call.phase.attempt_id))
+    return transitions.Transition(state, (cancel,)).then(
+        functools.partial(consider_key, call.key, event),
+    )
+
+
+@reducer.on_timer.register(timers.ClaimDeadline)
+def expire_claim(
+    timer: timers.ClaimDeadline,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give up an attempt whose record was not read back in time."""
+    return fail_claim(timer.attempt_id, event, state)
+
+
+def fail_claim(
+    attempt_id: str,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give up an attempt of which it is not known whether it is in the log."""
+    call = state.actions.of_attempt(attempt_id)
+    if call is None or not isinstance(call.phase, action_calls.Claiming):
+        return transitions.Transition(state)
+    return abandon(call, action_results.log_fails(), event, state)
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -22,6 +22,11 @@
     ('attempts_abandoned', 'Attempts of answers given up', ('problem',)),
     ('late_step_results', 'Step results that were not awaited', ()),
     ('actions', 'Actions by how they ended', ('end',)),
+    ('actions_forwarded', 'Actions forwarded to another instance', ()),
+    ('action_connections_refused', 'Actions sent to another runner', ()),
+    ('late_action_results', 'Results of actions that were not awaited', ()),
+    ('attempt_records', 'Records of actions by their effect', ('verdict',)),
+    ('attempt_gaps', 'Gaps found in partitions of attempts', ()),
     ('operation_retries', 'Idempotent operations sent again', ()),
     ('ejections', 'Upstreams ejected', ('pool',)),
     ('promotions', 'Records of the environment stream', ('verdict',)),
@@ -35,10 +40,13 @@
 HISTOGRAMS = (
     ('first_token_seconds', 'Time from a request to its first token'),
     ('action_seconds', 'Time from a request for an action to its end'),
+    ('claim_seconds', 'Time from an attempt until it has won its key'),
     ('between_tokens_seconds', 'Time between two tokens of an answer'),
 )
 
 GAUGES = (
     ('document_version', 'Version of the document in force'),
+    ('partitions_tailed', 'Partitions of attempts that are tailed'),
+    ('action_keys_kept', 'Keys of actions in memory'),
     ('log_available', 'Whether the last call to the log was answered'),
 )
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -98,6 +98,9 @@
             self.use(pool.idle.pop(), pending)
         elif pool.open_count < MAXIMUM_CONNECTIONS_PER_ADDRESS:
             self.connect(pool, pending)
+        elif pool.idle:
+            self.discard(pool.idle[-1])
+            self.connect(pool, pending)
         elif len(pool.waiting) < MAXIMUM_WAITING_CALLS_PER_ADDRESS:
             pool.waiting.append(pending)
         else:
@@ -322,6 +325,9 @@
         """Give a connection to the next waiting call or keep it idle."""
         pool = self.pools[connection.address]
         while pool.waiting:
+            if pool.waiting[0].raw.fresh_connection:
+                self.discard(connection)
+                return
             following = pool.waiting.popleft()
             if not following.ended:
                 self.use(connection, following)
--- /dev/null
+++ b/src/mustardvale/internal/forwards.py
@@ -0,0 +1,140 @@
+"""Forward actions to the instance that tails their partition."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import immutables
+
+from mustardvale import errors
+from mustardvale.internal import (
+    action_keys,
+    action_requests,
+    action_results,
+    claims,
+    effects,
+    events,
+    membership,
+    messages,
+    reducer,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+Forwards = immutables.Map[str, action_requests.ActionRequest]
+
+
+def forward(
+    forward_id: str,
+    request: action_requests.ActionRequest,
+    owner: membership.Peer,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Forward a request and wait for its outcome until the deadline."""
+    remaining = request.deadline_at - event.at
+    message = messages.ForwardAction(
+        forward_id=forward_id,
+        reply_to=state.identity.peer_address,
+        account=request.account,
+        service=request.service,
+        operation=request.operation,
+        idempotency_key=request.idempotency_key,
+        body=request.body,
+        deadline_seconds=remaining,
+        traceparent=request.traceparent,
+    )
+    table = state.forwards.set(forward_id, request)
+    return transitions.Transition(
+        dataclasses.replace(state, forwards=table),
+        (
+            effects.SendToPeer(owner.listed.peer_address, message),
+            effects.SetTimer(timers.ForwardDeadline(forward_id), remaining),
+            effects.Count('actions_forwarded'),
+        ),
+    )
+
+
+@reducer.on_peer_message.register(messages.ForwardAction)
+def take_forwarded(
+    message: messages.ForwardAction,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Run a forwarded action; it is never forwarded again."""
+    document = state.configuration.document
+    service = document.find_service(message.service) if document else None
+    request = action_requests.ActionRequest(
+        origin=action_requests.ForwardingPeer(
+            message.forward_id,
+            message.reply_to,
+        ),
+        account=message.account,
+        service=message.service,
+        operation=message.operation,
+        pool=service.pool if service else '',
+        idempotency_key=action_keys.canonical(message.idempotency_key),
+        body=message.body,
+        body_digest=action_keys.digest_body(
+            message.service,
+            message.operation,
+            message.body,
+        ),
+        received_at=event.at,
+        deadline_at=event.at + message.deadline_seconds,
+        traceparent=message.traceparent,
+    )
+    error = action_keys.find_problem(message.idempotency_key, event.wall)
+    if service is None:
+        error = action_requests.not_run(
+            errors.NOT_READY,
+            f'the document in force has no service {message.service!r}',
+        )
+    if error is not None:
+        return action_requests.settle(request, error, event, state)
+    return claims.receive(request, event, state)
+
+
+@reducer.on_peer_message.register(messages.ActionOutcome)
+def take_outcome(
+    message: messages.ActionOutcome,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give the caller the outcome of its forwarded action."""
+    result = action_requests.from_outcome(message)
+    return end(message.forward_id, result, event, state)
+
+
+@reducer.on_timer.register(timers.ForwardDeadline)
+def expire(
+    timer: timers.ForwardDeadline,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Report that a forwarded action may have run."""
+    result = action_results.not_answered()
+    return end(timer.forward_id, result, event, state)
+
+
+def end(
+    forward_id: str,
+    result: action_requests.Result,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Give a forwarded request its result, unless it has one."""
+    request = state.forwards.get(forward_id)
+    if request is None:
+        count = effects.Count('late_action_results')
+        return transitions.Transition(state, (count,))
+    table = state.forwards.delete(forward_id)
+    cancel = effects.CancelTimer(timers.ForwardDeadline(forward_id))
+    return action_requests.settle(
+        request,
+        result,
+        event,
+        dataclasses.replace(state, forwards=table),
+    ).with_effects(cancel)
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -46,6 +46,8 @@
         effects.LogChange('instance started'),
         effects.SetTimer(timers.ListDue(), 0),
         effects.SetTimer(timers.HeartbeatDue(), 0),
+        # By then the peers that are live have been heard.
+        effects.SetTimer(timers.PartitionsDue(), membership.SUSPECT_SECONDS),
     )
 
 
@@ -84,7 +86,7 @@
 ) -> transitions.Transition['states.State']:
     """Stop once callers have noticed and nothing is in flight."""
     assert state.stopping is not None, 'the timer is set by a stop'
-    if event.at >= state.stopping.refuse_from and not state.generations:
+    if event.at >= state.stopping.refuse_from and is_idle(state):
         return transitions.Transition(
             state,
             (
@@ -96,3 +98,10 @@
         state,
         (effects.SetTimer(timer, STOP_POLL_SECONDS),),
     )
+
+
+def is_idle(state: 'states.State') -> bool:
+    """Return whether nothing that callers asked for is in flight."""
+    return state.actions.is_idle() and not (
+        state.generations or state.operations or state.forwards
+    )
--- a/src/mustardvale/internal/log_streams.py
+++ b/src/mustardvale/internal/log_streams.py
@@ -26,6 +26,10 @@
 APPEND_TIMEOUT_SECONDS = 2.0
 RETRY_SECONDS = 0.5
 APPEND_GROUP_RECORDS = 200
+# The log takes several hundred appends a second from all instances together.
+# With 16 streams of attempts, this pause keeps them to 240 a second.
+APPEND_PAUSE_SECONDS = 16 / 240
+TOO_MANY_APPENDS = 429
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,10 +45,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendQueue:
-    """Hold records to append; at most one append per stream is in flight."""
+    """Hold records to append; at most one append per stream is in flight.
+
+    Records wait while the queue is `paused`, and then go in one group.
+    """
 
     in_flight: tuple[records.Record, ...] = ()
     waiting: tuple[records.Record, ...] = ()
+    paused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,9 +171,9 @@
     queue: AppendQueue,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Append what waits unless an append is in flight."""
+    """Append what waits unless an append is in flight or the queue paused."""
     to_send: tuple[effects.Effect, ...] = ()
-    if queue.waiting and not queue.in_flight:
+    if queue.waiting and not (queue.in_flight or queue.paused):
         queue = AppendQueue(
             in_flight=queue.waiting[:APPEND_GROUP_RECORDS],
             waiting=queue.waiting[APPEND_GROUP_RECORDS:],
@@ -319,17 +327,20 @@
     event: events.CallAnswered,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Send the next group; readers learn of the records by reading."""
-    if not isinstance(event.answer, calls.RecordsAppended):
-        return fail_append(call, event, state)
-    queue = state.log.queues[call.stream]
-    return set_available(True, state).then(
-        lambda now: send_group(
+    """Pause before the next group; readers learn of the records by reading."""
+    if isinstance(event.answer, calls.RecordsAppended):
+        return set_available(True, state).then(
+            functools.partial(pause, call.stream, (), APPEND_PAUSE_SECONDS),
+        )
+    if event.answer.status == TOO_MANY_APPENDS:
+        count = effects.Count('log_failures', ('append_rate',))
+        return pause(
             call.stream,
-            AppendQueue(waiting=queue.waiting),
-            now,
-        ),
-    )
+            call.records,
+            APPEND_PAUSE_SECONDS,
+            state,
+        ).with_effects(count)
+    return fail_append(call, event, state)
 
 
 @reducer.on_failure.register(calls.AppendRecords)
@@ -348,9 +359,10 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Report every record of a failed append and pause before the next."""
-    transition = set_available(False, state).with_effects(
-        effects.Count('log_failures', ('append',)),
-        effects.SetTimer(timers.AppendDue(call.stream), RETRY_SECONDS),
+    transition = (
+        set_available(False, state)
+        .with_effects(effects.Count('log_failures', ('append',)))
+        .then(functools.partial(pause, call.stream, (), RETRY_SECONDS))
     )
     for record in call.records:
         transition = transition.then(
@@ -359,16 +371,30 @@
     return transition
 
 
+def pause(
+    stream: streams.Stream,
+    again: tuple[records.Record, ...],
+    seconds: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """End the append in flight and let records wait, those `again` first."""
+    queue = state.log.queues[stream]
+    queue = AppendQueue(waiting=(*again, *queue.waiting), paused=True)
+    log = dataclasses.replace(
+        state.log,
+        queues=state.log.queues.set(stream, queue),
+    )
+    timer = effects.SetTimer(timers.AppendDue(stream), seconds)
+    return transitions.Transition(with_log(state, log), (timer,))
+
+
 @reducer.on_timer.register(timers.AppendDue)
 def append_again(
     timer: timers.AppendDue,
     event: events.TimerFired,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Send the next group of a stream after a failed append."""
+    """Send the next group of a stream after its pause."""
     queue = state.log.queues[timer.stream]
-    return send_group(
-        timer.stream,
-        AppendQueue(waiting=queue.waiting),
-        state,
-    )
+    queue = dataclasses.replace(queue, paused=False)
+    return send_group(timer.stream, queue, state)
--- /dev/null
+++ b/src/mustardvale/internal/partitions.py
@@ -0,0 +1,177 @@
+"""Tail the partitions of attempts that this instance is in charge of."""
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+import immutables
+
+from mustardvale.internal import (
+    action_keys,
+    attempts,
+    effects,
+    entries,
+    events,
+    log_streams,
+    membership,
+    reducer,
+    streams,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+CHECK_PERIOD_SECONDS = 1.0
+# Views of the membership differ for a few seconds after a change; a partition
+# that comes back in this time need not be read again.
+UNUSED_SECONDS = 10.0
+CLOCK_SKEW_SECONDS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Partition:
+    """Hold the folded attempts of a partition that is tailed.
+
+    Records about keys that were created up to the wall time `known_from` may
+    have been dropped before they were read. `used_at` is monotonic.
+    """
+
+    table: attempts.AttemptTable = attempts.AttemptTable()
+    known_from: float = 0
+    used_at: float = 0
+
+
+Partitions = immutables.Map[int, Partition]
+
+
+def with_partition(
+    number: int,
+    partition: Partition,
+    state: 'states.State',
+) -> 'states.State':
+    """Add or replace a partition."""
+    table = state.partitions.set(number, partition)
+    return dataclasses.replace(state, partitions=table)
+
+
+def find_owner(
+    number: int,
+    now: float,
+    state: 'states.State',
+) -> membership.Peer | None:
+    """Return the peer that tails a partition, `None` for this instance."""
+    live = {
+        instance_id: peer
+        for instance_id, peer in state.membership.peers.items()
+        if membership.is_live(peer, now)
+    }
+    own_id = state.identity.instance_id
+    candidates = set(live)
+    if state.membership.own_state == membership.LIVE or not live:
+        candidates.add(own_id)
+    name = streams.AttemptStream(number).name
+    chosen = max(
+        candidates,
+        key=lambda instance_id: (
+            entries.weight(name, instance_id),
+            instance_id,
+        ),
+    )
+    return live.get(chosen)
+
+
+def use(
+    number: int,
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Note that a partition is used and start to tail it if necessary."""
+    known = state.partitions.get(number)
+    if known is not None:
+        used = dataclasses.replace(known, used_at=now)
+        return transitions.Transition(with_partition(number, used, state))
+    state = with_partition(number, Partition(used_at=now), state)
+    return log_streams.follow(streams.AttemptStream(number), state)
+
+
+@reducer.on_timer.register(timers.PartitionsDue)
+def check_partitions(
+    timer: timers.PartitionsDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Tail the own partitions, leave unused ones and forget old keys."""
+    again = effects.SetTimer(timer, CHECK_PERIOD_SECONDS)
+    transition = transitions.Transition(state, (again,))
+    busy = find_busy(state)
+    for number in range(action_keys.PARTITIONS):
+        if number in busy or find_owner(number, event.at, state) is None:
+            transition = transition.then(
+                functools.partial(use, number, event.at),
+            )
+    following = leave_unused(event.at, transition.state)
+    return transitions.Transition(
+        forget_old_keys(following),
+        (
+            *transition.effects,
+            effects.SetGauge('partitions_tailed', len(following.partitions)),
+            effects.SetGauge('action_keys_kept', count_keys(following)),
+        ),
+    )
+
+
+def find_busy(state: 'states.State') -> frozenset[int]:
+    """Return the partitions that calls or abandonments still need."""
+    table = state.actions
+    keys = (*table.by_key, *table.abandoning.values())
+    return frozenset(action_keys.partition_of(key) for key in keys)
+
+
+def leave_unused(now: float, state: 'states.State') -> 'states.State':
+    """Stop tailing the partitions that were not used for a while."""
+    for number, partition in state.partitions.items():
+        if now - partition.used_at > UNUSED_SECONDS:
+            state = log_streams.unfollow(streams.AttemptStream(number), state)
+            table = state.partitions.delete(number)
+            state = dataclasses.replace(state, partitions=table)
+    return state
+
+
+def forget_old_keys(state: 'states.State') -> 'states.State':
+    """Forget keys that are older than the window."""
+    for number, partition in state.partitions.items():
+        kept = attempts.forget(partition.table)
+        if kept.keys is not partition.table.keys:
+            partition = dataclasses.replace(partition, table=kept)
+            state = with_partition(number, partition, state)
+    return state
+
+
+def count_keys(state: 'states.State') -> int:
+    """Return the number of keys that are kept."""
+    return sum(len(one.table.keys) for one in state.partitions.values())
+
+
+def note_gap(
+    number: int,
+    dropped_until: float,
+    state: 'states.State',
+) -> 'states.State':
+    """Note that records appended up to a wall time were not read.
+
+    The record of a key is appended at most `FUTURE_SECONDS` before the time
+    that the key carries, so that later keys are not concerned.
+    """
+    partition = state.partitions[number]
+    margin = action_keys.FUTURE_SECONDS + CLOCK_SKEW_SECONDS
+    known_from = max(partition.known_from, dropped_until + margin)
+    partition = dataclasses.replace(partition, known_from=known_from)
+    return with_partition(number, partition, state)
+
+
+def is_provable(key: action_keys.ActionKey, partition: Partition) -> bool:
+    """Return whether no record about a key can have been dropped unread."""
+    created = action_keys.created_at(key.idempotency_key)
+    return created > partition.known_from
--- a/src/mustardvale/internal/records.py
+++ b/src/mustardvale/internal/records.py
@@ -53,15 +53,17 @@
 class AttemptDone(Record):
     """Hold the answer to a sent action.
 
-    `answer` is base64; it is empty when the answer exceeds the size kept.
+    `answer` is base64; it is empty when `answer_bytes` exceeds the size kept.
     """
 
     attempt_id: str
     account: str
     idempotency_key: str
+    body_digest: str
     status: int
     content_type: str
     answer: str
+    answer_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mustardvale/internal/sends.py
@@ -0,0 +1,186 @@
+"""Send an action once, after its attempt has won the key."""
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from mustardvale.internal import (
+    action_calls,
+    action_results,
+    calls,
+    claims,
+    effects,
+    events,
+    records,
+    reducer,
+    replies,
+    service_runners,
+    timers,
+    transitions,
+    upstreams,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+# After its deadline a call is still waited for, so that a late answer is
+# stored for a repeat with the same key.
+LATE_ANSWER_SECONDS = 30.0
+
+
+def send(
+    call: action_calls.ActionCall,
+    refused: frozenset[str],
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send a call whose attempt holds the key, unless it is too late."""
+    request = call.request
+    if event.at >= request.deadline_at:
+        return claims.abandon(call, action_results.too_late(), event, state)
+    chosen = service_runners.choose(request.pool, refused, event.at, state)
+    if not chosen.address:
+        error = action_results.no_runner(request.service)
+        return claims.abandon(call, error, event, chosen.state)
+    attempt_id = call.phase.attempt_id
+    sending = dataclasses.replace(
+        call,
+        phase=action_calls.Sending(
+            attempt_id,
+            chosen.address,
+            refused,
+            event.at,
+        ),
+    )
+    table = chosen.state.actions.replace(sending)
+    state = claims.with_actions(chosen.state, table)
+    patience = request.deadline_at - event.at + LATE_ANSWER_SECONDS
+    return transitions.Transition(
+        upstreams.add_in_flight(chosen.address, 1, state),
+        (
+            effects.CancelTimer(timers.ClaimDeadline(attempt_id)),
+            effects.Call(build_call(sending), chosen.address, patience),
+        ),
+    )
+
+
+def build_call(call: action_calls.ActionCall) -> calls.RunAction:
+    """Describe a call to its runner."""
+    request = call.request
+    return calls.RunAction(
+        request_id=f'{call.phase.attempt_id}.{call.call_id}',
+        service=request.service,
+        operation=request.operation,
+        idempotency_key=request.idempotency_key,
+        attempt_id=call.phase.attempt_id,
+        body=request.body,
+        traceparent=request.traceparent,
+    )
+
+
+def find_sent(
+    attempt_id: str,
+    state: 'states.State',
+) -> action_calls.ActionCall | None:
+    """Return the call that waits for the answer to an attempt."""
+    call = state.actions.of_attempt(attempt_id)
+    if call is None or not isinstance(call.phase, action_calls.Sending):
+        return None
+    return call
+
+
+@reducer.on_answer.register(calls.RunAction)
+def take_answer(
+    sent: calls.RunAction,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Answer the call and append the answer to the log."""
+    state = upstreams.add_in_flight(event.address, -1, state)
+    if event.answer.leaving:
+        state = upstreams.mark_leaving(event.address, state)
+    call = find_sent(sent.attempt_id, state)
+    if call is None:
+        count = effects.Count('late_action_results')
+        return transitions.Transition(state, (count,))
+    done = replies.ActionDone(
+        event.answer.status,
+        event.answer.content_type,
+        event.answer.body,
+    )
+    recording = dataclasses.replace(
+        call,
+        phase=action_calls.Recording(call.phase.attempt_id),
+    )
+    state = claims.with_actions(state, state.actions.replace(recording))
+    record = describe_done(recording, done)
+    return (
+        claims.answer(recording, done, event, state)
+        .then(lambda now: claims.append(call.key, record, now))
+        .with_effects(describe_hop(call, event))
+    )
+
+
+def describe_done(
+    call: action_calls.ActionCall,
+    done: replies.ActionDone,
+) -> records.AttemptDone:
+    """Return the record of an answer."""
+    return records.AttemptDone(
+        attempt_id=call.phase.attempt_id,
+        account=call.key.account,
+        idempotency_key=call.key.idempotency_key,
+        body_digest=call.request.body_digest,
+        status=done.status,
+        content_type=done.content_type,
+        answer=action_results.keep(done.body),
+        answer_bytes=len(done.body),
+    )
+
+
+def describe_hop(
+    call: action_calls.ActionCall,
+    event: events.CallAnswered,
+) -> effects.Effect:
+    """Record the hop to the runner."""
+    phase = call.phase
+    started_at = event.at
+    if isinstance(phase, action_calls.Sending):
+        started_at = phase.sent_at
+    return effects.RecordSpan(
+        'send_action',
+        call.request.traceparent,
+        started_at,
+        event.at,
+        (('attempt', phase.attempt_id), ('address', event.address)),
+    )
+
+
+@reducer.on_failure.register(calls.RunAction)
+def take_failure(
+    sent: calls.RunAction,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Try another runner only if this one has not seen a byte."""
+    state = upstreams.add_in_flight(event.address, -1, state)
+    ejected = upstreams.eject(event.address, event, state)
+    call = find_sent(sent.attempt_id, ejected.state)
+    if call is None:
+        return ejected
+    if event.failure.sent:
+        return ejected.then(
+            lambda now: claims.end(call, action_results.lost(), event, now),
+        )
+    return ejected.then(
+        functools.partial(send, call, refused_by(call, event), event),
+    ).with_effects(effects.Count('action_connections_refused'))
+
+
+def refused_by(
+    call: action_calls.ActionCall,
+    event: events.CallFailed,
+) -> frozenset[str]:
+    """Return the addresses that have taken no byte of a call."""
+    assert isinstance(call.phase, action_calls.Sending), 'the call was sent'
+    return call.phase.refused | {event.address}
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -4,7 +4,9 @@
 
 import immutables
 
+from mustardvale.internal import action_calls
 from mustardvale.internal import configuration as configurations
+from mustardvale.internal import forwards as forward_tables
 from mustardvale.internal import generations as generation_tables
 from mustardvale.internal import (
     lifecycle,
@@ -14,6 +16,7 @@
 )
 from mustardvale.internal import membership as memberships
 from mustardvale.internal import operations as operation_tables
+from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -34,4 +37,7 @@
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
     operations: operation_tables.Operations = immutables.Map()
+    actions: action_calls.ActionTable = action_calls.ActionTable()
+    forwards: forward_tables.Forwards = immutables.Map()
+    partitions: partition_tables.Partitions = immutables.Map()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -63,6 +63,32 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActionDeadline(Timer):
+    """End the call of an action whose time is over."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimDeadline(Timer):
+    """Give up an attempt that the log has not confirmed."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardDeadline(Timer):
+    """End a forwarded action that has no outcome."""
+
+    forward_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionsDue(Timer):
+    """Look at which partitions of attempts this instance tails."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPhaseDue(Timer):
     """Go on with a planned stop."""
--- a/tests/action_site.py
+++ b/tests/action_site.py
@@ -151,7 +151,7 @@
         for number in range(len(self.entries)):
             self.spawn_entry(number)
         for number in range(len(self.entries)):
-            wait_until(lambda at=number: self.is_ready(at), 'entry is ready')
+            self.await_ready(number)
 
     def spawn(self, name: str, module: str, *arguments: str) -> None:
         """Start one process."""
@@ -214,6 +214,14 @@
             {'records': [{'kind': 'promotion', 'fields': promotion}]},
         )
 
+    def await_ready(self, number: int) -> None:
+        """Wait until an entry is ready; show its output if it is not."""
+        try:
+            wait_until(lambda: self.is_ready(number), f'entry {number} ready')
+        except TimeoutError as error:
+            path = pathlib.Path(self.directory.name) / f'entry-{number}.log'
+            raise TimeoutError(path.read_text()) from error
+
     def is_ready(self, number: int) -> bool:
         """Return whether an entry serves and knows upstreams and peers."""
         entry = self.entries[number]
