--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -4,7 +4,9 @@
 
 import immutables
 
+from mustardvale.internal import action_calls
 from mustardvale.internal import configuration as configurations
+from mustardvale.internal import forwards as forward_tables
 from mustardvale.internal import generations as generation_tables
 from mustardvale.internal import (
     lifecycle,
@@ -13,6 +15,8 @@
     step_calls,
 )
 from mustardvale.internal import membership as memberships
+from mustardvale.internal import operations as operation_tables
+from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -32,4 +36,8 @@
     upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
+    operations: operation_tables.Operations = immutables.Map()
+    actions: action_calls.ActionTable = action_calls.ActionTable()
+    forwards: forward_tables.Forwards = immutables.Map()
+    partitions: partition_tables.Partitions = immutables.Map()
     stopping: lifecycle.Stopping | None = None
