Check every part of the environment document and compare two

Cause: values were converted ("false" became true), and duplicate names, keys, limits and references were not checked. Change: values must have the type of their field, all problems of structure and content are reported together, and diff returns typed changes.

--- a/src/mustardvale/document.py
+++ b/src/mustardvale/document.py
@@ -2,15 +2,29 @@
 
 import dataclasses
 import enum
+import functools
 import tomllib
+import types
+import typing
+from typing import Any
 
 import cattrs
 from cattrs import gen, transform_error
 
 from mustardvale import errors
+from mustardvale.internal import document_changes, document_checks
 
 FORMAT = 1
 
+TYPE_NAMES = types.MappingProxyType(
+    {
+        bool: 'true or false',
+        float: 'a number',
+        int: 'a whole number',
+        str: 'a string',
+    }
+)
+
 
 class PoolKind(enum.Enum):
     """Name the kinds of upstream pools."""
@@ -115,9 +129,89 @@
         )
 
 
+@functools.singledispatch
+def explain(error: Exception, wanted: Any) -> str:
+    """Say what to do about a part that has the wrong structure."""
+    return str(error)
+
+
+@explain.register(cattrs.ForbiddenExtraKeysError)
+def explain_unknown(error: cattrs.ForbiddenExtraKeysError, wanted: Any) -> str:
+    """Name the unknown fields and those that exist."""
+    unknown = ', '.join(sorted(error.extra_fields))
+    known = ', '.join(field.name for field in dataclasses.fields(error.cl))
+    return f'unknown field {unknown}, remove it or use one of {known}'
+
+
+@explain.register(KeyError)
+def explain_missing(error: KeyError, wanted: Any) -> str:
+    """Say that a field is missing."""
+    return f'is missing, add it ({describe_type(wanted)})'
+
+
+@explain.register(AttributeError)
+@explain.register(ValueError)
+@explain.register(TypeError)
+def explain_value(error: Exception, wanted: Any) -> str:
+    """Say what a field must hold."""
+    return f'must be {describe_type(wanted)}'
+
+
+def describe_type(wanted: Any) -> str:
+    """Name a type in the terms of the notation."""
+    if isinstance(wanted, enum.EnumMeta):
+        names = (repr(allowed) for allowed in enum_values(wanted))
+        return f'one of {", ".join(names)}'
+    if typing.get_origin(wanted) is tuple:
+        element = typing.get_args(wanted)[0]
+        return f'a list, each element {describe_type(element)}'
+    return TYPE_NAMES.get(wanted, 'a table')
+
+
+def enum_values(kind: enum.EnumMeta) -> tuple[Any, ...]:
+    """Return the values that an enumeration allows."""
+    return tuple(member.value for member in kind.__members__.values())
+
+
+def structure_scalar(found: Any, wanted: Any) -> Any:
+    """Take a value only if it has exactly the type of its field.
+
+    The default of cattrs converts, and would read `idempotent = "false"` as
+    true.
+    """
+    is_flag = isinstance(found, bool)
+    if not isinstance(found, wanted) or is_flag != (wanted is bool):
+        raise TypeError(found)
+    return found
+
+
+def structure_float(found: Any, wanted: Any) -> float:
+    """Take a number, also one that is written without a point."""
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        raise TypeError(found)
+    return float(found)
+
+
+def is_tuple(wanted: Any) -> bool:
+    """Return whether a field holds a list."""
+    return typing.get_origin(wanted) is tuple
+
+
+def structure_list(found: Any, wanted: Any) -> Any:
+    """Take a list; a string is not a list of its characters."""
+    if not isinstance(found, list):
+        raise TypeError(found)
+    element = typing.get_args(wanted)[0]
+    return tuple(CONVERTER.structure(found, list[element]))  # type: ignore[valid-type]
+
+
 def build_converter() -> cattrs.Converter:
-    """Build a converter that rejects unknown fields."""
+    """Build a converter that rejects unknown fields and converts nothing."""
     converter = cattrs.Converter(forbid_extra_keys=True)
+    for scalar in (bool, int, str):
+        converter.register_structure_hook(scalar, structure_scalar)
+    converter.register_structure_hook(float, structure_float)
+    converter.register_structure_hook_func(is_tuple, structure_list)
     for kind in (Pool, Model, Operation, Service, ClientAccount, Document):
         converter.register_structure_hook(
             kind,
@@ -132,6 +226,15 @@
 
 CONVERTER = build_converter()
 
+TABLE_KINDS: types.MappingProxyType[str, type[Any]] = types.MappingProxyType(
+    {
+        'pools': Pool,
+        'client_accounts': ClientAccount,
+        'models': Model,
+        'services': Service,
+    }
+)
+
 
 def parse(text: str) -> Document:
     """Parse and check a document.
@@ -142,32 +245,90 @@
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise errors.DocumentError((f'not valid TOML: {error}',)) from error
+    check_format(table.get('format'))
     try:
         document = CONVERTER.structure(table, Document)
     except cattrs.BaseValidationError as error:
-        raise errors.DocumentError(tuple(transform_error(error))) from error
+        raise errors.DocumentError(
+            (*explain_structure(error), *check_sound_parts(table)),
+        ) from error
     problems = find_problems(document)
     if problems:
         raise errors.DocumentError(problems)
     return document
 
 
-def find_problems(document: Document) -> tuple[str, ...]:
-    """Return what is wrong in a document that has the right structure."""
-    problems = []
-    if document.format != FORMAT:
-        problems.append(
-            f'format: {document.format} is not supported, use {FORMAT}',
+def check_format(found: Any) -> None:
+    """Reject a format of another release before its fields are looked at.
+
+    The fields of a newer format would all be reported as unknown.
+    """
+    if not isinstance(found, int) or found == FORMAT:
+        return
+    if found > FORMAT:
+        raise errors.DocumentError(
+            (
+                f'format: {found} is newer than this release reads, which is '
+                f'{FORMAT}; upgrade mustardvale first',
+            )
         )
-    pools = {pool.name for pool in document.pools}
-    problems.extend(
-        f'models.{model.name}.pool: no pool named {model.pool!r}'
-        for model in document.models
-        if model.pool not in pools
+    raise errors.DocumentError(
+        (f'format: {found} does not exist, use {FORMAT}',),
     )
-    problems.extend(
-        f'services.{service.name}.pool: no pool named {service.pool!r}'
-        for service in document.services
-        if service.pool not in pools
+
+
+def explain_structure(error: cattrs.BaseValidationError) -> tuple[str, ...]:
+    """Return one problem for each part with the wrong structure."""
+    lines = transform_error(error, format_exception=explain)
+    return tuple(place_first(line) for line in lines)
+
+
+def place_first(line: str) -> str:
+    """Turn `problem @ $.path` into `path: problem`."""
+    problem, _, place = line.rpartition(' @ ')
+    path = place.removeprefix('$').removeprefix('.')
+    return f'{path or "document"}: {problem}'
+
+
+def check_sound_parts(table: dict[str, Any]) -> tuple[str, ...]:
+    """Check the parts with the right structure, so that all is told at once."""
+    sound: dict[str, Any] = {}
+    broken: set[str] = set()
+    for field, kind in TABLE_KINDS.items():
+        rows = table.get(field, [])
+        if not isinstance(rows, list):
+            return ()
+        structured = tuple(structure_row(row, kind) for row in rows)
+        sound[field] = tuple(one for one in structured if one is not None)
+        broken.update(
+            str(row.get('name')) if isinstance(row, dict) else ''
+            for row, one in zip(rows, structured, strict=True)
+            if one is None
+        )
+    environment = table.get('environment')
+    if not isinstance(environment, str):
+        environment = 'unnamed'
+    return document_checks.find_problems(
+        Document(format=FORMAT, environment=environment, **sound),
+        frozenset(broken),
     )
-    return tuple(problems)
+
+
+def structure_row(row: Any, kind: type[Any]) -> Any:
+    """Structure one row of a table; a broken one gives nothing."""
+    if not isinstance(row, dict):
+        return None
+    try:
+        return CONVERTER.structure(row, kind)
+    except cattrs.BaseValidationError:
+        return None
+
+
+def find_problems(document: Document) -> tuple[str, ...]:
+    """Return what is wrong in a document that has the right structure."""
+    return document_checks.find_problems(document)
+
+
+def diff(old: Document, new: Document) -> tuple[document_changes.Change, ...]:
+    """Return the typed changes that lead from one document to another."""
+    return document_changes.diff(old, new)
--- /dev/null
+++ b/src/mustardvale/internal/document_changes.py
@@ -0,0 +1,121 @@
+"""Compare two environment documents."""
+
+import dataclasses
+import functools
+from collections import abc
+from typing import Any
+
+NAME = 'name'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Locate one difference.
+
+    `path` names the part, such as `client_accounts.melton-dairy.priority`.
+    """
+
+    path: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemAdded(Change):
+    """Report a pool, model, service, operation or account that is new."""
+
+    added: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemRemoved(Change):
+    """Report a pool, model, service, operation or account that is gone."""
+
+    removed: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldChanged(Change):
+    """Report a field that has another value."""
+
+    old: Any
+    new: Any
+
+
+def diff(old: Any, new: Any, prefix: str = '') -> tuple[Change, ...]:
+    """Return the differences between two documents or parts of them."""
+    changes: list[Change] = []
+    for field in dataclasses.fields(old):
+        path = f'{prefix}{field.name}'
+        before = getattr(old, field.name)
+        after = getattr(new, field.name)
+        if is_table(before) or is_table(after):
+            changes.extend(diff_tables(path, before, after))
+        elif before != after:
+            changes.append(FieldChanged(path, before, after))
+    return tuple(changes)
+
+
+def is_table(candidate: Any) -> bool:
+    """Return whether a field holds named items."""
+    return (
+        isinstance(candidate, tuple)
+        and bool(candidate)
+        and hasattr(candidate[0], NAME)
+    )
+
+
+def diff_tables(
+    path: str,
+    before: abc.Sequence[Any],
+    after: abc.Sequence[Any],
+) -> tuple[Change, ...]:
+    """Return the differences between two tables of named items."""
+    old_items = {part.name: part for part in before}
+    new_items = {part.name: part for part in after}
+    changes: list[Change] = [
+        ItemRemoved(f'{path}.{name}', part)
+        for name, part in old_items.items()
+        if name not in new_items
+    ]
+    for name, part in new_items.items():
+        known = old_items.get(name)
+        if known is None:
+            changes.append(ItemAdded(f'{path}.{name}', part))
+        else:
+            changes.extend(diff(known, part, f'{path}.{name}.'))
+    return tuple(changes)
+
+
+@functools.singledispatch
+def describe(change: Change) -> str:
+    """Describe a change in one line."""
+    raise TypeError(f'no description for {type(change).__name__}')
+
+
+@describe.register(ItemAdded)
+def describe_added(change: ItemAdded) -> str:
+    """Describe a new item."""
+    return f'+ {change.path}'
+
+
+@describe.register(ItemRemoved)
+def describe_removed(change: ItemRemoved) -> str:
+    """Describe an item that is gone."""
+    return f'- {change.path}'
+
+
+@describe.register(FieldChanged)
+def describe_field(change: FieldChanged) -> str:
+    """Describe a field that has another value."""
+    return f'~ {change.path}: {show(change.old)} -> {show(change.new)}'
+
+
+@functools.singledispatch
+def show(shown: Any) -> str:
+    """Return a field's value as people read it."""
+    return str(getattr(shown, 'value', shown))
+
+
+@show.register(tuple)
+def show_names(shown: tuple[Any, ...]) -> str:
+    """Return a list of names as people read it."""
+    return f'[{", ".join(show(one) for one in shown)}]'
--- /dev/null
+++ b/src/mustardvale/internal/document_checks.py
@@ -0,0 +1,202 @@
+"""Check an environment document that has the right structure."""
+
+import hashlib
+import itertools
+import math
+import re
+from collections import abc
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from mustardvale import document as documents
+
+# The name of an environment is part of the name of a log stream.
+ENVIRONMENT_PATTERN = re.compile('[a-z0-9][a-z0-9-]{0,62}')
+# Names of services and operations are parts of paths that callers use.
+NAME_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+DIGEST_PATTERN = re.compile('[0-9a-f]{64}')
+EMPTY_KEY_DIGEST = hashlib.sha256(b'').hexdigest()
+
+NAME_ADVICE = 'use 1 to 63 letters, digits, dots, hyphens and underscores'
+
+NOTHING_BROKEN: frozenset[str] = frozenset()
+
+Problems = abc.Iterator[str]
+
+
+def find_problems(
+    document: 'documents.Document',
+    broken: frozenset[str] = NOTHING_BROKEN,
+) -> tuple[str, ...]:
+    """Return every problem; each one names its part and the remedy.
+
+    `broken` names parts that were left out of the document because their
+    structure is wrong; references to them are not reported.
+    """
+    checks = (
+        check_environment(document.environment),
+        check_names('pools', document.pools),
+        check_names('models', document.models),
+        check_models(document, broken),
+        check_names('services', document.services),
+        check_services(document, broken),
+        check_names('client_accounts', document.client_accounts),
+        check_accounts(document, broken),
+        check_keys(document),
+    )
+    return tuple(itertools.chain.from_iterable(checks))
+
+
+def check_environment(environment: str) -> Problems:
+    """Check the name of the environment."""
+    if not ENVIRONMENT_PATTERN.fullmatch(environment):
+        yield (
+            f'environment: {environment!r} is not a name, use 1 to 63 '
+            'lower-case letters, digits and hyphens'
+        )
+
+
+def check_names(path: str, named: abc.Sequence[Any]) -> Problems:
+    """Check that names are well formed and unique."""
+    yield from check_words(path, tuple(one.name for one in named))
+
+
+def check_words(path: str, words: abc.Sequence[str]) -> Problems:
+    """Check that words are well formed and occur once."""
+    seen = set()
+    for word in words:
+        if not NAME_PATTERN.fullmatch(word):
+            yield f'{path}: {word!r} is not a name, {NAME_ADVICE}'
+        if word in seen:
+            yield f'{path}: {word!r} occurs more than once, remove or rename one'
+        seen.add(word)
+
+
+def check_pool(
+    path: str,
+    name: str,
+    kind: str,
+    document: 'documents.Document',
+) -> Problems:
+    """Check that a pool exists and is of the right kind."""
+    pool = next((one for one in document.pools if one.name == name), None)
+    if pool is None:
+        known = list_names(document.pools)
+        yield f'{path}.pool: no pool is named {name!r}, use one of {known}'
+    elif pool.kind.value != kind:
+        yield (
+            f'{path}.pool: {name!r} is of kind {pool.kind.value!r}, '
+            f'name a pool of kind {kind!r}'
+        )
+
+
+def list_names(named: abc.Sequence[Any]) -> str:
+    """List names for a message."""
+    return ', '.join(repr(one.name) for one in named) or '(none)'
+
+
+def check_models(
+    document: 'documents.Document',
+    broken: frozenset[str],
+) -> Problems:
+    """Check models."""
+    for model in document.models:
+        path = f'models.{model.name}'
+        if model.pool not in broken:
+            yield from check_pool(path, model.pool, 'model_runners', document)
+        if model.layers < 1:
+            yield f'{path}.layers: {model.layers} must be at least 1'
+        if not NAME_PATTERN.fullmatch(model.version):
+            yield (
+                f'{path}.version: {model.version!r} is not a version, '
+                f'{NAME_ADVICE}'
+            )
+        yield from check_words(f'{path}.adapters', model.adapters)
+
+
+def check_services(
+    document: 'documents.Document',
+    broken: frozenset[str],
+) -> Problems:
+    """Check services."""
+    for service in document.services:
+        path = f'services.{service.name}'
+        if service.pool not in broken:
+            yield from check_pool(path, service.pool, 'service', document)
+        yield from check_names(f'{path}.operations', service.operations)
+        if not service.operations:
+            yield f'{path}.operations: is empty, add at least one operation'
+
+
+def check_accounts(
+    document: 'documents.Document',
+    broken: frozenset[str],
+) -> Problems:
+    """Check the limits of client accounts and what they use."""
+    for account in document.client_accounts:
+        path = f'client_accounts.{account.name}'
+        yield from check_limit(
+            f'{path}.requests_per_second',
+            account.requests_per_second,
+        )
+        yield from check_limit(
+            f'{path}.tokens_per_second',
+            account.tokens_per_second,
+        )
+        yield from check_uses(
+            f'{path}.models',
+            account.models,
+            document.models,
+            broken,
+        )
+        yield from check_uses(
+            f'{path}.services',
+            account.services,
+            document.services,
+            broken,
+        )
+
+
+def check_limit(path: str, limit: float) -> Problems:
+    """Check that a limit is a finite number above zero."""
+    if not math.isfinite(limit) or limit <= 0:
+        yield f'{path}: {limit:g} must be a finite number above 0'
+
+
+def check_uses(
+    path: str,
+    names: abc.Sequence[str],
+    defined: abc.Sequence[Any],
+    broken: frozenset[str],
+) -> Problems:
+    """Check that an account uses what the document defines, each once."""
+    known = {one.name for one in defined}
+    for name in dict.fromkeys(names):
+        if name not in known and name not in broken:
+            yield (
+                f'{path}: {name!r} is not defined in this document, '
+                f'use {list_names(defined)}'
+            )
+        if names.count(name) > 1:
+            yield f'{path}: {name!r} occurs more than once, keep one'
+
+
+def check_keys(document: 'documents.Document') -> Problems:
+    """Check that key digests are well formed and belong to one account."""
+    owners: dict[str, str] = {}
+    for account in document.client_accounts:
+        path = f'client_accounts.{account.name}.key_sha256'
+        digest = account.key_sha256
+        if not DIGEST_PATTERN.fullmatch(digest):
+            yield (
+                f'{path}: is no SHA-256 digest, write 64 lower-case '
+                'hexadecimal digits (printf %s KEY | sha256sum)'
+            )
+        elif digest == EMPTY_KEY_DIGEST:
+            yield f'{path}: is the digest of an empty key, choose a key'
+        owner = owners.setdefault(digest, account.name)
+        if owner != account.name:
+            yield (
+                f'{path}: is also the digest of {owner!r}, '
+                'give each account its own key'
+            )
