--- /dev/null
+++ b/src/mustardvale/command.py
@@ -0,0 +1,412 @@
+"""Run the command-line tool (`mustardvale`).
+
+Exit codes: 0 done, 1 refused or lost, 2 wrong usage, 3 unreachable.
+"""
+
+import contextlib
+import dataclasses
+import io
+import os
+import pathlib
+import secrets
+import sys
+from collections import abc
+from typing import Any, TypeVar
+
+import fire
+from fire import core, decorators
+
+from mustardvale.internal import (
+    addresses,
+    document_checks,
+    events,
+    transitions,
+)
+from mustardvale.internal.commands import (
+    handlers,
+    reducer,
+    reports,
+    wanted,
+)
+from mustardvale.internal.commands import state as states
+from mustardvale.internal.edge import (
+    codec_entry,
+    codec_reports,
+    http_client,
+    idempotency_keys,
+    metrics,
+    performer,
+    runtime,
+)
+
+PROMOTION_ID_BYTES = 8
+DEFAULT_TIMEOUT_SECONDS = '10'
+DEFAULT_MAXIMUM_TOKENS = '64'
+DEFAULT_HISTORY_LIMIT = '20'
+JSON_FLAG = '--json'
+READS_LOG = (
+    wanted.Diff,
+    wanted.Publish,
+    wanted.Promote,
+    wanted.Show,
+    wanted.History,
+)
+
+CalledT = TypeVar('CalledT')
+
+
+class UsageError(Exception):
+    """Report a command line that cannot be carried out."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Invocation:
+    """Pair a command with the options that every command takes."""
+
+    command: wanted.Command
+    log_address: str
+    entry_address: str
+    as_json: bool
+    timeout_seconds: float
+
+
+def read_variable(name: str, default: str = '') -> str:
+    """Return an environment variable of the tool."""
+    return os.environ.get(f'MUSTARDVALE_{name}', default)
+
+
+def read_file(name: str) -> str:
+    """Return the text of a file, `-` stands for standard input."""
+    try:
+        if name == '-':
+            return sys.stdin.read()
+        return pathlib.Path(name).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f'{name} cannot be read: {error}') from error
+
+
+def to_number(flag: str, text: str, least: float) -> float:
+    """Return the number that a flag holds."""
+    try:
+        number = float(text)
+    except ValueError:
+        number = least - 1
+    if number >= least:
+        return number
+    raise UsageError(f'--{flag}: {text!r} must be a number from {least:g} on')
+
+
+def to_environment(text: str) -> str:
+    """Return the name of an environment, which is part of a stream's name."""
+    if document_checks.ENVIRONMENT_PATTERN.fullmatch(text):
+        return text
+    raise UsageError(
+        f'{text!r} is no environment, use 1 to 63 lower-case letters, digits '
+        'and hyphens',
+    )
+
+
+def keep_text(called: CalledT) -> CalledT:
+    """Keep fire from reading arguments as Python literals."""
+    decorators.SetParseFn(str)(called)
+    return called
+
+
+@keep_text
+class Tool:
+    """Promote environment documents and look at entry instances.
+
+    Exit codes: 0 done, 1 refused or lost, 2 wrong usage, 3 unreachable.
+
+    Args:
+        log_address: IP:port of the log service, or MUSTARDVALE_LOG_ADDRESS.
+        entry_address: IP:port of entry instances, separated by commas, or
+            MUSTARDVALE_ENTRY_ADDRESS; the next one is used when one fails.
+        json: print JSON, one object a line.
+        timeout: seconds after which an unreachable service is given up.
+    """
+
+    def __init__(
+        self,
+        log_address: str = '',
+        entry_address: str = '',
+        json: str = 'False',
+        timeout: str = DEFAULT_TIMEOUT_SECONDS,
+    ) -> None:
+        self.log_address = log_address or read_variable('LOG_ADDRESS')
+        self.entry_address = entry_address or read_variable('ENTRY_ADDRESS')
+        self.json = json
+        self.timeout = timeout
+
+    def invoke(self, command: wanted.Command) -> Invocation:
+        """Pair a command with the options of this run."""
+        return Invocation(
+            command,
+            self.log_address,
+            self.entry_address,
+            self.json == 'True',
+            to_number('timeout', self.timeout, 0),
+        )
+
+    @keep_text
+    def validate(self, path: str) -> Invocation:
+        """Check a document and name every problem."""
+        return self.invoke(wanted.Validate(path, read_file(path)))
+
+    @keep_text
+    def diff(self, path: str, environment: str) -> Invocation:
+        """Show what a document would change in its environment."""
+        return self.invoke(
+            wanted.Diff(path, read_file(path), to_environment(environment))
+        )
+
+    @keep_text
+    def publish(
+        self,
+        path: str,
+        environment: str,
+        operator: str = '',
+        based_on: str = '-1',
+    ) -> Invocation:
+        """Promote an edited document to its environment.
+
+        With --based-on it is refused unless that version is still active.
+        """
+        proposal = build_proposal(operator, based_on)
+        text = read_file(path)
+        return self.invoke(
+            wanted.Publish(path, text, to_environment(environment), proposal)
+        )
+
+    @keep_text
+    def promote(
+        self,
+        source: str,
+        target: str,
+        operator: str = '',
+        based_on: str = '-1',
+    ) -> Invocation:
+        """Promote the active document of one environment to another one."""
+        if source == target:
+            raise UsageError('--source and --target must differ')
+        proposal = build_proposal(operator, based_on)
+        return self.invoke(
+            wanted.Promote(
+                to_environment(source), to_environment(target), proposal
+            )
+        )
+
+    @keep_text
+    def show(self, environment: str) -> Invocation:
+        """Print the active document; its version goes to standard error."""
+        return self.invoke(wanted.Show(to_environment(environment)))
+
+    @keep_text
+    def history(
+        self,
+        environment: str,
+        limit: str = DEFAULT_HISTORY_LIMIT,
+    ) -> Invocation:
+        """Show the latest promotions and who won."""
+        count = int(to_number('limit', limit, 1))
+        return self.invoke(wanted.History(to_environment(environment), count))
+
+    @keep_text
+    def status(self) -> Invocation:
+        """Show version, age and state of every entry instance."""
+        return self.invoke(wanted.Status())
+
+    @keep_text
+    def entries(self, caller: str = '', zone: str = '') -> Invocation:
+        """Show the entry addresses that a caller is given."""
+        return self.invoke(wanted.Entries(caller, zone))
+
+    @keep_text
+    def ask(
+        self,
+        model: str,
+        prompt: str,
+        account_key: str = '',
+        adapter: str = '',
+        tokens: str = DEFAULT_MAXIMUM_TOKENS,
+        deadline: str = '0',
+    ) -> Invocation:
+        """Ask a model and print the answer while it arrives."""
+        return self.invoke(
+            wanted.Ask(
+                account_key=account_key or read_variable('ACCOUNT_KEY'),
+                model=model,
+                adapter=adapter,
+                prompt=prompt,
+                maximum_tokens=int(to_number('tokens', tokens, 1)),
+                deadline_seconds=to_number('deadline', deadline, 0),
+            ),
+        )
+
+    @keep_text
+    def act(
+        self,
+        service: str,
+        operation: str,
+        body: str = '{}',
+        account_key: str = '',
+        key: str = '',
+        deadline: str = '0',
+    ) -> Invocation:
+        """Run an operation; --key repeats an earlier one safely."""
+        return self.invoke(
+            wanted.Act(
+                account_key=account_key or read_variable('ACCOUNT_KEY'),
+                service=service,
+                operation=operation,
+                idempotency_key=key or idempotency_keys.make(),
+                body=body.encode(),
+                deadline_seconds=to_number('deadline', deadline, 0),
+            ),
+        )
+
+    @keep_text
+    def quota(self, account: str = '') -> Invocation:
+        """Show the limits of client accounts."""
+        return self.invoke(wanted.Quota(account))
+
+    @keep_text
+    def upstreams(self, pool: str = '') -> Invocation:
+        """Show the upstreams that an entry instance knows."""
+        return self.invoke(wanted.Upstreams(pool))
+
+
+def build_proposal(operator: str, based_on: str) -> wanted.Proposal:
+    """Return a proposal with an id of its own."""
+    name = operator or read_variable('OPERATOR', os.environ.get('USER', ''))
+    if not name:
+        raise UsageError('--operator or MUSTARDVALE_OPERATOR is required')
+    return wanted.Proposal(
+        secrets.token_hex(PROMOTION_ID_BYTES),
+        name,
+        int(to_number('based-on', based_on, -1)),
+    )
+
+
+def read_command(arguments: abc.Sequence[str]) -> Invocation:
+    """Return what the command line asks for.
+
+    Raises `UsageError`. fire reports a wrong command line with several lines
+    of help, of which only the reason is kept.
+    """
+    # fire would take the word after a flag without a value as its value.
+    given = [
+        f'{JSON_FLAG}=True' if word == JSON_FLAG else word for word in arguments
+    ]
+    hidden = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(hidden):
+            found = fire.Fire(
+                Tool,
+                command=given,
+                name='mustardvale',
+                serialize=print_nothing,
+            )
+    except core.FireExit as error:
+        if not error.code:
+            sys.stderr.write(hidden.getvalue())
+            raise
+        raise UsageError(explain(error)) from error
+    if not isinstance(found, Invocation):
+        raise UsageError(f'no command in {" ".join(arguments)!r}')
+    return found
+
+
+def explain(error: core.FireExit) -> str:
+    """Return the reason of a rejected command line in one line."""
+    reason: str = error.trace.elements[-1].ErrorAsStr()
+    return reason.replace('\n', ' ').replace(
+        'Could not consume arg:',
+        'unknown command or argument:',
+    )
+
+
+def print_nothing(printed: Any) -> None:
+    """Keep fire from printing the command that it returns."""
+
+
+def build_state(invocation: Invocation) -> states.State:
+    """Return the state of a run, or raise `UsageError`."""
+    entry_addresses = tuple(
+        address.strip()
+        for address in invocation.entry_address.split(',')
+        if address.strip()
+    )
+    if isinstance(invocation.command, READS_LOG):
+        check_address('log-address', invocation.log_address)
+    elif not isinstance(invocation.command, wanted.Validate):
+        for address in entry_addresses or ('',):
+            check_address('entry-address', address)
+    return states.State(
+        command=invocation.command,
+        log_address=invocation.log_address,
+        entry_addresses=entry_addresses,
+        as_json=invocation.as_json,
+        timeout_seconds=invocation.timeout_seconds,
+    )
+
+
+def check_address(flag: str, address: str) -> None:
+    """Check an address that the command needs."""
+    name = f'MUSTARDVALE_{flag.replace("-", "_").upper()}'
+    if not address:
+        raise UsageError(f'--{flag} or {name} is required')
+    if not addresses.is_address(address):
+        raise UsageError(f'--{flag}: {address!r}, {addresses.ALLOWED}')
+
+
+def reduce_or_stop(
+    event: events.Event,
+    state: states.State,
+) -> transitions.Transition[states.State]:
+    """Reduce an event; a fault ends the tool instead of leaving it waiting."""
+    try:
+        return handlers.reduce(event, state)
+    except Exception as error:
+        return reducer.refuse(
+            'internal_error',
+            f'{type(error).__name__}: {error}',
+            'Report this with the command line.',
+            state,
+        )
+
+
+def run(state: states.State) -> None:
+    """Run a command; raises `SystemExit` with its exit code."""
+    loop = runtime.Runtime(
+        reduce_or_stop,
+        state,
+        performer.perform,
+        metrics.Metrics(),
+    )
+    loop.client = http_client.HttpClient(
+        codec_entry,
+        loop.poller,
+        loop.occur,
+    ).register(loop)
+    loop.run()
+
+
+def main(arguments: abc.Sequence[str] | None = None) -> None:
+    """Run the tool."""
+    given = sys.argv[1:] if arguments is None else arguments
+    try:
+        state = build_state(read_command(given))
+    except UsageError as error:
+        report = reports.Failed(
+            'wrong_usage',
+            str(error),
+            'See mustardvale --help.',
+        )
+        sys.stderr.write(codec_reports.to_text(report))
+        raise SystemExit(states.EXIT_USAGE) from error
+    run(state)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/mustardvale/document.py
+++ b/src/mustardvale/document.py
@@ -159,8 +159,8 @@
 
 def describe_type(wanted: Any) -> str:
     """Name a type in the terms of the notation."""
-    if isinstance(wanted, enum.EnumMeta):
-        names = (repr(allowed) for allowed in enum_values(wanted))
+    if wanted in {PoolKind, Priority}:
+        names = (repr(member.value) for member in wanted)
         return f'one of {", ".join(names)}'
     if typing.get_origin(wanted) is tuple:
         element = typing.get_args(wanted)[0]
@@ -168,11 +168,6 @@
     return TYPE_NAMES.get(wanted, 'a table')
 
 
-def enum_values(kind: enum.EnumMeta) -> tuple[Any, ...]:
-    """Return the values that an enumeration allows."""
-    return tuple(member.value for member in kind.__members__.values())
-
-
 def structure_scalar(found: Any, wanted: Any) -> Any:
     """Take a value only if it has exactly the type of its field.
 
--- /dev/null
+++ b/src/mustardvale/internal/addresses.py
@@ -0,0 +1,18 @@
+"""Check addresses of the form IP:port."""
+
+import ipaddress
+
+MAXIMUM_PORT = 65535
+ALLOWED = (
+    'use an IPv4 address and a port from 1 to 65535, such as 127.0.0.1:7000'
+)
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address with a port."""
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) <= MAXIMUM_PORT
--- /dev/null
+++ b/src/mustardvale/internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what the command-line tool does."""
--- /dev/null
+++ b/src/mustardvale/internal/commands/entries.py
@@ -0,0 +1,348 @@
+"""Ask entry instances and report what they answer."""
+
+import dataclasses
+import functools
+from collections import abc
+from typing import Any
+
+from mustardvale.internal import (
+    effects,
+    events,
+    replies,
+    transitions,
+)
+from mustardvale.internal.commands import (
+    entry_calls,
+    reducer,
+    reports,
+    wanted,
+)
+from mustardvale.internal.commands import state as states
+
+LEAVING = 'leaving'
+
+
+@reducer.begin.register(wanted.Status)
+@reducer.begin.register(wanted.Entries)
+@reducer.begin.register(wanted.Quota)
+@reducer.begin.register(wanted.Upstreams)
+@reducer.begin.register(wanted.Ask)
+@reducer.begin.register(wanted.Act)
+def begin_call(
+    command: wanted.Command,
+    event: events.InstanceStarted,
+    state: states.State,
+) -> reducer.Transition:
+    """Call the first entry address."""
+    return call_entry(build_call(command, state), state)
+
+
+def call_entry(call: Any, state: states.State) -> reducer.Transition:
+    """Call the entry address in use."""
+    address = state.entry_addresses[state.entry_index]
+    timeout = getattr(call, 'deadline_seconds', 0) or state.timeout_seconds
+    return transitions.Transition(
+        state,
+        (effects.Call(call, address, timeout),),
+    )
+
+
+@functools.singledispatch
+def build_call(command: wanted.Command, state: states.State) -> Any:
+    """Return the call that carries a command."""
+    return entry_calls.ReadStatus()
+
+
+@build_call.register(wanted.Entries)
+def build_entries(command: wanted.Entries, state: states.State) -> Any:
+    """Return the question for entry addresses."""
+    return entry_calls.ReadEntries(
+        command.caller_id,
+        command.availability_zone,
+    )
+
+
+@build_call.register(wanted.Ask)
+def build_ask(command: wanted.Ask, state: states.State) -> Any:
+    """Return the request, with the tokens that an earlier answer gave."""
+    return entry_calls.AskModel(
+        account_key=command.account_key,
+        model=command.model,
+        adapter=command.adapter,
+        prompt=command.prompt,
+        maximum_tokens=command.maximum_tokens,
+        deadline_seconds=command.deadline_seconds,
+        delivered=state.delivered,
+    )
+
+
+@build_call.register(wanted.Act)
+def build_act(command: wanted.Act, state: states.State) -> Any:
+    """Return the operation."""
+    return entry_calls.RunEntryAction(
+        account_key=command.account_key,
+        service=command.service,
+        operation=command.operation,
+        idempotency_key=command.idempotency_key,
+        body=command.body,
+        deadline_seconds=command.deadline_seconds,
+    )
+
+
+@reducer.on_answer.register(entry_calls.ReadStatus)
+@reducer.on_answer.register(entry_calls.ReadEntries)
+@reducer.on_answer.register(entry_calls.RunEntryAction)
+@reducer.on_answer.register(entry_calls.AskModel)
+def take_answer(
+    call: Any,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Dispatch on the answer."""
+    return on_entry_answer(event.answer, event, state)
+
+
+@functools.singledispatch
+def on_entry_answer(
+    answer: Any,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Handle an answer of an entry instance."""
+    raise TypeError(f'no handler for {type(answer).__name__}')
+
+
+@on_entry_answer.register(entry_calls.EntryRefused)
+def take_refusal(
+    answer: entry_calls.EntryRefused,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Report the refusal with its outcome."""
+    message = f'{answer.message} (outcome: {answer.outcome})'
+    return reducer.refuse(answer.code, message, answer.remedy, state)
+
+
+@on_entry_answer.register(replies.EntriesFound)
+def show_entries(
+    answer: replies.EntriesFound,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Show entry addresses."""
+    report = reports.EntriesShown(answer.entries, answer.valid_for_seconds)
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+@on_entry_answer.register(entry_calls.ActionAnswered)
+def show_action(
+    answer: entry_calls.ActionAnswered,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Show the answer of a plain service."""
+    report = reports.ActionShown(
+        answer.status,
+        answer.body.decode('utf-8', 'replace'),
+        answer.headers.get('mustardvale-replayed', '') == 'true',
+        event.call.idempotency_key,
+    )
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+@on_entry_answer.register(replies.Status)
+def take_status(
+    answer: replies.Status,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Show the part of a status that the command is about."""
+    report = select(state.command, answer, event.wall)
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+@functools.singledispatch
+def select(
+    command: wanted.Command,
+    status: replies.Status,
+    wall: float,
+) -> reports.Report:
+    """Return the part of a status that a command is about."""
+    raise TypeError(f'no report for {type(command).__name__}')
+
+
+@select.register(wanted.Status)
+def select_instances(
+    command: wanted.Status,
+    status: replies.Status,
+    wall: float,
+) -> reports.Report:
+    """Return every instance with the age of its version."""
+    latest = latest_versions(status.instances)
+    ordered = sorted(status.instances, key=lambda row: row.instance_id)
+    return reports.StatusShown(
+        tuple(
+            reports.InstanceRow(
+                instance_id=row.instance_id,
+                address=row.address,
+                availability_zone=row.availability_zone,
+                state=row.state,
+                environment=row.environment,
+                version=row.document_version,
+                behind=row.document_version < latest[row.environment],
+                age_seconds=find_age(row, wall),
+                heard_seconds_ago=row.heard_seconds_ago,
+            )
+            for row in ordered
+        )
+    )
+
+
+def latest_versions(
+    instances: abc.Sequence[replies.InstanceStatus],
+) -> dict[str, int]:
+    """Return the latest version that any instance has, by environment."""
+    latest: dict[str, int] = {}
+    for row in instances:
+        known = latest.get(row.environment, 0)
+        latest[row.environment] = max(known, row.document_version)
+    return latest
+
+
+def find_age(row: replies.InstanceStatus, wall: float) -> float:
+    """Return how long the version of an instance has been in force."""
+    if not row.document_version:
+        return 0
+    return round(max(wall - row.in_force_since, 0), 1)
+
+
+@select.register(wanted.Quota)
+def select_accounts(
+    command: wanted.Quota,
+    status: replies.Status,
+    wall: float,
+) -> reports.Report:
+    """Return the limits of one or all client accounts."""
+    return reports.QuotaShown(
+        tuple(
+            account
+            for account in status.accounts
+            if command.account in {'', account.name}
+        )
+    )
+
+
+@select.register(wanted.Upstreams)
+def select_upstreams(
+    command: wanted.Upstreams,
+    status: replies.Status,
+    wall: float,
+) -> reports.Report:
+    """Return the upstreams of one or all pools."""
+    found = (
+        upstream
+        for upstream in status.upstreams
+        if command.pool in {'', upstream.pool}
+    )
+    return reports.UpstreamsShown(
+        tuple(sorted(found, key=lambda row: (row.pool, row.instance_id))),
+    )
+
+
+@reducer.on_part.register(replies.TokenPart)
+def take_token(
+    part: replies.TokenPart,
+    event: events.CallPartArrived,
+    state: states.State,
+) -> reducer.Transition:
+    """Show a token at once and keep it for a resumption."""
+    shown = reports.Show(
+        reports.TokenShown(part.index, part.token),
+        state.as_json,
+    )
+    delivered = (*state.delivered, part.token)
+    return transitions.Transition(
+        dataclasses.replace(state, delivered=delivered),
+        (shown,),
+    )
+
+
+@reducer.on_part.register(replies.AnswerEnd)
+def take_end(
+    part: replies.AnswerEnd,
+    event: events.CallPartArrived,
+    state: states.State,
+) -> reducer.Transition:
+    """Report a whole answer."""
+    report = reports.AnswerShown(part.tokens, part.version)
+    ended = dataclasses.replace(state, answer_ended=True)
+    return reducer.finish(report, states.EXIT_DONE, ended)
+
+
+@reducer.on_part.register(entry_calls.EntryRefused)
+def take_cut(
+    part: entry_calls.EntryRefused,
+    event: events.CallPartArrived,
+    state: states.State,
+) -> reducer.Transition:
+    """Report an answer that the entry instance could not complete."""
+    ended = dataclasses.replace(state, answer_ended=True)
+    return reducer.refuse(part.code, part.message, part.remedy, ended)
+
+
+@on_entry_answer.register(entry_calls.StreamClosed)
+def take_stream_end(
+    answer: entry_calls.StreamClosed,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Resume an answer whose end mark is missing."""
+    if state.answer_ended:
+        return transitions.Transition(state)
+    return try_next('the answer was cut', state)
+
+
+@reducer.on_failure.register(entry_calls.ReadStatus)
+@reducer.on_failure.register(entry_calls.ReadEntries)
+@reducer.on_failure.register(entry_calls.AskModel)
+def take_failure(
+    call: Any,
+    event: events.CallFailed,
+    state: states.State,
+) -> reducer.Transition:
+    """Try the next address; a cut answer goes on after its last token."""
+    if state.answer_ended:
+        return transitions.Transition(state)
+    return try_next(event.failure.kind.value, state)
+
+
+@reducer.on_failure.register(entry_calls.RunEntryAction)
+def take_action_failure(
+    call: entry_calls.RunEntryAction,
+    event: events.CallFailed,
+    state: states.State,
+) -> reducer.Transition:
+    """Try the next address only if nothing was sent."""
+    if not event.failure.sent:
+        return try_next(event.failure.kind.value, state)
+    report = reports.Failed(
+        'outcome_unknown',
+        f'the connection to {event.address} broke after the request was sent',
+        f'Repeat with --key {call.idempotency_key} to learn the outcome.',
+    )
+    return reducer.finish(report, states.EXIT_UNREACHABLE, state)
+
+
+def try_next(reason: str, state: states.State) -> reducer.Transition:
+    """Call the next entry address, or give up after the last one."""
+    following = state.entry_index + 1
+    if following < len(state.entry_addresses):
+        moved = dataclasses.replace(state, entry_index=following)
+        return call_entry(build_call(state.command, moved), moved)
+    addresses = ', '.join(state.entry_addresses)
+    report = reports.Failed(
+        'entry_unreachable',
+        f'no entry instance answered at {addresses}: {reason}',
+        'Check --entry-address, or name further addresses.',
+    )
+    return reducer.finish(report, states.EXIT_UNREACHABLE, state)
--- /dev/null
+++ b/src/mustardvale/internal/commands/environments.py
@@ -0,0 +1,304 @@
+"""Read the stream of an environment and report on it."""
+
+import dataclasses
+import functools
+import itertools
+
+from mustardvale import document as documents
+from mustardvale import errors
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    promotions,
+    records,
+    streams,
+    transitions,
+)
+from mustardvale.internal.commands import reducer, reports, wanted
+from mustardvale.internal.commands import state as states
+
+READ_LIMIT_RECORDS = 500
+CALL_TIMEOUT_SECONDS = 3.0
+RETRY_SECONDS = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAgain:
+    """Read an environment again after a failure."""
+
+    environment: str
+
+
+@functools.singledispatch
+def on_read(
+    command: wanted.Command,
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Go on once an environment was read up to its end."""
+    raise TypeError(f'no handler for {type(command).__name__}')
+
+
+def read(environment: str, state: states.State) -> reducer.Transition:
+    """Read an environment from where the last read ended."""
+    reading = state.readings.get(environment, states.Reading())
+    call = calls.ReadRecords(
+        stream=streams.EnvironmentStream(environment),
+        from_offset=reading.promoted.next_offset,
+        limit=READ_LIMIT_RECORDS,
+        wait_seconds=0,
+    )
+    return transitions.Transition(
+        with_reading(environment, reading, state),
+        (effects.Call(call, state.log_address, CALL_TIMEOUT_SECONDS),),
+    )
+
+
+def read_further(environment: str, state: states.State) -> reducer.Transition:
+    """Read an environment up to its present end."""
+    reading = dataclasses.replace(state.readings[environment], end=-1)
+    return read(environment, with_reading(environment, reading, state))
+
+
+def with_reading(
+    environment: str,
+    reading: states.Reading,
+    state: states.State,
+) -> states.State:
+    """Replace what was read of an environment."""
+    readings = state.readings.set(environment, reading)
+    return dataclasses.replace(state, readings=readings)
+
+
+@reducer.on_answer.register(calls.ReadRecords)
+def take_read(
+    call: calls.ReadRecords,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Fold what was read and go on once the end is reached."""
+    assert isinstance(call.stream, streams.EnvironmentStream), (
+        'the tool reads no other stream'
+    )
+    environment = call.stream.environment
+    answer = event.answer
+    if not isinstance(answer, calls.RecordsRead):
+        return retry(ReadAgain(environment), event, state, answer.message)
+    reading = fold_read(answer, state.readings[environment])
+    state = with_reading(environment, reading, state)
+    if answer.records and reading.promoted.next_offset < reading.end:
+        return read(environment, state)
+    return on_read(state.command, environment, event, state)
+
+
+def fold_read(
+    answer: calls.RecordsRead,
+    reading: states.Reading,
+) -> states.Reading:
+    """Fold the records of one read."""
+    promoted = promotions.skip_to(answer.earliest_offset, reading.promoted)
+    rows = reading.rows
+    for stored in answer.records:
+        folded = promotions.fold(stored.record, stored.offset, promoted)
+        promoted = folded.promoted
+        if isinstance(stored.record, records.Promotion):
+            row = describe(stored, stored.record, folded)
+            rows = (*rows, row)
+    end = answer.next_offset if reading.end < 0 else reading.end
+    return states.Reading(promoted, end, rows)
+
+
+def describe(
+    stored: records.StoredRecord,
+    promotion: records.Promotion,
+    folded: promotions.Folded,
+) -> reports.HistoryRow:
+    """Describe a promotion and what the fold made of it."""
+    accepted = folded.verdict is promotions.Verdict.ACCEPTED
+    return reports.HistoryRow(
+        offset=stored.offset,
+        appended_at=stored.appended_at,
+        promotion_id=promotion.promotion_id,
+        operator=promotion.operator,
+        based_on_version=promotion.based_on_version,
+        verdict=folded.verdict.value,
+        version=folded.promoted.version if accepted else 0,
+    )
+
+
+@reducer.on_failure.register(calls.ReadRecords)
+def take_read_failure(
+    call: calls.ReadRecords,
+    event: events.CallFailed,
+    state: states.State,
+) -> reducer.Transition:
+    """Read again after a pause."""
+    assert isinstance(call.stream, streams.EnvironmentStream), (
+        'the tool reads no other stream'
+    )
+    again = ReadAgain(call.stream.environment)
+    return retry(again, event, state, event.failure.kind.value)
+
+
+@reducer.on_timer.register(ReadAgain)
+def read_again(
+    timer: ReadAgain,
+    event: events.TimerFired,
+    state: states.State,
+) -> reducer.Transition:
+    """Read again."""
+    return read(timer.environment, state)
+
+
+def retry(
+    timer: ReadAgain,
+    event: events.Event,
+    state: states.State,
+    reason: str,
+) -> reducer.Transition:
+    """Read again after a pause, or give up when the time is over."""
+    if event.at + RETRY_SECONDS < state.started_at + state.timeout_seconds:
+        again = effects.SetTimer(timer, RETRY_SECONDS)
+        return transitions.Transition(state, (again,))
+    if state.proposed is not None:
+        unknown = reports.PromotionUnknown(
+            timer.environment,
+            state.proposed.promotion_id,
+        )
+        return reducer.finish(unknown, states.EXIT_UNREACHABLE, state)
+    report = reports.Failed(
+        'log_unreachable',
+        f'no answer of the log service at {state.log_address}: {reason}',
+        'Check --log-address, or repeat when the log service is back.',
+    )
+    return reducer.finish(report, states.EXIT_UNREACHABLE, state)
+
+
+def refuse_open(
+    environment: str,
+    state: states.State,
+) -> reducer.Transition | None:
+    """Refuse when dropped records leave open which document is in force."""
+    if state.readings[environment].promoted.anchored:
+        return None
+    return reducer.refuse(
+        'document_unknown',
+        f'the log no longer holds the start of environment.{environment} and '
+        'no snapshot covers it',
+        'Start an entry instance that still holds the document.',
+        state,
+    )
+
+
+@reducer.begin.register(wanted.Show)
+@reducer.begin.register(wanted.History)
+@reducer.begin.register(wanted.Diff)
+def begin_reading(
+    command: wanted.Show | wanted.History | wanted.Diff,
+    event: events.InstanceStarted,
+    state: states.State,
+) -> reducer.Transition:
+    """Read the environment."""
+    return read(command.environment, state)
+
+
+@on_read.register(wanted.Show)
+def show(
+    command: wanted.Show,
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Show the active document."""
+    promoted = state.readings[environment].promoted
+    refused = refuse_open(environment, state)
+    if refused is not None:
+        return refused
+    if not promoted.version:
+        return refuse_empty(environment, state)
+    report = reports.ActiveDocument(
+        environment,
+        promoted.version,
+        promoted.offset,
+        promoted.operator,
+        promoted.document,
+    )
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+def refuse_empty(environment: str, state: states.State) -> reducer.Transition:
+    """Refuse because an environment has no document."""
+    return reducer.refuse(
+        'no_document',
+        f'no document was promoted to {environment} yet',
+        'Check the name of the environment, or publish a document.',
+        state,
+    )
+
+
+@on_read.register(wanted.History)
+def show_history(
+    command: wanted.History,
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Show the promotions that the log still holds."""
+    latest_first = reversed(state.readings[environment].rows)
+    rows = tuple(itertools.islice(latest_first, command.limit))
+    report = reports.HistoryShown(environment, rows)
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+@reducer.begin.register(wanted.Validate)
+def validate(
+    command: wanted.Validate,
+    event: events.InstanceStarted,
+    state: states.State,
+) -> reducer.Transition:
+    """Check a document."""
+    try:
+        document = documents.parse(command.text)
+    except errors.DocumentError as error:
+        invalid = reports.DocumentInvalid(command.file_name, error.problems)
+        return reducer.finish(invalid, states.EXIT_REFUSED, state)
+    report = reports.DocumentValid(command.file_name, document.environment)
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+@on_read.register(wanted.Diff)
+def show_differences(
+    command: wanted.Diff,
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Show the changes from the active document to a file."""
+    promoted = state.readings[environment].promoted
+    refused = refuse_open(environment, state)
+    if refused is not None:
+        return refused
+    try:
+        new = documents.parse(command.text)
+        old = parse_active(promoted, new)
+    except errors.DocumentError as error:
+        invalid = reports.DocumentInvalid(command.file_name, error.problems)
+        return reducer.finish(invalid, states.EXIT_REFUSED, state)
+    report = reports.Differences(
+        environment,
+        promoted.version,
+        documents.diff(old, new),
+    )
+    return reducer.finish(report, states.EXIT_DONE, state)
+
+
+def parse_active(
+    promoted: promotions.Promoted,
+    new: documents.Document,
+) -> documents.Document:
+    """Parse the active document; before the first one all is new."""
+    if promoted.version:
+        return documents.parse(promoted.document)
+    return documents.Document(new.format, new.environment, (), ())
--- /dev/null
+++ b/src/mustardvale/internal/commands/promoting.py
@@ -0,0 +1,311 @@
+"""Promote documents and tell the loser of a race who won."""
+
+import dataclasses
+import re
+
+from mustardvale import document as documents
+from mustardvale import errors
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    promotions,
+    records,
+    streams,
+    transitions,
+)
+from mustardvale.internal.commands import (
+    environments,
+    reducer,
+    reports,
+    wanted,
+)
+from mustardvale.internal.commands import state as states
+
+# Fields of the top level stand before the first table.
+ENVIRONMENT_LINE = re.compile(r'^environment\s*=.*$', re.MULTILINE)
+
+
+@reducer.begin.register(wanted.Publish)
+def begin_publish(
+    command: wanted.Publish,
+    event: events.InstanceStarted,
+    state: states.State,
+) -> reducer.Transition:
+    """Check the document before anything is sent."""
+    try:
+        document = documents.parse(command.text)
+    except errors.DocumentError as error:
+        report = reports.DocumentInvalid(command.file_name, error.problems)
+        return reducer.finish(report, states.EXIT_REFUSED, state)
+    if document.environment != command.environment:
+        return reducer.refuse(
+            'environment_mismatch',
+            f'{command.file_name} is for {document.environment!r} and not for '
+            f'{command.environment!r}',
+            'Correct the field or the flag, or use promote.',
+            state,
+        )
+    return environments.read(command.environment, state)
+
+
+@environments.on_read.register(wanted.Publish)
+def publish(
+    command: wanted.Publish,
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Propose the document, or resolve the proposal that was sent."""
+    if state.proposed is not None:
+        return resolve(environment, event, state)
+    return propose(environment, command.text, command.proposal, state)
+
+
+@reducer.begin.register(wanted.Promote)
+def begin_promote(
+    command: wanted.Promote,
+    event: events.InstanceStarted,
+    state: states.State,
+) -> reducer.Transition:
+    """Read the source first."""
+    return environments.read(command.source, state)
+
+
+@environments.on_read.register(wanted.Promote)
+def promote(
+    command: wanted.Promote,
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Read the target after the source, then propose or resolve."""
+    if state.proposed is not None:
+        return resolve(environment, event, state)
+    if environment == command.source:
+        return take_source(command, state)
+    source = state.readings[command.source].promoted
+    try:
+        text = retarget(source.document, command.target)
+    except errors.DocumentError as error:
+        report = reports.DocumentInvalid(command.source, error.problems)
+        return reducer.finish(report, states.EXIT_REFUSED, state)
+    return propose(environment, text, command.proposal, state)
+
+
+def take_source(
+    command: wanted.Promote,
+    state: states.State,
+) -> reducer.Transition:
+    """Read the target unless the source has no certain document."""
+    refused = environments.refuse_open(command.source, state)
+    if refused is not None:
+        return refused
+    if not state.readings[command.source].promoted.version:
+        return environments.refuse_empty(command.source, state)
+    return environments.read(command.target, state)
+
+
+def retarget(text: str, environment: str) -> str:
+    """Return a document for another environment; its comments are kept.
+
+    Raises `errors.DocumentError` when anything but the environment would
+    change.
+    """
+    changed = ENVIRONMENT_LINE.sub(f'environment = "{environment}"', text, 1)
+    wanted_document = dataclasses.replace(
+        documents.parse(text),
+        environment=environment,
+    )
+    if documents.parse(changed) != wanted_document:
+        raise errors.DocumentError(
+            ('environment: write the field on a line of its own',),
+        )
+    return changed
+
+
+def propose(
+    environment: str,
+    text: str,
+    proposal: wanted.Proposal,
+    state: states.State,
+) -> reducer.Transition:
+    """Append a promotion that is based on the active version."""
+    refused = environments.refuse_open(environment, state)
+    if refused is not None:
+        return refused
+    active = state.readings[environment].promoted
+    if proposal.based_on not in {-1, active.version}:
+        return lose(environment, proposal.based_on, proposal, state)
+    if active.version and active.document == text:
+        same = reports.AlreadyInForce(environment, active.version)
+        return reducer.finish(same, states.EXIT_DONE, state)
+    promotion = records.Promotion(
+        promotion_id=proposal.promotion_id,
+        operator=proposal.operator,
+        based_on_version=active.version,
+        based_on_offset=active.offset,
+        document=text,
+    )
+    proposed = dataclasses.replace(state, proposed=promotion)
+    return append(environment, promotion, proposed)
+
+
+def append(
+    environment: str,
+    promotion: records.Promotion,
+    state: states.State,
+) -> reducer.Transition:
+    """Append a promotion; a repetition can only be accepted once.
+
+    Both records name the version that they are based on, so that the second
+    one is outdated when the first one was accepted.
+    """
+    call = calls.AppendRecords(
+        streams.EnvironmentStream(environment),
+        (promotion,),
+    )
+    return transitions.Transition(
+        state,
+        (
+            effects.Call(
+                call,
+                state.log_address,
+                environments.CALL_TIMEOUT_SECONDS,
+            ),
+        ),
+    )
+
+
+@reducer.on_answer.register(calls.AppendRecords)
+def take_append(
+    call: calls.AppendRecords,
+    event: events.CallAnswered,
+    state: states.State,
+) -> reducer.Transition:
+    """Read back what became of the promotion."""
+    return read_back(call, event, state)
+
+
+@reducer.on_failure.register(calls.AppendRecords)
+def take_append_failure(
+    call: calls.AppendRecords,
+    event: events.CallFailed,
+    state: states.State,
+) -> reducer.Transition:
+    """Read back, because a lost answer does not say what the log did."""
+    return read_back(call, event, state)
+
+
+def read_back(
+    call: calls.AppendRecords,
+    event: events.CallAnswered | events.CallFailed,
+    state: states.State,
+) -> reducer.Transition:
+    """Read the environment up to its present end."""
+    assert isinstance(call.stream, streams.EnvironmentStream), (
+        'promotions are appended to environments'
+    )
+    return environments.read_further(call.stream.environment, state)
+
+
+def resolve(
+    environment: str,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Report a promotion whose verdict is certain, else send it again."""
+    promotion = state.proposed
+    assert promotion is not None, 'a promotion was sent'
+    reading = state.readings[environment]
+    found = tuple(
+        row
+        for row in reading.rows
+        if row.promotion_id == promotion.promotion_id
+    )
+    accepted = next((row for row in found if row.version), None)
+    if accepted is not None:
+        report = reports.PromotionAccepted(
+            environment,
+            accepted.version,
+            accepted.offset,
+            promotion.promotion_id,
+        )
+        return reducer.finish(report, states.EXIT_DONE, state)
+    if not reading.promoted.anchored:
+        return report_unknown(environment, promotion, state)
+    if reading.promoted.version != promotion.based_on_version:
+        return lose(
+            environment,
+            promotion.based_on_version,
+            wanted.Proposal(promotion.promotion_id, promotion.operator),
+            state,
+        )
+    return send_again(environment, promotion, event, state)
+
+
+def send_again(
+    environment: str,
+    promotion: records.Promotion,
+    event: events.Event,
+    state: states.State,
+) -> reducer.Transition:
+    """Append again after a pause, or give up when the time is over."""
+    limit = state.started_at + state.timeout_seconds
+    if event.at + environments.RETRY_SECONDS >= limit:
+        return report_unknown(environment, promotion, state)
+    return transitions.Transition(
+        state,
+        (
+            effects.SetTimer(
+                AppendAgain(environment),
+                environments.RETRY_SECONDS,
+            ),
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendAgain:
+    """Append the promotion again."""
+
+    environment: str
+
+
+@reducer.on_timer.register(AppendAgain)
+def append_again(
+    timer: AppendAgain,
+    event: events.TimerFired,
+    state: states.State,
+) -> reducer.Transition:
+    """Append the promotion again."""
+    assert state.proposed is not None, 'the timer follows an append'
+    return append(timer.environment, state.proposed, state)
+
+
+def report_unknown(
+    environment: str,
+    promotion: records.Promotion,
+    state: states.State,
+) -> reducer.Transition:
+    """Report that the log may still take the promotion."""
+    report = reports.PromotionUnknown(environment, promotion.promotion_id)
+    return reducer.finish(report, states.EXIT_UNREACHABLE, state)
+
+
+def lose(
+    environment: str,
+    based_on_version: int,
+    proposal: wanted.Proposal,
+    state: states.State,
+) -> reducer.Transition:
+    """Tell the loser which version is active, and whose it is."""
+    winner: promotions.Promoted = state.readings[environment].promoted
+    report = reports.PromotionLost(
+        environment,
+        based_on_version,
+        winner.version,
+        winner.operator,
+        proposal.promotion_id,
+    )
+    return reducer.finish(report, states.EXIT_REFUSED, state)
--- /dev/null
+++ b/src/mustardvale/internal/commands/reports.py
@@ -0,0 +1,197 @@
+"""Define what the command-line tool reports."""
+
+import dataclasses
+
+from mustardvale.internal import document_changes, effects, replies
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Mark a data class as a report."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Show(effects.Effect):
+    """Write a report for the user, as JSON or as text."""
+
+    report: Report
+    as_json: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed(Report):
+    """Report why nothing was done, or that the outcome is unknown."""
+
+    code: str
+    message: str
+    remedy: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentInvalid(Report):
+    """Report all problems of a document."""
+
+    file_name: str
+    problems: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentValid(Report):
+    """Report that a document has no problem."""
+
+    file_name: str
+    environment: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Differences(Report):
+    """Report the changes from the active version to a file."""
+
+    environment: str
+    version: int
+    changes: tuple[document_changes.Change, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromotionAccepted(Report):
+    """Report the version and offset of a promotion."""
+
+    environment: str
+    version: int
+    offset: int
+    promotion_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromotionLost(Report):
+    """Report which version, and whose, a promotion lost against."""
+
+    environment: str
+    based_on_version: int
+    winner_version: int
+    winner_operator: str
+    promotion_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromotionUnknown(Report):
+    """Report that the log may or may not hold a promotion."""
+
+    environment: str
+    promotion_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AlreadyInForce(Report):
+    """Report that the active document has the same text."""
+
+    environment: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActiveDocument(Report):
+    """Hold the active document."""
+
+    environment: str
+    version: int
+    offset: int
+    operator: str
+    document: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryRow:
+    """Describe one promotion; `version` is 0 unless it was accepted.
+
+    `appended_at` is the log's time in seconds since the epoch.
+    """
+
+    offset: int
+    appended_at: float
+    promotion_id: str
+    operator: str
+    based_on_version: int
+    verdict: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryShown(Report):
+    """Hold promotions, latest first."""
+
+    environment: str
+    promotions: tuple[HistoryRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceRow:
+    """Describe one entry instance.
+
+    `age_seconds` is how long its version has been in force there.
+    """
+
+    instance_id: str
+    address: str
+    availability_zone: str
+    state: str
+    environment: str
+    version: int
+    behind: bool
+    age_seconds: float
+    heard_seconds_ago: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusShown(Report):
+    """Hold every entry instance that one of them knows."""
+
+    instances: tuple[InstanceRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesShown(Report):
+    """Hold entry addresses in the order in which to try them."""
+
+    entries: tuple[replies.EntryAddress, ...]
+    valid_for_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaShown(Report):
+    """Hold the limits of client accounts."""
+
+    accounts: tuple[replies.AccountStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsShown(Report):
+    """Hold the upstreams that an entry instance knows."""
+
+    upstreams: tuple[replies.UpstreamStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenShown(Report):
+    """Hold one token of an answer."""
+
+    index: int
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerShown(Report):
+    """Report the end of a whole answer."""
+
+    tokens: int
+    version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActionShown(Report):
+    """Hold the answer of a plain service."""
+
+    status: int
+    body: str
+    replayed: bool
+    idempotency_key: str
--- a/src/mustardvale/internal/promotions.py
+++ b/src/mustardvale/internal/promotions.py
@@ -1,4 +1,8 @@
-"""Decide which promoted document is in force."""
+"""Decide which promoted document is in force.
+
+The fold is a function of the records alone, so that instances and the
+command-line tool agree on it without a lock.
+"""
 
 import dataclasses
 import enum
@@ -7,18 +11,45 @@
 from mustardvale.internal import records
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gap:
+    """Describe a reader that retention overtook.
+
+    It has read every record from `first_offset` up to, not including,
+    `next_offset`; `read` holds the promotions among them. Which of them were
+    accepted is open until a snapshot that covers `first_offset` is read.
+    """
+
+    first_offset: int
+    next_offset: int
+    read: tuple[tuple[int, records.Promotion], ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promoted:
     """Describe the document in force after folding all records to `as_of`.
 
     `version` counts accepted promotions and `offset` is that of the accepted
-    one; both only rise. Version 0 stands for no document.
+    one; both only rise. Version 0 stands for no document. With a `gap` a later
+    document may be in force.
     """
 
     version: int = 0
     offset: int = -1
     document: str = ''
     as_of: int = -1
+    operator: str = ''
+    gap: Gap | None = None
+
+    @property
+    def anchored(self) -> bool:
+        """Return whether every record up to `as_of` is accounted for."""
+        return self.gap is None
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the record that the fold takes next."""
+        return self.as_of + 1 if self.gap is None else self.gap.next_offset
 
 
 class Verdict(enum.Enum):
@@ -28,6 +59,7 @@
     OUTDATED = 'outdated'
     IGNORED = 'ignored'
     RESTORED = 'restored'
+    OPEN = 'open'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,36 +70,149 @@
     verdict: Verdict
 
 
-@functools.singledispatch
+def skip_to(earliest_offset: int, promoted: Promoted) -> Promoted:
+    """Note that the log no longer holds records before an offset."""
+    if earliest_offset <= promoted.next_offset:
+        return promoted
+    gap = Gap(earliest_offset, earliest_offset)
+    return dataclasses.replace(promoted, gap=gap)
+
+
 def fold(
     record: records.Record,
     offset: int,
     promoted: Promoted,
 ) -> Folded:
-    """Fold one record of an environment stream; readers agree on the result."""
-    return Folded(
-        dataclasses.replace(promoted, as_of=offset),
-        Verdict.IGNORED,
-    )
+    """Fold one record of an environment stream; readers agree on the result.
+
+    A record that was folded before changes nothing, and one that does not
+    follow the last reveals a gap.
+    """
+    if offset < promoted.next_offset:
+        return Folded(promoted, Verdict.IGNORED)
+    return fold_next(record, offset, skip_to(offset, promoted))
+
+
+def pass_record(offset: int, promoted: Promoted) -> Promoted:
+    """Move behind a record that does not change the document in force."""
+    if promoted.gap is None:
+        return dataclasses.replace(promoted, as_of=offset)
+    gap = dataclasses.replace(promoted.gap, next_offset=offset + 1)
+    return dataclasses.replace(promoted, gap=gap)
 
 
-@fold.register(records.Promotion)
+@functools.singledispatch
+def fold_next(
+    record: records.Record,
+    offset: int,
+    promoted: Promoted,
+) -> Folded:
+    """Fold the next record."""
+    return Folded(pass_record(offset, promoted), Verdict.IGNORED)
+
+
+@fold_next.register(records.Promotion)
 def fold_promotion(
     record: records.Promotion,
     offset: int,
     promoted: Promoted,
 ) -> Folded:
     """Accept a promotion that is based on the document in force."""
+    if promoted.gap is not None:
+        return Folded(keep_promotion(record, offset, promoted), Verdict.OPEN)
     based_on = (record.based_on_version, record.based_on_offset)
     if based_on != (promoted.version, promoted.offset):
-        return Folded(
-            dataclasses.replace(promoted, as_of=offset),
-            Verdict.OUTDATED,
-        )
+        return Folded(pass_record(offset, promoted), Verdict.OUTDATED)
     accepted = Promoted(
         version=promoted.version + 1,
         offset=offset,
         document=record.document,
         as_of=offset,
+        operator=record.operator,
     )
     return Folded(accepted, Verdict.ACCEPTED)
+
+
+def keep_promotion(
+    record: records.Promotion,
+    offset: int,
+    promoted: Promoted,
+) -> Promoted:
+    """Keep a promotion whose verdict depends on dropped records."""
+    assert promoted.gap is not None, 'only a reader behind a gap keeps records'
+    gap = dataclasses.replace(
+        promoted.gap,
+        next_offset=offset + 1,
+        read=(*promoted.gap.read, (offset, record)),
+    )
+    return dataclasses.replace(promoted, gap=gap)
+
+
+@fold_next.register(records.DocumentSnapshot)
+def fold_snapshot(
+    record: records.DocumentSnapshot,
+    offset: int,
+    promoted: Promoted,
+) -> Folded:
+    """Close a gap with a snapshot; an anchored reader needs none."""
+    passed = pass_record(offset, promoted)
+    candidate = Promoted(
+        version=record.version,
+        offset=record.offset,
+        document=record.document,
+        as_of=record.as_of,
+        operator=record.operator,
+    )
+    if promoted.gap is None or not closes_gap(candidate, promoted):
+        return Folded(passed, Verdict.IGNORED)
+    return Folded(close_gap(candidate, passed), Verdict.RESTORED)
+
+
+def closes_gap(candidate: Promoted, promoted: Promoted) -> bool:
+    """Return whether no record between a candidate and a gap is missing.
+
+    A snapshot of an instance that was paused may be older than the dropped
+    records and would restore an earlier document.
+    """
+    return (
+        promoted.gap is not None
+        and candidate.as_of >= promoted.gap.first_offset - 1
+        and is_later(candidate, promoted)
+    )
+
+
+def is_later(candidate: Promoted, promoted: Promoted) -> bool:
+    """Return whether a candidate is consistent and holds no earlier document.
+
+    Only a record or message that our code did not write fails this.
+    """
+    return (
+        promoted.offset <= candidate.offset <= candidate.as_of
+        and promoted.version <= candidate.version
+    )
+
+
+def close_gap(candidate: Promoted, promoted: Promoted) -> Promoted:
+    """Fold the records read behind a gap on top of a candidate."""
+    gap = promoted.gap
+    assert gap is not None, 'the reader is behind a gap'
+    closed = candidate
+    for offset, record in gap.read:
+        if offset > closed.as_of:
+            closed = dataclasses.replace(closed, as_of=offset - 1)
+            closed = fold_promotion(record, offset, closed).promoted
+    return dataclasses.replace(
+        closed,
+        as_of=max(closed.as_of, gap.next_offset - 1),
+    )
+
+
+def adopt(candidate: Promoted, promoted: Promoted) -> Promoted:
+    """Take over what a peer has folded, unless it is behind or leaves a gap."""
+    if promoted.gap is not None:
+        if closes_gap(candidate, promoted):
+            return close_gap(candidate, promoted)
+        return promoted
+    if candidate.as_of > promoted.as_of and is_later(candidate, promoted):
+        return candidate
+    return promoted
--- a/src/mustardvale/internal/records.py
+++ b/src/mustardvale/internal/records.py
@@ -27,6 +27,7 @@
     offset: int
     document: str
     as_of: int
+    operator: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,41 @@
+"""Fake the log service in memory for tests of reducers."""
+
+from mustardvale.internal import calls, records, streams
+
+
+class FakeLog:
+    """Hold the records of every stream; the early ones can be dropped."""
+
+    def __init__(self) -> None:
+        self.streams: dict[streams.Stream, list[records.StoredRecord]] = {}
+        self.earliest: dict[streams.Stream, int] = {}
+        self.wall = 1000.0
+
+    def stored(self, stream: streams.Stream) -> list[records.StoredRecord]:
+        """Return all records ever appended to a stream."""
+        return self.streams.setdefault(stream, [])
+
+    def append(self, call: calls.AppendRecords) -> calls.RecordsAppended:
+        """Append records."""
+        table = self.stored(call.stream)
+        first = len(table)
+        for record in call.records:
+            table.append(records.StoredRecord(len(table), self.wall, record))
+        return calls.RecordsAppended(first)
+
+    def drop_before(self, stream: streams.Stream, offset: int) -> None:
+        """Drop records as retention does."""
+        end = len(self.stored(stream))
+        known = self.earliest.get(stream, 0)
+        self.earliest[stream] = max(known, min(offset, end))
+
+    def read(self, call: calls.ReadRecords) -> calls.RecordsRead:
+        """Read records that are still held."""
+        table = self.stored(call.stream)
+        earliest = self.earliest.get(call.stream, 0)
+        first = max(call.from_offset, earliest)
+        return calls.RecordsRead(
+            tuple(table[first : first + call.limit]),
+            earliest,
+            len(table),
+        )
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,397 @@
+"""Guard what the command-line tool tells operators and callers."""
+
+import contextlib
+import io
+import pathlib
+import unittest
+import uuid
+from typing import Any
+
+from mustardvale import command
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    records,
+    replies,
+    streams,
+)
+from mustardvale.internal.commands import (
+    entry_calls,
+    handlers,
+    promoting,
+    reports,
+    wanted,
+)
+from mustardvale.internal.commands import state as states
+from mustardvale.internal.edge import codec_reports, idempotency_keys
+from tests import fakes
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / 'examples'
+FIRST = (EXAMPLES / 'cooperative.toml').read_text()
+SECOND = FIRST.replace('layers = 24', 'layers = 32')
+THIRD = FIRST.replace('layers = 24', 'layers = 48')
+PRODUCTION = streams.EnvironmentStream('production')
+REFUSED = events.Failure(events.FailureKind.REFUSED, sent=False)
+CLOSED = events.Failure(events.FailureKind.CLOSED, sent=True)
+
+
+class Run:
+    """Drive one run of the tool by hand."""
+
+    def __init__(self, wanted_command: wanted.Command, **fields: Any) -> None:
+        self.state = states.State(wanted_command, log_address='log:1', **fields)
+        self.at = 0.0
+        self.calls: list[effects.Call] = []
+        self.timers: list[effects.SetTimer] = []
+        self.shown: list[reports.Report] = []
+        self.exit_code: int | None = None
+        self.feed(events.InstanceStarted(at=self.at))
+
+    def feed(self, event: events.Event) -> None:
+        """Reduce an event and sort its effects."""
+        transition = handlers.reduce(event, self.state)
+        self.state = transition.state
+        for effect in transition.effects:
+            if isinstance(effect, effects.Call):
+                self.calls.append(effect)
+            elif isinstance(effect, effects.SetTimer):
+                self.timers.append(effect)
+            elif isinstance(effect, reports.Show):
+                self.shown.append(effect.report)
+            elif isinstance(effect, effects.StopLoop):
+                self.exit_code = effect.exit_code
+
+    def answer(self, answer: Any) -> None:
+        """Answer the oldest call."""
+        call = self.calls.pop(0)
+        self.feed(
+            events.CallAnswered(
+                at=self.at,
+                wall=1000,
+                call=call.call,
+                address=call.address,
+                answer=answer,
+            )
+        )
+
+    def fail(self, failure: events.Failure) -> None:
+        """Fail the oldest call."""
+        call = self.calls.pop(0)
+        self.feed(
+            events.CallFailed(
+                at=self.at,
+                call=call.call,
+                address=call.address,
+                failure=failure,
+            )
+        )
+
+    def receive(self, part: Any) -> None:
+        """Report a part of the answer to the oldest call."""
+        call = self.calls[0]
+        self.feed(
+            events.CallPartArrived(
+                at=self.at,
+                call=call.call,
+                address=call.address,
+                part=part,
+            )
+        )
+
+    def elapse(self) -> None:
+        """Report the oldest timer after its delay."""
+        timer = self.timers.pop(0)
+        self.at += timer.delay_seconds
+        self.feed(events.TimerFired(at=self.at, timer=timer.timer))
+
+    def read(self, log: fakes.FakeLog) -> None:
+        """Answer a read from the log."""
+        self.answer(log.read(self.calls[0].call))
+
+    def append(self, log: fakes.FakeLog) -> None:
+        """Answer an append from the log."""
+        self.answer(log.append(self.calls[0].call))
+
+
+def publish(text: str, operator: str, based_on: int = -1) -> Run:
+    """Start to publish a document."""
+    proposal = wanted.Proposal(f'{operator}-1', operator, based_on)
+    return Run(wanted.Publish('file', text, 'production', proposal))
+
+
+class Races(unittest.TestCase):
+    """Exactly one of two promotions wins and the other is told."""
+
+    def test_loser_is_told_version_and_operator(self) -> None:
+        """Guard against a document that is replaced without notice."""
+        log = fakes.FakeLog()
+        ann, bob = publish(FIRST, 'ann'), publish(SECOND, 'bob')
+        ann.read(log)
+        bob.read(log)
+        bob.append(log)
+        ann.append(log)
+        ann.read(log)
+        bob.read(log)
+        self.assertEqual((ann.exit_code, bob.exit_code), (1, 0))
+        self.assertEqual(
+            ann.shown,
+            [reports.PromotionLost('production', 0, 1, 'bob', 'ann-1')],
+        )
+
+    def test_base_that_is_no_longer_active(self) -> None:
+        """Guard against an edit of a version that someone has replaced."""
+        log = fakes.FakeLog()
+        first = publish(FIRST, 'ann')
+        first.read(log)
+        first.append(log)
+        first.read(log)
+        late = publish(SECOND, 'bob', based_on=0)
+        late.read(log)
+        self.assertEqual(late.exit_code, 1)
+        self.assertEqual(late.calls, [])
+        self.assertIsInstance(late.shown[0], reports.PromotionLost)
+
+    def test_same_text_appends_nothing(self) -> None:
+        """Guard against a version that changes nothing."""
+        log = fakes.FakeLog()
+        for _ in range(2):
+            run = publish(FIRST, 'ann')
+            run.read(log)
+            if run.calls:
+                run.append(log)
+                run.read(log)
+        self.assertEqual(run.exit_code, 0)
+        self.assertIsInstance(run.shown[0], reports.AlreadyInForce)
+        self.assertEqual(len(log.stored(PRODUCTION)), 1)
+
+
+class LostAnswers(unittest.TestCase):
+    """A lost answer to an append is resolved by reading back."""
+
+    def test_record_that_was_appended_is_found(self) -> None:
+        """Guard against a second promotion of the same document."""
+        log = fakes.FakeLog()
+        run = publish(FIRST, 'ann')
+        run.read(log)
+        log.append(run.calls[0].call)
+        run.fail(CLOSED)
+        run.read(log)
+        self.assertEqual(run.exit_code, 0)
+        self.assertEqual(len(log.stored(PRODUCTION)), 1)
+
+    def test_repeated_append_is_accepted_once(self) -> None:
+        """Guard against a slow first append that lands after the second."""
+        log = fakes.FakeLog()
+        run = publish(FIRST, 'ann')
+        run.read(log)
+        slow = run.calls[0].call
+        run.fail(CLOSED)
+        run.read(log)
+        run.elapse()
+        run.append(log)
+        log.append(slow)
+        run.read(log)
+        self.assertEqual(run.exit_code, 0)
+        self.assertEqual(
+            [report.version for report in run.shown],  # type: ignore[attr-defined]
+            [1],
+        )
+        history = Run(wanted.History('production', 5))
+        history.read(log)
+        shown = history.shown[0]
+        assert isinstance(shown, reports.HistoryShown)
+        self.assertEqual(
+            [row.verdict for row in shown.promotions],
+            ['outdated', 'accepted'],
+        )
+
+    def test_log_that_stays_down_leaves_the_outcome_open(self) -> None:
+        """Guard against a failure reported for what may take effect."""
+        log = fakes.FakeLog()
+        run = publish(FIRST, 'ann')
+        run.read(log)
+        run.fail(CLOSED)
+        while run.exit_code is None:
+            run.fail(REFUSED)
+            if run.timers:
+                run.elapse()
+        self.assertEqual(run.exit_code, 3)
+        self.assertEqual(
+            run.shown,
+            [reports.PromotionUnknown('production', 'ann-1')],
+        )
+
+
+class DroppedRecords(unittest.TestCase):
+    """The tool proposes nothing while it cannot know what is active."""
+
+    def test_gap_without_snapshot_is_refused(self) -> None:
+        """Guard against a promotion that is based on a guess."""
+        log = fakes.FakeLog()
+        promotion = records.Promotion('x', 'ann', 0, -1, FIRST)
+        log.append(calls.AppendRecords(PRODUCTION, (promotion,)))
+        log.drop_before(PRODUCTION, 1)
+        run = publish(SECOND, 'bob')
+        run.read(log)
+        self.assertEqual(run.exit_code, 1)
+        self.assertIn('no snapshot covers it', str(run.shown[0]))
+
+    def test_snapshot_gives_version_and_base(self) -> None:
+        """Guard against a version that starts again at 1."""
+        log = fakes.FakeLog()
+        promotion = records.Promotion('x', 'ann', 0, -1, FIRST)
+        snapshot = records.DocumentSnapshot(1, 0, FIRST, 0, 'ann')
+        log.append(calls.AppendRecords(PRODUCTION, (promotion, snapshot)))
+        log.drop_before(PRODUCTION, 1)
+        run = publish(SECOND, 'bob')
+        run.read(log)
+        run.append(log)
+        run.read(log)
+        accepted = run.shown[0]
+        assert isinstance(accepted, reports.PromotionAccepted)
+        self.assertEqual((accepted.version, accepted.offset), (2, 2))
+
+
+class Promotions(unittest.TestCase):
+    """A promotion from trial changes nothing but the environment."""
+
+    def test_environment_is_the_only_change(self) -> None:
+        """Guard against a trial document in force in production."""
+        trial = FIRST.replace('"production"', '"trial"')
+        self.assertEqual(promoting.retarget(trial, 'production'), FIRST)
+
+    def test_promote_reads_source_and_target(self) -> None:
+        """Guard against a promotion that is based on the source's version."""
+        log = fakes.FakeLog()
+        trial = streams.EnvironmentStream('trial')
+        text = SECOND.replace('"production"', '"trial"')
+        log.append(
+            calls.AppendRecords(
+                trial,
+                (records.Promotion('x', 'ann', 0, -1, text),),
+            )
+        )
+        run = Run(
+            wanted.Promote('trial', 'production', wanted.Proposal('p', 'ann'))
+        )
+        run.read(log)
+        run.read(log)
+        run.append(log)
+        run.read(log)
+        self.assertEqual(run.exit_code, 0)
+        stored = log.stored(PRODUCTION)[0].record
+        assert isinstance(stored, records.Promotion)
+        self.assertEqual(stored.document, SECOND)
+
+    def test_document_of_another_environment_is_refused(self) -> None:
+        """Guard against a production document published to trial."""
+        proposal = wanted.Proposal('p', 'ann')
+        run = Run(wanted.Publish('file', FIRST, 'trial', proposal))
+        self.assertEqual((run.exit_code, run.calls), (1, []))
+
+
+def ask(*addresses: str) -> Run:
+    """Start to ask a model."""
+    asked = wanted.Ask('key', 'affinage', '', 'how old', 4, 0)
+    return Run(asked, entry_addresses=addresses)
+
+
+class Answers(unittest.TestCase):
+    """An answer is complete only with its end mark."""
+
+    def test_cut_answer_is_resumed_with_its_tokens(self) -> None:
+        """Guard against tokens that are lost or repeated."""
+        run = ask('a:1', 'b:1')
+        run.receive(replies.TokenPart(0, 'one'))
+        run.fail(CLOSED)
+        call = run.calls[0]
+        self.assertEqual(
+            (call.address, call.call.delivered),
+            ('b:1', ('one',)),
+        )
+
+    def test_body_without_end_mark_is_cut(self) -> None:
+        """Guard against a truncated answer that looks complete."""
+        run = ask('a:1')
+        run.receive(replies.TokenPart(0, 'one'))
+        run.answer(entry_calls.StreamClosed())
+        self.assertEqual(run.exit_code, 3)
+
+    def test_action_is_not_repeated_after_it_was_sent(self) -> None:
+        """Guard against an action that runs twice."""
+        act = wanted.Act('key', 'cellar-ledger', 'log-wheel', 'k-1', b'{}', 0)
+        sent = Run(act, entry_addresses=('a:1', 'b:1'))
+        sent.fail(CLOSED)
+        self.assertEqual((sent.exit_code, sent.calls), (3, []))
+        self.assertIn('--key k-1', str(sent.shown[0]))
+        unsent = Run(act, entry_addresses=('a:1', 'b:1'))
+        unsent.fail(REFUSED)
+        self.assertEqual(unsent.calls[0].address, 'b:1')
+
+
+def exit_of(*arguments: str) -> tuple[int, str]:
+    """Return the exit code and standard error of a wrong command line."""
+    written = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(written):
+            command.main(arguments)
+    except SystemExit as error:
+        return int(str(error.code)), written.getvalue()
+    return 0, written.getvalue()
+
+
+class Usage(unittest.TestCase):
+    """A wrong command line gives one line and exit code 2."""
+
+    def test_wrong_command_lines(self) -> None:
+        """Guard against a traceback or pages of help for a typing mistake."""
+        for arguments in (
+            (),
+            ('promot',),
+            ('show',),
+            ('show', 'production', 'more', '--log-address', '127.0.0.1:9'),
+            ('show', 'production', '--colour=1'),
+            ('show', 'production'),
+            ('show', 'production', '--log-address', 'localhost:9'),
+            ('show', '../faults', '--log-address', '127.0.0.1:9'),
+            ('status', '--entry-address', '127.0.0.1:70000'),
+            ('status', '--timeout', 'soon'),
+            ('validate', 'no-such-file.toml'),
+        ):
+            code, written = exit_of(*arguments)
+            self.assertEqual(code, 2, arguments)
+            self.assertEqual(written.count('\n'), 1, written)
+            self.assertTrue(written.startswith('mustardvale: '), written)
+
+
+class Output(unittest.TestCase):
+    """Every report has a text and a JSON form."""
+
+    def test_every_report_is_encoded(self) -> None:
+        """Guard against a result that cannot be shown."""
+        kinds = [
+            kind
+            for kind in vars(reports).values()
+            if isinstance(kind, type)
+            and issubclass(kind, reports.Report)
+            and kind is not reports.Report
+        ]
+        self.assertGreater(len(kinds), 10)
+        for kind in kinds:
+            self.assertIn(kind, codec_reports.to_text.registry)
+
+    def test_json_names_its_kind(self) -> None:
+        """Guard against JSON that a program cannot tell apart."""
+        lost = reports.PromotionLost('production', 0, 1, 'bob', 'ann-1')
+        self.assertEqual(
+            codec_reports.to_json(lost),
+            '{"report":"promotion_lost","environment":"production",'
+            '"based_on_version":0,"winner_version":1,'
+            '"winner_operator":"bob","promotion_id":"ann-1"}\n',
+        )
+
+    def test_key_is_a_version_7_uuid(self) -> None:
+        """Guard against a key that the instances refuse."""
+        key = uuid.UUID(idempotency_keys.make())
+        self.assertEqual((key.version, key.variant), (7, uuid.RFC_4122))
