Check every setting of the daemon and add the times that operators set

Cause: settings were taken as they came; a host name or a wrong number failed only when it was used, and argparse named one mistake at a time. New settings: address validity, drain limit, retention of the log.

--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -13,6 +13,7 @@
     log_streams,
     membership,
     state,
+    timing,
 )
 from mustardvale.internal.edge import (
     codec,
@@ -45,6 +46,11 @@
         configuration=configuration.ConfigurationState(settings.environment),
         log=log_streams.LogState(settings.log_address),
         membership=membership.Membership(settings.list_address),
+        timing=timing.Timing(
+            address_validity=settings.address_validity_seconds,
+            drain=settings.drain_seconds,
+            log_retention=settings.log_retention_seconds,
+        ),
     )
 
 
@@ -89,5 +95,8 @@
         for problem in error.problems:
             sys.stderr.write(f'mustardvaled: {problem}\n')
         raise SystemExit(EXIT_BAD_SETTINGS) from error
+    if settings.only_check:
+        sys.stdout.write('mustardvaled: settings are valid\n')
+        return
     logs.configure(settings.log_level, settings.instance_id)
     build(settings).run()
--- a/src/mustardvale/internal/document_checks.py
+++ b/src/mustardvale/internal/document_checks.py
@@ -14,6 +14,7 @@
 ENVIRONMENT_PATTERN = re.compile('[a-z0-9][a-z0-9-]{0,62}')
 # Names of services and operations are parts of paths that callers use.
 NAME_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+OPTIONAL_NAME_PATTERN = re.compile(f'({NAME_PATTERN.pattern})?')
 DIGEST_PATTERN = re.compile('[0-9a-f]{64}')
 EMPTY_KEY_DIGEST = hashlib.sha256(b'').hexdigest()
 
--- a/src/mustardvale/internal/entries.py
+++ b/src/mustardvale/internal/entries.py
@@ -15,8 +15,6 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
-VALID_SECONDS = 10.0
-
 
 @reducer.on_request.register(replies.EntriesWanted)
 def answer_entries(
@@ -33,7 +31,10 @@
             -weight(caller_id, entry.address),
         ),
     )
-    found = replies.EntriesFound(tuple(ordered), VALID_SECONDS)
+    found = replies.EntriesFound(
+        tuple(ordered),
+        state.timing.address_validity,
+    )
     return transitions.Transition(
         state,
         (effects.Reply(event.request_id, found),),
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -6,7 +6,6 @@
 from mustardvale.internal import (
     configuration,
     effects,
-    entries,
     events,
     membership,
     reducer,
@@ -64,7 +63,7 @@
     state = dataclasses.replace(
         state,
         membership=leaving,
-        stopping=Stopping(event.at + entries.VALID_SECONDS),
+        stopping=Stopping(event.at + state.timing.address_validity),
     )
     return transitions.Transition(
         state,
@@ -84,7 +83,10 @@
 ) -> transitions.Transition['states.State']:
     """Stop once callers have noticed and nothing is in flight."""
     assert state.stopping is not None, 'the timer is set by a stop'
-    if event.at >= state.stopping.refuse_from and not state.generations:
+    drained_at = state.stopping.refuse_from + state.timing.drain
+    if event.at >= drained_at or (
+        event.at >= state.stopping.refuse_from and not state.generations
+    ):
         return transitions.Transition(
             state,
             (
--- /dev/null
+++ b/src/mustardvale/internal/setting_rules.py
@@ -0,0 +1,147 @@
+"""Check the values of settings."""
+
+import dataclasses
+import functools
+import re
+from typing import Any
+
+from mustardvale.internal import addresses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """Mark a data class as a rule for a value."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pattern(Rule):
+    """Allow what matches a pattern as a whole."""
+
+    pattern: re.Pattern[str]
+    advice: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address(Rule):
+    """Allow an address of the form IP:port."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice(Rule):
+    """Allow one of a few words."""
+
+    words: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Whole(Rule):
+    """Allow a whole number in a closed range."""
+
+    lowest: int
+    highest: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seconds(Rule):
+    """Allow a time in seconds in a closed range."""
+
+    lowest: float
+    highest: float
+
+
+@functools.singledispatch
+def allows(rule: Rule, text: str) -> bool:
+    """Return whether a rule allows a value."""
+    raise TypeError(f'no check for {type(rule).__name__}')
+
+
+@functools.singledispatch
+def advise(rule: Rule) -> str:
+    """Say what a rule allows."""
+    raise TypeError(f'no advice for {type(rule).__name__}')
+
+
+@allows.register(Pattern)
+def allows_pattern(rule: Pattern, text: str) -> bool:
+    """Return whether a value matches."""
+    return rule.pattern.fullmatch(text) is not None
+
+
+@advise.register(Pattern)
+def advise_pattern(rule: Pattern) -> str:
+    """Say what the pattern means."""
+    return rule.advice
+
+
+@allows.register(Address)
+def allows_address(rule: Address, text: str) -> bool:
+    """Return whether a value is an address."""
+    return addresses.is_address(text)
+
+
+@advise.register(Address)
+def advise_address(rule: Address) -> str:
+    """Say how addresses are written."""
+    return addresses.ALLOWED
+
+
+@allows.register(Choice)
+def allows_choice(rule: Choice, text: str) -> bool:
+    """Return whether a value is one of the words."""
+    return text in rule.words
+
+
+@advise.register(Choice)
+def advise_choice(rule: Choice) -> str:
+    """List the words."""
+    return f'use one of {", ".join(rule.words)}'
+
+
+@allows.register(Whole)
+def allows_whole(rule: Whole, text: str) -> bool:
+    """Return whether a value is a whole number in the range."""
+    return (
+        text.isascii()
+        and text.isdecimal()
+        and rule.lowest <= int(text) <= rule.highest
+    )
+
+
+@advise.register(Whole)
+def advise_whole(rule: Whole) -> str:
+    """Name the range."""
+    return f'use a whole number from {rule.lowest} to {rule.highest}'
+
+
+@allows.register(Seconds)
+def allows_seconds(rule: Seconds, text: str) -> bool:
+    """Return whether a value is a number in the range, which excludes nan."""
+    try:
+        number = float(text)
+    except ValueError:
+        return False
+    return rule.lowest <= number <= rule.highest
+
+
+@advise.register(Seconds)
+def advise_seconds(rule: Seconds) -> str:
+    """Name the range."""
+    return f'use seconds from {rule.lowest:g} to {rule.highest:g}'
+
+
+@functools.singledispatch
+def convert(rule: Rule, text: str) -> Any:
+    """Return an allowed value in the type of its field."""
+    return text
+
+
+@convert.register(Whole)
+def convert_whole(rule: Whole, text: str) -> int:
+    """Return a whole number."""
+    return int(text)
+
+
+@convert.register(Seconds)
+def convert_seconds(rule: Seconds, text: str) -> float:
+    """Return a time in seconds."""
+    return float(text)
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -13,6 +13,7 @@
     step_calls,
 )
 from mustardvale.internal import membership as memberships
+from mustardvale.internal import timing as timings
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -32,4 +33,5 @@
     upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
+    timing: timings.Timing = timings.Timing()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/settings.py
+++ b/src/mustardvale/settings.py
@@ -3,10 +3,29 @@
 import argparse
 import dataclasses
 from collections import abc
+from typing import Any
 
 from mustardvale import errors
+from mustardvale.internal import document_checks, setting_rules
 
 ENVIRONMENT_PREFIX = 'MUSTARDVALE_'
+CHECK_FLAG = '--check'
+MAXIMUM_SEED = 2**63 - 1
+DAY_SECONDS = 24 * 3600
+
+NAME = setting_rules.Pattern(
+    document_checks.NAME_PATTERN,
+    document_checks.NAME_ADVICE,
+)
+OPTIONAL_NAME = setting_rules.Pattern(
+    document_checks.OPTIONAL_NAME_PATTERN,
+    f'{document_checks.NAME_ADVICE}, or nothing',
+)
+ENVIRONMENT = setting_rules.Pattern(
+    document_checks.ENVIRONMENT_PATTERN,
+    'use 1 to 63 lower-case letters, digits and hyphens',
+)
+ADDRESS = setting_rules.Address()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,6 +34,7 @@
 
     name: str
     text: str
+    rule: setting_rules.Rule
     default: str | None = None
 
     @property
@@ -22,29 +42,62 @@
         """Return the flag of the setting."""
         return f'--{self.name}'
 
+    @property
+    def field(self) -> str:
+        """Return the field of `Settings` that holds the value."""
+        return self.name.replace('-', '_')
+
     @property
     def environment_variable(self) -> str:
         """Return the environment variable of the setting."""
-        return ENVIRONMENT_PREFIX + self.name.replace('-', '_').upper()
+        return ENVIRONMENT_PREFIX + self.field.upper()
 
 
 SETTINGS = (
-    Setting('instance-id', 'name of this instance, unique at its site'),
-    Setting('address', 'host:port for callers'),
-    Setting('peer-address', 'host:port for other entry instances'),
-    Setting('availability-zone', 'availability zone of this instance'),
-    Setting('region', 'region of this instance', ''),
-    Setting('environment', 'environment whose document is served'),
-    Setting('log-address', 'host:port of the log service'),
-    Setting('list-address', 'host:port of the instance list'),
-    Setting('log-level', 'DEBUG, INFO, WARNING or ERROR', 'INFO'),
-    Setting('seed', 'seed of random choices, 0 draws one', '0'),
+    Setting('instance-id', 'name of this instance, unique at its site', NAME),
+    Setting('address', 'IP:port for callers', ADDRESS),
+    Setting('peer-address', 'IP:port for other entry instances', ADDRESS),
+    Setting('availability-zone', 'availability zone of this instance', NAME),
+    Setting('region', 'region of this instance', OPTIONAL_NAME, ''),
+    Setting('environment', 'environment whose document is served', ENVIRONMENT),
+    Setting('log-address', 'IP:port of the log service', ADDRESS),
+    Setting('list-address', 'IP:port of the instance list', ADDRESS),
+    Setting(
+        'log-level',
+        'least severe log lines to write',
+        setting_rules.Choice(('DEBUG', 'INFO', 'WARNING', 'ERROR')),
+        'INFO',
+    ),
+    Setting(
+        'seed',
+        'seed of random choices, 0 draws one',
+        setting_rules.Whole(0, MAXIMUM_SEED),
+        '0',
+    ),
+    Setting(
+        'address-validity-seconds',
+        'how long callers may use an answer with entry addresses',
+        setting_rules.Seconds(1, 3600),
+        '10',
+    ),
+    Setting(
+        'drain-seconds',
+        'longest wait of a planned stop for requests in flight',
+        setting_rules.Seconds(0, DAY_SECONDS),
+        '600',
+    ),
+    Setting(
+        'log-retention-seconds',
+        'how long the log service holds a record',
+        setting_rules.Seconds(1, 366 * DAY_SECONDS),
+        '3600',
+    ),
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
-    """Hold the checked settings of a daemon; addresses are `host:port`."""
+    """Hold the checked settings of a daemon; addresses are `IP:port`."""
 
     instance_id: str
     address: str
@@ -56,6 +109,35 @@
     list_address: str
     log_level: str
     seed: int
+    address_validity_seconds: float = 10
+    drain_seconds: float = 600
+    log_retention_seconds: float = 3600
+    only_check: bool = False
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser; a flag without a value holds an empty text."""
+    parser = argparse.ArgumentParser(prog='mustardvaled', allow_abbrev=False)
+    parser.add_argument(
+        CHECK_FLAG,
+        action='store_true',
+        help='check the settings and stop',
+    )
+    for setting in SETTINGS:
+        parser.add_argument(
+            setting.flag,
+            nargs='?',
+            const='',
+            help=describe(setting),
+        )
+    return parser
+
+
+def describe(setting: Setting) -> str:
+    """Return the help text of a setting."""
+    default = f' (default {setting.default})' if setting.default else ''
+    advice = setting_rules.advise(setting.rule)
+    return f'{setting.text}: {advice}{default}'.replace('%', '%%')
 
 
 def read(
@@ -66,31 +148,67 @@
 
     Raises `errors.SettingsError` with every problem found.
     """
-    parser = argparse.ArgumentParser(prog='mustardvaled')
-    for setting in SETTINGS:
-        parser.add_argument(setting.flag, help=setting.text)
-    flags = parser.parse_args(arguments)
+    flags, unknown = build_parser().parse_known_args(arguments)
+    given = {
+        setting.field: getattr(flags, setting.field) for setting in SETTINGS
+    }
     found = {
-        setting.name: getattr(flags, setting.name.replace('-', '_'))
-        or variables.get(setting.environment_variable, setting.default)
+        setting.field: find_text(setting, given, variables)
         for setting in SETTINGS
     }
-    missing = tuple(
-        f'{setting.flag} or {setting.environment_variable} is required: {setting.text}'
-        for setting in SETTINGS
-        if found[setting.name] is None
-    )
-    if missing:
-        raise errors.SettingsError(missing)
-    return Settings(
-        instance_id=str(found['instance-id']),
-        address=str(found['address']),
-        peer_address=str(found['peer-address']),
-        availability_zone=str(found['availability-zone']),
-        region=str(found['region']),
-        environment=str(found['environment']),
-        log_address=str(found['log-address']),
-        list_address=str(found['list-address']),
-        log_level=str(found['log-level']),
-        seed=int(str(found['seed'])),
+    problems = (
+        *(f'{word} is no flag, see --help' for word in unknown),
+        *find_problems(found, given),
     )
+    if problems:
+        raise errors.SettingsError(problems)
+    return build_settings(found, flags.check)
+
+
+def find_text(
+    setting: Setting,
+    given: abc.Mapping[str, Any],
+    variables: abc.Mapping[str, str],
+) -> str | None:
+    """Return the text of a setting; an empty variable counts as not set."""
+    flag: str | None = given[setting.field]
+    if flag is not None:
+        return flag
+    return variables.get(setting.environment_variable) or setting.default
+
+
+def find_problems(
+    found: abc.Mapping[str, str | None],
+    given: abc.Mapping[str, Any],
+) -> abc.Iterator[str]:
+    """Return every problem with flag or variable, value and what is allowed."""
+    for setting in SETTINGS:
+        text = found[setting.field]
+        names = f'{setting.flag} or {setting.environment_variable}'
+        if text is None:
+            yield f'{names} is required: {setting.text}'
+        elif not setting_rules.allows(setting.rule, text):
+            source = setting.flag
+            if given[setting.field] is None:
+                source = setting.environment_variable
+            yield f'{source}: {text!r}, {setting_rules.advise(setting.rule)}'
+    if (
+        found['address'] is not None
+        and found['address'] == (found['peer_address'])
+    ):
+        yield '--peer-address: must differ from --address'
+
+
+def build_settings(
+    found: abc.Mapping[str, str | None],
+    only_check: bool,
+) -> Settings:
+    """Convert checked texts to the types of their fields."""
+    converted = {
+        setting.field: setting_rules.convert(
+            setting.rule,
+            str(found[setting.field]),
+        )
+        for setting in SETTINGS
+    }
+    return Settings(**converted, only_check=only_check)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,139 @@
+"""Guard what operators are told about the settings of the daemon."""
+
+import contextlib
+import io
+import os
+import unittest
+from unittest import mock
+
+from mustardvale import daemon, errors, settings
+
+SOUND = {
+    'instance-id': 'entry-1',
+    'address': '127.0.0.1:7000',
+    'peer-address': '127.0.0.1:7001',
+    'availability-zone': 'melton-vault',
+    'environment': 'production',
+    'log-address': '127.0.0.1:7100',
+    'list-address': '127.0.0.1:7101',
+}
+
+
+def flags(**changes: str | None) -> list[str]:
+    """Return sound flags with changes; None leaves a flag out."""
+    table: dict[str, str | None] = dict(SOUND)
+    table.update({name.replace('_', '-'): one for name, one in changes.items()})
+    return [f'--{name}={one}' for name, one in table.items() if one is not None]
+
+
+def problems_of(
+    arguments: list[str],
+    variables: dict[str, str] | None = None,
+) -> tuple[str, ...]:
+    """Return the problems that are reported."""
+    try:
+        settings.read(arguments, variables or {})
+    except errors.SettingsError as error:
+        return error.problems
+    return ()
+
+
+class Values(unittest.TestCase):
+    """A wrong value is named with its flag and what is allowed."""
+
+    def test_sound_settings(self) -> None:
+        """Guard against defaults that fail their own checks."""
+        found = settings.read(flags(), {})
+        self.assertEqual(found.address_validity_seconds, 10)
+        self.assertEqual(found.seed, 0)
+        self.assertFalse(found.only_check)
+
+    def test_each_wrong_value(self) -> None:
+        """Guard against a value that fails long after the start."""
+        for name, wrong, allowed in (
+            ('instance_id', 'a b', 'letters'),
+            ('address', 'localhost:7000', 'IPv4'),
+            ('peer_address', '127.0.0.1', 'port'),
+            ('log_address', '127.0.0.1:65536', '65535'),
+            ('list_address', '127.0.0.1:-1', 'port'),
+            ('environment', 'Production', 'lower-case'),
+            ('log_level', 'info', 'INFO'),
+            ('seed', '-1', 'whole number'),
+            ('address_validity_seconds', '0', 'from 1 to 3600'),
+            ('drain_seconds', 'nan', 'seconds'),
+            ('log_retention_seconds', 'inf', 'seconds'),
+        ):
+            problems = problems_of(flags(**{name: wrong}))
+            self.assertEqual(len(problems), 1, problems)
+            flag = f'--{name.replace("_", "-")}'
+            self.assertTrue(problems[0].startswith(f'{flag}: '), problems)
+            self.assertIn(repr(wrong), problems[0])
+            self.assertIn(allowed, problems[0])
+
+    def test_same_address_for_callers_and_peers(self) -> None:
+        """Guard against a second socket that cannot be bound."""
+        problems = problems_of(flags(peer_address=SOUND['address']))
+        self.assertEqual(len(problems), 1)
+
+    def test_all_problems_at_once(self) -> None:
+        """Guard against a restart for every single mistake."""
+        arguments = flags(address='x', seed='y', environment=None)
+        problems = problems_of([*arguments, '--colour=1'])
+        self.assertEqual(len(problems), 4, problems)
+
+    def test_flag_without_a_value(self) -> None:
+        """Guard against a flag that is taken for the next one's value."""
+        problems = problems_of([*flags(address=None), '--address'])
+        self.assertIn("--address: ''", problems[0])
+
+
+class Sources(unittest.TestCase):
+    """A flag goes before its variable."""
+
+    def test_variable_and_flag(self) -> None:
+        """Guard against a flag that has no effect."""
+        variables = {'MUSTARDVALE_LOG_LEVEL': 'ERROR', 'MUSTARDVALE_SEED': '7'}
+        found = settings.read(flags(seed='8'), variables)
+        self.assertEqual((found.log_level, found.seed), ('ERROR', 8))
+
+    def test_wrong_variable_is_named(self) -> None:
+        """Guard against a message about a flag that nobody gave."""
+        problems = problems_of(flags(), {'MUSTARDVALE_SEED': 'x'})
+        self.assertTrue(problems[0].startswith('MUSTARDVALE_SEED: '), problems)
+
+    def test_abbreviated_flag_is_unknown(self) -> None:
+        """Guard against a flag that changes its meaning with a release."""
+        problems = problems_of([*flags(), '--addr=127.0.0.1:1'])
+        self.assertEqual(len(problems), 1)
+
+
+class Check(unittest.TestCase):
+    """The daemon only checks when it is asked to."""
+
+    def run_daemon(self, arguments: list[str]) -> tuple[int, str]:
+        """Return the exit code and what was written."""
+        written = io.StringIO()
+        code = 0
+        with (
+            contextlib.redirect_stderr(written),
+            contextlib.redirect_stdout(written),
+            mock.patch.dict(os.environ, clear=True),
+        ):
+            try:
+                daemon.main(arguments)
+            except SystemExit as error:
+                code = int(str(error.code))
+        return code, written.getvalue()
+
+    def test_check_starts_nothing(self) -> None:
+        """Guard against a check that opens the sockets."""
+        self.assertEqual(
+            self.run_daemon([*flags(), '--check']),
+            (0, 'mustardvaled: settings are valid\n'),
+        )
+
+    def test_problems_give_exit_code_2(self) -> None:
+        """Guard against a daemon that starts with wrong settings."""
+        code, written = self.run_daemon([*flags(seed='x'), '--check'])
+        self.assertEqual(code, 2)
+        self.assertEqual(written.count('\n'), 1)
