--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -17,6 +17,7 @@
 from mustardvale.internal import membership as memberships
 from mustardvale.internal import operations as operation_tables
 from mustardvale.internal import partitions as partition_tables
+from mustardvale.internal import timing as timings
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -40,4 +41,5 @@
     actions: action_calls.ActionTable = action_calls.ActionTable()
     forwards: forward_tables.Forwards = immutables.Map()
     partitions: partition_tables.Partitions = immutables.Map()
+    timing: timings.Timing = timings.Timing()
     stopping: lifecycle.Stopping | None = None
