--- a/bench/demo.py
+++ b/bench/demo.py
@@ -30,19 +30,18 @@
 )
 
 
-def run_load(
+def build_load(
     site: sites.Site,
     seconds: float,
     rate: float,
     seed: int,
-) -> dict[str, Any]:
-    """Send load to a site and return the summary."""
-    summary = site.directory / 'summary.json'
+) -> processes.Process:
+    """Return the process of the load tool, which is not started yet."""
     options = {
         'entries': ','.join(site.entry_addresses),
         'document': str(site.spec.document_file),
         'history': str(site.directory / 'history.jsonl'),
-        'summary': str(summary),
+        'summary': str(site.directory / 'summary.json'),
         'zones': ','.join(site.spec.place.zones),
         'duration_seconds': seconds,
         'rate': rate,
@@ -50,7 +49,7 @@
     }
     if not site.plan.action_runners:
         options |= {'actions': 0, 'idempotent_actions': 0}
-    load = processes.Process(
+    return processes.Process(
         processes.ProcessSpec(
             'load',
             'bench.load',
@@ -59,6 +58,17 @@
         ),
         site.directory,
     )
+
+
+def run_load(
+    site: sites.Site,
+    seconds: float,
+    rate: float,
+    seed: int,
+) -> dict[str, Any]:
+    """Send load to a site and return the summary."""
+    summary = site.directory / 'summary.json'
+    load = build_load(site, seconds, rate, seed)
     load.start()
     try:
         load.wait(seconds + LOAD_MARGIN_SECONDS)
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -154,7 +154,15 @@
 
     def publish(self, document: str, operator: str = 'bench') -> int:
         """Promote a document over the one in force; return its offset."""
-        promoted = self.read_promoted()
+        return self.propose(document, operator, self.read_promoted())
+
+    def propose(
+        self,
+        document: str,
+        operator: str,
+        promoted: promotions.Promoted,
+    ) -> int:
+        """Promote a document over a stated one; return its offset."""
         record = records.Promotion(
             promotion_id=f'{operator}-{promoted.as_of + 1}',
             operator=operator,
--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -66,6 +66,7 @@
         codec_upstream,
         loop.poller,
         loop.occur,
+        entry_metrics.count_call_bytes(loop.metrics),
     ).register(loop)
     loop.peers = peer_socket.PeerSocket(
         settings.peer_address,
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -1,6 +1,8 @@
 """Declare the metrics of an entry instance."""
 
-from mustardvale.internal.edge import metrics
+from typing import Any
+
+from mustardvale.internal.edge import http_client, metrics
 
 
 def build() -> metrics.Metrics:
@@ -15,6 +17,19 @@
     return table
 
 
+def count_call_bytes(table: metrics.Metrics) -> http_client.CountBytes:
+    """Return a function that counts the bytes of calls by kind."""
+
+    def count(call: Any, sent: int, received: int) -> None:
+        kind = type(call).__name__
+        if sent:
+            table.count('call_bytes', (kind, 'sent'), sent)
+        if received:
+            table.count('call_bytes', (kind, 'received'), received)
+
+    return count
+
+
 COUNTERS: tuple[tuple[str, str, tuple[str, ...]], ...] = (
     ('answers', 'Model answers by how they ended', ('end',)),
     ('tokens', 'Tokens delivered', ('account',)),
@@ -33,6 +48,8 @@
     ('documents_unreadable', 'Documents that did not parse', ()),
     ('log_failures', 'Failed calls to the log service', ('operation',)),
     ('list_failures', 'Failed calls to the instance list', ()),
+    ('call_bytes', 'Bytes of calls', ('call', 'direction')),
+    ('peer_bytes', 'Bytes of peer messages', ('direction',)),
     ('peer_frames_rejected', 'Peer frames that did not decode', ()),
     ('peer_messages_dropped', 'Peer messages without a connection', ()),
 )
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -70,6 +70,17 @@
         self.waiting: collections.deque[PendingCall] = collections.deque()
 
 
+class CountBytes(Protocol):
+    """Count the bytes of calls by the kind of call."""
+
+    def __call__(self, call: Any, sent: int, received: int) -> None:
+        """Add bytes that were sent and received for a call."""
+
+
+def ignore_bytes(call: Any, sent: int, received: int) -> None:
+    """Count nothing, for processes without such metrics."""
+
+
 class HttpClient(circuits.Component):
     """Perform calls and report each one's answer or failure exactly once."""
 
@@ -80,11 +91,13 @@
         codec: CallCodec,
         poller: Any,
         occur: abc.Callable[..., None],
+        count_bytes: CountBytes = ignore_bytes,
     ) -> None:
         super().__init__()
         self.codec = codec
         self.poller = poller
         self.occur = occur
+        self.count_bytes = count_bytes
         self.pools: dict[str, AddressPool] = {}
         self.connections: dict[socket.socket, Connection] = {}
         self.deadlines = deadlines.Deadlines(self.expire).register(self)
@@ -156,6 +169,7 @@
             return
         if pending is not None and count:
             pending.sent = True
+            self.count_bytes(pending.call, count, 0)
         connection.output = connection.output[count:]
         self.watch_writable(connection)
 
@@ -202,6 +216,8 @@
         if not received and connection.pending is None:
             self.close(connection, events.FailureKind.CLOSED, 'idle')
             return
+        if connection.pending is not None:
+            self.count_bytes(connection.pending.call, 0, len(received))
         self.feed(connection, received)
 
     @circuits.handler('_disconnect')
--- a/src/mustardvale/internal/edge/peer_socket.py
+++ b/src/mustardvale/internal/edge/peer_socket.py
@@ -65,6 +65,7 @@
 
     def receive(self, frame: bytes) -> None:
         """Report a message; a frame that does not decode is counted."""
+        self.count('peer_bytes', ('received',), len(frame))
         try:
             sender, message = self.codec.decode_message(frame)
         except PeerDecodeError:
@@ -99,6 +100,8 @@
             self.sender_to(address).send(frame, zmq.NOBLOCK)
         except zmq.Again:
             self.count('peer_messages_dropped')
+            return
+        self.count('peer_bytes', ('sent',), len(frame))
 
     @circuits.handler('stopped', channel='*')
     def on_stopped(self, *_: Any) -> None:
