--- a/bench/demo.py
+++ b/bench/demo.py
@@ -22,6 +22,7 @@
 EXIT_FAILED = 1
 EXIT_NOT_RUN = 2
 LOAD_MARGIN_SECONDS = 40
+RUNNERS_PER_PROCESS = 4
 LATENCIES = (
     ('first_token', 'to the first token'),
     ('between_tokens', 'between tokens'),
@@ -160,31 +161,50 @@
     if site not in site_specs.PLACES:
         sys.exit(f'--site must be one of {", ".join(site_specs.PLACES)}')
     signal.signal(signal.SIGTERM, exit_on_signal)
-    spec = site_specs.SiteSpec(site, entries=entries, runners=runners)
+    spec = site_specs.SiteSpec(
+        site,
+        entries=entries,
+        runners=runners,
+        runners_per_process=RUNNERS_PER_PROCESS,
+    )
     started = time.monotonic()
     try:
-        with sites.Site(spec) as running:
-            plan = running.plan
-            print(
-                f'{site}: {len(plan.entries)} entry instances,'
-                f' {len(plan.runners)} model runners in {spec.stages} stages,'
-                f' {len(plan.action_runners)} action runners, ready after'
-                f' {time.monotonic() - started:.1f} s\n',
-                flush=True,
-            )
-            summary = run_load(running, seconds, rate, seed)
-            report(running, summary)
+        passed = run_site(spec, seconds, rate, seed)
     except processes.ProcessError as error:
         print(f'the demo did not run: {error}', file=sys.stderr)
         sys.exit(EXIT_NOT_RUN)
-    running_now = sum(one.is_running for one in running.processes.values())
-    print(
-        f'{running_now} of {len(running.processes)} processes still run,'
-        f' {time.monotonic() - started:.1f} s in all',
-    )
-    if summary['wrong_answers'] or summary['cut'] or running_now:
+    print(f'{time.monotonic() - started:.1f} s in all')
+    if not passed:
         sys.exit(EXIT_FAILED)
 
 
+def run_site(
+    spec: site_specs.SiteSpec,
+    seconds: float,
+    rate: float,
+    seed: int,
+) -> bool:
+    """Run the load at a site; return whether nothing was wrong or cut."""
+    started = time.monotonic()
+    with sites.Site(spec) as site:
+        plan = site.plan
+        print(
+            f'{spec.name}: {len(plan.entries)} entry instances,'
+            f' {len(plan.runners)} model runners in {spec.stages} stages,'
+            f' {len(plan.action_runners)} action runners, ready after'
+            f' {time.monotonic() - started:.1f} s\n',
+            flush=True,
+        )
+        summary = run_load(site, seconds, rate, seed)
+        report(site, summary)
+        violations = site.audit()
+        print(f'layers run twice or out of order: {len(violations)}')
+    left = sum(one.is_running for one in site.processes.values())
+    print(f'{left} of {len(site.processes)} processes still run')
+    return not (
+        summary['wrong_answers'] or summary['cut'] or violations or left
+    )
+
+
 if __name__ == '__main__':
     fire.Fire(main)
--- a/bench/site_specs.py
+++ b/bench/site_specs.py
@@ -2,15 +2,22 @@
 
 import dataclasses
 import importlib.util
+import itertools
 import pathlib
 import types
+from typing import Any
+
+import immutables
+import msgspec
 
 from bench import processes
 from mustardvale import document as documents
+from standins import engine, engine_main
 
 EXAMPLES = processes.ROOT / 'examples'
 ACTION_SERVICE_MODULE = 'standins.action_service_main'
 ENTRY_POOL = 'entry'
+MILLISECONDS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,8 +66,9 @@
 class SiteSpec:
     """Say how large a site is.
 
-    `runners` are spread evenly over `stages`. `document_path` replaces the
-    example document of the site.
+    `runners` are spread evenly over `stages`; `runners_per_process` of them
+    share a process. `document_path` replaces the example document of the site.
+    `engine_options` are fields of `engine.Held` that all runners get.
     """
 
     name: str = 'cooperative'
@@ -76,6 +84,9 @@
     accelerators: tuple[Accelerator, ...] = ACCELERATORS
     document_path: pathlib.Path | None = None
     entry_arguments: tuple[str, ...] = ()
+    engine_options: immutables.Map[str, Any] = immutables.Map()
+    weight_units_per_second: float = 20
+    weight_slots: int = 2
 
     @property
     def place(self) -> Place:
@@ -122,6 +133,7 @@
     document: documents.Document
     log_address: str
     list_address: str
+    weight_address: str
     entries: tuple[Member, ...]
     runners: tuple[Member, ...]
     action_runners: tuple[Member, ...]
@@ -137,7 +149,7 @@
     document = documents.parse(spec.read_document())
     addresses = iter(
         processes.find_addresses(
-            2 + 2 * spec.entries + spec.runners + spec.action_runners,
+            3 + 2 * spec.entries + spec.runners + spec.action_runners,
         )
     )
     return Plan(
@@ -145,6 +157,7 @@
         document=document,
         log_address=next(addresses),
         list_address=next(addresses),
+        weight_address=next(addresses),
         entries=tuple(
             Member(
                 instance_id=f'entry-{index}',
@@ -216,12 +229,25 @@
     )
 
 
-def describe_processes(plan: Plan) -> tuple[processes.ProcessSpec, ...]:
-    """Return the processes of a site in the order of their start."""
+def describe_processes(
+    plan: Plan,
+    directory: pathlib.Path,
+) -> tuple[processes.ProcessSpec, ...]:
+    """Return the processes of a site in the order of their start.
+
+    The settings of the model runners are written to files in `directory`.
+    """
     return (
         describe_log(plan),
         describe_list(plan),
-        *(describe_runner(member, plan) for member in plan.runners),
+        describe_weights(plan),
+        *(
+            describe_runners(name, tuple(members), plan, directory)
+            for name, members in itertools.groupby(
+                plan.runners,
+                key=lambda member: member.process,
+            )
+        ),
         *(describe_action_runner(member) for member in plan.action_runners),
         *(describe_entry(member, plan) for member in plan.entries),
     )
@@ -254,29 +280,66 @@
     )
 
 
-def describe_runner(member: Member, plan: Plan) -> processes.ProcessSpec:
-    """Describe the process of a model runner."""
-    model = plan.document.models[0]
+def describe_weights(plan: Plan) -> processes.ProcessSpec:
+    """Describe the process of the weight store."""
     return processes.ProcessSpec(
-        member.process,
-        'standins.engine_main',
-        member.address,
+        'weights',
+        'standins.weight_main',
+        plan.weight_address,
         (
-            f'--address={member.address}',
-            f'--instance_id={member.instance_id}',
-            f'--model={model.name}',
-            f'--version={model.version}',
-            f'--layers={model.layers}',
-            f'--first_layer={member.first_layer}',
-            f'--end_layer={member.end_layer}',
-            f'--adapters={"+".join(model.adapters)}',
-            f'--accelerator={member.accelerator.name}',
-            f'--iteration_ms={member.accelerator.iteration_ms}',
-            f'--input_ms={member.accelerator.input_ms}',
+            f'--address={plan.weight_address}',
+            f'--units_per_second={plan.spec.weight_units_per_second}',
+            f'--slots={plan.spec.weight_slots}',
         ),
     )
 
 
+def describe_held(member: Member, plan: Plan) -> engine.Held:
+    """Describe what a model runner holds and how it behaves."""
+    model = plan.document.models[0]
+    fenced = any(
+        pool.orders_fenced
+        for pool in plan.document.pools
+        if pool.name == model.pool
+    )
+    held = engine.Held(
+        instance_id=member.instance_id,
+        accelerator=member.accelerator.name,
+        model=model.name,
+        version=model.version,
+        adapters=model.adapters,
+        layers=model.layers,
+        first_layer=member.first_layer,
+        end_layer=member.end_layer,
+        iteration_seconds=member.accelerator.iteration_ms / MILLISECONDS,
+        input_seconds=member.accelerator.input_ms / MILLISECONDS,
+        fenced=fenced,
+        weight_store=plan.weight_address,
+    )
+    return dataclasses.replace(held, **dict(plan.spec.engine_options))
+
+
+def describe_runners(
+    name: str,
+    members: tuple[Member, ...],
+    plan: Plan,
+    directory: pathlib.Path,
+) -> processes.ProcessSpec:
+    """Describe a process of model runners and write their settings."""
+    path = directory / f'{name}.json'
+    settings = tuple(
+        engine_main.EngineSettings(member.address, describe_held(member, plan))
+        for member in members
+    )
+    path.write_bytes(msgspec.json.encode(settings))
+    return processes.ProcessSpec(
+        name,
+        'standins.engine_main',
+        members[0].address,
+        (f'--settings_file={path}',),
+    )
+
+
 def describe_action_runner(member: Member) -> processes.ProcessSpec:
     """Describe the process of a runner of the action service."""
     return processes.ProcessSpec(
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -5,7 +5,9 @@
         site.set_faults('log', {'down': True})
 
 An instance is named by its id (`entry-0`, `runner-3`, `action-1`), the platform
-by `log` and `list`. The logs stay in `site.directory`.
+by `log`, `list` and `weights`. The logs stay in `site.directory`. Runners that
+share a process cannot be killed or frozen one by one; use `set_faults` with
+`die` or `frozen` for those.
 """
 
 import functools
@@ -14,9 +16,12 @@
 import types
 from typing import Any
 
+import msgspec
+
 from bench import processes, site_specs
 from mustardvale.internal import promotions, records
 from mustardvale.internal.edge import codec_records
+from standins import step_audit
 
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 3.0
@@ -40,7 +45,10 @@
         )
         self.processes = {
             described.name: processes.Process(described, self.directory)
-            for described in site_specs.describe_processes(self.plan)
+            for described in site_specs.describe_processes(
+                self.plan,
+                self.directory,
+            )
         }
         self.members = {
             member.instance_id: member for member in self.plan.members
@@ -219,9 +227,23 @@
         return len(usable) >= wanted
 
     def process_of(self, name: str) -> processes.Process:
-        """Return the process of an instance, of the log or of the list."""
+        """Return the process of an instance or of the platform.
+
+        Raises `ProcessError` for an instance that shares its process.
+        """
         member = self.members.get(name)
-        return self.processes[member.process if member else name]
+        if member is None:
+            return self.processes[name]
+        sharing = [
+            other.instance_id
+            for other in self.plan.members
+            if other.process == member.process
+        ]
+        if len(sharing) > 1:
+            raise processes.ProcessError(
+                f'{name} shares a process with others, use set_faults',
+            )
+        return self.processes[member.process]
 
     def kill(self, name: str) -> None:
         """End the process of an instance without notice."""
@@ -255,7 +277,7 @@
         self.start_again(name)
 
     def address_of(self, name: str) -> str:
-        """Return the address of an instance, of the log or of the list."""
+        """Return the address of an instance or of the platform."""
         member = self.members.get(name)
         return member.address if member else self.processes[name].spec.address
 
@@ -265,3 +287,28 @@
         answer = processes.request('POST', address, '/faults', faults)
         if answer.status != 200:
             raise processes.ProcessError(f'faults of {name}: {answer.body!r}')
+
+    def audit(self) -> tuple[step_audit.Violation, ...]:
+        """Return what ran more than once or out of order at any runner.
+
+        The spans of all runners are merged, so that a layer that ran at two
+        runners in the same session is found. Runners that were killed are left
+        out, because their audit is lost with them.
+        """
+        spans: dict[str, list[step_audit.Span]] = {}
+        for member in self.plan.runners:
+            if not processes.answers(member.address, '/audit', 200):
+                continue
+            answer = processes.request(
+                'GET',
+                member.address,
+                '/audit?spans=true',
+            )
+            page = msgspec.json.decode(answer.body, type=step_audit.AuditPage)
+            for session, found in page.spans.items():
+                spans.setdefault(session, []).extend(found)
+        return tuple(
+            violation
+            for session, found in spans.items()
+            for violation in step_audit.find_violations(session, found)
+        )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,4 +1,8 @@
-"""Stand in for a model engine that holds a range of layers."""
+"""Stand in for a model engine that holds a range of layers.
+
+This module has the state and the steps; `engine_handlers` names the modules
+that add the other requests.
+"""
 
 import dataclasses
 import functools
@@ -7,17 +11,23 @@
 import immutables
 
 from mustardvale.internal import calls, effects, events, transitions
-from standins import json_codec, reference_model
+from standins import prefix_cache, reference_model, step_audit
 
-LEAVING = json_codec.Refused(503, 'the runner is leaving', leaving=True)
+ANY_ROLE = 'any'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Held:
-    """Describe what an engine holds and how fast it runs.
+    """Describe what an engine holds and how it behaves.
 
     One iteration takes `iteration_seconds` plus `input_seconds` for each input
-    of each step that it runs.
+    that is not cached; it runs at most `batch_limit` steps and, beyond its
+    first step, at most `batch_inputs` inputs. `cache_positions` limits the
+    memory of the prefix cache. A `fenced` engine refuses orders with an old
+    token, another one ignores the token. `cache_event_loss` loses every n-th
+    cache event. Without the address of a weight store a layer loads in
+    `layer_load_seconds`. Export and import of a session take
+    `position_copy_seconds` for each position.
     """
 
     instance_id: str
@@ -30,60 +40,182 @@
     end_layer: int
     iteration_seconds: float
     input_seconds: float
+    batch_limit: int = 32
+    batch_inputs: int = 4096
+    cache_positions: int = 16384
+    fenced: bool = True
+    role: str = ANY_ROLE
+    load_lag_seconds: float = 0
+    cache_event_delay_seconds: float = 0.5
+    cache_event_loss: int = 0
+    layer_load_seconds: float = 0.2
+    position_copy_seconds: float = 0.0001
+    weight_store: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Session:
-    """Hold the state of one session: the next position and layer digests."""
+    """Hold the state of one session: the next position and layer digests.
+
+    `adapter` is the one that the session was opened with.
+    """
 
     position: int
     digests: tuple[int, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PendingCall:
-    """Hold a call whose steps wait for an iteration."""
-
-    request_id: str
-    steps: tuple[calls.Step, ...]
+    adapter: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Faults:
     """Hold the faults that are switched on.
 
-    A frozen engine accepts calls and answers none. `slowdown` multiplies the
-    time of an iteration.
+    A frozen engine accepts calls and answers none. A leaving one takes no new
+    sessions, a refusing one no steps. `slowdown` multiplies the time of an
+    iteration. The next `drop_answers` calls run and their connection is closed
+    in place of an answer. Every answer waits for `delay_seconds`, as on a slow
+    link, and the next `late_answers` ones for `late_seconds`. The results of
+    the next `crossed_answers` iterations go to the wrong calls. `die` ends
+    the engine at once, and so does running a step that has `poison` among its
+    inputs: it loses all state and closes its port until it is started again
+    after `restart_seconds`, or for good if that is 0.
     """
 
     frozen: bool = False
     leaving: bool = False
     slowdown: float = 1
+    refuse: bool = False
+    drop_answers: int = 0
+    delay_seconds: float = 0
+    late_answers: int = 0
+    late_seconds: float = 1
+    crossed_answers: int = 0
+    die: bool = False
+    poison: str = ''
+    restart_seconds: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Mark a data class as a place that the result of a step goes to."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class IterationDone:
-    """End the iteration that is running."""
+class CallTarget(Target):
+    """Send a result to the caller of `/v1/steps`."""
+
+    request_id: str
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamTarget(Target):
+    """Send a result to the stream of a session."""
+
+    session: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedStep:
+    """Hold a step that waits for an iteration or is in one.
+
+    `prefixes` are the digests of the prefixes of a prefill, `cached` counts
+    the positions that the cache had when the iteration started. A cancelled
+    step does not run.
+    """
+
+    sequence: int
+    target: Target
+    step: calls.Step
+    prefixes: tuple[str, ...] = ()
+    cached: int = 0
+    cancelled: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingCall:
+    """Hold the results that a call of `/v1/steps` has so far."""
+
+    count: int
+    results: immutables.Map[int, calls.StepResult] = immutables.Map()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """Describe a streamed generation; without a request it is paused."""
+
+    request_id: str
+    template: calls.Step
+    prompt: tuple[str, ...]
+    tokens: tuple[str, ...]
+    maximum_tokens: int
+    sent: int
+    queued: bool = False
+    blocked: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loading:
+    """Describe what an order loads; `number` tells loads apart."""
 
     number: int
+    wanted: Held
+    units: int
+    keeps_sessions: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport(calls.LoadReport):
+    """Add what only an engine reports to a load report."""
+
+    role: str = ANY_ROLE
+    loading: bool = False
+    sessions: int = 0
+    cached_positions: int = 0
+    batch_limit: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
-    """Hold the sessions, the waiting calls and the running iteration."""
+    """Hold the sessions, the waiting steps and the running iteration.
+
+    `queued` counts steps ever queued, `loads` loads ever started. `reports`
+    are the last two reports when reports lag.
+    """
 
     held: Held
     sessions: immutables.Map[str, Session] = immutables.Map()
-    waiting: tuple[PendingCall, ...] = ()
-    running: tuple[PendingCall, ...] = ()
+    pending: immutables.Map[str, PendingCall] = immutables.Map()
+    streams: immutables.Map[str, Stream] = immutables.Map()
+    waiting: tuple[QueuedStep, ...] = ()
+    running: tuple[QueuedStep, ...] = ()
     iterations: int = 0
     steps_run: int = 0
+    queued: int = 0
+    loads: int = 0
+    loading: Loading | None = None
+    plan_offset: int = -1
     faults: Faults = Faults()
+    dead: bool = False
+    cache: prefix_cache.Cache = prefix_cache.Cache()
+    audit: step_audit.Audit = step_audit.Audit()
+    reports: tuple[EngineReport, ...] = ()
 
 
 Transition = transitions.Transition[State]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LastingTimer:
+    """Mark a data class as a timer that outlives the engine."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Revive(LastingTimer):
+    """Start a dead engine again."""
+
+    instance_id: str
+
+
 @functools.singledispatch
 def reduce(event: events.Event, state: State) -> Transition:
     """Ignore events that concern no step."""
@@ -112,128 +244,35 @@
     raise TypeError(type(wanted).__name__)
 
 
-def answer(request_id: str, reply: Any, state: State) -> Transition:
-    """Answer a request."""
-    return transitions.Transition(
-        state,
-        (effects.Reply(request_id, reply),),
-    )
-
-
-@on_request.register(Faults)
-def set_faults(
-    wanted: Faults,
-    event: events.CallerRequested,
-    state: State,
-) -> Transition:
-    """Switch faults."""
-    changed = dataclasses.replace(state, faults=wanted)
-    return answer(event.request_id, json_codec.Done(), changed).then(
-        start_iteration,
-    )
-
-
-@on_request.register(calls.ReadLoad)
-def report_load(
-    wanted: calls.ReadLoad,
-    event: events.CallerRequested,
-    state: State,
-) -> Transition:
-    """Report the load."""
-    held = state.held
-    waiting = sum(len(call.steps) for call in state.waiting)
-    report = calls.LoadReport(
-        instance_id=held.instance_id,
-        accelerator=held.accelerator,
-        model=held.model,
-        version=held.version,
-        adapters=held.adapters,
-        first_layer=held.first_layer,
-        end_layer=held.end_layer,
-        queued=waiting,
-        step_seconds=held.iteration_seconds * state.faults.slowdown,
-        leaving=state.faults.leaving,
-    )
-    if state.faults.frozen:
+@reduce.register(events.TimerFired)
+def elapse(event: events.TimerFired, state: State) -> Transition:
+    """Dispatch on the timer; timers of an earlier life are ignored."""
+    if state.dead and not isinstance(event.timer, LastingTimer):
         return transitions.Transition(state)
-    return answer(event.request_id, report, state)
+    return on_timer(event.timer, event, state)
 
 
-@on_request.register(calls.CloseSession)
-def close_session(
-    wanted: calls.CloseSession,
-    event: events.CallerRequested,
-    state: State,
-) -> Transition:
-    """Free a session."""
-    if wanted.session in state.sessions:
-        sessions = state.sessions.delete(wanted.session)
-        state = dataclasses.replace(state, sessions=sessions)
-    return answer(event.request_id, json_codec.Done(), state)
+@functools.singledispatch
+def on_timer(timer: Any, event: events.TimerFired, state: State) -> Transition:
+    """Handle a timer."""
+    raise TypeError(type(timer).__name__)
 
 
-@on_request.register(calls.RunSteps)
-def receive_steps(
-    wanted: calls.RunSteps,
-    event: events.CallerRequested,
-    state: State,
-) -> Transition:
-    """Queue steps for the next iteration."""
-    opens = any(step.position == 0 for step in wanted.steps)
-    if state.faults.leaving and opens:
-        return answer(event.request_id, LEAVING, state)
-    pending = PendingCall(event.request_id, wanted.steps)
-    waiting = (*state.waiting, pending)
-    return start_iteration(dataclasses.replace(state, waiting=waiting))
-
-
-def start_iteration(state: State) -> Transition:
-    """Run all waiting steps in one iteration unless one is running."""
-    if state.running or not state.waiting or state.faults.frozen:
-        return transitions.Transition(state)
-    inputs = sum(
-        len(step.inputs) for call in state.waiting for step in call.steps
-    )
-    held = state.held
-    seconds = held.iteration_seconds + inputs * held.input_seconds
-    state = dataclasses.replace(
+def answer(request_id: str, reply: Any, state: State) -> Transition:
+    """Answer a request, whatever the faults are."""
+    return transitions.Transition(
         state,
-        running=state.waiting,
-        waiting=(),
-        iterations=state.iterations + 1,
-    )
-    timer = effects.SetTimer(
-        IterationDone(state.iterations),
-        seconds * state.faults.slowdown,
+        (effects.Reply(request_id, reply),),
     )
-    return transitions.Transition(state, (timer,))
 
 
-@reduce.register(events.TimerFired)
-def end_iteration(event: events.TimerFired, state: State) -> Transition:
-    """Answer the calls of the iteration and start the next one."""
-    if state.faults.frozen:
-        return transitions.Transition(
-            state,
-            (effects.SetTimer(event.timer, state.held.iteration_seconds),),
-        )
-    running = state.running
-    transition: Transition = transitions.Transition(
-        dataclasses.replace(state, running=()),
+def build_cache(held: Held) -> prefix_cache.Cache:
+    """Return an empty cache."""
+    return prefix_cache.Cache(
+        positions_limit=held.cache_positions,
+        event_delay_seconds=held.cache_event_delay_seconds,
+        event_loss=held.cache_event_loss,
     )
-    for call in running:
-        transition = transition.then(functools.partial(answer_call, call))
-    return transition.then(start_iteration)
-
-
-def answer_call(call: PendingCall, state: State) -> Transition:
-    """Run the steps of a call and answer it."""
-    results: tuple[calls.StepResult, ...] = ()
-    for step in call.steps:
-        applied = run_step(step, state)
-        state = applied.state
-        results = (*results, applied.outcome)
-    return answer(call.request_id, calls.StepsRun(results), state)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,22 +285,42 @@
 
 def run_step(step: calls.Step, state: State) -> Applied:
     """Apply a step to its session, or refuse it."""
-    held = state.held
     outcome = functools.partial(calls.StepResult, step.session, step.position)
-    if (step.model, step.version) != (held.model, held.version):
-        return Applied(state, outcome(error='wrong_model'))
+    refusal = find_refusal(step, state)
+    if refusal:
+        return Applied(state, outcome(error=refusal))
+    held = state.held
     session = state.sessions.get(step.session) or open_session(step, held)
-    if step.position != session.position:
+    if step.position != session.position or step.adapter != session.adapter:
         return Applied(state, outcome(error='wrong_position'))
     ran = run_inputs(step, session, held)
+    span = step_audit.Span(
+        held.first_layer,
+        held.end_layer,
+        step.position,
+        ran.session.position,
+    )
     state = dataclasses.replace(
         state,
         sessions=state.sessions.set(step.session, ran.session),
         steps_run=state.steps_run + 1,
+        audit=step_audit.note(step.session, span, state.audit),
     )
     return Applied(state, outcome(outputs=ran.outputs))
 
 
+def find_refusal(step: calls.Step, state: State) -> str:
+    """Return the code of a refusal that does not depend on the session."""
+    held = state.held
+    if state.loading is not None and not state.loading.keeps_sessions:
+        return 'loading'
+    if (step.model, step.version) != (held.model, held.version):
+        return 'wrong_model'
+    if step.adapter and step.adapter not in held.adapters:
+        return 'wrong_adapter'
+    return '' if step.inputs else 'no_inputs'
+
+
 def open_session(step: calls.Step, held: Held) -> Session:
     """Open a session with the digests that the layers start with."""
     return Session(
@@ -275,6 +334,7 @@
             )
             for layer in range(held.first_layer, held.end_layer)
         ),
+        step.adapter,
     )
 
 
@@ -289,13 +349,17 @@
 def run_inputs(step: calls.Step, session: Session, held: Held) -> Ran:
     """Run the held layers on each input in order."""
     digests = session.digests
-    outputs: tuple[str, ...] = ()
+    outputs: list[str] = []
     for text in step.inputs:
         embedded = text if held.first_layer else reference_model.embed(text)
         passed = reference_model.run_layers(digests, embedded)
         digests = passed.digests
-        outputs = (*outputs, passed.activation)
-    moved = Session(session.position + len(step.inputs), digests)
+        outputs.append(passed.activation)
+    moved = dataclasses.replace(
+        session,
+        position=session.position + len(step.inputs),
+        digests=digests,
+    )
     if held.end_layer == held.layers:
-        outputs = (reference_model.to_token(outputs[-1]),)
-    return Ran(moved, outputs)
+        return Ran(moved, (reference_model.to_token(outputs[-1]),))
+    return Ran(moved, tuple(outputs))
--- /dev/null
+++ b/standins/engine_batches.py
@@ -0,0 +1,287 @@
+"""Run the waiting steps of an engine in batches."""
+
+import dataclasses
+import functools
+from typing import Any
+
+from mustardvale.internal import calls, effects, events, transitions
+from standins import engine, engine_faults, json_codec, prefix_cache
+
+LEAVING = json_codec.Refused(503, 'the runner is leaving', leaving=True)
+REFUSED = json_codec.Refused(503, 'the runner refuses steps')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IterationDone:
+    """End the iteration that is running."""
+
+    instance_id: str
+    number: int
+
+
+@engine.on_request.register(calls.RunSteps)
+def receive_steps(
+    wanted: calls.RunSteps,
+    event: events.CallerRequested,
+    state: engine.State,
+) -> engine.Transition:
+    """Queue steps for the next iteration."""
+    opens = any(step.position == 0 for step in wanted.steps)
+    if state.faults.refuse:
+        return engine.answer(event.request_id, REFUSED, state)
+    if state.faults.leaving and opens:
+        return engine.answer(event.request_id, LEAVING, state)
+    if not wanted.steps:
+        return engine.answer(event.request_id, calls.StepsRun(()), state)
+    pending = engine.PendingCall(len(wanted.steps))
+    state = dataclasses.replace(
+        state,
+        pending=state.pending.set(event.request_id, pending),
+    )
+    for index, step in enumerate(wanted.steps):
+        target = engine.CallTarget(event.request_id, index)
+        state = enqueue(target, step, state)
+    return start_iteration(state)
+
+
+def enqueue(
+    target: engine.Target,
+    step: calls.Step,
+    state: engine.State,
+) -> engine.State:
+    """Add a step to the waiting ones."""
+    queued = engine.QueuedStep(state.queued, target, step)
+    return dataclasses.replace(
+        state,
+        queued=state.queued + 1,
+        waiting=(*state.waiting, queued),
+    )
+
+
+def cancel_steps(session: str, state: engine.State) -> engine.State:
+    """Cancel the steps of a session; the results report an error."""
+    return dataclasses.replace(
+        state,
+        waiting=cancelled(session, state.waiting),
+        running=cancelled(session, state.running),
+    )
+
+
+def cancelled(
+    session: str,
+    steps: tuple[engine.QueuedStep, ...],
+) -> tuple[engine.QueuedStep, ...]:
+    """Return the steps with those of a session marked."""
+    return tuple(
+        dataclasses.replace(queued, cancelled=True)
+        if queued.step.session == session
+        else queued
+        for queued in steps
+    )
+
+
+def start_iteration(state: engine.State) -> engine.Transition:
+    """Start the next iteration unless one is running."""
+    if state.running or not state.waiting or state.faults.frozen:
+        return transitions.Transition(state)
+    chosen = choose_batch(state)
+    batch = tuple(look_up(queued, state) for queued in chosen)
+    numbers = {queued.sequence for queued in chosen}
+    state = dataclasses.replace(
+        state,
+        running=batch,
+        waiting=tuple(
+            queued for queued in state.waiting if queued.sequence not in numbers
+        ),
+        iterations=state.iterations + 1,
+    )
+    timer = effects.SetTimer(
+        IterationDone(state.held.instance_id, state.iterations),
+        iteration_seconds(batch, state),
+    )
+    return transitions.Transition(state, (timer,))
+
+
+def choose_batch(state: engine.State) -> tuple[engine.QueuedStep, ...]:
+    """Choose steps by priority, then by arrival; 0 is the most urgent."""
+    ordered = sorted(
+        state.waiting,
+        key=lambda queued: (queued.step.priority, queued.sequence),
+    )
+    chosen: list[engine.QueuedStep] = []
+    inputs = 0
+    for queued in ordered[: state.held.batch_limit]:
+        inputs += len(queued.step.inputs)
+        if chosen and inputs > state.held.batch_inputs:
+            break
+        chosen.append(queued)
+    return tuple(chosen)
+
+
+def look_up(
+    queued: engine.QueuedStep,
+    state: engine.State,
+) -> engine.QueuedStep:
+    """Note how much of a prefill the prefix cache has."""
+    step = queued.step
+    if step.position or len(step.inputs) < prefix_cache.SHORTEST_PREFIX:
+        return queued
+    prefixes = prefix_cache.digest_prefixes(
+        step.model,
+        step.version,
+        step.adapter,
+        step.inputs,
+    )
+    return dataclasses.replace(
+        queued,
+        prefixes=prefixes,
+        cached=prefix_cache.count_cached(prefixes, state.cache),
+    )
+
+
+def iteration_seconds(
+    batch: tuple[engine.QueuedStep, ...],
+    state: engine.State,
+) -> float:
+    """Return how long an iteration takes."""
+    # The last input of a prefill runs even if its prefix is cached whole.
+    inputs = sum(
+        max(len(queued.step.inputs) - queued.cached, 1) for queued in batch
+    )
+    held = state.held
+    seconds = held.iteration_seconds + inputs * held.input_seconds
+    return seconds * state.faults.slowdown
+
+
+@engine.on_timer.register(IterationDone)
+def end_iteration(
+    timer: IterationDone,
+    event: events.TimerFired,
+    state: engine.State,
+) -> engine.Transition:
+    """Run the steps of the iteration, send the results, start the next one."""
+    if timer.number != state.iterations or not state.running:
+        return transitions.Transition(state)
+    if state.faults.frozen:
+        again = effects.SetTimer(timer, state.held.iteration_seconds)
+        return transitions.Transition(state, (again,))
+    poison = state.faults.poison
+    if poison and any(poison in one.step.inputs for one in state.running):
+        return engine_faults.die(state)
+    batch = state.running
+    transition: engine.Transition = transitions.Transition(
+        dataclasses.replace(state, running=()),
+    )
+    for queued in batch:
+        transition = transition.then(
+            functools.partial(run_queued, queued, event),
+        )
+    return transition.then(answer_calls).then(start_iteration)
+
+
+def run_queued(
+    queued: engine.QueuedStep,
+    event: events.Event,
+    state: engine.State,
+) -> engine.Transition:
+    """Run one step of the iteration and hand its result to its target."""
+    if queued.cancelled:
+        step = queued.step
+        closed = calls.StepResult(step.session, step.position, error='closed')
+        return take_result(queued.target, closed, state)
+    applied = engine.run_step(queued.step, state)
+    state = applied.state
+    if queued.prefixes and not applied.outcome.error:
+        cache = prefix_cache.store(queued.prefixes, event.at, state.cache)
+        state = dataclasses.replace(state, cache=cache)
+    return take_result(queued.target, applied.outcome, state)
+
+
+@functools.singledispatch
+def take_result(
+    target: Any,
+    outcome: calls.StepResult,
+    state: engine.State,
+) -> engine.Transition:
+    """Hand the result of a step to its target."""
+    raise TypeError(type(target).__name__)
+
+
+@take_result.register(engine.CallTarget)
+def keep_result(
+    target: engine.CallTarget,
+    outcome: calls.StepResult,
+    state: engine.State,
+) -> engine.Transition:
+    """Keep a result until its call is complete."""
+    call = state.pending[target.request_id]
+    call = dataclasses.replace(
+        call,
+        results=call.results.set(target.index, outcome),
+    )
+    pending = state.pending.set(target.request_id, call)
+    return transitions.Transition(dataclasses.replace(state, pending=pending))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """Pair a call with all its results in order."""
+
+    request_id: str
+    results: calls.StepsRun
+
+
+def answer_calls(state: engine.State) -> engine.Transition:
+    """Answer the calls whose steps have all run."""
+    completed = tuple(
+        Completed(
+            request_id,
+            calls.StepsRun(
+                tuple(call.results[index] for index in range(call.count)),
+            ),
+        )
+        for request_id, call in sorted(state.pending.items())
+        if len(call.results) == call.count
+    )
+    if not completed:
+        return transitions.Transition(state)
+    pending = state.pending
+    for one in completed:
+        pending = pending.delete(one.request_id)
+    state = dataclasses.replace(state, pending=pending)
+    if state.faults.crossed_answers:
+        completed = cross(completed)
+        state = engine_faults.use_up('crossed_answers', state)
+    transition: engine.Transition = transitions.Transition(state)
+    for one in completed:
+        transition = transition.then(
+            functools.partial(
+                engine_faults.deliver,
+                one.request_id,
+                one.results,
+            ),
+        )
+    return transition
+
+
+def cross(completed: tuple[Completed, ...]) -> tuple[Completed, ...]:
+    """Give the results of each call to another, or reverse a single one."""
+    if len(completed) == 1:
+        only = completed[0]
+        crossed = calls.StepsRun(tuple(reversed(only.results.results)))
+        return (Completed(only.request_id, crossed),)
+    shifted = completed[1:] + completed[:1]
+    return tuple(
+        Completed(one.request_id, other.results)
+        for one, other in zip(completed, shifted, strict=True)
+    )
+
+
+@engine.on_timer.register(engine_faults.Thawed)
+def go_on(
+    timer: engine_faults.Thawed,
+    event: events.TimerFired,
+    state: engine.State,
+) -> engine.Transition:
+    """Start the next iteration, which a freeze may have prevented."""
+    return start_iteration(state)
--- a/standins/engine_codec.py
+++ b/standins/engine_codec.py
@@ -1,26 +1,99 @@
-"""Decode requests to the stand-in of a model engine."""
+"""Decode requests to the stand-in of a model engine, and encode its calls."""
 
+import types
 from typing import Any
 from urllib import parse
 
+import msgspec
+
 from mustardvale.internal import calls
 from mustardvale.internal.edge import wire
-from standins import engine, json_codec
+from standins import (
+    engine,
+    engine_orders,
+    engine_reports,
+    engine_sessions,
+    engine_streams,
+    json_codec,
+    prefix_cache,
+    weight_store,
+)
+
+OK = 200
 
 encode_reply = json_codec.encode_reply
 encode_part = json_codec.encode_part
 encode_error = json_codec.encode_error
 
+BODIES = types.MappingProxyType(
+    {
+        ('POST', '/v1/steps'): calls.RunSteps,
+        ('POST', '/v1/orders'): engine_orders.Order,
+        ('POST', '/v1/streams'): engine_streams.StartStream,
+        ('POST', '/faults'): engine.Faults,
+    }
+)
+
 
 def decode_request(raw: wire.RawRequest) -> Any:
     """Decode a request, or raise `wire.DecodeError`."""
-    if raw.method == 'POST' and raw.path == '/v1/steps':
-        return json_codec.decode_body(raw, calls.RunSteps)
-    if raw.method == 'GET' and raw.path == '/v1/load':
+    kind = BODIES.get((raw.method, raw.path))
+    if kind is not None:
+        return json_codec.decode_body(raw, kind)
+    if raw.path.startswith('/v1/sessions/'):
+        return decode_session(raw)
+    if raw.method == 'GET':
+        return decode_get(raw)
+    raise json_codec.unknown(raw)
+
+
+def decode_get(raw: wire.RawRequest) -> Any:
+    """Decode a request that reads."""
+    query = dict(parse.parse_qsl(raw.query))
+    if raw.path == '/v1/load':
         return calls.ReadLoad()
-    if raw.method == 'POST' and raw.path == '/faults':
-        return json_codec.decode_body(raw, engine.Faults)
-    if raw.method == 'DELETE' and raw.path.startswith('/v1/sessions/'):
-        session = raw.path.removeprefix('/v1/sessions/')
-        return calls.CloseSession(parse.unquote(session))
+    if raw.path == '/audit':
+        return engine_reports.AuditWanted(query.get('spans') == 'true')
+    if raw.path == '/v1/cache-events':
+        text = query.get('from', '')
+        first = int(text) if text.isdecimal() else None
+        return prefix_cache.ReadCacheEvents(first)
     raise json_codec.unknown(raw)
+
+
+def decode_session(raw: wire.RawRequest) -> Any:
+    """Decode a request about one session."""
+    name, _, action = raw.path.removeprefix('/v1/sessions/').partition('/')
+    session = parse.unquote(name)
+    if (raw.method, action) == ('DELETE', ''):
+        return calls.CloseSession(session)
+    if (raw.method, action) == ('POST', 'export'):
+        return engine_sessions.ExportSession(session)
+    if (raw.method, action) == ('POST', 'import'):
+        copy = json_codec.decode_body(raw, engine_sessions.SessionCopy)
+        return engine_sessions.ImportSession(session, copy)
+    raise json_codec.unknown(raw)
+
+
+def encode_call(call: engine_orders.WeightsWanted) -> wire.RawCall:
+    """Encode a question to the weight store for a lease."""
+    asked = weight_store.AskLease(call.instance_id, call.units)
+    return wire.RawCall('POST', '/v1/leases', msgspec.json.encode(asked))
+
+
+def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+    """Decode a lease, or a refusal that says when to ask again."""
+    try:
+        if raw.status == OK:
+            return msgspec.json.decode(
+                raw.body,
+                type=weight_store.LeaseGranted,
+            )
+        return msgspec.json.decode(raw.body, type=weight_store.LeaseRefused)
+    except msgspec.DecodeError:
+        return weight_store.LeaseRefused(engine_orders.LEASE_RETRY_SECONDS)
+
+
+def decode_part(call: Any, line: bytes) -> Any:
+    """Decode a line of a streamed answer; no call of an engine streams."""
+    raise TypeError(f'{type(call).__name__} is not streamed')
--- a/standins/engine_main.py
+++ b/standins/engine_main.py
@@ -1,24 +1,74 @@
-"""Run the stand-in of a model engine."""
+"""Run stand-ins of model engines: one by flags, or several by a file."""
+
+import dataclasses
+import pathlib
+from typing import Any
 
 import fire
+import msgspec
+
+from mustardvale.internal.edge import http_client, logs, metrics, performer
+from standins import engine, engine_codec, engine_group, servers
+
+MILLISECONDS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Describe an engine and its `host:port`."""
+
+    address: str
+    held: engine.Held
+
 
-from standins import engine, engine_codec, processes
+def run(settings: tuple[EngineSettings, ...]) -> None:
+    """Serve engines until the process is stopped."""
+    logs.configure('INFO', '+'.join(one.held.instance_id for one in settings))
+    loop = servers.EngineRuntime(
+        engine_group.reduce,
+        engine_group.build_state(tuple(one.held for one in settings)),
+        performer.perform,
+        metrics.Metrics(),
+    )
+    for one in settings:
+        loop.group.add(one.held.instance_id, one.address, loop)
+    loop.client = http_client.HttpClient(
+        engine_codec,
+        loop.poller,
+        loop.occur,
+    ).register(loop)
+    loop.run()
+
+
+def serve_file(path: str) -> None:
+    """Serve the engines that a file lists as JSON (`EngineSettings`)."""
+    text = pathlib.Path(path).read_bytes()
+    run(msgspec.json.decode(text, type=tuple[EngineSettings, ...]))
 
 
 def serve(
-    address: str,
-    instance_id: str,
-    model: str,
-    version: str,
-    layers: int,
-    first_layer: int,
-    end_layer: int,
+    address: str = '',
+    instance_id: str = '',
+    model: str = '',
+    version: str = '',
+    layers: int = 0,
+    first_layer: int = 0,
+    end_layer: int = 0,
     adapters: str = '',
     accelerator: str = 'standard',
     iteration_ms: float = 4,
     input_ms: float = 0.02,
+    settings_file: str = '',
+    **further: Any,
 ) -> None:
-    """Serve layers `first_layer` up to `end_layer` at `host:port`."""
+    """Serve layers `first_layer` up to `end_layer` at `host:port`.
+
+    `--settings_file` names a JSON list of `EngineSettings` to serve instead.
+    Further flags are the other fields of `engine.Held`.
+    """
+    if settings_file:
+        serve_file(settings_file)
+        return
     held = engine.Held(
         instance_id=str(instance_id),
         accelerator=accelerator,
@@ -28,16 +78,11 @@
         layers=layers,
         first_layer=first_layer,
         end_layer=end_layer,
-        iteration_seconds=iteration_ms / 1000,
-        input_seconds=input_ms / 1000,
-    )
-    processes.run(
-        held.instance_id,
-        address,
-        engine.reduce,
-        engine.State(held),
-        engine_codec,
+        iteration_seconds=iteration_ms / MILLISECONDS,
+        input_seconds=input_ms / MILLISECONDS,
+        **further,
     )
+    run((EngineSettings(address, held),))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/standins/engine_sessions.py
@@ -0,0 +1,162 @@
+"""Close, export and import the sessions of an engine stand-in."""
+
+import dataclasses
+
+from mustardvale.internal import calls, effects, events, transitions
+from standins import (
+    engine,
+    engine_batches,
+    engine_faults,
+    engine_streams,
+    json_codec,
+    step_audit,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExportSession:
+    """Ask for the KV cache of a session."""
+
+    session: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionCopy:
+    """Hold the KV cache of a session: a digest for each layer."""
+
+    model: str
+    version: str
+    adapter: str
+    first_layer: int
+    end_layer: int
+    position: int
+    digests: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ImportSession:
+    """Open a session with the KV cache of another engine."""
+
+    session: str
+    copy: SessionCopy
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ImportDue:
+    """Open a session whose copy has arrived."""
+
+    instance_id: str
+    request_id: str
+    wanted: ImportSession
+
+
+UNKNOWN_SESSION = json_codec.Refused(404, 'the session is not known')
+BUSY_SESSION = json_codec.Refused(409, 'a step of the session is in flight')
+OPEN_SESSION = json_codec.Refused(409, 'the session is open already')
+OTHER_LAYERS = json_codec.Refused(
+    409,
+    'the copy is of another model, version, adapter or layer range',
+)
+
+
+@engine.on_request.register(calls.CloseSession)
+def close_session(
+    wanted: calls.CloseSession,
+    event: events.CallerRequested,
+    state: engine.State,
+) -> engine.Transition:
+    """Free a session, cancel its steps and end its stream."""
+    session = wanted.session
+    state = engine_batches.cancel_steps(session, state)
+    if session in state.sessions:
+        sessions = state.sessions.delete(session)
+        state = dataclasses.replace(state, sessions=sessions)
+    return engine_streams.cancel(session, state).then(
+        lambda now: engine.answer(event.request_id, json_codec.Done(), now),
+    )
+
+
+def is_busy(session: str, state: engine.State) -> bool:
+    """Return whether a step of the session waits or runs."""
+    return any(
+        queued.step.session == session
+        for queued in state.waiting + state.running
+    )
+
+
+@engine.on_request.register(ExportSession)
+def export_session(
+    wanted: ExportSession,
+    event: events.CallerRequested,
+    state: engine.State,
+) -> engine.Transition:
+    """Send a copy of a session after the time that copying takes."""
+    session = state.sessions.get(wanted.session)
+    if session is None:
+        return engine.answer(event.request_id, UNKNOWN_SESSION, state)
+    if is_busy(wanted.session, state):
+        return engine.answer(event.request_id, BUSY_SESSION, state)
+    held = state.held
+    copy = SessionCopy(
+        held.model,
+        held.version,
+        session.adapter,
+        held.first_layer,
+        held.end_layer,
+        session.position,
+        session.digests,
+    )
+    later = engine_faults.DeliverLater(
+        held.instance_id,
+        event.request_id,
+        copy,
+    )
+    seconds = session.position * held.position_copy_seconds
+    return transitions.Transition(state, (effects.SetTimer(later, seconds),))
+
+
+@engine.on_request.register(ImportSession)
+def import_session(
+    wanted: ImportSession,
+    event: events.CallerRequested,
+    state: engine.State,
+) -> engine.Transition:
+    """Take a copy of a session after the time that copying takes."""
+    due = ImportDue(state.held.instance_id, event.request_id, wanted)
+    seconds = wanted.copy.position * state.held.position_copy_seconds
+    return transitions.Transition(state, (effects.SetTimer(due, seconds),))
+
+
+@engine.on_timer.register(ImportDue)
+def open_imported(
+    timer: ImportDue,
+    event: events.TimerFired,
+    state: engine.State,
+) -> engine.Transition:
+    """Open a session unless the engine holds something else."""
+    held = state.held
+    copy = timer.wanted.copy
+    if (copy.model, copy.version, copy.first_layer, copy.end_layer) != (
+        held.model,
+        held.version,
+        held.first_layer,
+        held.end_layer,
+    ) or (copy.adapter and copy.adapter not in held.adapters):
+        return engine.answer(timer.request_id, OTHER_LAYERS, state)
+    name = timer.wanted.session
+    if name in state.sessions:
+        return engine.answer(timer.request_id, OPEN_SESSION, state)
+    session = engine.Session(copy.position, copy.digests, copy.adapter)
+    span = step_audit.Span(
+        held.first_layer,
+        held.end_layer,
+        copy.position,
+        copy.position,
+        imported=True,
+    )
+    state = dataclasses.replace(
+        state,
+        sessions=state.sessions.set(name, session),
+        audit=step_audit.note(name, span, state.audit),
+    )
+    return engine_faults.deliver(timer.request_id, json_codec.Done(), state)
--- /dev/null
+++ b/standins/engine_streams.py
@@ -0,0 +1,290 @@
+"""Stream whole generations from an engine that holds all layers."""
+
+import dataclasses
+from typing import Any
+
+import immutables
+
+from mustardvale.internal import calls, effects, events, replies, transitions
+from standins import engine, engine_batches, json_codec
+
+# A stream whose caller has left can be resumed for this long.
+RESUME_SECONDS = 30.0
+
+NOT_WHOLE = json_codec.Refused(409, 'the engine does not hold all layers')
+OTHER_TOKENS = json_codec.Refused(
+    409,
+    'the delivered tokens are not those of the session',
+)
+IN_USE = json_codec.Refused(409, 'another caller has the stream')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartStream:
+    """Ask for a generation.
+
+    A known session goes on from the tokens that were delivered; an unknown one
+    is opened with the prompt and those tokens.
+    """
+
+    session: str
+    model: str
+    version: str
+    prompt: tuple[str, ...]
+    maximum_tokens: int
+    adapter: str = ''
+    delivered: tuple[str, ...] = ()
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamEnded:
+    """Mark the end of a whole stream."""
+
+    tokens: int
+    end: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamFailed:
+    """End a stream with an error."""
+
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamExpired:
+    """Close a stream that nobody resumed."""
+
+    instance_id: str
+    session: str
+
+
+@engine.on_request.register(StartStream)
+def start_stream(
+    wanted: StartStream,
+    event: events.CallerRequested,
+    state: engine.State,
+) -> engine.Transition:
+    """Start a stream, or resume one."""
+    held = state.held
+    if held.first_layer or held.end_layer != held.layers:
+        return engine.answer(event.request_id, NOT_WHOLE, state)
+    known = state.streams.get(wanted.session)
+    if known is not None:
+        return resume(wanted, known, event, state)
+    if state.faults.refuse:
+        return engine.answer(event.request_id, engine_batches.REFUSED, state)
+    if state.faults.leaving:
+        return engine.answer(event.request_id, engine_batches.LEAVING, state)
+    stream = engine.Stream(
+        request_id=event.request_id,
+        template=calls.Step(
+            wanted.session,
+            wanted.model,
+            wanted.version,
+            wanted.adapter,
+            0,
+            (),
+            wanted.priority,
+        ),
+        prompt=wanted.prompt,
+        tokens=wanted.delivered,
+        maximum_tokens=wanted.maximum_tokens,
+        sent=len(wanted.delivered),
+    )
+    return send_on(stream, state)
+
+
+def resume(
+    wanted: StartStream,
+    known: engine.Stream,
+    event: events.CallerRequested,
+    state: engine.State,
+) -> engine.Transition:
+    """Go on with a stream from the tokens that its caller has."""
+    if known.request_id:
+        return engine.answer(event.request_id, IN_USE, state)
+    count = len(wanted.delivered)
+    same = (wanted.prompt, wanted.delivered) == (
+        known.prompt,
+        known.tokens[:count],
+    )
+    if not same:
+        return engine.answer(event.request_id, OTHER_TOKENS, state)
+    stream = dataclasses.replace(
+        known,
+        request_id=event.request_id,
+        maximum_tokens=wanted.maximum_tokens,
+        sent=count,
+        blocked=False,
+    )
+    timer = StreamExpired(state.held.instance_id, wanted.session)
+    return send_on(stream, state).with_effects(effects.CancelTimer(timer))
+
+
+def send_on(stream: engine.Stream, state: engine.State) -> engine.Transition:
+    """Send the tokens that the caller lacks, then end or run the next step."""
+    parts = tuple(
+        effects.StreamPart(
+            stream.request_id,
+            replies.TokenPart(index, stream.tokens[index]),
+        )
+        for index in range(stream.sent, len(stream.tokens))
+    )
+    stream = dataclasses.replace(stream, sent=len(stream.tokens))
+    if len(stream.tokens) >= stream.maximum_tokens:
+        return end(stream, StreamEnded(len(stream.tokens)), parts, state)
+    if stream.queued or stream.blocked:
+        return transitions.Transition(with_stream(stream, state), parts)
+    step = next_step(stream, state)
+    stream = dataclasses.replace(stream, queued=True)
+    target = engine.StreamTarget(step.session)
+    queued = engine_batches.enqueue(target, step, with_stream(stream, state))
+    started = engine_batches.start_iteration(queued)
+    return transitions.Transition(started.state, parts + started.effects)
+
+
+def next_step(stream: engine.Stream, state: engine.State) -> calls.Step:
+    """Build the step that runs all inputs that have not run yet."""
+    session = state.sessions.get(stream.template.session)
+    position = session.position if session else 0
+    inputs = stream.prompt + stream.tokens
+    return dataclasses.replace(
+        stream.template,
+        position=position,
+        inputs=inputs[position:],
+    )
+
+
+def with_stream(stream: engine.Stream, state: engine.State) -> engine.State:
+    """Add or replace a stream."""
+    table = state.streams.set(stream.template.session, stream)
+    return dataclasses.replace(state, streams=table)
+
+
+def end(
+    stream: engine.Stream,
+    mark: Any,
+    parts: tuple[effects.Effect, ...],
+    state: engine.State,
+) -> engine.Transition:
+    """End a stream, if it has a caller, and free its session."""
+    session = stream.template.session
+    ended: tuple[effects.Effect, ...] = ()
+    if stream.request_id:
+        ended = (*parts, effects.StreamEnd(stream.request_id, mark))
+    return transitions.Transition(
+        dataclasses.replace(
+            state,
+            streams=without(session, state.streams),
+            sessions=without(session, state.sessions),
+        ),
+        ended,
+    )
+
+
+def without(
+    name: str,
+    table: immutables.Map[str, Any],
+) -> immutables.Map[str, Any]:
+    """Return a table without a name that may not be in it."""
+    return table.delete(name) if name in table else table
+
+
+@engine_batches.take_result.register(engine.StreamTarget)
+def take_token(
+    target: engine.StreamTarget,
+    outcome: calls.StepResult,
+    state: engine.State,
+) -> engine.Transition:
+    """Send a token to the stream, or keep it while the stream is paused."""
+    stream = state.streams.get(target.session)
+    if stream is None:
+        # The stream was cancelled while its step ran.
+        sessions = without(target.session, state.sessions)
+        return transitions.Transition(
+            dataclasses.replace(state, sessions=sessions),
+        )
+    if outcome.error:
+        return end(stream, StreamFailed(outcome.error), (), state)
+    stream = dataclasses.replace(
+        stream,
+        tokens=(*stream.tokens, *outcome.outputs),
+        queued=False,
+    )
+    if not stream.request_id:
+        return transitions.Transition(with_stream(stream, state))
+    return send_on(stream, state)
+
+
+def find_stream(request_id: str, state: engine.State) -> engine.Stream | None:
+    """Return the stream that a request started or resumed."""
+    return next(
+        (
+            stream
+            for stream in state.streams.values()
+            if stream.request_id == request_id
+        ),
+        None,
+    )
+
+
+@engine.reduce.register(events.CallerLeft)
+def pause(event: events.CallerLeft, state: engine.State) -> engine.Transition:
+    """Keep a stream for a while after its caller has left."""
+    stream = find_stream(event.request_id, state)
+    if stream is None:
+        return transitions.Transition(state)
+    stream = dataclasses.replace(stream, request_id='')
+    timer = StreamExpired(state.held.instance_id, stream.template.session)
+    return transitions.Transition(
+        with_stream(stream, state),
+        (effects.SetTimer(timer, RESUME_SECONDS),),
+    )
+
+
+@engine.reduce.register(events.CallerBlocked)
+def block(
+    event: events.CallerBlocked,
+    state: engine.State,
+) -> engine.Transition:
+    """Run no further step for a caller that reads too slowly."""
+    stream = find_stream(event.request_id, state)
+    if stream is None:
+        return transitions.Transition(state)
+    blocked = dataclasses.replace(stream, blocked=True)
+    return transitions.Transition(with_stream(blocked, state))
+
+
+@engine.reduce.register(events.CallerCaughtUp)
+def unblock(
+    event: events.CallerCaughtUp,
+    state: engine.State,
+) -> engine.Transition:
+    """Go on once a slow caller has read everything."""
+    stream = find_stream(event.request_id, state)
+    if stream is None:
+        return transitions.Transition(state)
+    return send_on(dataclasses.replace(stream, blocked=False), state)
+
+
+@engine.on_timer.register(StreamExpired)
+def expire(
+    timer: StreamExpired,
+    event: events.TimerFired,
+    state: engine.State,
+) -> engine.Transition:
+    """Free a stream that nobody resumed."""
+    stream = state.streams.get(timer.session)
+    if stream is None or stream.request_id:
+        return transitions.Transition(state)
+    return cancel(timer.session, state)
+
+
+def cancel(session: str, state: engine.State) -> engine.Transition:
+    """End the stream of a session, if it has one, and free the session."""
+    stream = state.streams.get(session)
+    if stream is None:
+        return transitions.Transition(state)
+    return end(stream, StreamFailed('cancelled'), (), state)
--- /dev/null
+++ b/standins/servers.py
@@ -0,0 +1,126 @@
+"""Serve several engine stand-ins from one process."""
+
+import secrets
+import socket
+from collections import abc
+from typing import Any
+
+from mustardvale.internal.edge import http_server, performer, runtime
+from standins import engine_faults, engine_group
+
+TOKEN_BYTES = 4
+
+
+class EngineServer(http_server.HttpServer):
+    """Serve one port on a circuits channel of its own."""
+
+    def __init__(
+        self,
+        bind: tuple[str, int],
+        codec: http_server.CallerCodec,
+        occur: abc.Callable[..., None],
+        id_prefix: str,
+    ) -> None:
+        super().__init__(bind, codec, occur, id_prefix)
+        # The channel is looked up whenever an event is handled, so that it can
+        # be changed until the first one.
+        for component in (self, self.tcp, self.http):
+            component.channel = id_prefix
+
+    def close_port(self) -> None:
+        """Close the port and all connections at once."""
+        sockets: list[socket.socket] = [self.tcp._sock, *self.tcp._clients]
+        for sock in sockets:
+            self.tcp._close(sock)
+
+    def open_port(self) -> None:
+        """Listen again at the same port."""
+        if self.tcp._sock is None:
+            self.tcp._sock = self.tcp._create_socket()
+            self.tcp._poller.addReader(self.tcp, self.tcp._sock)
+
+
+class ServerGroup:
+    """Send the answers of all engines through the server of each.
+
+    It has the methods of `http_server.HttpServer` that the runtime uses.
+    """
+
+    def __init__(self) -> None:
+        self.servers: dict[str, EngineServer] = {}
+
+    def add(
+        self,
+        instance_id: str,
+        address: str,
+        loop: runtime.Runtime,
+    ) -> None:
+        """Serve an engine at `host:port`."""
+        host, _, port = address.rpartition(':')
+        self.servers[instance_id] = EngineServer(
+            (host, int(port)),
+            engine_group.EngineCodec(instance_id),
+            loop.occur,
+            engine_group.build_prefix(
+                instance_id,
+                secrets.token_hex(TOKEN_BYTES),
+            ),
+        ).register(loop)
+
+    def server_of(self, request_id: str) -> EngineServer:
+        """Return the server that a request came to."""
+        return self.servers[engine_group.find_engine(request_id)]
+
+    def reply(self, request_id: str, reply: Any) -> None:
+        """Answer a request whole."""
+        self.server_of(request_id).reply(request_id, reply)
+
+    def fail_request(self, request_id: str) -> None:
+        """Answer a request that failed inside the reducer."""
+        self.server_of(request_id).fail_request(request_id)
+
+    def stream_part(self, request_id: str, part: Any) -> None:
+        """Send one part of a streamed answer."""
+        self.server_of(request_id).stream_part(request_id, part)
+
+    def end_stream(self, request_id: str, end: Any) -> None:
+        """Complete a streamed answer."""
+        self.server_of(request_id).end_stream(request_id, end)
+
+    def close_caller(self, request_id: str) -> None:
+        """Close the connection of a caller."""
+        self.server_of(request_id).close_caller(request_id)
+
+    def is_flushed(self) -> bool:
+        """Return whether no output is queued for any caller."""
+        return all(server.is_flushed() for server in self.servers.values())
+
+
+class EngineRuntime(runtime.Runtime):
+    """Run a group of engines with one server for each."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.group = ServerGroup()
+        # The group stands in for the single server that a runtime has.
+        self.server: Any = self.group
+
+
+@performer.perform.register(engine_faults.CloseServer)
+def close_server(
+    effect: engine_faults.CloseServer,
+    runtime: runtime.Runtime,  # noqa: WPS442
+) -> None:
+    """Close the port of an engine."""
+    assert isinstance(runtime, EngineRuntime), 'only engines die'
+    runtime.group.servers[effect.instance_id].close_port()
+
+
+@performer.perform.register(engine_faults.OpenServer)
+def open_server(
+    effect: engine_faults.OpenServer,
+    runtime: runtime.Runtime,  # noqa: WPS442
+) -> None:
+    """Open the port of an engine again."""
+    assert isinstance(runtime, EngineRuntime), 'only engines are revived'
+    runtime.group.servers[effect.instance_id].open_port()
--- /dev/null
+++ b/standins/step_audit.py
@@ -0,0 +1,178 @@
+"""Count how often each layer ran at each position of each session.
+
+Steps that follow each other are merged into spans, so that a session that runs
+as it should takes one span, however long it is.
+"""
+
+import collections
+import dataclasses
+import itertools
+from collections import abc
+
+import immutables
+
+MAXIMUM_SESSIONS = 50_000
+REPEATED = 'repeated'
+OUT_OF_ORDER = 'out_of_order'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """Say that layers ran once at positions `first` up to `end`, in order.
+
+    Layers are the half-open range `first_layer` to `end_layer`. `imported` is
+    true when the session got the positions before `first` from elsewhere.
+    """
+
+    first_layer: int
+    end_layer: int
+    first: int
+    end: int
+    imported: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Audit:
+    """Hold the spans of the latest sessions in the order in which they ran."""
+
+    spans: immutables.Map[str, tuple[Span, ...]] = immutables.Map()
+    order: tuple[str, ...] = ()
+    forgotten: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """Describe positions at which a layer ran `count` times, or too early.
+
+    `kind` is `repeated`, or `out_of_order` when the position did not follow
+    the last one that the layer ran.
+    """
+
+    session: str
+    kind: str
+    layer: int
+    first: int
+    end: int
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditPage:
+    """Hold the violations, and all spans if they were asked for."""
+
+    violations: tuple[Violation, ...]
+    sessions: int
+    forgotten: int
+    spans: dict[str, tuple[Span, ...]]
+
+
+def note(session: str, ran: Span, audit: Audit) -> Audit:
+    """Add a span to a session, merged with the last one if it follows it."""
+    known = audit.spans.get(session)
+    if known is None:
+        audit = make_room(audit)
+        return Audit(
+            audit.spans.set(session, (ran,)),
+            (*audit.order, session),
+            audit.forgotten,
+        )
+    last = known[-1]
+    follows = (last.first_layer, last.end_layer, last.end) == (
+        ran.first_layer,
+        ran.end_layer,
+        ran.first,
+    )
+    if follows and not ran.imported:
+        merged = dataclasses.replace(last, end=ran.end)
+        known = (*known[:-1], merged)
+    else:
+        known = (*known, ran)
+    return dataclasses.replace(audit, spans=audit.spans.set(session, known))
+
+
+def make_room(audit: Audit) -> Audit:
+    """Forget the older half of the sessions once there are too many."""
+    if len(audit.order) < MAXIMUM_SESSIONS:
+        return audit
+    half = MAXIMUM_SESSIONS // 2
+    kept = audit.order[half:]
+    return Audit(
+        immutables.Map({name: audit.spans[name] for name in kept}),
+        kept,
+        audit.forgotten + half,
+    )
+
+
+def find_violations(
+    session: str,
+    spans: abc.Iterable[Span],
+) -> tuple[Violation, ...]:
+    """Return where a layer ran more than once or out of order."""
+    by_layer: dict[int, list[Span]] = collections.defaultdict(list)
+    for span in spans:
+        for layer in range(span.first_layer, span.end_layer):
+            by_layer[layer].append(span)
+    return tuple(
+        itertools.chain.from_iterable(
+            (
+                *find_repeats(session, layer, ran),
+                *find_disorder(session, layer, ran),
+            )
+            for layer, ran in sorted(by_layer.items())
+        )
+    )
+
+
+def find_repeats(
+    session: str,
+    layer: int,
+    spans: list[Span],
+) -> tuple[Violation, ...]:
+    """Return the positions that one layer ran more than once."""
+    if len(spans) == 1:
+        return ()
+    bounds = sorted(
+        {span.first for span in spans} | {span.end for span in spans}
+    )
+    found: list[Violation] = []
+    for first, end in itertools.pairwise(bounds):
+        count = sum(span.first <= first < span.end for span in spans)
+        if count > 1:
+            found.append(
+                Violation(session, REPEATED, layer, first, end, count),
+            )
+    return tuple(found)
+
+
+def find_disorder(
+    session: str,
+    layer: int,
+    spans: list[Span],
+) -> tuple[Violation, ...]:
+    """Return the spans of one layer that did not follow the one before."""
+    found: list[Violation] = []
+    expected = 0
+    for span in spans:
+        if span.first != expected and not span.imported:
+            found.append(
+                Violation(
+                    session, OUT_OF_ORDER, layer, span.first, span.end, 1
+                ),
+            )
+        expected = span.end
+    return tuple(found)
+
+
+def build_page(audit: Audit, *, with_spans: bool) -> AuditPage:
+    """Return the violations of all sessions that are not forgotten."""
+    return AuditPage(
+        tuple(
+            itertools.chain.from_iterable(
+                find_violations(session, spans)
+                for session, spans in audit.spans.items()
+            )
+        ),
+        len(audit.order),
+        audit.forgotten,
+        dict(audit.spans) if with_spans else {},
+    )
--- /dev/null
+++ b/tests/engine_cases.py
@@ -0,0 +1,70 @@
+"""Build engine stand-ins and steps for tests."""
+
+import dataclasses
+from typing import Any
+
+from mustardvale.internal import calls
+from standins import engine, engine_handlers
+from tests import reducer_driver
+
+ITERATION_SECONDS = 0.01
+
+HELD = engine.Held(
+    instance_id='runner-0',
+    accelerator='standard',
+    model='affinage',
+    version='3',
+    adapters=('rind',),
+    layers=4,
+    first_layer=0,
+    end_layer=4,
+    iteration_seconds=ITERATION_SECONDS,
+    input_seconds=0.001,
+)
+
+
+def build_driver(**fields: Any) -> reducer_driver.Driver:
+    """Return an engine that has no sessions yet."""
+    held = dataclasses.replace(HELD, **fields)
+    state = engine.State(held, cache=engine.build_cache(held))
+    return reducer_driver.Driver(engine_handlers.reduce, state)
+
+
+def build_step(
+    session: str,
+    position: int = 0,
+    inputs: tuple[str, ...] = ('a',),
+    **fields: Any,
+) -> calls.Step:
+    """Return a step of the model that the engines hold."""
+    return calls.Step(
+        session,
+        'affinage',
+        '3',
+        fields.pop('adapter', ''),
+        position,
+        inputs,
+        **fields,
+    )
+
+
+def ask_steps(
+    driver: reducer_driver.Driver,
+    request_id: str,
+    *steps: calls.Step,
+) -> None:
+    """Send steps without waiting for their results."""
+    driver.ask(request_id, calls.RunSteps(steps))
+
+
+def run_steps(
+    driver: reducer_driver.Driver,
+    request_id: str,
+    *steps: calls.Step,
+    seconds: float = 1,
+) -> tuple[calls.StepResult, ...]:
+    """Send steps and return their results."""
+    ask_steps(driver, request_id, *steps)
+    driver.pass_time(seconds)
+    results: tuple[calls.StepResult, ...] = driver.replies[request_id].results
+    return results
--- /dev/null
+++ b/tests/reducer_driver.py
@@ -0,0 +1,77 @@
+"""Drive a reducer without sockets, with a clock of its own."""
+
+import heapq
+import itertools
+from typing import Any
+
+from mustardvale.internal import effects, events
+
+
+class Driver:
+    """Feed events to a reducer, and keep its answers and timers."""
+
+    def __init__(self, reduce: Any, state: Any) -> None:
+        self.reduce = reduce
+        self.state = state
+        self.now = 1000.0
+        self.sequence = itertools.count()
+        self.heap: list[tuple[float, int, Any]] = []
+        self.current: dict[Any, int] = {}
+        self.replies: dict[str, Any] = {}
+        self.closed: list[str] = []
+        self.parts: dict[str, list[Any]] = {}
+        self.ends: dict[str, Any] = {}
+        self.calls: list[effects.Call] = []
+        self.others: list[effects.Effect] = []
+
+    def occur(self, kind: type[events.Event], **fields: Any) -> None:
+        """Reduce an event that happens now."""
+        event = kind(at=self.now, wall=self.now, **fields)
+        transition = self.reduce(event, self.state)
+        self.state = transition.state
+        for effect in transition.effects:
+            self.keep(effect)
+
+    def keep(self, effect: effects.Effect) -> None:
+        """Keep what an effect asks for."""
+        match effect:
+            case effects.SetTimer(timer, delay):
+                number = next(self.sequence)
+                self.current[timer] = number
+                heapq.heappush(self.heap, (self.now + delay, number, timer))
+            case effects.CancelTimer(timer):
+                self.current.pop(timer, None)
+            case effects.Reply(request_id, reply):
+                assert request_id not in self.replies, 'a second answer'
+                self.replies[request_id] = reply
+            case effects.CloseCaller(request_id):
+                self.closed.append(request_id)
+            case effects.StreamPart(request_id, part):
+                self.parts.setdefault(request_id, []).append(part)
+            case effects.StreamEnd(request_id, end):
+                self.ends[request_id] = end
+            case effects.Call():
+                self.calls.append(effect)
+            case _:
+                self.others.append(effect)
+
+    def ask(self, request_id: str, wanted: Any) -> Any:
+        """Send a request and return its answer if it came at once."""
+        self.occur(
+            events.CallerRequested,
+            request_id=request_id,
+            wanted=wanted,
+        )
+        return self.replies.get(request_id)
+
+    def pass_time(self, seconds: float) -> None:
+        """Fire the timers of the next seconds in order."""
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            due, number, timer = heapq.heappop(self.heap)
+            if self.current.get(timer) != number:
+                continue
+            del self.current[timer]
+            self.now = max(self.now, due)
+            self.occur(events.TimerFired, timer=timer)
+        self.now = end
--- /dev/null
+++ b/tests/test_standins_cache.py
@@ -0,0 +1,140 @@
+"""Guard the prefix cache of the engine stand-in and its events."""
+
+import dataclasses
+import hashlib
+import unittest
+
+from standins import prefix_cache
+from tests import engine_cases
+
+INPUTS = tuple(f't{number}' for number in range(40))
+
+
+def digests(*names: str) -> tuple[str, ...]:
+    """Return digests of the given names."""
+    return tuple(names)
+
+
+def whole(cache: prefix_cache.Cache) -> set[str]:
+    """Return the digests of the whole published set."""
+    read = prefix_cache.read_events(prefix_cache.ReadCacheEvents(None), cache)
+    return {digest for event in read.events for digest in event.added}
+
+
+class Digests(unittest.TestCase):
+    """Digests are those that the documentation states."""
+
+    def test_lengths_and_separators(self) -> None:
+        """Guard against digests that readers cannot compute."""
+        found = prefix_cache.digest_prefixes('m', '3', '', INPUTS)
+        self.assertEqual(len(found), 2)
+        text = '\x1f'.join(('m', '3', '', *INPUTS[:16])) + '\x1f'
+        expected = hashlib.blake2b(text.encode(), digest_size=16)
+        self.assertEqual(found[0], expected.hexdigest())
+
+
+class CachedPrefill(unittest.TestCase):
+    """A cached prefix makes a prefill faster and changes nothing else."""
+
+    def prefill(self, driver, session: str) -> float:
+        """Run a prefill and return how long it took."""
+        begun = driver.now
+        step = engine_cases.build_step(session, inputs=INPUTS)
+        engine_cases.ask_steps(driver, session, step)
+        while session not in driver.replies:
+            driver.pass_time(0.001)
+        return driver.now - begun
+
+    def test_second_prefill_is_faster(self) -> None:
+        """Guard against a cache that saves nothing or changes tokens."""
+        driver = engine_cases.build_driver()
+        first = self.prefill(driver, 's')
+        second = self.prefill(driver, 't')
+        self.assertAlmostEqual(first - second, 0.032, delta=0.0015)
+        outputs = [driver.replies[name].results[0].outputs for name in 'st']
+        self.assertEqual(outputs[0], outputs[1])
+
+    def test_no_cache(self) -> None:
+        """Guard against a cache that ignores its limit."""
+        driver = engine_cases.build_driver(cache_positions=0)
+        first = self.prefill(driver, 's')
+        self.assertAlmostEqual(first, self.prefill(driver, 't'), delta=0.0015)
+
+
+class Eviction(unittest.TestCase):
+    """The least recently used prefixes leave a full cache."""
+
+    def test_order(self) -> None:
+        """Guard against evicting what was just used."""
+        cache = prefix_cache.Cache(positions_limit=48)
+        for number, names in enumerate(
+            (('a',), ('b',), ('c',), ('a',), ('d',))
+        ):
+            cache = prefix_cache.store(digests(*names), number, cache)
+        self.assertEqual(set(cache.entries), {'c', 'a', 'd'})
+        self.assertEqual(cache.positions, 48)
+
+    def test_long_prefix_goes_first(self) -> None:
+        """Guard against keeping a long prefix without its beginning."""
+        cache = prefix_cache.Cache(positions_limit=32)
+        cache = prefix_cache.store(digests('a16', 'a32', 'a64'), 0, cache)
+        self.assertEqual(set(cache.entries), {'a16', 'a32'})
+
+
+class CacheEvents(unittest.TestCase):
+    """Events come late and with gaps that their numbers show."""
+
+    def build(self, **fields) -> prefix_cache.Cache:
+        """Store five prefixes at the seconds 0 to 4."""
+        cache = prefix_cache.Cache(positions_limit=1000, **fields)
+        for number in range(5):
+            cache = prefix_cache.store(digests(f'd{number}'), number, cache)
+        return cache
+
+    def read(self, cache, first: int) -> tuple[list[int], int]:
+        """Return the sequence numbers that a read gives, and the next one."""
+        read = prefix_cache.read_events(
+            prefix_cache.ReadCacheEvents(first), cache
+        )
+        return [event.sequence for event in read.events], read.next
+
+    def test_delay(self) -> None:
+        """Guard against events that come before their time."""
+        cache = self.build(event_delay_seconds=2)
+        cache = prefix_cache.publish(4.5, cache)
+        self.assertEqual(self.read(cache, 0), ([0, 1, 2], 3))
+        self.assertEqual(whole(cache), {'d0', 'd1', 'd2'})
+
+    def test_gap(self) -> None:
+        """Guard against a lost event that no reader can notice."""
+        cache = prefix_cache.publish(9, self.build(event_loss=2))
+        self.assertEqual(self.read(cache, 0), ([0, 2, 4], 5))
+        self.assertEqual(whole(cache), {f'd{number}' for number in range(5)})
+
+    def test_old_events_are_dropped(self) -> None:
+        """Guard against a log that grows without limit."""
+        cache = prefix_cache.Cache(positions_limit=10**6)
+        for number in range(3 * prefix_cache.EVENTS_KEPT):
+            cache = prefix_cache.store(digests(f'd{number}'), number, cache)
+        self.assertLessEqual(len(cache.log), 2 * prefix_cache.EVENTS_KEPT)
+        cache = prefix_cache.publish(10**6, cache)
+        found, following = self.read(cache, 0)
+        self.assertEqual(found[0], 2 * prefix_cache.EVENTS_KEPT)
+        self.assertEqual(following, 3 * prefix_cache.EVENTS_KEPT)
+
+    def test_death_empties_the_cache(self) -> None:
+        """Guard against prefixes that outlive their engine."""
+        driver = engine_cases.build_driver(cache_event_delay_seconds=0)
+        step = engine_cases.build_step('s', inputs=INPUTS)
+        engine_cases.run_steps(driver, 'r0', step)
+        wanted = prefix_cache.ReadCacheEvents(None)
+        held = driver.ask('before', wanted).events[0].added
+        self.assertEqual(len(held), 2)
+        faults = dataclasses.replace(
+            driver.state.faults,
+            die=True,
+            restart_seconds=1,
+        )
+        driver.ask('faults', faults)
+        driver.pass_time(2)
+        self.assertEqual(driver.ask('after', wanted).events[0].added, ())
--- /dev/null
+++ b/tests/test_standins_processes.py
@@ -0,0 +1,112 @@
+"""Guard the engine stand-ins as processes with several ports."""
+
+import pathlib
+import tempfile
+import unittest
+from typing import ClassVar
+
+import msgspec
+
+from bench import processes
+from standins import engine_main
+from tests import engine_cases
+
+START_SECONDS = 20
+
+
+class EnginesInOneProcess(unittest.TestCase):
+    """Engines that share a process do not disturb each other."""
+
+    process: ClassVar[processes.Process]
+    addresses: ClassVar[tuple[str, ...]]
+    directory: ClassVar[tempfile.TemporaryDirectory[str]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start two engines in one process."""
+        cls.directory = tempfile.TemporaryDirectory()
+        path = pathlib.Path(cls.directory.name)
+        cls.addresses = processes.find_addresses(2)
+        settings = [
+            engine_main.EngineSettings(
+                address,
+                engine_cases.build_driver(
+                    instance_id=f'runner-{number}',
+                ).state.held,
+            )
+            for number, address in enumerate(cls.addresses)
+        ]
+        file = path / 'engines.json'
+        file.write_bytes(msgspec.json.encode(settings))
+        cls.process = processes.Process(
+            processes.ProcessSpec(
+                'engines',
+                'standins.engine_main',
+                cls.addresses[0],
+                (f'--settings_file={file}',),
+            ),
+            path,
+        )
+        cls.process.start()
+        for address in cls.addresses:
+            cls.wait_for(address)
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        """Stop the process."""
+        cls.process.stop(5)
+        cls.directory.cleanup()
+
+    @classmethod
+    def wait_for(cls, address: str) -> None:
+        """Wait until an engine answers."""
+        processes.wait_until(
+            lambda: processes.answers(address, '/v1/load', 200),
+            START_SECONDS,
+            f'answer of {address}, {cls.process.read_log()}',
+        )
+
+    def steps(self, address: str, session: str) -> dict:
+        """Run one step and return its result."""
+        step = msgspec.to_builtins(engine_cases.build_step(session))
+        answer = processes.request(
+            'POST', address, '/v1/steps', {'steps': [step]}
+        )
+        return answer.as_json()['results'][0]
+
+    def test_own_sessions(self) -> None:
+        """Guard against requests that reach the wrong engine."""
+        first, second = self.addresses
+        self.assertEqual(self.steps(first, 's')['error'], '')
+        self.assertEqual(self.steps(second, 's')['error'], '')
+        self.assertEqual(self.steps(first, 's')['error'], 'wrong_position')
+
+    def test_death_of_one(self) -> None:
+        """Guard against a death that closes the wrong port, or no port."""
+        first, second = self.addresses
+        faults = {'die': True, 'restart_seconds': 0.5}
+        processes.request('POST', first, '/faults', faults)
+        processes.wait_until(
+            lambda: not processes.answers(first, '/v1/load'),
+            5,
+            'end of the first engine',
+        )
+        self.assertTrue(processes.answers(second, '/v1/load', 200))
+        self.wait_for(first)
+        self.assertEqual(self.steps(first, 'after')['error'], '')
+
+    def test_stream_over_http(self) -> None:
+        """Guard against streams that are not lines with an end mark."""
+        wanted = {
+            'session': 'stream',
+            'model': 'affinage',
+            'version': '3',
+            'prompt': ['a'],
+            'maximum_tokens': 3,
+        }
+        answer = processes.request(
+            'POST', self.addresses[0], '/v1/streams', wanted
+        )
+        lines = [msgspec.json.decode(line) for line in answer.body.splitlines()]
+        self.assertEqual([line.get('index') for line in lines[:3]], [0, 1, 2])
+        self.assertEqual(lines[3], {'tokens': 3, 'end': True})
--- /dev/null
+++ b/tests/test_standins_streams.py
@@ -0,0 +1,98 @@
+"""Guard the streamed generations of the engine stand-in."""
+
+import dataclasses
+import unittest
+
+from mustardvale.internal import calls, events
+from standins import engine_streams, reference_model
+from tests import engine_cases
+
+PROMPT = ('how', 'old')
+EXPECTED = reference_model.answer('affinage', '3', '', 4, PROMPT, 6)
+WANTED = engine_streams.StartStream('s', 'affinage', '3', PROMPT, 6)
+
+
+def tokens_of(driver, request_id: str) -> tuple[str, ...]:
+    """Return the tokens that a request was sent."""
+    parts = driver.parts.get(request_id, [])
+    return tuple(part.token for part in parts)
+
+
+class Streams(unittest.TestCase):
+    """A stream gives each token once, also across callers that leave."""
+
+    def test_whole(self) -> None:
+        """Guard against tokens that differ from the reference model."""
+        driver = engine_cases.build_driver()
+        driver.ask('r0', WANTED)
+        driver.pass_time(1)
+        self.assertEqual(tokens_of(driver, 'r0'), EXPECTED)
+        self.assertEqual(driver.ends['r0'], engine_streams.StreamEnded(6))
+        self.assertFalse(driver.state.sessions)
+
+    def start_and_leave(self):
+        """Let the caller leave after a few tokens."""
+        driver = engine_cases.build_driver()
+        driver.ask('r0', WANTED)
+        driver.pass_time(0.03)
+        driver.occur(events.CallerLeft, request_id='r0')
+        return driver, tokens_of(driver, 'r0')
+
+    def test_resume(self) -> None:
+        """Guard against tokens that are lost or run again on a resume."""
+        driver, first = self.start_and_leave()
+        driver.pass_time(0.5)
+        # One token less arrived than was sent.
+        resumed = dataclasses.replace(WANTED, delivered=first[:-1])
+        driver.ask('r1', resumed)
+        driver.pass_time(1)
+        self.assertEqual(first[:-1] + tokens_of(driver, 'r1'), EXPECTED)
+        self.assertEqual(driver.parts['r1'][0].index, len(first) - 1)
+        self.assertEqual(driver.state.steps_run, 6)
+
+    def test_resume_after_expiry(self) -> None:
+        """Guard against a resume that needs the state of the engine."""
+        driver, first = self.start_and_leave()
+        driver.pass_time(engine_streams.RESUME_SECONDS + 1)
+        self.assertFalse(driver.state.sessions)
+        driver.ask('r1', dataclasses.replace(WANTED, delivered=first))
+        driver.pass_time(1)
+        self.assertEqual(first + tokens_of(driver, 'r1'), EXPECTED)
+
+    def test_other_tokens(self) -> None:
+        """Guard against a resume that mixes two answers."""
+        driver, _ = self.start_and_leave()
+        mixed = dataclasses.replace(WANTED, delivered=('w0',))
+        reply = driver.ask('r1', mixed)
+        self.assertEqual(reply, engine_streams.OTHER_TOKENS)
+
+    def test_cancel(self) -> None:
+        """Guard against a cancelled stream that goes on or leaks."""
+        driver = engine_cases.build_driver()
+        driver.ask('r0', WANTED)
+        driver.pass_time(0.03)
+        sent = tokens_of(driver, 'r0')
+        driver.ask('r1', calls.CloseSession('s'))
+        driver.pass_time(1)
+        self.assertEqual(tokens_of(driver, 'r0'), sent)
+        self.assertEqual(
+            driver.ends['r0'], engine_streams.StreamFailed('cancelled')
+        )
+        self.assertFalse(driver.state.sessions)
+
+    def test_slow_caller(self) -> None:
+        """Guard against steps that run ahead of a caller that is blocked."""
+        driver = engine_cases.build_driver()
+        driver.ask('r0', WANTED)
+        driver.pass_time(0.02)
+        driver.occur(events.CallerBlocked, request_id='r0')
+        driver.pass_time(1)
+        self.assertLess(driver.state.steps_run, 6)
+        driver.occur(events.CallerCaughtUp, request_id='r0')
+        driver.pass_time(1)
+        self.assertEqual(tokens_of(driver, 'r0'), EXPECTED)
+
+    def test_part_of_the_layers(self) -> None:
+        """Guard against streams from an engine that lacks layers."""
+        driver = engine_cases.build_driver(end_layer=2)
+        self.assertEqual(driver.ask('r0', WANTED), engine_streams.NOT_WHOLE)
