Keep the document in force across dropped records, outages and pauses

Cause: nothing in the log outlived its retention, a reader folded on behind dropped records, and an instance could not start while the log was down. A document for another environment is not applied. Conclusion: the checks of gap and as_of are what keeps an earlier document from coming back.

--- a/src/mustardvale/internal/configuration.py
+++ b/src/mustardvale/internal/configuration.py
@@ -24,16 +24,23 @@
 class ConfigurationState:
     """Hold the folded stream and the document that this instance applies.
 
-    `document` stays the last one that this release could read, so `applied`
-    may be behind `promoted.version`. `in_force_since` is a wall time.
+    `document` stays the last one that this release could read, so
+    `applied_version` may be behind `promoted.version`. `rejected_version` is
+    the last one that it could not read. `in_force_since` is a wall time.
+    `caught_up` is false while a later document is known to be possible.
+    `snapshot_at` and `snapshot_sent_at` are the monotonic times of the latest
+    snapshot in the log and of this instance's latest attempt to append one.
     """
 
     environment: str = ''
     promoted: promotions.Promoted = promotions.Promoted()
     document: documents.Document | None = None
     applied_version: int = 0
+    rejected_version: int = 0
     in_force_since: float = 0
     caught_up: bool = False
+    snapshot_at: float | None = None
+    snapshot_sent_at: float | None = None
 
 
 def follow_environment(
@@ -60,12 +67,57 @@
     configuration = dataclasses.replace(
         state.configuration,
         promoted=folded.promoted,
+        snapshot_at=find_snapshot_time(stored, event, state.configuration),
     )
     following = dataclasses.replace(state, configuration=configuration)
     count = effects.Count('promotions', (folded.verdict.value,))
     return apply_promoted(event, following).with_effects(count)
 
 
+def find_snapshot_time(
+    stored: records.StoredRecord,
+    event: events.CallAnswered,
+    configuration: ConfigurationState,
+) -> float | None:
+    """Return the monotonic time of the latest snapshot in the log."""
+    if not isinstance(stored.record, records.DocumentSnapshot):
+        return configuration.snapshot_at
+    age = max(event.wall - stored.appended_at, 0)
+    return max(event.at - age, configuration.snapshot_at or 0)
+
+
+@log_streams.on_gap.register(streams.EnvironmentStream)
+def note_gap(
+    stream: streams.EnvironmentStream,
+    earliest_offset: int,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Apply nothing more until a snapshot or copy covers dropped records."""
+    known = state.configuration.promoted
+    promoted = promotions.skip_to(earliest_offset, known)
+    if promoted == known:
+        return transitions.Transition(state)
+    configuration = dataclasses.replace(
+        state.configuration,
+        promoted=promoted,
+        caught_up=False,
+    )
+    return transitions.Transition(
+        dataclasses.replace(state, configuration=configuration),
+        (
+            effects.Count('configuration_gaps'),
+            effects.LogChange(
+                'the log dropped records that were not read',
+                (
+                    ('next_offset', known.next_offset),
+                    ('earliest_offset', earliest_offset),
+                ),
+            ),
+        ),
+    )
+
+
 def apply_promoted(
     event: events.Event,
     state: 'states.State',
@@ -73,12 +125,15 @@
     """Apply the document in force once its stream was read to the end."""
     configuration = state.configuration
     promoted = configuration.promoted
-    if not configuration.caught_up or (
-        promoted.version == configuration.applied_version
-    ):
+    if not configuration.caught_up or not promoted.anchored:
+        return transitions.Transition(state)
+    if promoted.version in {
+        configuration.applied_version,
+        configuration.rejected_version,
+    }:
         return transitions.Transition(state)
     try:
-        document = documents.parse(promoted.document)
+        document = parse_for(configuration.environment, promoted.document)
     except errors.DocumentError as error:
         return reject_promoted(error, state)
     assert promoted.version > configuration.applied_version, (
@@ -102,13 +157,33 @@
     )
 
 
+def parse_for(environment: str, text: str) -> documents.Document:
+    """Parse a document that was promoted to an environment.
+
+    Raises `errors.DocumentError`, also when it is for another environment.
+    """
+    document = documents.parse(text)
+    if document.environment == environment:
+        return document
+    raise errors.DocumentError(
+        (
+            f'environment: {document.environment!r} was promoted to '
+            f'{environment!r}, use mustardvale promote',
+        )
+    )
+
+
 def reject_promoted(
     error: errors.DocumentError,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Keep the last document when this release cannot read the new one."""
+    configuration = dataclasses.replace(
+        state.configuration,
+        rejected_version=state.configuration.promoted.version,
+    )
     return transitions.Transition(
-        state,
+        dataclasses.replace(state, configuration=configuration),
         (
             effects.Count('documents_unreadable'),
             effects.LogChange(
--- /dev/null
+++ b/src/mustardvale/internal/document_copies.py
@@ -0,0 +1,152 @@
+"""Exchange the document in force with other entry instances.
+
+A copy serves an instance that starts while the log is down, or that missed
+records which the log has dropped.
+"""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from mustardvale.internal import (
+    configuration,
+    effects,
+    events,
+    membership,
+    messages,
+    promotions,
+    reducer,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+# Two periods of the heartbeat, so that every live peer was heard before the
+# one with the latest document is chosen.
+SETTLE_SECONDS = 2 * membership.HEARTBEAT_PERIOD_SECONDS
+PERIOD_SECONDS = 0.5
+
+
+@reducer.on_timer.register(timers.CopyDue)
+def compare(
+    timer: timers.CopyDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask the peer with the latest document if this instance needs it."""
+    again = effects.SetTimer(timer, PERIOD_SECONDS)
+    heartbeat = find_latest(event.at, state)
+    if heartbeat is None or not is_wanted(heartbeat, state):
+        return transitions.Transition(state, (again,))
+    question = messages.DocumentWanted(
+        state.configuration.environment,
+        state.identity.peer_address,
+    )
+    send = effects.SendToPeer(heartbeat.peer_address, question)
+    return transitions.Transition(state, (send, again))
+
+
+def find_latest(
+    now: float,
+    state: 'states.State',
+) -> messages.Heartbeat | None:
+    """Return the latest heartbeat of the peer with the latest document."""
+    heartbeats = (
+        peer.heartbeat
+        for peer in state.membership.peers.values()
+        if now - peer.heard_at < membership.SUSPECT_SECONDS
+    )
+    return max(
+        (
+            heartbeat
+            for heartbeat in heartbeats
+            if heartbeat is not None
+            and heartbeat.environment == state.configuration.environment
+            and heartbeat.document_version > 0
+        ),
+        key=lambda heartbeat: (
+            heartbeat.document_offset,
+            heartbeat.instance_id,
+        ),
+        default=None,
+    )
+
+
+def is_wanted(
+    heartbeat: messages.Heartbeat,
+    state: 'states.State',
+) -> bool:
+    """Return whether a peer's document would help this instance."""
+    current = state.configuration
+    if heartbeat.document_offset > current.promoted.offset:
+        return True
+    return not current.promoted.anchored or needs_resume(state)
+
+
+def needs_resume(state: 'states.State') -> bool:
+    """Return whether the log is down before it was read to its end."""
+    return not state.log.available and not state.configuration.caught_up
+
+
+@reducer.on_peer_message.register(messages.DocumentWanted)
+def answer_wanted(
+    message: messages.DocumentWanted,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send a copy unless dropped records leave open what is in force."""
+    current = state.configuration
+    promoted = current.promoted
+    if (
+        message.environment != current.environment
+        or not current.caught_up
+        or not promoted.anchored
+    ):
+        return transitions.Transition(state)
+    copy = messages.DocumentCopy(
+        environment=current.environment,
+        version=promoted.version,
+        offset=promoted.offset,
+        as_of=promoted.as_of,
+        document=promoted.document,
+        operator=promoted.operator,
+    )
+    return transitions.Transition(
+        state,
+        (
+            effects.SendToPeer(message.reply_to, copy),
+            effects.Count('document_copies', ('sent',)),
+        ),
+    )
+
+
+@reducer.on_peer_message.register(messages.DocumentCopy)
+def take_copy(
+    message: messages.DocumentCopy,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Adopt a copy, and apply it if the log cannot be read."""
+    current = state.configuration
+    if message.environment != current.environment:
+        return transitions.Transition(state)
+    candidate = promotions.Promoted(
+        version=message.version,
+        offset=message.offset,
+        document=message.document,
+        as_of=message.as_of,
+        operator=message.operator,
+    )
+    promoted = promotions.adopt(candidate, current.promoted)
+    use = 'ignored' if promoted == current.promoted else 'adopted'
+    covered = promoted.anchored and promoted.as_of >= message.as_of
+    following = dataclasses.replace(
+        current,
+        promoted=promoted,
+        caught_up=current.caught_up or (covered and needs_resume(state)),
+    )
+    return configuration.apply_promoted(
+        event,
+        dataclasses.replace(state, configuration=following),
+    ).with_effects(effects.Count('document_copies', (use,)))
--- a/src/mustardvale/internal/edge/codec_peer.py
+++ b/src/mustardvale/internal/edge/codec_peer.py
@@ -1,6 +1,8 @@
 """Encode messages between entry instances (MessagePack)."""
 
+import functools
 import types
+import zlib
 from typing import Any
 
 import msgspec
@@ -8,6 +10,8 @@
 from mustardvale.internal import messages
 from mustardvale.internal.edge import peer_socket
 
+MAXIMUM_COPY_BYTES = 4 * 1024 * 1024
+
 KINDS: types.MappingProxyType[str, type[messages.PeerMessage]] = (
     types.MappingProxyType(
         {
@@ -33,12 +37,41 @@
     fields: msgspec.Raw
 
 
+@functools.singledispatch
+def encode_fields(message: Any) -> bytes:
+    """Encode the fields of a message."""
+    return msgspec.msgpack.encode(message)
+
+
+@encode_fields.register(messages.DocumentCopy)
+def encode_copy(message: messages.DocumentCopy) -> bytes:
+    """Encode and compress, because a document is long and repetitive."""
+    encoded = msgspec.msgpack.encode(message)
+    return msgspec.msgpack.encode(zlib.compress(encoded))
+
+
+def decode_fields(kind: type[Any], fields: bytes) -> Any:
+    """Decode the fields of a message."""
+    if kind is not messages.DocumentCopy:
+        return msgspec.msgpack.decode(fields, type=kind)
+    encoded = decompress(msgspec.msgpack.decode(fields, type=bytes))
+    return msgspec.msgpack.decode(encoded, type=kind)
+
+
+def decompress(compressed: bytes) -> bytes:
+    """Decompress up to a limit, so that no small frame fills the memory."""
+    try:
+        return zlib.decompressobj().decompress(compressed, MAXIMUM_COPY_BYTES)
+    except zlib.error as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
 def encode_message(sender: str, message: Any) -> bytes:
     """Encode a message."""
     envelope = Envelope(
         sender,
         KIND_NAMES[type(message)],
-        msgspec.Raw(msgspec.msgpack.encode(message)),
+        msgspec.Raw(encode_fields(message)),
     )
     return msgspec.msgpack.encode(envelope)
 
@@ -48,7 +81,7 @@
     try:
         envelope = msgspec.msgpack.decode(frame, type=Envelope)
         kind = KINDS[envelope.kind]
-        message = msgspec.msgpack.decode(envelope.fields, type=kind)
+        message = decode_fields(kind, bytes(envelope.fields))
     except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
         raise peer_socket.PeerDecodeError(str(error)) from error
     return envelope.sender, message
--- a/src/mustardvale/internal/handlers.py
+++ b/src/mustardvale/internal/handlers.py
@@ -3,11 +3,13 @@
 from mustardvale.internal import (
     answers,
     configuration,
+    document_copies,
     entries,
     lifecycle,
     log_streams,
     membership,
     reducer,
+    snapshots,
     statuses,
     upstreams,
 )
@@ -15,10 +17,12 @@
 REGISTERED = (
     answers,
     configuration,
+    document_copies,
     entries,
     lifecycle,
     log_streams,
     membership,
+    snapshots,
     statuses,
     upstreams,
 )
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -5,6 +5,7 @@
 
 from mustardvale.internal import (
     configuration,
+    document_copies,
     effects,
     events,
     membership,
@@ -45,6 +46,8 @@
         effects.LogChange('instance started'),
         effects.SetTimer(timers.ListDue(), 0),
         effects.SetTimer(timers.HeartbeatDue(), 0),
+        effects.SetTimer(timers.CopyDue(), document_copies.SETTLE_SECONDS),
+        effects.SetTimer(timers.SnapshotDue(), 0),
     )
 
 
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -58,6 +58,7 @@
     offset: int
     as_of: int
     document: str
+    operator: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mustardvale/internal/snapshots.py
@@ -0,0 +1,125 @@
+"""Append snapshots, so that the log always holds the document in force.
+
+Retention drops old promotions. A reader behind the dropped records needs a
+snapshot that is younger than they are.
+"""
+
+import dataclasses
+import hashlib
+from typing import TYPE_CHECKING
+
+from mustardvale.internal import (
+    effects,
+    events,
+    log_streams,
+    membership,
+    records,
+    reducer,
+    streams,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+RETENTION_SHARE = 0.25
+CHECKS_PER_SNAPSHOT = 16
+# A backup waits this share of the snapshot period for each instance before
+# it. With the highest rank counted, the last one still appends after three
+# quarters of the retention.
+BACKUP_SHARE = 0.25
+HIGHEST_RANK = 8
+
+
+@reducer.on_timer.register(timers.SnapshotDue)
+def check(
+    timer: timers.SnapshotDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append a snapshot when it is this instance's turn."""
+    period = state.timing.log_retention * RETENTION_SHARE
+    again = effects.SetTimer(timer, period / CHECKS_PER_SNAPSHOT)
+    if not can_append(state):
+        return transitions.Transition(state, (again,))
+    if state.configuration.snapshot_at is None:
+        state = note_missing(event.at - period, state)
+    if is_turn(event.at, period, state):
+        return append(event, state).with_effects(again)
+    return transitions.Transition(state, (again,))
+
+
+def can_append(state: 'states.State') -> bool:
+    """Return whether this instance knows the document in force."""
+    current = state.configuration
+    return (
+        current.caught_up
+        and current.promoted.anchored
+        and current.promoted.as_of >= 0
+        and state.log.available
+    )
+
+
+def note_missing(due_since: float, state: 'states.State') -> 'states.State':
+    """Treat a log without a snapshot as one whose snapshot is due."""
+    configuration = dataclasses.replace(
+        state.configuration,
+        snapshot_at=due_since,
+    )
+    return dataclasses.replace(state, configuration=configuration)
+
+
+def is_turn(now: float, period: float, state: 'states.State') -> bool:
+    """Return whether the instances before this one had their time."""
+    current = state.configuration
+    step = period * BACKUP_SHARE
+    due_at = (current.snapshot_at or 0) + period + step * find_rank(now, state)
+    if now < due_at:
+        return False
+    sent_at = current.snapshot_sent_at
+    return sent_at is None or now - sent_at >= step
+
+
+def find_rank(now: float, state: 'states.State') -> int:
+    """Return how many live instances come before this one."""
+    environment = state.configuration.environment
+    own = weight(environment, state.identity.instance_id)
+    before = sum(
+        weight(environment, instance_id) > own
+        for instance_id, peer in state.membership.peers.items()
+        if membership.is_live(peer, now)
+        and peer.heartbeat is not None
+        and peer.heartbeat.environment == environment
+    )
+    return min(before, HIGHEST_RANK)
+
+
+def weight(environment: str, instance_id: str) -> int:
+    """Return the rendezvous weight of an instance for an environment."""
+    key = f'{environment}|{instance_id}'.encode()
+    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest())
+
+
+def append(
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Append the document in force and how far this instance has read."""
+    promoted = state.configuration.promoted
+    snapshot = records.DocumentSnapshot(
+        version=promoted.version,
+        offset=promoted.offset,
+        document=promoted.document,
+        as_of=promoted.as_of,
+        operator=promoted.operator,
+    )
+    configuration = dataclasses.replace(
+        state.configuration,
+        snapshot_sent_at=event.at,
+    )
+    stream = streams.EnvironmentStream(configuration.environment)
+    following = dataclasses.replace(state, configuration=configuration)
+    return log_streams.append(stream, snapshot, following).with_effects(
+        effects.Count('snapshots'),
+    )
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -59,3 +59,13 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPhaseDue(Timer):
     """Go on with a planned stop."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyDue(Timer):
+    """Compare the document in force with what the peers have."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotDue(Timer):
+    """See whether the log needs a snapshot of the document in force."""
--- /dev/null
+++ b/tests/configuration_site.py
@@ -0,0 +1,269 @@
+"""Simulate entry instances and operators around one log, step by step."""
+
+import dataclasses
+from typing import Any
+
+from mustardvale import daemon, settings
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    handlers,
+    promotions,
+    streams,
+)
+from tests import fakes
+
+STREAM = streams.EnvironmentStream('production')
+RETENTION_SECONDS = 16.0
+REFUSED = events.Failure(events.FailureKind.REFUSED, sent=False)
+LOST = events.Failure(events.FailureKind.CLOSED, sent=True)
+
+
+def document_text(layers: int) -> str:
+    """Return a small document; each number of layers gives another one."""
+    return f"""
+format = 1
+environment = "production"
+client_accounts = []
+[[pools]]
+name = "runners"
+kind = "model_runners"
+[[models]]
+name = "model"
+version = "1"
+layers = {layers}
+pool = "runners"
+"""
+
+
+class Node:
+    """Hold one entry instance and what it waits for."""
+
+    def __init__(self, name: str, port: int) -> None:
+        self.name = name
+        self.peer_address = f'127.0.0.1:{port + 1}'
+        self.settings = settings.Settings(
+            instance_id=name,
+            address=f'127.0.0.1:{port}',
+            peer_address=self.peer_address,
+            availability_zone='zone',
+            region='',
+            environment='production',
+            log_address='127.0.0.1:1',
+            list_address='127.0.0.1:2',
+            log_level='INFO',
+            seed=1,
+            log_retention_seconds=RETENTION_SECONDS,
+        )
+        self.paused = False
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything, as a process that starts again."""
+        self.state = daemon.initial_state(self.settings)
+        self.timers: dict[Any, float] = {}
+        self.calls: list[effects.Call] = []
+        self.inbox: list[tuple[str, Any]] = []
+        self.highest_applied = 0
+
+    def row(self) -> calls.ListedInstance:
+        """Return the row of the instance list."""
+        return calls.ListedInstance(
+            instance_id=self.name,
+            pool='entry',
+            address=self.settings.address,
+            availability_zone='zone',
+            peer_address=self.peer_address,
+        )
+
+
+class Site:
+    """Hold instances, the log and all messages under way."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.log = fakes.FakeLog()
+        self.log_down = False
+        self.at = 100.0
+        self.late: list[calls.AppendRecords] = []
+        self.nodes = {
+            name: Node(name, 7000 + 2 * index)
+            for index, name in enumerate(names)
+        }
+        for node in self.nodes.values():
+            self.start(node)
+
+    def start(self, node: Node) -> None:
+        """Start an instance, or start it again."""
+        self.late.extend(
+            one.call
+            for one in node.calls
+            if isinstance(one.call, calls.AppendRecords)
+        )
+        node.reset()
+        node.paused = False
+        self.feed(node, events.InstanceStarted, {})
+
+    def feed(
+        self,
+        node: Node,
+        kind: type[events.Event],
+        fields: dict[str, Any],
+    ) -> None:
+        """Reduce an event at an instance and check its state."""
+        self.log.wall = self.at
+        before = node.state
+        transition = handlers.reduce(
+            kind(at=self.at, wall=self.at, **fields),
+            node.state,
+        )
+        node.state = transition.state
+        for effect in transition.effects:
+            self.perform(node, effect)
+        check_step(before, node)
+
+    def perform(self, node: Node, effect: effects.Effect) -> None:
+        """Keep what an effect asks for."""
+        if isinstance(effect, effects.Call):
+            if isinstance(effect.call, calls.ListInstances):
+                rows = tuple(one.row() for one in self.nodes.values())
+                listed = calls.InstancesListed(rows)
+                self.answer(node, effect, listed)
+            else:
+                node.calls.append(effect)
+        elif isinstance(effect, effects.SetTimer):
+            node.timers[effect.timer] = self.at + effect.delay_seconds
+        elif isinstance(effect, effects.SendToPeer):
+            for other in self.nodes.values():
+                if other.peer_address == effect.address:
+                    other.inbox.append((node.peer_address, effect.message))
+
+    def answer(self, node: Node, call: effects.Call, answer: Any) -> None:
+        """Answer a call."""
+        fields = {
+            'call': call.call,
+            'address': call.address,
+            'answer': answer,
+        }
+        self.feed(node, events.CallAnswered, fields)
+
+    def fail(
+        self,
+        node: Node,
+        call: effects.Call,
+        failure: events.Failure,
+    ) -> None:
+        """Fail a call."""
+        fields = {
+            'call': call.call,
+            'address': call.address,
+            'failure': failure,
+        }
+        self.feed(node, events.CallFailed, fields)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and fire every timer that is due, once."""
+        self.at += seconds
+        for node in self.nodes.values():
+            due = [timer for timer, at in node.timers.items() if at <= self.at]
+            for timer in () if node.paused else due:
+                del node.timers[timer]
+                self.feed(node, events.TimerFired, {'timer': timer})
+
+    def read(self, node: Node, limit: int = 500) -> None:
+        """Answer the reads of an instance."""
+        reads = [
+            one for one in node.calls if isinstance(one.call, calls.ReadRecords)
+        ]
+        for one in () if node.paused else reads:
+            node.calls.remove(one)
+            if self.log_down:
+                self.fail(node, one, REFUSED)
+            else:
+                page = dataclasses.replace(one.call, limit=limit)
+                self.answer(node, one, self.log.read(page))
+
+    def append(self, node: Node, end: str) -> None:
+        """End the appends of an instance: stored, lost, late or refused."""
+        appends = [
+            one
+            for one in node.calls
+            if isinstance(one.call, calls.AppendRecords)
+        ]
+        for one in () if node.paused else appends:
+            node.calls.remove(one)
+            if self.log_down or end == 'refused':
+                self.fail(node, one, REFUSED)
+            elif end == 'stored':
+                self.answer(node, one, self.log.append(one.call))
+            else:
+                self.lose(one.call, end)
+                self.fail(node, one, LOST)
+
+    def lose(self, call: calls.AppendRecords, end: str) -> None:
+        """Store records without an answer, now or later."""
+        if end == 'lost':
+            self.log.append(call)
+        else:
+            self.late.append(call)
+
+    def deliver(self, node: Node) -> None:
+        """Deliver the messages of an instance."""
+        if node.paused:
+            return
+        messages, node.inbox = node.inbox, []
+        for sender, message in messages:
+            fields = {'sender': sender, 'message': message}
+            self.feed(node, events.PeerMessageReceived, fields)
+
+    def settle(self, node: Node) -> None:
+        """Let an instance do all that it waits for."""
+        for _ in range(3):
+            self.append(node, 'stored')
+            self.read(node)
+            self.deliver(node)
+
+    def truth(self) -> list[promotions.Promoted]:
+        """Return the fold of the whole log after each offset."""
+        promoted = promotions.Promoted()
+        folded = []
+        for stored in self.log.stored(STREAM):
+            promoted = promotions.fold(
+                stored.record,
+                stored.offset,
+                promoted,
+            ).promoted
+            folded.append(promoted)
+        return folded
+
+    def check(self) -> None:
+        """Check every instance against the fold of the whole log."""
+        truth = [promotions.Promoted(), *self.truth()]
+        accepted = {one.version: one for one in truth}
+        for node in self.nodes.values():
+            known = node.state.configuration.promoted
+            expected = truth[known.as_of + 1]
+            assert (known.version, known.offset, known.document) == (
+                expected.version,
+                expected.offset,
+                expected.document,
+            ), f'{node.name} has another document at {known.as_of}'
+            applied = node.state.configuration
+            if applied.document is not None:
+                layers = applied.document.models[0].layers
+                assert accepted[applied.applied_version].document == (
+                    document_text(layers)
+                ), f'{node.name} applies another document'
+
+
+def check_step(before: Any, node: Node) -> None:
+    """Check that one event moved an instance forward only."""
+    old, new = before.configuration, node.state.configuration
+    assert new.applied_version >= node.highest_applied, 'applied version fell'
+    node.highest_applied = new.applied_version
+    assert new.promoted.offset >= old.promoted.offset, 'offset fell'
+    assert new.promoted.as_of >= old.promoted.as_of, 'reading went back'
+    if new.promoted.gap is not None:
+        assert new.applied_version == old.applied_version, (
+            'a document was applied behind a gap'
+        )
--- /dev/null
+++ b/tests/runs.py
@@ -0,0 +1,89 @@
+"""Drive runs of the command-line tool by hand."""
+
+from typing import Any
+
+from mustardvale.internal import calls, effects, events
+from mustardvale.internal.commands import handlers, reports, wanted
+from mustardvale.internal.commands import state as states
+from tests import fakes
+
+
+AppendRecords = calls.AppendRecords
+
+
+class Run:
+    """Drive one run of the tool by hand."""
+
+    def __init__(self, wanted_command: wanted.Command, **fields: Any) -> None:
+        self.state = states.State(wanted_command, log_address='log:1', **fields)
+        self.at = 0.0
+        self.calls: list[effects.Call] = []
+        self.timers: list[effects.SetTimer] = []
+        self.shown: list[reports.Report] = []
+        self.exit_code: int | None = None
+        self.feed(events.InstanceStarted(at=self.at))
+
+    def feed(self, event: events.Event) -> None:
+        """Reduce an event and sort its effects."""
+        transition = handlers.reduce(event, self.state)
+        self.state = transition.state
+        for effect in transition.effects:
+            if isinstance(effect, effects.Call):
+                self.calls.append(effect)
+            elif isinstance(effect, effects.SetTimer):
+                self.timers.append(effect)
+            elif isinstance(effect, reports.Show):
+                self.shown.append(effect.report)
+            elif isinstance(effect, effects.StopLoop):
+                self.exit_code = effect.exit_code
+
+    def answer(self, answer: Any) -> None:
+        """Answer the oldest call."""
+        call = self.calls.pop(0)
+        self.feed(
+            events.CallAnswered(
+                at=self.at,
+                wall=1000,
+                call=call.call,
+                address=call.address,
+                answer=answer,
+            )
+        )
+
+    def fail(self, failure: events.Failure) -> None:
+        """Fail the oldest call."""
+        call = self.calls.pop(0)
+        self.feed(
+            events.CallFailed(
+                at=self.at,
+                call=call.call,
+                address=call.address,
+                failure=failure,
+            )
+        )
+
+    def receive(self, part: Any) -> None:
+        """Report a part of the answer to the oldest call."""
+        call = self.calls[0]
+        self.feed(
+            events.CallPartArrived(
+                at=self.at,
+                call=call.call,
+                address=call.address,
+                part=part,
+            )
+        )
+
+    def elapse(self) -> None:
+        """Report the oldest timer after its delay."""
+        timer = self.timers.pop(0)
+        self.at += timer.delay_seconds
+        self.feed(events.TimerFired(at=self.at, timer=timer.timer))
+
+    def read(self, log: fakes.FakeLog) -> None:
+        """Answer a read from the log."""
+        self.answer(log.read(self.calls[0].call))
+
+    def append(self, log: fakes.FakeLog) -> None:
+        """Answer an append from the log."""
+        self.answer(log.append(self.calls[0].call))
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -5,12 +5,10 @@
 import pathlib
 import unittest
 import uuid
-from typing import Any
 
 from mustardvale import command
 from mustardvale.internal import (
     calls,
-    effects,
     events,
     records,
     replies,
@@ -18,14 +16,12 @@
 )
 from mustardvale.internal.commands import (
     entry_calls,
-    handlers,
     promoting,
     reports,
     wanted,
 )
-from mustardvale.internal.commands import state as states
 from mustardvale.internal.edge import codec_reports, idempotency_keys
-from tests import fakes
+from tests import fakes, runs
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / 'examples'
 FIRST = (EXAMPLES / 'cooperative.toml').read_text()
@@ -36,88 +32,10 @@
 CLOSED = events.Failure(events.FailureKind.CLOSED, sent=True)
 
 
-class Run:
-    """Drive one run of the tool by hand."""
-
-    def __init__(self, wanted_command: wanted.Command, **fields: Any) -> None:
-        self.state = states.State(wanted_command, log_address='log:1', **fields)
-        self.at = 0.0
-        self.calls: list[effects.Call] = []
-        self.timers: list[effects.SetTimer] = []
-        self.shown: list[reports.Report] = []
-        self.exit_code: int | None = None
-        self.feed(events.InstanceStarted(at=self.at))
-
-    def feed(self, event: events.Event) -> None:
-        """Reduce an event and sort its effects."""
-        transition = handlers.reduce(event, self.state)
-        self.state = transition.state
-        for effect in transition.effects:
-            if isinstance(effect, effects.Call):
-                self.calls.append(effect)
-            elif isinstance(effect, effects.SetTimer):
-                self.timers.append(effect)
-            elif isinstance(effect, reports.Show):
-                self.shown.append(effect.report)
-            elif isinstance(effect, effects.StopLoop):
-                self.exit_code = effect.exit_code
-
-    def answer(self, answer: Any) -> None:
-        """Answer the oldest call."""
-        call = self.calls.pop(0)
-        self.feed(
-            events.CallAnswered(
-                at=self.at,
-                wall=1000,
-                call=call.call,
-                address=call.address,
-                answer=answer,
-            )
-        )
-
-    def fail(self, failure: events.Failure) -> None:
-        """Fail the oldest call."""
-        call = self.calls.pop(0)
-        self.feed(
-            events.CallFailed(
-                at=self.at,
-                call=call.call,
-                address=call.address,
-                failure=failure,
-            )
-        )
-
-    def receive(self, part: Any) -> None:
-        """Report a part of the answer to the oldest call."""
-        call = self.calls[0]
-        self.feed(
-            events.CallPartArrived(
-                at=self.at,
-                call=call.call,
-                address=call.address,
-                part=part,
-            )
-        )
-
-    def elapse(self) -> None:
-        """Report the oldest timer after its delay."""
-        timer = self.timers.pop(0)
-        self.at += timer.delay_seconds
-        self.feed(events.TimerFired(at=self.at, timer=timer.timer))
-
-    def read(self, log: fakes.FakeLog) -> None:
-        """Answer a read from the log."""
-        self.answer(log.read(self.calls[0].call))
-
-    def append(self, log: fakes.FakeLog) -> None:
-        """Answer an append from the log."""
-        self.answer(log.append(self.calls[0].call))
-
-
-def publish(text: str, operator: str, based_on: int = -1) -> Run:
+def publish(text: str, operator: str, based_on: int = -1) -> runs.Run:
     """Start to publish a document."""
     proposal = wanted.Proposal(f'{operator}-1', operator, based_on)
-    return Run(wanted.Publish('file', text, 'production', proposal))
+    return runs.Run(wanted.Publish('file', text, 'production', proposal))
 
 
 class Races(unittest.TestCase):
@@ -197,7 +115,7 @@
             [report.version for report in run.shown],  # type: ignore[attr-defined]
             [1],
         )
-        history = Run(wanted.History('production', 5))
+        history = runs.Run(wanted.History('production', 5))
         history.read(log)
         shown = history.shown[0]
         assert isinstance(shown, reports.HistoryShown)
@@ -272,7 +190,7 @@
                 (records.Promotion('x', 'ann', 0, -1, text),),
             )
         )
-        run = Run(
+        run = runs.Run(
             wanted.Promote('trial', 'production', wanted.Proposal('p', 'ann'))
         )
         run.read(log)
@@ -287,14 +205,14 @@
     def test_document_of_another_environment_is_refused(self) -> None:
         """Guard against a production document published to trial."""
         proposal = wanted.Proposal('p', 'ann')
-        run = Run(wanted.Publish('file', FIRST, 'trial', proposal))
+        run = runs.Run(wanted.Publish('file', FIRST, 'trial', proposal))
         self.assertEqual((run.exit_code, run.calls), (1, []))
 
 
-def ask(*addresses: str) -> Run:
+def ask(*addresses: str) -> runs.Run:
     """Start to ask a model."""
     asked = wanted.Ask('key', 'affinage', '', 'how old', 4, 0)
-    return Run(asked, entry_addresses=addresses)
+    return runs.Run(asked, entry_addresses=addresses)
 
 
 class Answers(unittest.TestCase):
@@ -321,11 +239,11 @@
     def test_action_is_not_repeated_after_it_was_sent(self) -> None:
         """Guard against an action that runs twice."""
         act = wanted.Act('key', 'cellar-ledger', 'log-wheel', 'k-1', b'{}', 0)
-        sent = Run(act, entry_addresses=('a:1', 'b:1'))
+        sent = runs.Run(act, entry_addresses=('a:1', 'b:1'))
         sent.fail(CLOSED)
         self.assertEqual((sent.exit_code, sent.calls), (3, []))
         self.assertIn('--key k-1', str(sent.shown[0]))
-        unsent = Run(act, entry_addresses=('a:1', 'b:1'))
+        unsent = runs.Run(act, entry_addresses=('a:1', 'b:1'))
         unsent.fail(REFUSED)
         self.assertEqual(unsent.calls[0].address, 'b:1')
 
