Test a race of two operators between separate processes

Cause: the race was tested with reducers only. Change: a site of six entry instances, log and list runs as processes; two runs of the command-line tool promote at once while the log stores with a delay, so that both have read the same version. The delay of the log stand-in failed, because its timer held records that cannot be hashed; this is fixed.

--- /dev/null
+++ b/bench/promotion_site.py
@@ -0,0 +1,225 @@
+"""Start entry instances with stand-ins of log and instance list."""
+
+import contextlib
+import dataclasses
+import functools
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+from collections import abc
+from typing import Any
+from urllib import error, request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST = '127.0.0.1'
+START_SECONDS = 20.0
+STOP_SECONDS = 5.0
+POLL_SECONDS = 0.02
+CALL_SECONDS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """Hold what a run of the command-line tool left."""
+
+    exit_code: int
+    output: str
+    errors: str
+
+    @property
+    def report(self) -> dict[str, Any]:
+        """Return the report of a run with --json."""
+        decoded: dict[str, Any] = json.loads(self.output)
+        return decoded
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """Describe one entry instance."""
+
+    instance_id: str
+    address: str
+    peer_address: str
+    availability_zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """Hold the addresses of a running site."""
+
+    log_address: str
+    list_address: str
+    entries: tuple[Entry, ...]
+
+    def start_command(self, *arguments: str) -> 'subprocess.Popen[str]':
+        """Start the command-line tool."""
+        entry_addresses = ','.join(one.address for one in self.entries)
+        return subprocess.Popen(
+            [sys.executable, '-m', 'mustardvale.command', *arguments],
+            cwd=ROOT,
+            env={
+                **child_environment(),
+                'MUSTARDVALE_LOG_ADDRESS': self.log_address,
+                'MUSTARDVALE_ENTRY_ADDRESS': entry_addresses,
+            },
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+
+    def command(self, *arguments: str) -> Finished:
+        """Run the command-line tool to its end."""
+        return finish(self.start_command(*arguments))
+
+    def own_row(self, entry: Entry) -> dict[str, Any]:
+        """Return what an instance says of itself."""
+        status = call('GET', entry.address, '/v1/status')
+        row: dict[str, Any] = status['instances'][0]
+        return row
+
+    def wait_for_version(
+        self,
+        version: int,
+        seconds: float = START_SECONDS,
+    ) -> tuple[dict[str, Any], ...]:
+        """Return the own row of each instance once all have a version."""
+        return tuple(
+            wait_until(
+                functools.partial(self.row_from, entry, version),
+                seconds,
+                f'version {version} at {entry.instance_id}',
+            )
+            for entry in self.entries
+        )
+
+    def row_from(self, entry: Entry, version: int) -> dict[str, Any] | None:
+        """Return the own row of an instance that has a version or later."""
+        row = self.own_row(entry)
+        return row if row['document_version'] >= version else None
+
+
+def child_environment() -> dict[str, str]:
+    """Return the variables that our processes start with."""
+    return {**os.environ, 'PYTHONPATH': f'{ROOT / "src"}:{ROOT}'}
+
+
+def finish(process: 'subprocess.Popen[str]') -> Finished:
+    """Wait for a run of the command-line tool."""
+    output, errors = process.communicate(timeout=START_SECONDS)
+    return Finished(process.returncode, output, errors)
+
+
+def call(method: str, address: str, path: str, body: Any = None) -> Any:
+    """Call a process over HTTP with JSON."""
+    encoded = None if body is None else json.dumps(body).encode()
+    sent = request.Request(
+        f'http://{address}{path}',
+        data=encoded,
+        method=method,
+        headers={'content-type': 'application/json'},
+    )
+    with request.urlopen(sent, timeout=CALL_SECONDS) as answer:
+        return json.loads(answer.read())
+
+
+def wait_until(look: abc.Callable[[], Any], seconds: float, what: str) -> Any:
+    """Return the first result of `look` that is true."""
+    limit = time.monotonic() + seconds
+    while time.monotonic() < limit:
+        with contextlib.suppress(error.URLError, ConnectionError):
+            found = look()
+            if found:
+                return found
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f'{what}: not within {seconds:g} s')
+
+
+def free_addresses(count: int) -> tuple[str, ...]:
+    """Return addresses whose ports are free at present."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind((HOST, 0))
+        return tuple(f'{HOST}:{one.getsockname()[1]}' for one in sockets)
+
+
+def start(stack: contextlib.ExitStack, *arguments: str) -> None:
+    """Start one process, which is stopped when the stack is left."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', *arguments],
+        cwd=ROOT,
+        env=child_environment(),
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    stack.callback(stop, process)
+
+
+def stop(process: 'subprocess.Popen[bytes]') -> None:
+    """Stop one process."""
+    process.terminate()
+    try:
+        process.wait(STOP_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def start_entry(
+    stack: contextlib.ExitStack,
+    entry: Entry,
+    environment: str,
+    log_address: str,
+    list_address: str,
+) -> None:
+    """Start one entry instance."""
+    start(
+        stack,
+        'mustardvale.daemon',
+        f'--instance-id={entry.instance_id}',
+        f'--address={entry.address}',
+        f'--peer-address={entry.peer_address}',
+        f'--availability-zone={entry.availability_zone}',
+        f'--environment={environment}',
+        f'--log-address={log_address}',
+        f'--list-address={list_address}',
+        '--address-validity-seconds=1',
+    )
+
+
+@contextlib.contextmanager
+def run(environment: str, entry_count: int) -> abc.Iterator[Site]:
+    """Run a site and stop all of its processes at the end."""
+    log_address, list_address, *rest = free_addresses(2 + 2 * entry_count)
+    entries = tuple(
+        Entry(f'entry-{index}', address, peer_address, f'zone-{index % 3}')
+        for index, (address, peer_address) in enumerate(
+            zip(rest[:entry_count], rest[entry_count:], strict=True)
+        )
+    )
+    site = Site(log_address, list_address, entries)
+    with contextlib.ExitStack() as stack:
+        start(stack, 'standins.log_main', log_address)
+        start(stack, 'standins.list_main', list_address)
+        wait_until(lambda: set_list(site), START_SECONDS, 'instance list')
+        for entry in entries:
+            start_entry(stack, entry, environment, log_address, list_address)
+        for entry in entries:
+            wait_until(
+                functools.partial(call, 'GET', entry.address, '/livez'),
+                START_SECONDS,
+                entry.instance_id,
+            )
+        yield site
+
+
+def set_list(site: Site) -> Any:
+    """Tell the instance list which instances there are."""
+    rows = [
+        {**dataclasses.asdict(entry), 'pool': 'entry'} for entry in site.entries
+    ]
+    return call('PUT', site.list_address, '/v1/instances', {'instances': rows})
--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -100,3 +100,7 @@
         return
     logs.configure(settings.log_level, settings.instance_id)
     build(settings).run()
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -85,10 +85,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendLater:
-    """Carry out an append whose delay is over."""
+    """Carry out an append whose delay is over.
+
+    Timers are told apart by the request, because records cannot be hashed.
+    """
 
     request_id: str
-    append: Append
+    append: Append = dataclasses.field(compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
