--- a/src/mustardvale/internal/handlers.py
+++ b/src/mustardvale/internal/handlers.py
@@ -7,6 +7,7 @@
     attempt_streams,
     claims,
     configuration,
+    document_copies,
     entries,
     forwards,
     lifecycle,
@@ -16,6 +17,7 @@
     partitions,
     reducer,
     sends,
+    snapshots,
     statuses,
     upstreams,
 )
@@ -27,6 +29,7 @@
     attempt_streams,
     claims,
     configuration,
+    document_copies,
     entries,
     forwards,
     lifecycle,
@@ -35,6 +38,7 @@
     operations,
     partitions,
     sends,
+    snapshots,
     statuses,
     upstreams,
 )
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -5,6 +5,7 @@
 
 from mustardvale.internal import (
     configuration,
+    document_copies,
     effects,
     events,
     membership,
@@ -47,6 +48,8 @@
         effects.SetTimer(timers.HeartbeatDue(), 0),
         # By then the peers that are live have been heard.
         effects.SetTimer(timers.PartitionsDue(), membership.SUSPECT_SECONDS),
+        effects.SetTimer(timers.CopyDue(), document_copies.SETTLE_SECONDS),
+        effects.SetTimer(timers.SnapshotDue(), 0),
     )
 
 
