Check requests with h11 before circuits.web sees them

Cause: circuits.web 3.2.5 accepts headers of any size, answers a malformed length with a traceback, drops the second of two pipelined requests, waits for ever for the rest of a body and never completes the answer to HEAD. Its socket component spins when a caller closes one direction while output is queued.

Change: a component in front of circuits.web on the same channel checks each request with h11, passes on one whole request at a time for each connection and answers everything else itself. HEAD and HTTP/1.0 close after the answer.

--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -19,6 +19,7 @@
     codec_peer,
     codec_upstream,
     entry_metrics,
+    http_checks,
     http_client,
     http_server,
     logs,
@@ -29,6 +30,7 @@
 
 EXIT_BAD_SETTINGS = 2
 SEED_BITS = 63
+DEFAULT_LIMITS = http_checks.Limits()
 
 
 def initial_state(settings: setting_table.Settings) -> state.State:
@@ -48,7 +50,10 @@
     )
 
 
-def build(settings: setting_table.Settings) -> runtime.Runtime:
+def build(
+    settings: setting_table.Settings,
+    limits: http_checks.Limits = DEFAULT_LIMITS,
+) -> runtime.Runtime:
     """Return an entry instance whose loop can be run."""
     loop = runtime.Runtime(
         handlers.reduce,
@@ -74,6 +79,7 @@
         codec,
         loop.occur,
         f'{settings.instance_id}-{secrets.token_hex(4)}',
+        limits,
     ).register(loop)
     return loop
 
--- a/src/mustardvale/errors.py
+++ b/src/mustardvale/errors.py
@@ -66,6 +66,26 @@
     413,
     'Send a smaller request.',
 )
+HEADERS_TOO_LARGE = ErrorCode(
+    'headers_too_large',
+    431,
+    'Send a shorter path and fewer headers.',
+)
+UNSUPPORTED_ENCODING = ErrorCode(
+    'unsupported_encoding',
+    415,
+    'Send the body without compression.',
+)
+EXPECTATION_FAILED = ErrorCode(
+    'expectation_failed',
+    417,
+    'Send no Expect header other than 100-continue.',
+)
+REQUEST_TIMEOUT = ErrorCode(
+    'request_timeout',
+    408,
+    'Send the whole request without a long pause.',
+)
 IDEMPOTENCY_KEY_REQUIRED = ErrorCode(
     'idempotency_key_required',
     400,
@@ -137,6 +157,10 @@
     UNKNOWN_MODEL,
     UNKNOWN_OPERATION,
     PAYLOAD_TOO_LARGE,
+    HEADERS_TOO_LARGE,
+    UNSUPPORTED_ENCODING,
+    EXPECTATION_FAILED,
+    REQUEST_TIMEOUT,
     IDEMPOTENCY_KEY_REQUIRED,
     IDEMPOTENCY_KEY_INVALID,
     IDEMPOTENCY_KEY_REUSED,
--- a/src/mustardvale/internal/edge/http_server.py
+++ b/src/mustardvale/internal/edge/http_server.py
@@ -6,12 +6,11 @@
 
 import circuits
 import immutables
-from circuits.net import sockets
 from circuits.web import events as web_events
 from circuits.web import http
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import wire
+from mustardvale.internal.edge import http_checks, http_guard, wire
 
 MAXIMUM_QUEUED_BYTES = 256 * 1024
 
@@ -54,6 +53,7 @@
         codec: CallerCodec,
         occur: abc.Callable[..., None],
         id_prefix: str,
+        limits: http_checks.Limits | None = None,
     ) -> None:
         super().__init__()
         self.codec = codec
@@ -62,8 +62,14 @@
         self.request_count = 0
         self.exchanges: dict[str, Exchange] = {}
         self.request_ids: dict[socket.socket, str] = {}
-        self.tcp = sockets.TCPServer(bind, channel='web').register(self)
+        self.tcp = http_guard.CallerSockets(bind, channel='web').register(self)
         self.http = http.HTTP(self.tcp, channel='web').register(self)
+        if limits is not None:
+            http_guard.HttpGuard(
+                self.tcp,
+                codec.encode_error,
+                limits,
+            ).register(self)
 
     @circuits.handler('request', priority=1)
     def on_request(self, event: Any, request: Any, response: Any) -> bool:
@@ -209,9 +215,9 @@
 
 
 def to_raw(request: Any) -> wire.RawRequest:
-    """Convert a request of circuits.web."""
+    """Convert a request of circuits.web; HEAD differs only in its answer."""
     return wire.RawRequest(
-        method=request.method,
+        method='GET' if request.method == 'HEAD' else request.method,
         path=request.path,
         query=request.qs or '',
         headers=immutables.Map(
--- /dev/null
+++ b/tests/guarded_entry.py
@@ -0,0 +1,45 @@
+"""Run an entry instance whose guard has short limits, for the tests."""
+
+import fire
+
+from mustardvale import daemon, settings
+from mustardvale.internal.edge import http_checks, logs
+
+
+def serve(
+    address: str,
+    peer_address: str,
+    log_address: str,
+    list_address: str,
+    request_seconds: float = 10,
+    idle_seconds: float = 60,
+    connections: int = 512,
+) -> None:
+    """Serve callers at `host:port`."""
+    logs.configure('INFO', 'entry-0')
+    loop = daemon.build(
+        settings.Settings(
+            instance_id='entry-0',
+            address=address,
+            peer_address=peer_address,
+            availability_zone='melton-vault',
+            region='east-mids',
+            environment='production',
+            log_address=log_address,
+            list_address=list_address,
+            log_level='INFO',
+            seed=1,
+        ),
+        http_checks.Limits(
+            request_seconds=request_seconds,
+            idle_seconds=idle_seconds,
+            linger_seconds=0.2,
+            sweep_seconds=0.1,
+            connections=connections,
+        ),
+    )
+    loop.run()
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
--- /dev/null
+++ b/tests/site_processes.py
@@ -0,0 +1,177 @@
+"""Start one entry instance with its stand-ins as processes, for the tests."""
+
+import http.client
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DOCUMENT = ROOT / 'examples' / 'cooperative.toml'
+START_SECONDS = 20.0
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, bytes]:
+    """Send one request and return the status and the body of its answer."""
+    host, _, port = address.rpartition(':')
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    try:
+        encoded = None if body is None else json.dumps(body).encode()
+        connection.request(method, path, encoded, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
+
+
+class Site:
+    """Hold the processes of a small site; `stop` ends exactly these."""
+
+    def __init__(self) -> None:
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.errors = tempfile.TemporaryFile()
+        self.log_address = free_address()
+        self.list_address = free_address()
+        self.address = free_address()
+        self.peer_address = free_address()
+        self.runners: tuple[str, ...] = ()
+        self.entry: subprocess.Popen[bytes] | None = None
+
+    def start(
+        self,
+        runner_count: int = 1,
+        iteration_ms: float = 4,
+        **flags: Any,
+    ) -> None:
+        """Start all processes and wait until the instance is ready."""
+        self.spawn('standins.log_main', address=self.log_address)
+        self.spawn('standins.list_main', address=self.list_address)
+        self.runners = tuple(free_address() for _ in range(runner_count))
+        for number, address in enumerate(self.runners):
+            self.spawn(
+                'standins.engine_main',
+                address=address,
+                instance_id=f'runner-{number}',
+                model='affinage',
+                version='3',
+                layers=24,
+                first_layer=0,
+                end_layer=24,
+                adapters='rind',
+                iteration_ms=iteration_ms,
+            )
+        self.entry = self.spawn(
+            'tests.guarded_entry',
+            address=self.address,
+            peer_address=self.peer_address,
+            log_address=self.log_address,
+            list_address=self.list_address,
+            **flags,
+        )
+        self.retry(self.publish)
+        self.retry(self.check_ready)
+
+    def spawn(self, module: str, **flags: Any) -> subprocess.Popen[bytes]:
+        """Start one process of ours."""
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                module,
+                *(f'--{name}={value}' for name, value in flags.items()),
+            ],
+            cwd=ROOT,
+            env={**os.environ, 'PYTHONPATH': 'src:.'},
+            stdout=subprocess.DEVNULL,
+            stderr=self.errors,
+        )
+        self.processes.append(process)
+        return process
+
+    def retry(self, check: Any) -> None:
+        """Repeat a check until it passes or the time is over."""
+        until = time.monotonic() + START_SECONDS
+        while time.monotonic() < until:
+            try:
+                if check():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise AssertionError(f'{check.__name__} failed; {self.logged()}')
+
+    def publish(self) -> bool:
+        """List the runners and promote the document."""
+        rows = [
+            {
+                'instance_id': f'runner-{number}',
+                'pool': 'mustardvale-pool',
+                'address': address,
+                'availability_zone': 'melton-vault',
+            }
+            for number, address in enumerate(self.runners)
+        ]
+        listed = {'instances': rows}
+        ask(self.list_address, 'PUT', '/v1/instances', listed)
+        promotion = {
+            'promotion_id': 'first',
+            'operator': 'test',
+            'based_on_version': 0,
+            'based_on_offset': -1,
+            'document': DOCUMENT.read_text(),
+        }
+        record = {'kind': 'promotion', 'fields': promotion}
+        path = '/v1/streams/environment.production/records'
+        ask(self.log_address, 'POST', path, {'records': [record]})
+        return True
+
+    def check_ready(self) -> bool:
+        """Return whether the instance answers a request for a token."""
+        status, _ = self.answer('how old', 1)
+        return status == 200
+
+    def answer(
+        self,
+        prompt: str,
+        tokens: int,
+        account: str = 'colston-dairy',
+        model: str = 'affinage',
+    ) -> tuple[int, bytes]:
+        """Ask for a model answer."""
+        return ask(
+            self.address,
+            'POST',
+            '/v1/answers',
+            {'model': model, 'prompt': prompt, 'maximum_tokens': tokens},
+            {'Authorization': f'Bearer {account}-key'},
+        )
+
+    def logged(self) -> str:
+        """Return what all processes wrote to standard error."""
+        self.errors.seek(0)
+        return self.errors.read().decode()
+
+    def stop(self) -> None:
+        """End the processes that were started here."""
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.errors.close()
