Divide the limits of client accounts over the instances

Cause: each account's limit holds for the environment, but every instance admits by itself.

Change: each instance uses a share that follows its part of the demand that heartbeats report, with a floor of a tenth divided equally. Shares of silent peers are withheld for 60 s or until the list drops them.

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,210 @@
+"""Measure the error of the divided limits with the pure functions.
+
+Instances exchange reports once a second, each at its own phase, over links
+that can be cut. Callers ask for three times the limit. Printed are the
+admitted requests as a part of the limit: the mean, and the highest and lowest
+of all windows.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections import abc
+
+import fire
+
+from mustardvale import document as documents
+from mustardvale.internal import limits
+
+LIMIT_PER_SECOND = 200.0
+OVERLOAD = 3.0
+LINK_SECONDS = 0.005
+WINDOW_SECONDS = 5
+SETTLED_SECONDS = 20.0
+
+ACCOUNT = documents.ClientAccount(
+    'measured',
+    '',
+    documents.Priority.INTERACTIVE,
+    LIMIT_PER_SECOND,
+    1e9,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describe who asks, who lives, who hears whom and what the list shows.
+
+    `weight` is the part of the demand that comes to an instance at a time.
+    """
+
+    name: str
+    seconds: float
+    weight: abc.Callable[[int, float], float]
+    lives: abc.Callable[[int, float], bool]
+    linked: abc.Callable[[int, int, float], bool]
+    listed: abc.Callable[[int, float], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measured:
+    """Hold admitted requests as parts of the limit."""
+
+    mean: float
+    highest: float
+    lowest: float
+
+
+class Run:
+    """Simulate the instances of one scenario."""
+
+    def __init__(self, scenario: Scenario, count: int, seed: int) -> None:
+        self.scenario = scenario
+        self.count = count
+        self.draws = random.Random(seed)
+        self.states = [limits.LimitState() for _ in range(count)]
+        self.admitted: list[float] = []
+        self.queue: list[tuple[float, int, abc.Callable[[float], None]]] = []
+        self.order = itertools.count()
+
+    def at(self, when: float, action: abc.Callable[[float], None]) -> None:
+        """Plan an action."""
+        heapq.heappush(self.queue, (when, next(self.order), action))
+
+    def run(self) -> list[float]:
+        """Return the times at which requests were admitted."""
+        for number in range(self.count):
+            self.at(
+                self.draws.random(), lambda now, one=number: self.tick(one, now)
+            )
+        self.at(0, self.arrive)
+        while self.queue:
+            when, _, action = heapq.heappop(self.queue)
+            if when < self.scenario.seconds:
+                action(when)
+        return self.admitted
+
+    def tick(self, number: int, now: float) -> None:
+        """Follow the list and report to the peers."""
+        self.at(now + 1, lambda then: self.tick(number, then))
+        if not self.scenario.lives(number, now):
+            return
+        listed = frozenset(
+            str(peer)
+            for peer in range(self.count)
+            if peer != number and self.scenario.listed(peer, now)
+        )
+        state = limits.follow(listed, now, self.states[number])
+        state = limits.report(now, state)
+        self.states[number] = state
+        usage = limits.usage(state)
+        for peer in range(self.count):
+            if peer != number and self.scenario.linked(number, peer, now):
+                self.at(
+                    now + LINK_SECONDS,
+                    lambda then, to=peer: self.hear(to, number, usage, then),
+                )
+
+    def hear(self, to: int, sender: int, usage: tuple, now: float) -> None:  # type: ignore[type-arg]
+        """Take a report."""
+        if self.scenario.lives(to, now):
+            state = self.states[to]
+            self.states[to] = limits.hear(str(sender), usage, now, state)
+
+    def arrive(self, now: float) -> None:
+        """Let one request arrive at a random instance."""
+        gap = self.draws.expovariate(LIMIT_PER_SECOND * OVERLOAD)
+        self.at(now + gap, self.arrive)
+        weights = [
+            self.scenario.weight(number, now) for number in range(self.count)
+        ]
+        number = self.draws.choices(range(self.count), weights)[0]
+        if not self.scenario.lives(number, now):
+            return
+        asked = limits.ask(ACCOUNT, 1, now, self.states[number])
+        self.states[number] = asked.limits
+        if not asked.wait_seconds:
+            self.admitted.append(now)
+
+
+def measure(times: list[float], since: float, until: float) -> Measured:
+    """Return the admitted parts of the limit between two times."""
+    counts = [0] * int(until - since)
+    for when in times:
+        if since <= when < since + len(counts):
+            counts[int(when - since)] += 1
+    windows = [
+        sum(counts[start : start + WINDOW_SECONDS])
+        / (WINDOW_SECONDS * LIMIT_PER_SECOND)
+        for start in range(len(counts) - WINDOW_SECONDS + 1)
+    ]
+    mean = sum(counts) / (len(counts) * LIMIT_PER_SECOND)
+    return Measured(mean, max(windows), min(windows))
+
+
+def always(*_: float) -> bool:
+    """Return that it always holds."""
+    return True
+
+
+def skewed(number: int, now: float) -> float:
+    """Give the first instance half of the demand."""
+    return 6.0 if number == 0 else 1.0
+
+
+def moving(number: int, now: float) -> float:
+    """Move most of the demand to another instance every 20 s."""
+    return 50.0 if number == int(now / 20) % 3 else 1.0
+
+
+def scenarios(count: int) -> tuple[Scenario, ...]:
+    """Return the scenarios; the fault comes at 40 s."""
+    half = count // 2
+
+    def linked(sender: int, receiver: int, now: float) -> bool:
+        return not 40 <= now < 160 or (sender < half) == (receiver < half)
+
+    def survives(number: int, now: float) -> bool:
+        return number != 0 or now < 40
+
+    def shown(number: int, now: float) -> bool:
+        return number != 0 or now < 55
+
+    return (
+        Scenario('steady', 100, skewed, always, always, always),
+        Scenario('moving demand', 140, moving, always, always, always),
+        Scenario('failure', 100, skewed, survives, always, shown),
+        Scenario('partition', 200, skewed, always, linked, always),
+    )
+
+
+PHASES = {
+    'steady': (('all', 20, 100),),
+    'moving demand': (('all', 20, 140),),
+    'failure': (('withheld', 43, 55), ('after the list', 70, 100)),
+    'partition': (
+        ('first 3 s', 40, 45),
+        ('shares held', 45, 99),
+        ('shares divided', 105, 160),
+        ('healed', 165, 200),
+    ),
+}
+
+
+def main(count: int = 7, seed: int = 1) -> None:
+    """Print the error of every scenario for `count` instances."""
+    print('admitted / limit       mean  highest  lowest of 5 s windows')
+    for scenario in scenarios(count):
+        times = Run(scenario, count, seed).run()
+        for phase, since, until in PHASES[scenario.name]:
+            found = measure(times, since, until)
+            name = f'{scenario.name}, {phase}'
+            print(
+                f'{name:28} {found.mean:.3f}  {found.highest:.3f}'
+                f'  {found.lowest:.3f}',
+            )
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -41,7 +41,11 @@
         state.identity,
         incarnation=int(event.wall * 1000),
     )
-    state = dataclasses.replace(state, identity=identity)
+    state = dataclasses.replace(
+        state,
+        identity=identity,
+        limits=dataclasses.replace(state.limits, started_at=event.at),
+    )
     return configuration.follow_environment(state).with_effects(
         effects.LogChange('instance started'),
         effects.SetTimer(timers.ListDue(), 0),
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -9,6 +9,7 @@
     calls,
     effects,
     events,
+    limits,
     messages,
     reducer,
     timers,
@@ -115,6 +116,7 @@
     others = tuple(row for row in rows if row.pool != ENTRY_POOL)
     return (
         take_entries(entries, state)
+        .then(lambda now: follow_limits(event.at, now))
         .then(lambda now: upstreams.take_listed(others, event, now))
         .with_effects(again)
     )
@@ -167,6 +169,9 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Send a heartbeat to every peer."""
+    state = follow_limits(event.at, state).state
+    reported = limits.report(event.at, state.limits)
+    state = dataclasses.replace(state, limits=reported)
     heartbeat = build_heartbeat(state)
     sends = tuple(
         effects.SendToPeer(peer.listed.peer_address, heartbeat)
@@ -192,6 +197,7 @@
         document_version=configuration.applied_version,
         document_offset=configuration.promoted.offset,
         in_force_since=configuration.in_force_since,
+        usage=limits.usage(state.limits),
     )
 
 
@@ -212,9 +218,26 @@
     peer = dataclasses.replace(known, heartbeat=message, heard_at=event.at)
     peers = state.membership.peers.set(message.instance_id, peer)
     membership = dataclasses.replace(state.membership, peers=peers)
+    heard = limits.hear(
+        message.instance_id,
+        message.usage,
+        event.at,
+        state.limits,
+    )
+    state = dataclasses.replace(state, limits=heard)
     return transitions.Transition(with_membership(state, membership))
 
 
+def follow_limits(
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Divide the limits by the peers that are known now."""
+    known = frozenset(state.membership.peers.keys())
+    followed = limits.follow(known, now, state.limits)
+    return transitions.Transition(dataclasses.replace(state, limits=followed))
+
+
 def to_row(message: messages.Heartbeat) -> calls.ListedInstance:
     """Describe a peer that joined before the instance list shows it."""
     return calls.ListedInstance(
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -6,6 +6,7 @@
 
 from mustardvale.internal import configuration as configurations
 from mustardvale.internal import generations as generation_tables
+from mustardvale.internal import limits as limit_tables
 from mustardvale.internal import (
     lifecycle,
     log_streams,
@@ -32,4 +33,5 @@
     upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
+    limits: limit_tables.LimitState = limit_tables.LimitState()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/statuses.py
+++ b/src/mustardvale/internal/statuses.py
@@ -5,6 +5,7 @@
 from mustardvale.internal import (
     effects,
     events,
+    limits,
     membership,
     messages,
     reducer,
@@ -121,7 +122,7 @@
             priority=account.priority.value,
             requests_per_second=account.requests_per_second,
             tokens_per_second=account.tokens_per_second,
-            share=1,
+            share=limits.share_of(account.name, state.limits).tokens,
         )
         for account in document.client_accounts
     )
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,181 @@
+"""Guard the limits of client accounts and their shares."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from mustardvale import document
+from mustardvale.internal import buckets, limits, messages
+
+ACCOUNT = document.ClientAccount(
+    name='colston-dairy',
+    key_sha256='',
+    priority=document.Priority.INTERACTIVE,
+    requests_per_second=10,
+    tokens_per_second=100,
+)
+NAMES = ('entry-0', 'entry-1', 'entry-2')
+
+amounts = strategies.floats(0, 100)
+gaps = strategies.floats(0, 10)
+
+
+def usage(requests: float) -> tuple[messages.AccountUsage, ...]:
+    """Report a demand."""
+    row = messages.AccountUsage(ACCOUNT.name, requests, requests * 10)
+    return (row,)
+
+
+def hear_all(demands: dict[str, float], own: str) -> limits.LimitState:
+    """Return the state of an instance that has heard all reports."""
+    state = limits.LimitState()
+    for name, demand in demands.items():
+        if name != own:
+            state = limits.hear(name, usage(demand), 0, state)
+    account = limits.AccountLimit(
+        buckets.Bucket(),
+        buckets.Bucket(),
+        reported=limits.Pair(demands[own], demands[own] * 10),
+    )
+    return limits.with_account(ACCOUNT.name, account, state)
+
+
+class BucketBounds(unittest.TestCase):
+    """A bucket never gives more than its rate and its burst allow."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.tuples(gaps, amounts), max_size=50),
+        strategies.floats(0.1, 100),
+        strategies.floats(1, 100),
+    )
+    def test_never_above_the_bound(
+        self,
+        takes: list[tuple[float, float]],
+        rate: float,
+        burst: float,
+    ) -> None:
+        """Guard against more than burst and rate over any run of takes."""
+        bucket = buckets.Bucket()
+        now = 0.0
+        given = 0.0
+        for gap, amount in takes:
+            now += gap
+            bucket = buckets.refill(bucket, rate, burst, now)
+            self.assertLessEqual(bucket.level, burst)
+            if bucket.level >= amount:
+                bucket = buckets.take(bucket, amount)
+                given += amount
+        self.assertLessEqual(given, rate * now + 1e-6)
+
+    @hypothesis.given(amounts, strategies.floats(0.1, 100))
+    def test_wait_is_long_enough(self, wanted: float, rate: float) -> None:
+        """Guard against a retry time after which the retry fails again."""
+        bucket = buckets.Bucket(-5, 3)
+        wait = buckets.seconds_until(bucket, wanted, rate)
+        later = buckets.refill(bucket, rate, 1000, 3 + wait)
+        self.assertAlmostEqual(later.level, max(wanted, -5))
+
+    def test_clock_that_stands(self) -> None:
+        """Guard against a refill from an earlier time."""
+        bucket = buckets.refill(buckets.Bucket(1, 10), 100, 50, 9)
+        self.assertEqual(bucket, buckets.Bucket(1, 10))
+
+
+class Shares(unittest.TestCase):
+    """The shares of all instances sum to the limit."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.01, 1000), min_size=3, max_size=3)
+    )
+    def test_steady_state(self, demands: list[float]) -> None:
+        """Guard against more or less than the limit in the steady state."""
+        table = dict(zip(NAMES, demands, strict=True))
+        shares = [
+            limits.share_of(ACCOUNT.name, hear_all(table, name))
+            for name in NAMES
+        ]
+        self.assertAlmostEqual(sum(share.requests for share in shares), 1)
+        self.assertAlmostEqual(sum(share.tokens for share in shares), 1)
+        floor = limits.FLOOR / len(NAMES)
+        self.assertGreaterEqual(min(share.tokens for share in shares), floor)
+
+    def test_share_of_failed_instance_is_withheld(self) -> None:
+        """Guard against admission above the limit after a false alarm."""
+        table = {'entry-0': 10.0, 'entry-1': 20.0, 'entry-2': 30.0}
+        state = hear_all(table, 'entry-0')
+        before = limits.share_of(ACCOUNT.name, state)
+        state = limits.hear('entry-1', usage(20), 3, state)
+        state = limits.follow(frozenset(NAMES[1:]), 4, state)
+        self.assertEqual(tuple(state.silent), ('entry-2',))
+        after = limits.share_of(ACCOUNT.name, state)
+        lost = limits.FLOOR / 3 + (1 - limits.FLOOR) / 2
+        self.assertAlmostEqual(
+            after.requests,
+            (1 - lost) * (limits.FLOOR / 2 + (1 - limits.FLOOR) / 3),
+        )
+        self.assertLess(after.requests, before.requests + 0.01)
+        state = limits.follow(frozenset(('entry-1',)), 5, state)
+        confirmed = limits.share_of(ACCOUNT.name, state)
+        self.assertAlmostEqual(
+            confirmed.requests,
+            limits.FLOOR / 2 + (1 - limits.FLOOR) / 3,
+        )
+
+    def test_partition_is_divided_after_a_minute(self) -> None:
+        """Guard against half of a limit that stays unused for an hour."""
+        table = {'entry-0': 10.0, 'entry-1': 10.0, 'entry-2': 10.0}
+        state = hear_all(table, 'entry-0')
+        listed = frozenset(NAMES[1:])
+        state = limits.follow(listed, 3, state)
+        self.assertLess(limits.share_of(ACCOUNT.name, state).tokens, 0.34)
+        state = limits.follow(listed, 59, state)
+        self.assertLess(limits.share_of(ACCOUNT.name, state).tokens, 0.34)
+        state = limits.follow(listed, 61, state)
+        self.assertEqual(limits.share_of(ACCOUNT.name, state).tokens, 1)
+        state = limits.hear('entry-1', usage(10), 62, state)
+        self.assertAlmostEqual(
+            limits.share_of(ACCOUNT.name, state).tokens,
+            0.5,
+        )
+
+    def test_instance_that_starts_takes_an_equal_share(self) -> None:
+        """Guard against a whole limit at an instance that heard nobody."""
+        state = limits.follow(frozenset(NAMES[1:]), 0, limits.LimitState())
+        share = limits.share_of(ACCOUNT.name, state)
+        self.assertAlmostEqual(share.requests, 1 / 3)
+
+
+class Charging(unittest.TestCase):
+    """Requests are taken when admitted and tokens when delivered."""
+
+    def test_debt_of_tokens_is_repaid(self) -> None:
+        """Guard against tokens that are delivered but never charged."""
+        asked = limits.ask(ACCOUNT, 50, 10, limits.LimitState())
+        self.assertEqual(asked.wait_seconds, 0)
+        state = limits.charge(ACCOUNT.name, 400, 10, asked.limits)
+        refused = limits.ask(ACCOUNT, 50, 11, state)
+        self.assertAlmostEqual(refused.wait_seconds, 2)
+        admitted = limits.ask(ACCOUNT, 50, 13.01, refused.limits)
+        self.assertEqual(admitted.wait_seconds, 0)
+
+    def test_restart_starts_empty(self) -> None:
+        """Guard against a burst from every restart of an instance."""
+        state = limits.LimitState(started_at=10)
+        self.assertGreater(limits.ask(ACCOUNT, 1, 10, state).wait_seconds, 0)
+
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0, 0.5), min_size=1, max_size=200)
+    )
+    def test_requests_never_above_the_bound(self, waits: list[float]) -> None:
+        """Guard against more than the rate and one second of it."""
+        state = limits.LimitState()
+        now = 0.0
+        admitted = 0
+        for wait in waits:
+            now += wait
+            asked = limits.ask(ACCOUNT, 1, now, state)
+            state = asked.limits
+            admitted += not asked.wait_seconds
+        bound = ACCOUNT.requests_per_second * now
+        self.assertLessEqual(admitted, bound + 1e-6)
