--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -20,6 +20,7 @@
     codec_peer,
     codec_upstream,
     entry_metrics,
+    http_checks,
     http_client,
     http_server,
     logs,
@@ -30,6 +31,7 @@
 
 EXIT_BAD_SETTINGS = 2
 SEED_BITS = 63
+DEFAULT_LIMITS = http_checks.Limits()
 
 
 def initial_state(settings: setting_table.Settings) -> state.State:
@@ -54,7 +56,10 @@
     )
 
 
-def build(settings: setting_table.Settings) -> runtime.Runtime:
+def build(
+    settings: setting_table.Settings,
+    limits: http_checks.Limits = DEFAULT_LIMITS,
+) -> runtime.Runtime:
     """Return an entry instance whose loop can be run."""
     loop = runtime.Runtime(
         handlers.reduce,
@@ -81,6 +86,7 @@
         codec,
         loop.occur,
         f'{settings.instance_id}-{secrets.token_hex(4)}',
+        limits,
     ).register(loop)
     return loop
 
