--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -12,6 +12,7 @@
     handlers,
     log_streams,
     membership,
+    routing,
     state,
 )
 from mustardvale.internal.edge import (
@@ -42,6 +43,7 @@
             region=settings.region,
         ),
         seed=settings.seed or secrets.randbits(SEED_BITS),
+        policy=routing.POLICIES[settings.policy],
         configuration=configuration.ConfigurationState(settings.environment),
         log=log_streams.LogState(settings.log_address),
         membership=membership.Membership(settings.list_address),
--- a/src/mustardvale/internal/answers.py
+++ b/src/mustardvale/internal/answers.py
@@ -13,6 +13,7 @@
     effects,
     events,
     generations,
+    prefixes,
     reducer,
     refusals,
     replies,
@@ -119,7 +120,7 @@
     if generation.is_complete:
         return complete(generation, event, state)
     chain = find_chain(generation, event, state)
-    state = dataclasses.replace(state, seed=chain.seed)
+    state = chains.with_draws(chain.draws, state)
     if not chain.stages:
         return wait_for_chain(generation, state)
     started = generations.start_attempt(generation, chain.stages, event.at)
@@ -141,12 +142,14 @@
         generation.model,
         generation.wanted.adapter,
         generation.failed_upstreams,
+        len(generation.tokens),
+        prefixes.find_cached(generation, state),
     )
     choose = functools.partial(
         chains.choose_chain,
         table=state.upstreams,
         policy=state.policy,
-        seed=state.seed,
+        drawn=chains.Draws(state.seed, state.turns),
         now=event.at,
     )
     chain = choose(wanted)
@@ -196,7 +199,7 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Take the results of a call, or fail its steps if it was refused."""
-    transition = step_calls.end_call(event.address, call, state)
+    transition = step_calls.end_call(event, call, state)
     if isinstance(event.answer, calls.StepsRefused):
         problem = f'status {event.answer.status}'
         if event.answer.leaving:
@@ -220,7 +223,7 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Eject the runner and restart the answers whose steps are lost."""
-    transition = step_calls.end_call(event.address, call, state).then(
+    transition = step_calls.end_call(event, call, state).then(
         lambda now: upstreams.eject(event.address, event, now),
     )
     return fail_steps(call, event.failure.kind.value, event, transition)
--- a/src/mustardvale/internal/calls.py
+++ b/src/mustardvale/internal/calls.py
@@ -96,6 +96,41 @@
     plan_offset: int = -1
 
 
+FROM_WHOLE_SET = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadCacheEvents:
+    """Ask a runner for its cache events from a sequence number on.
+
+    `FROM_WHOLE_SET` asks for all digests that it holds.
+    """
+
+    instance_id: str
+    from_sequence: int = FROM_WHOLE_SET
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Report digests of prefixes that entered or left a cache."""
+
+    sequence: int
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEventsRead:
+    """Hold cache events; `complete` marks the whole set of digests.
+
+    `next` is the sequence number that the next event gets.
+    """
+
+    events: tuple[CacheEvent, ...]
+    complete: bool
+    next: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunAction:
     """Run one operation of a plain service.
--- a/src/mustardvale/internal/edge/codec_upstream.py
+++ b/src/mustardvale/internal/edge/codec_upstream.py
@@ -123,6 +123,29 @@
     return report
 
 
+@encode_call.register(calls.ReadCacheEvents)
+def encode_cache_events(call: calls.ReadCacheEvents) -> wire.RawCall:
+    """Encode a question for cache events."""
+    if call.from_sequence == calls.FROM_WHOLE_SET:
+        return wire.RawCall('GET', '/v1/cache-events')
+    return wire.RawCall('GET', f'/v1/cache-events?from={call.from_sequence}')
+
+
+@decode_answer.register(calls.ReadCacheEvents)
+def decode_cache_events(
+    call: calls.ReadCacheEvents,
+    raw: wire.RawAnswer,
+) -> calls.CacheEventsRead | calls.PlatformRefused:
+    """Decode cache events; engines without them answer 404."""
+    if raw.status != OK:
+        return refused(raw)
+    answer: calls.CacheEventsRead = decode_json(
+        raw.body,
+        calls.CacheEventsRead,
+    )
+    return answer
+
+
 @encode_call.register(calls.RunAction)
 def encode_run_action(call: calls.RunAction) -> wire.RawCall:
     """Encode an operation of a plain service.
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -22,6 +22,12 @@
     ('attempts_abandoned', 'Attempts of answers given up', ('problem',)),
     ('late_step_results', 'Step results that were not awaited', ()),
     ('ejections', 'Upstreams ejected', ('pool',)),
+    (
+        'ejections_withheld',
+        'Failures of upstreams when a third of their pool was ejected',
+        ('pool',),
+    ),
+    ('cache_event_gaps', 'Cache events that were missing', ()),
     ('promotions', 'Records of the environment stream', ('verdict',)),
     ('documents_unreadable', 'Documents that did not parse', ()),
     ('log_failures', 'Failed calls to the log service', ('operation',)),
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -3,6 +3,7 @@
 import collections
 import errno
 import socket
+import time
 from collections import abc
 from typing import Any, Protocol
 
@@ -41,6 +42,7 @@
         self.call = call
         self.address = address
         self.raw = raw
+        self.started_at = time.monotonic()
         self.sent = False
         self.ended = False
         self.connection: Connection | None = None
@@ -316,6 +318,7 @@
             call=pending.call,
             address=pending.address,
             answer=decoded,
+            seconds=time.monotonic() - pending.started_at,
         )
 
     def release(self, connection: Connection) -> None:
--- a/src/mustardvale/internal/events.py
+++ b/src/mustardvale/internal/events.py
@@ -65,11 +65,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallAnswered(Event):
-    """Report the decoded answer to a call."""
+    """Report the decoded answer to a call, `seconds` after its start."""
 
     call: Any
     address: str
     answer: Any
+    seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/mustardvale/internal/load_reports.py
@@ -0,0 +1,182 @@
+"""Ask upstreams for their load and act on what they report."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    paces,
+    prefixes,
+    reducer,
+    subsets,
+    timers,
+    transitions,
+    upstreams,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+LOAD_TIMEOUT_SECONDS = 2.0
+# The median of a part of a large range is near enough to that of the whole.
+COMPARED_RUNNERS = 64
+
+
+@reducer.on_timer.register(timers.LoadDue)
+def ask_load(
+    timer: timers.LoadDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask an upstream for its load unless it is gone or not used."""
+    upstream = state.upstreams.by_id.get(timer.instance_id)
+    if upstream is None or not upstream.polled:
+        return transitions.Transition(state)
+    call = effects.Call(
+        calls.ReadLoad(),
+        upstream.listed.address,
+        LOAD_TIMEOUT_SECONDS,
+    )
+    return transitions.Transition(state, (call,))
+
+
+def ask_again(
+    instance_id: str,
+    state: 'states.State',
+) -> effects.Effect:
+    """Ask an upstream for its load again after the period."""
+    return effects.SetTimer(
+        timers.LoadDue(instance_id),
+        subsets.poll_period_seconds(state.upstreams.polled_count),
+    )
+
+
+@reducer.on_answer.register(calls.ReadLoad)
+def take_load(
+    call: calls.ReadLoad,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Keep a load report and ask again after the period."""
+    upstream = state.upstreams.at_address(event.address)
+    if upstream is None:
+        return transitions.Transition(state)
+    if not isinstance(event.answer, calls.LoadReport):
+        again = ask_again(upstream.listed.instance_id, state)
+        return transitions.Transition(state, (again,))
+    reported = event.answer.instance_id
+    if reported != upstream.listed.instance_id:
+        state = replace_process(upstream, reported, event, state)
+    return keep_report(event.answer, event, state)
+
+
+def replace_process(
+    upstream: upstreams.Upstream,
+    reported: str,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> 'states.State':
+    """Take note of another process at an address that the list shows as old.
+
+    The old process has lost its sessions, and its id never comes back.
+    """
+    gone = dataclasses.replace(upstream, leaving=True, polled=False)
+    row = dataclasses.replace(upstream.listed, instance_id=reported)
+    table = state.upstreams.replace(gone)
+    known = table.by_id.get(reported, upstreams.build(row, event.at))
+    started = dataclasses.replace(
+        known,
+        polled=True,
+        replaces=upstream.listed.instance_id,
+    )
+    table = table.replace(started)
+    ids = table.ids.set(row.address, reported)
+    return upstreams.with_table(state, dataclasses.replace(table, ids=ids))
+
+
+def keep_report(
+    report: calls.LoadReport,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Keep the report of an upstream and eject it if it is far too slow."""
+    upstream = state.upstreams.by_id[report.instance_id]
+    candidate = dataclasses.replace(
+        upstream.candidate,
+        queued=report.queued,
+        step_seconds=report.step_seconds,
+        in_flight_at_report=upstream.in_flight,
+        link_seconds=paces.add_link_sample(
+            upstream.candidate.link_seconds,
+            event.seconds,
+        ),
+    )
+    is_first = upstream.report is None
+    if is_first:
+        candidate = dataclasses.replace(candidate, warm_from=event.at)
+    updated = dataclasses.replace(
+        upstream,
+        candidate=candidate,
+        report=report,
+        reported_at=event.at,
+        leaving=upstream.leaving or report.leaving,
+    )
+    table = state.upstreams.replace(updated)
+    following = upstreams.with_table(state, table)
+    transition = transitions.Transition(following)
+    if paces.is_outlier(updated.pace, find_like(updated, table)):
+        transition = upstreams.eject(
+            event.address,
+            event,
+            following,
+            'slow',
+        )
+    if is_first and report.model:
+        transition = transition.with_effects(
+            prefixes.watch(report.instance_id),
+        )
+    return transition.with_effects(ask_again(report.instance_id, state))
+
+
+def find_like(
+    upstream: upstreams.Upstream,
+    table: upstreams.UpstreamTable,
+) -> tuple[paces.Pace, ...]:
+    """Return the paces of the other runners of the same kind and layers."""
+    slot = upstreams.find_slot(upstream)
+    if slot is None or upstream.pace.samples < paces.OUTLIER_SAMPLES:
+        return ()
+    layers = (slot.first_layer, slot.end_layer)
+    ids = next(
+        one.ids
+        for one in table.index[slot.helds[0]]
+        if (one.first_layer, one.end_layer) == layers
+    )
+    others = (
+        table.by_id[one]
+        for one in ids[:COMPARED_RUNNERS]
+        if one != upstream.listed.instance_id
+    )
+    return tuple(
+        other.pace
+        for other in others
+        if other.report is not None
+        and upstream.report is not None
+        and other.report.accelerator == upstream.report.accelerator
+    )
+
+
+@reducer.on_failure.register(calls.ReadLoad)
+def take_load_failure(
+    call: calls.ReadLoad,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Eject an upstream that does not answer and ask again."""
+    upstream = state.upstreams.at_address(event.address)
+    if upstream is None:
+        return transitions.Transition(state)
+    again = ask_again(upstream.listed.instance_id, state)
+    return upstreams.eject(event.address, event, state).with_effects(again)
--- /dev/null
+++ b/src/mustardvale/internal/paces.py
@@ -0,0 +1,96 @@
+"""Measure how fast upstreams answer steps."""
+
+import dataclasses
+import statistics
+
+from mustardvale.internal import calls, routing
+
+# Weights of a new sample in mean and deviation (Jacobson 1988).
+MEAN_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+LINK_WEIGHT = 1 / 4
+DEVIATIONS = 4
+
+# A call that takes this many times its expected time is lost.
+TIMEOUT_FACTOR = 4
+# Pauses of a process that is not frozen, e.g. garbage collection or a busy
+# host, are shorter than this.
+SHORTEST_TIMEOUT_SECONDS = 0.3
+LONGEST_TIMEOUT_SECONDS = 5.0
+
+OUTLIER_FACTOR = 3
+OUTLIER_MARGIN_SECONDS = 0.02
+OUTLIER_SAMPLES = 20
+OUTLIER_PEERS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """Hold mean and deviation of the time of step calls, in seconds.
+
+    The expected time of the prefill is taken off each sample.
+    """
+
+    mean_seconds: float = 0
+    deviation_seconds: float = 0
+    samples: int = 0
+
+
+def add_sample(pace: Pace, seconds: float) -> Pace:
+    """Return the pace after one more call."""
+    if not pace.samples:
+        return Pace(seconds, seconds / 2, 1)
+    error = seconds - pace.mean_seconds
+    deviation = pace.deviation_seconds
+    return Pace(
+        pace.mean_seconds + MEAN_WEIGHT * error,
+        deviation + DEVIATION_WEIGHT * (abs(error) - deviation),
+        pace.samples + 1,
+    )
+
+
+def add_link_sample(link_seconds: float, seconds: float) -> float:
+    """Return the link time after one more measured round trip."""
+    if not link_seconds or seconds < link_seconds:
+        return seconds
+    return link_seconds + LINK_WEIGHT * (seconds - link_seconds)
+
+
+def prefill_seconds(call: calls.RunSteps, step_seconds: float) -> float:
+    """Return the expected time of the inputs beyond one per step."""
+    extra = sum(len(step.inputs) - 1 for step in call.steps)
+    return extra / routing.INPUTS_PER_STEP_TIME * step_seconds
+
+
+def timeout_seconds(
+    call: calls.RunSteps,
+    pace: Pace,
+    candidate: routing.Candidate,
+) -> float:
+    """Return the time after which a call of steps counts as lost."""
+    step_seconds = max(candidate.step_seconds, pace.mean_seconds)
+    if not step_seconds:
+        return LONGEST_TIMEOUT_SECONDS
+    expected = (
+        step_seconds
+        + DEVIATIONS * pace.deviation_seconds
+        + candidate.link_seconds
+        + prefill_seconds(call, step_seconds)
+    )
+    return min(
+        max(TIMEOUT_FACTOR * expected, SHORTEST_TIMEOUT_SECONDS),
+        LONGEST_TIMEOUT_SECONDS,
+    )
+
+
+def is_outlier(pace: Pace, others: tuple[Pace, ...]) -> bool:
+    """Return whether a pace is far slower than that of most like it."""
+    measured = tuple(
+        other.mean_seconds
+        for other in others
+        if other.samples >= OUTLIER_SAMPLES
+    )
+    if pace.samples < OUTLIER_SAMPLES or len(measured) < OUTLIER_PEERS:
+        return False
+    usual = statistics.median(measured)
+    return pace.mean_seconds > (OUTLIER_FACTOR * usual + OUTLIER_MARGIN_SECONDS)
--- /dev/null
+++ b/src/mustardvale/internal/placements.py
@@ -0,0 +1,119 @@
+"""Index the usable runners by what they hold.
+
+The index is changed when an upstream changes what it holds or becomes usable
+or unusable, so that a decision does not look at every upstream.
+"""
+
+import dataclasses
+
+import immutables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Name a model version with an adapter, empty for none, in a pool."""
+
+    pool: str
+    model: str
+    version: str
+    adapter: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """Describe what one runner holds: layers `first_layer` to `end_layer`."""
+
+    pool: str
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    first_layer: int
+    end_layer: int
+
+    @property
+    def helds(self) -> tuple[Held, ...]:
+        """Return what requests the runner can serve, without adapter first."""
+        return tuple(
+            Held(self.pool, self.model, self.version, adapter)
+            for adapter in ('', *self.adapters)
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LayerRange:
+    """Hold the ids of the usable runners with the same layers."""
+
+    first_layer: int
+    end_layer: int
+    ids: tuple[str, ...]
+
+
+NO_LAYERS = LayerRange(0, 0, ())
+
+Index = immutables.Map[Held, tuple[LayerRange, ...]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """Identify one layer range of what is held, for round robin."""
+
+    held: Held
+    first_layer: int
+    end_layer: int
+
+
+def place(instance_id: str, slot: Slot, index: Index) -> Index:
+    """Add a runner to the index."""
+    for held in slot.helds:
+        ranges = index.get(held, ())
+        found = find_range(ranges, slot)
+        others = tuple(one for one in ranges if one is not found)
+        found = dataclasses.replace(found, ids=(*found.ids, instance_id))
+        index = index.set(held, tuple(sorted((*others, found), key=order)))
+    return index
+
+
+def displace(instance_id: str, slot: Slot, index: Index) -> Index:
+    """Remove a runner from the index."""
+    for held in slot.helds:
+        ranges = index.get(held, ())
+        found = find_range(ranges, slot)
+        left = tuple(one for one in found.ids if one != instance_id)
+        others = tuple(one for one in ranges if one is not found)
+        if left:
+            found = dataclasses.replace(found, ids=left)
+            others = tuple(sorted((*others, found), key=order))
+        index = index.set(held, others)
+    return index
+
+
+def find_range(ranges: tuple[LayerRange, ...], slot: Slot) -> LayerRange:
+    """Return the range of a slot, a new one if there is none."""
+    layers = (slot.first_layer, slot.end_layer)
+    return next(
+        (one for one in ranges if order(one) == layers),
+        LayerRange(slot.first_layer, slot.end_layer, ()),
+    )
+
+
+def order(layer_range: LayerRange) -> tuple[int, int]:
+    """Return the key by which ranges are sorted."""
+    return (layer_range.first_layer, layer_range.end_layer)
+
+
+def find_viable(
+    ranges: tuple[LayerRange, ...],
+    layers: int,
+) -> tuple[LayerRange, ...]:
+    """Return the ranges from which the last layer can be reached.
+
+    Runners may be partitioned in more than one way at a time, so a range may
+    end where no other one begins.
+    """
+    reachable = {layers}
+    viable: list[LayerRange] = []
+    for layer_range in reversed(ranges):
+        if layer_range.end_layer in reachable:
+            reachable.add(layer_range.first_layer)
+            viable.append(layer_range)
+    return tuple(reversed(viable))
--- a/src/mustardvale/internal/routing.py
+++ b/src/mustardvale/internal/routing.py
@@ -2,16 +2,37 @@
 
 import dataclasses
 import functools
+import types
+from collections import abc
+from typing import Protocol
+
+import immutables
 
 from mustardvale.internal import draws
 
+SLOW_START_SECONDS = 10.0
+# A runner that has just come gets this part of its share, so that its first
+# answers show whether it works.
+SLOW_START_SHARE = 0.1
+SLOW_START_DRAWS = 3
+# An iteration takes about as long as the prefill of this many inputs.
+INPUTS_PER_STEP_TIME = 200
+# The scores of the best of this many candidates hardly differ from the best
+# of all, and instances that see the same report do not all choose one runner.
+SAMPLE_SIZE = 32
+NOMINAL_STEP_SECONDS = 0.004
+LONG_AGO = float('-inf')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """Describe an upstream as a policy sees it.
 
-    `in_flight` counts what this instance sent and has no answer to, `queued`
-    is what the upstream reported, `step_seconds` the time of one iteration.
+    `in_flight` counts what this instance sent and has no answer to, and
+    `in_flight_at_report` what it counted when the report came. `queued` is
+    what the upstream reported, `step_seconds` the time of one iteration,
+    `latency_seconds` the measured mean time of a call. `warm_from` is the
+    monotonic time from which the share of a new or returning upstream grows.
     """
 
     instance_id: str
@@ -19,14 +40,56 @@
     queued: int = 0
     step_seconds: float = 0
     link_seconds: float = 0
+    in_flight_at_report: int = 0
+    latency_seconds: float = 0
+    warm_from: float = LONG_AGO
+
+    @property
+    def expected_queue(self) -> int:
+        """Return the reported queue, corrected by what was sent since."""
+        since = self.in_flight - self.in_flight_at_report
+        return max(self.queued + since, self.in_flight)
+
+
+class Candidates(Protocol):
+    """Give access to candidates without holding a copy of them."""
+
+    def __len__(self) -> int:
+        """Return the number of candidates."""
+
+    def __getitem__(self, index: int, /) -> Candidate:
+        """Return one candidate."""
+
+    def __iter__(self) -> abc.Iterator[Candidate]:
+        """Return all candidates."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """Describe what is to be run and when.
+
+    `turn` counts the earlier round-robin decisions for the same work.
+    `cached_inputs` says how many of the `inputs` an upstream has in its prefix
+    cache; `preferred` holds the candidates with such a prefix.
+    """
+
+    now: float = 0
+    inputs: int = 0
+    turn: int = 0
+    cached_inputs: immutables.Map[str, int] = immutables.Map()
+    preferred: tuple[Candidate, ...] = ()
+
+
+NO_WORK = Work()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """Hold the chosen candidate and the seed for the next draw."""
+    """Hold the chosen candidate, the seed for the next draw and the turn."""
 
     candidate: Candidate
     seed: int
+    turn: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,16 +102,62 @@
     """Choose uniformly at random."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundRobin(Policy):
+    """Choose each candidate in turn."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeastReportedLoad(Policy):
+    """Choose the candidate with the shortest reported queue."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TwoChoices(Policy):
+    """Choose the less loaded one of two drawn at random."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpectedCompletion(Policy):
-    """Choose the candidate that is expected to finish first."""
+    """Choose the candidate that is expected to finish first.
+
+    Of more than `sample_size` candidates, that many are drawn and compared;
+    0 compares all.
+    """
+
+    sample_size: int = SAMPLE_SIZE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedScore(Policy):
+    """Choose the least `a * latency + b * in_flight / relative_speed`.
+
+    Source: T. Araki, "Autonomic WWW Server Management with Distributed
+    Resources", MGC 2004. `latency_weight` is a, in 1/s; `load_weight` is b.
+    """
+
+    latency_weight: float = 1
+    load_weight: float = NOMINAL_STEP_SECONDS
+
+
+POLICIES: types.MappingProxyType[str, Policy] = types.MappingProxyType(
+    {
+        'random': RandomChoice(),
+        'round-robin': RoundRobin(),
+        'least-load': LeastReportedLoad(),
+        'two-choices': TwoChoices(),
+        'expected-completion': ExpectedCompletion(),
+        'weighted-score': WeightedScore(),
+    }
+)
 
 
 @functools.singledispatch
 def choose(
     policy: Policy,
-    candidates: tuple[Candidate, ...],
+    candidates: Candidates,
     seed: int,
+    work: Work = NO_WORK,
 ) -> Choice:
     """Choose one of at least one candidates."""
     raise TypeError(f'no policy {type(policy).__name__}')
@@ -57,29 +166,171 @@
 @choose.register(RandomChoice)
 def choose_at_random(
     policy: RandomChoice,
-    candidates: tuple[Candidate, ...],
+    candidates: Candidates,
     seed: int,
+    work: Work = NO_WORK,
 ) -> Choice:
-    """Choose uniformly at random."""
+    """Choose uniformly at random, a new upstream less often."""
     drawn = draws.draw(seed)
-    index = int(drawn.unit * len(candidates))
-    return Choice(candidates[index], drawn.seed)
+    candidate = candidates[int(drawn.unit * len(candidates))]
+    for _ in range(SLOW_START_DRAWS):
+        share = share_of(candidate, work.now)
+        if share >= 1:
+            break
+        accepted = draws.draw(drawn.seed)
+        drawn = draws.draw(accepted.seed)
+        if accepted.unit < share:
+            break
+        candidate = candidates[int(drawn.unit * len(candidates))]
+    return Choice(candidate, drawn.seed, work.turn)
+
+
+@choose.register(RoundRobin)
+def choose_in_turn(
+    policy: RoundRobin,
+    candidates: Candidates,
+    seed: int,
+    work: Work = NO_WORK,
+) -> Choice:
+    """Choose the next in turn; a new upstream misses some of its turns."""
+    drawn = draws.Draw(seed, 0)
+    turn = work.turn
+    for _ in range(min(SLOW_START_DRAWS, len(candidates))):
+        candidate = candidates[turn % len(candidates)]
+        turn += 1
+        share = share_of(candidate, work.now)
+        if share >= 1:
+            break
+        drawn = draws.draw(drawn.seed)
+        if drawn.unit < share:
+            break
+    return Choice(candidate, drawn.seed, turn)
+
+
+@choose.register(LeastReportedLoad)
+def choose_by_report(
+    policy: LeastReportedLoad,
+    candidates: Candidates,
+    seed: int,
+    work: Work = NO_WORK,
+) -> Choice:
+    """Choose the shortest reported queue, ties at random."""
+    scores = [
+        (candidate.queued + 1) / share_of(candidate, work.now)
+        for candidate in candidates
+    ]
+    return choose_lowest(candidates, scores, seed, work)
+
+
+@choose.register(TwoChoices)
+def choose_of_two(
+    policy: TwoChoices,
+    candidates: Candidates,
+    seed: int,
+    work: Work = NO_WORK,
+) -> Choice:
+    """Choose the one of two with less in flight and reported load."""
+    sample = draw_sample(candidates, 2, seed)
+    scores = [
+        (candidate.in_flight + candidate.queued + 1)
+        / share_of(candidate, work.now)
+        for candidate in sample.candidates
+    ]
+    return choose_lowest(sample.candidates, scores, sample.seed, work)
 
 
 @choose.register(ExpectedCompletion)
 def choose_by_completion(
     policy: ExpectedCompletion,
-    candidates: tuple[Candidate, ...],
+    candidates: Candidates,
     seed: int,
+    work: Work = NO_WORK,
 ) -> Choice:
     """Choose the earliest expected completion, ties at random."""
+    if 0 < policy.sample_size < len(candidates):
+        sample = draw_sample(candidates, policy.sample_size, seed)
+        candidates = (*sample.candidates, *work.preferred)
+        seed = sample.seed
+    scores = [expected_seconds(candidate, work) for candidate in candidates]
+    return choose_lowest(candidates, scores, seed, work)
+
+
+@choose.register(WeightedScore)
+def choose_by_score(
+    policy: WeightedScore,
+    candidates: Candidates,
+    seed: int,
+    work: Work = NO_WORK,
+) -> Choice:
+    """Choose the lowest weighted score, ties at random."""
+    scores = [
+        weighted_score(policy, candidate) / share_of(candidate, work.now)
+        for candidate in candidates
+    ]
+    return choose_lowest(candidates, scores, seed, work)
+
+
+def choose_lowest(
+    candidates: Candidates,
+    scores: list[float],
+    seed: int,
+    work: Work,
+) -> Choice:
+    """Choose the candidate with the lowest score, ties at random."""
+    lowest = min(scores)
+    ties = [index for index, score in enumerate(scores) if score <= lowest]
     drawn = draws.draw(seed)
-    start = int(drawn.unit * len(candidates))
-    rotated = candidates[start:] + candidates[:start]
-    return Choice(min(rotated, key=expected_seconds), drawn.seed)
+    index = ties[int(drawn.unit * len(ties))]
+    return Choice(candidates[index], drawn.seed, work.turn)
+
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Hold candidates drawn without repetition and the next seed."""
 
-def expected_seconds(candidate: Candidate) -> float:
+    candidates: tuple[Candidate, ...]
+    seed: int
+
+
+def draw_sample(candidates: Candidates, size: int, seed: int) -> Sample:
+    """Draw different candidates, all of them when there are fewer."""
+    count = len(candidates)
+    if count <= size:
+        return Sample(tuple(candidates), seed)
+    indices: set[int] = set()
+    while len(indices) < size:
+        drawn = draws.draw(seed)
+        seed = drawn.seed
+        indices.add(int(drawn.unit * count))
+    return Sample(tuple(candidates[index] for index in sorted(indices)), seed)
+
+
+def share_of(candidate: Candidate, now: float) -> float:
+    """Return which part of its share a candidate gets in its slow start."""
+    warm = (now - candidate.warm_from) / SLOW_START_SECONDS
+    if warm >= 1:
+        return 1
+    return max(warm, SLOW_START_SHARE)
+
+
+def expected_seconds(candidate: Candidate, work: Work = NO_WORK) -> float:
     """Return the time until work sent now is expected to be done."""
-    ahead = candidate.in_flight + candidate.queued + 1
-    return ahead * candidate.step_seconds + candidate.link_seconds
+    ahead = (candidate.expected_queue + 1) / share_of(candidate, work.now)
+    uncached = work.inputs
+    if work.cached_inputs:
+        uncached -= work.cached_inputs.get(candidate.instance_id, 0)
+    iterations = ahead + uncached / INPUTS_PER_STEP_TIME
+    return iterations * candidate.step_seconds + candidate.link_seconds
+
+
+def weighted_score(policy: WeightedScore, candidate: Candidate) -> float:
+    """Return the weighted sum of latency and load by relative speed."""
+    slowness = (candidate.step_seconds or NOMINAL_STEP_SECONDS) / (
+        NOMINAL_STEP_SECONDS
+    )
+    latency = candidate.latency_seconds or (
+        candidate.step_seconds + candidate.link_seconds
+    )
+    return policy.latency_weight * latency + (
+        policy.load_weight * candidate.in_flight * slowness
+    )
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -9,10 +9,12 @@
 from mustardvale.internal import (
     lifecycle,
     log_streams,
+    placements,
     routing,
     step_calls,
 )
 from mustardvale.internal import membership as memberships
+from mustardvale.internal import prefixes as prefix_tables
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -26,10 +28,12 @@
     identity: memberships.Identity
     seed: int
     policy: routing.Policy = routing.ExpectedCompletion()
+    turns: immutables.Map[placements.Turn, int] = immutables.Map()
     configuration: configurations.ConfigurationState
     log: log_streams.LogState
     membership: memberships.Membership
     upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
+    prefixes: prefix_tables.PrefixTable = prefix_tables.PrefixTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/step_calls.py
+++ b/src/mustardvale/internal/step_calls.py
@@ -5,7 +5,14 @@
 
 import immutables
 
-from mustardvale.internal import calls, effects, transitions, upstreams
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    paces,
+    transitions,
+    upstreams,
+)
 
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
@@ -14,7 +21,6 @@
 # call still waits for the current one.
 CALLS_IN_FLIGHT_PER_RUNNER = 2
 STEPS_PER_CALL = 256
-STEP_TIMEOUT_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,9 +55,9 @@
     to_send: tuple[effects.Effect, ...] = ()
     if queue.waiting and queue.calls_in_flight < CALLS_IN_FLIGHT_PER_RUNNER:
         steps = queue.waiting[:STEPS_PER_CALL]
-        to_send = (
-            effects.Call(calls.RunSteps(steps), address, STEP_TIMEOUT_SECONDS),
-        )
+        call = calls.RunSteps(steps)
+        timeout = find_timeout(address, call, state)
+        to_send = (effects.Call(call, address, timeout),)
         queue = StepQueue(
             queue.calls_in_flight + 1,
             queue.waiting[STEPS_PER_CALL:],
@@ -63,16 +69,31 @@
     )
 
 
-def end_call(
+def find_timeout(
     address: str,
     call: calls.RunSteps,
     state: 'states.State',
+) -> float:
+    """Return the time after which a call counts as lost."""
+    upstream = state.upstreams.at_address(address)
+    if upstream is None:
+        return paces.LONGEST_TIMEOUT_SECONDS
+    return paces.timeout_seconds(call, upstream.pace, upstream.candidate)
+
+
+def end_call(
+    event: events.CallAnswered | events.CallFailed,
+    call: calls.RunSteps,
+    state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Account for a call that ended and send what waits."""
+    address = event.address
     queue = state.step_queues.get(address, StepQueue())
     queue = dataclasses.replace(
         queue,
         calls_in_flight=max(queue.calls_in_flight - 1, 0),
     )
     state = upstreams.add_in_flight(address, -len(call.steps), state)
+    if isinstance(event, events.CallAnswered):
+        state = upstreams.add_pace(address, call, event.seconds, state)
     return send_waiting(address, queue, state)
--- /dev/null
+++ b/src/mustardvale/internal/subsets.py
@@ -0,0 +1,77 @@
+"""Choose the runners that one entry instance uses.
+
+Each entry instance ranks the runners of a pool by rendezvous hash, so that a
+runner that comes or goes changes the subsets of few instances by one runner
+each, and an instance that comes or goes changes no other instance's subset.
+"""
+
+import hashlib
+import math
+from collections import abc
+
+# Up to this many runners every instance uses all.
+SMALL_POOL = 64
+SUBSET_SHARE = 0.2
+STAGE_MINIMUM = 8
+
+# Load reports may use half of the 18 KB/s that a node has for control.
+POLL_BYTES_PER_SECOND = 9000
+# One question and answer with their headers and those of TCP/IP.
+POLL_BYTES = 900
+SHORTEST_PERIOD_SECONDS = 1.0
+
+
+def rank(entry_id: str, ids: abc.Iterable[str]) -> tuple[str, ...]:
+    """Return runner ids in the order of preference of an entry instance."""
+    return tuple(sorted(ids, key=lambda one: weigh(entry_id, one)))
+
+
+def weigh(entry_id: str, instance_id: str) -> bytes:
+    """Return the rendezvous weight of a runner; the least goes first."""
+    text = f'{entry_id}|{instance_id}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def choose(
+    ranked: tuple[str, ...],
+    stages: abc.Mapping[str, abc.Hashable],
+) -> frozenset[str]:
+    """Choose from ranked runners, given the stages of those that reported.
+
+    A stage of which fewer than the minimum are chosen gets more of its
+    runners, and some whose stage is not known yet are tried as well.
+    """
+    if len(ranked) <= SMALL_POOL:
+        return frozenset(ranked)
+    size = math.ceil(SUBSET_SHARE * len(ranked))
+    missing = dict.fromkeys(stages.values(), STAGE_MINIMUM)
+    for one in ranked[:size]:
+        stage = stages.get(one)
+        if stage is not None:
+            missing[stage] -= 1
+    lacking = sum(max(count, 0) for count in missing.values())
+    trials = lacking * len(missing) if len(stages) >= size else 0
+    chosen = set(ranked[:size])
+    for other in ranked[size:]:
+        stage = stages.get(other)
+        if stage is None:
+            wanted = trials > 0
+            trials -= 1
+        else:
+            wanted = missing[stage] > 0
+            missing[stage] -= 1
+        if wanted:
+            chosen.add(other)
+    return frozenset(chosen)
+
+
+def poll_period_seconds(members: int) -> float:
+    """Return how often each member is asked for its load.
+
+    Instances pass on what concerns all of them, such as leaving runners, so
+    that a runner that many instances use is asked by some of them each second.
+    """
+    return max(
+        SHORTEST_PERIOD_SECONDS,
+        members * POLL_BYTES / POLL_BYTES_PER_SECOND,
+    )
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -22,6 +22,20 @@
     instance_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEventsDue(Timer):
+    """Ask a runner for its cache events again."""
+
+    instance_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EjectionOver(Timer):
+    """Use an ejected upstream again."""
+
+    instance_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeartbeatDue(Timer):
     """Send a heartbeat to the peers."""
--- a/src/mustardvale/internal/upstreams.py
+++ b/src/mustardvale/internal/upstreams.py
@@ -1,6 +1,7 @@
 """Keep what is known of the upstreams."""
 
 import dataclasses
+from collections import abc
 from typing import TYPE_CHECKING
 
 import immutables
@@ -9,7 +10,11 @@
     calls,
     effects,
     events,
+    paces,
+    placements,
     reducer,
+    routing,
+    subsets,
     timers,
     transitions,
 )
@@ -17,34 +22,114 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
-LOAD_PERIOD_SECONDS = 1.0
-LOAD_TIMEOUT_SECONDS = 2.0
 EJECTION_SECONDS = 5.0
+LONGEST_EJECTION_SECONDS = 80.0
+# An upstream that has worked for so long starts again with a short ejection.
+FORGIVEN_SECONDS = 60.0
+# More failures than this at one time have another cause than the upstreams.
+EJECTED_SHARE = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
     """Describe one upstream by the list, its report and direct evidence.
 
-    `in_flight` counts the steps or actions that this instance has sent and not
-    had answered. `ejected_until` is a monotonic time.
+    `polled` says whether it belongs to the subset that this instance uses.
+    `ejected_until` is a monotonic time, 0 when not ejected, and `ejections`
+    counts those in close succession. `replaces` is the id that the list still
+    shows at the address of a process that has started there since.
     """
 
     listed: calls.ListedInstance
+    candidate: routing.Candidate
     report: calls.LoadReport | None = None
     reported_at: float = 0
-    in_flight: int = 0
     leaving: bool = False
+    polled: bool = False
+    ejected_at: float = 0
     ejected_until: float = 0
+    ejections: int = 0
+    pace: paces.Pace = paces.Pace()
     first_seen_at: float = 0
+    replaces: str = ''
+
+    @property
+    def in_flight(self) -> int:
+        """Return the steps or actions sent from here and not yet answered."""
+        return self.candidate.in_flight
+
+
+def build(row: calls.ListedInstance, now: float) -> Upstream:
+    """Return an upstream of which only the list is known."""
+    candidate = routing.Candidate(row.instance_id)
+    return Upstream(row, candidate, first_seen_at=now)
+
+
+def is_in_use(upstream: Upstream) -> bool:
+    """Return whether new work may be sent, as of the last event about it."""
+    return upstream.polled and not (
+        upstream.leaving
+        or upstream.listed.state is calls.ListedState.LEAVING
+        or upstream.ejected_until
+        or upstream.report is None
+    )
+
+
+def is_usable(upstream: Upstream, now: float) -> bool:
+    """Return whether new work may be sent to an upstream."""
+    return not (
+        upstream.leaving
+        or upstream.listed.state is calls.ListedState.LEAVING
+        or upstream.ejected_until > now
+        or upstream.report is None
+    )
+
+
+def find_slot(upstream: Upstream) -> placements.Slot | None:
+    """Return what a runner holds, or None if it is no runner or not usable."""
+    report = upstream.report
+    if report is None or not is_in_use(upstream):
+        return None
+    if report.end_layer <= report.first_layer:
+        return None
+    return placements.Slot(
+        upstream.listed.pool,
+        report.model,
+        report.version,
+        report.adapters,
+        report.first_layer,
+        report.end_layer,
+    )
+
+
+def holds_layers(
+    upstream: Upstream,
+    held: placements.Held,
+    layers: placements.LayerRange,
+) -> bool:
+    """Return whether a runner is usable for a range of layers."""
+    slot = find_slot(upstream)
+    if slot is None or held not in slot.helds:
+        return False
+    return (slot.first_layer, slot.end_layer) == (
+        layers.first_layer,
+        layers.end_layer,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamTable:
-    """Hold all upstreams by instance id, and the ids by address."""
+    """Hold all upstreams by instance id, the ids by address and the index.
+
+    `ranked` holds the ids of each pool in this instance's order of preference,
+    `polled_count` how many upstreams it asks for their load.
+    """
 
     by_id: immutables.Map[str, Upstream] = immutables.Map()
     ids: immutables.Map[str, str] = immutables.Map()
+    index: placements.Index = immutables.Map()
+    ranked: immutables.Map[str, tuple[str, ...]] = immutables.Map()
+    polled_count: int = 0
 
     def at_address(self, address: str) -> Upstream | None:
         """Return the upstream at an address."""
@@ -53,28 +138,56 @@
     def replace(self, upstream: Upstream) -> 'UpstreamTable':
         """Return the table with an upstream added or replaced."""
         listed = upstream.listed
-        return UpstreamTable(
-            self.by_id.set(listed.instance_id, upstream),
-            self.ids.set(listed.address, listed.instance_id),
+        known = self.by_id.get(listed.instance_id)
+        ids = self.ids
+        if known is None or known.listed.address != listed.address:
+            ids = ids.set(listed.address, listed.instance_id)
+        return dataclasses.replace(
+            self,
+            by_id=self.by_id.set(listed.instance_id, upstream),
+            ids=ids,
+            index=move_slot(
+                listed.instance_id,
+                None if known is None else find_slot(known),
+                find_slot(upstream),
+                self.index,
+            ),
         )
 
+    def update(self, upstream: Upstream) -> 'UpstreamTable':
+        """Return the table after a change of load, which moves no slot."""
+        by_id = self.by_id.set(upstream.listed.instance_id, upstream)
+        return dataclasses.replace(self, by_id=by_id)
+
     def without(self, upstream: Upstream) -> 'UpstreamTable':
         """Return the table without an upstream."""
         listed = upstream.listed
-        by_address = self.ids
-        if by_address.get(listed.address) == listed.instance_id:
-            by_address = by_address.delete(listed.address)
-        return UpstreamTable(self.by_id.delete(listed.instance_id), by_address)
+        ids = self.ids
+        if ids.get(listed.address) == listed.instance_id:
+            ids = ids.delete(listed.address)
+        slot = find_slot(upstream)
+        return dataclasses.replace(
+            self,
+            by_id=self.by_id.delete(listed.instance_id),
+            ids=ids,
+            index=move_slot(listed.instance_id, slot, None, self.index),
+        )
 
 
-def is_usable(upstream: Upstream, now: float) -> bool:
-    """Return whether new work may be sent to an upstream."""
-    return not (
-        upstream.leaving
-        or upstream.listed.state is calls.ListedState.LEAVING
-        or upstream.ejected_until > now
-        or upstream.report is None
-    )
+def move_slot(
+    instance_id: str,
+    before: placements.Slot | None,
+    after: placements.Slot | None,
+    index: placements.Index,
+) -> placements.Index:
+    """Return the index after a change of what a runner holds."""
+    if before == after:
+        return index
+    if before is not None:
+        index = placements.displace(instance_id, before, index)
+    if after is not None:
+        index = placements.place(instance_id, after, index)
+    return index
 
 
 def with_table(state: 'states.State', table: UpstreamTable) -> 'states.State':
@@ -89,105 +202,177 @@
 ) -> transitions.Transition['states.State']:
     """Merge the rows of the instance list that are upstreams."""
     table = state.upstreams
-    new: list[effects.Effect] = []
     for row in listed:
         known = table.by_id.get(row.instance_id)
         if known is None:
-            table = table.replace(Upstream(row, first_seen_at=event.at))
-            new.append(effects.SetTimer(timers.LoadDue(row.instance_id), 0))
-        else:
-            table = table.replace(dataclasses.replace(known, listed=row))
+            table = table.replace(build(row, event.at))
+        elif known.listed != row or known.replaces:
+            table = table.replace(
+                dataclasses.replace(known, listed=row, replaces=''),
+            )
     present = {row.instance_id for row in listed}
     for upstream in tuple(table.by_id.values()):
-        if upstream.listed.instance_id not in present:
+        shown = {upstream.listed.instance_id, upstream.replaces}
+        if not shown & present:
             table = table.without(upstream)
-    return transitions.Transition(with_table(state, table), tuple(new))
+    table = rank_pools(state.identity.instance_id, table)
+    return choose_polled(with_table(state, table))
 
 
-@reducer.on_timer.register(timers.LoadDue)
-def ask_load(
-    timer: timers.LoadDue,
-    event: events.TimerFired,
+def rank_pools(entry_id: str, table: UpstreamTable) -> UpstreamTable:
+    """Rank the upstreams of each pool whose members have changed."""
+    pools: dict[str, list[str]] = {}
+    for instance_id, upstream in table.by_id.items():
+        pools.setdefault(upstream.listed.pool, []).append(instance_id)
+    ranked = {
+        pool: table.ranked[pool]
+        if frozenset(table.ranked.get(pool, ())) == frozenset(ids)
+        else subsets.rank(entry_id, ids)
+        for pool, ids in pools.items()
+    }
+    return dataclasses.replace(table, ranked=immutables.Map(ranked))
+
+
+def choose_polled(
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Ask an upstream for its load unless it is gone."""
-    upstream = state.upstreams.by_id.get(timer.instance_id)
-    if upstream is None:
-        return transitions.Transition(state)
-    call = effects.Call(
-        calls.ReadLoad(),
-        upstream.listed.address,
-        LOAD_TIMEOUT_SECONDS,
-    )
-    return transitions.Transition(state, (call,))
+    """Choose the upstreams that this instance uses and ask the new ones."""
+    table = state.upstreams
+    polled: set[str] = set()
+    for ranked in table.ranked.values():
+        polled |= subsets.choose(ranked, find_stages(ranked, table))
+    asked: list[effects.Effect] = []
+    for instance_id, upstream in tuple(table.by_id.items()):
+        wanted = instance_id in polled
+        if wanted == upstream.polled:
+            continue
+        table = table.replace(dataclasses.replace(upstream, polled=wanted))
+        if wanted:
+            asked.append(effects.SetTimer(timers.LoadDue(instance_id), 0))
+        if wanted and upstream.report is not None:
+            due = timers.CacheEventsDue(instance_id)
+            asked.append(effects.SetTimer(due, 0))
+    table = dataclasses.replace(table, polled_count=len(polled))
+    return transitions.Transition(with_table(state, table), tuple(asked))
+
+
+def find_stages(
+    ids: tuple[str, ...],
+    table: UpstreamTable,
+) -> dict[str, abc.Hashable]:
+    """Return the stage of each upstream that has reported, by its id."""
+    stages: dict[str, abc.Hashable] = {}
+    for one in ids:
+        report = table.by_id[one].report
+        if report is not None:
+            stages[one] = (
+                report.model,
+                report.version,
+                report.first_layer,
+                report.end_layer,
+            )
+    return stages
 
 
-@reducer.on_answer.register(calls.ReadLoad)
-def take_load(
-    call: calls.ReadLoad,
-    event: events.CallAnswered,
+def eject(
+    address: str,
+    event: events.Event,
     state: 'states.State',
+    reason: str = 'failed',
 ) -> transitions.Transition['states.State']:
-    """Keep a load report and ask again after the period."""
-    upstream = state.upstreams.at_address(event.address)
-    if upstream is None:
+    """Send nothing new to a failing upstream for a while.
+
+    When a third of a pool is ejected, no further one is; it starts slowly
+    again instead, so that it gets little work.
+    """
+    upstream = state.upstreams.at_address(address)
+    if upstream is None or upstream.ejected_until:
         return transitions.Transition(state)
-    again = effects.SetTimer(
-        timers.LoadDue(upstream.listed.instance_id),
-        LOAD_PERIOD_SECONDS,
-    )
-    if not isinstance(event.answer, calls.LoadReport):
-        return transitions.Transition(state, (again,))
-    upstream = dataclasses.replace(
-        upstream,
-        report=event.answer,
-        reported_at=event.at,
-        leaving=upstream.leaving or event.answer.leaving,
+    pool = upstream.listed.pool
+    if not may_eject(pool, state.upstreams):
+        slowed = with_slow_start(upstream, event.at)
+        return transitions.Transition(
+            with_table(state, state.upstreams.update(slowed)),
+            (effects.Count('ejections_withheld', (pool,)),),
+        )
+    return start_ejection(upstream, event, state).with_effects(
+        effects.Count('ejections', (pool,)),
+        effects.LogChange(
+            'upstream ejected',
+            (('upstream', upstream.listed.instance_id), ('reason', reason)),
+        ),
     )
-    table = state.upstreams.replace(upstream)
-    return transitions.Transition(with_table(state, table), (again,))
 
 
-@reducer.on_failure.register(calls.ReadLoad)
-def take_load_failure(
-    call: calls.ReadLoad,
-    event: events.CallFailed,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Eject an upstream that does not answer and ask again."""
-    upstream = state.upstreams.at_address(event.address)
-    if upstream is None:
-        return transitions.Transition(state)
-    again = effects.SetTimer(
-        timers.LoadDue(upstream.listed.instance_id),
-        LOAD_PERIOD_SECONDS,
+def may_eject(pool: str, table: UpstreamTable) -> bool:
+    """Return whether one more upstream of a pool may be ejected."""
+    members = table.ranked.get(pool, ())
+    ejected = sum(
+        bool(table.by_id[one].ejected_until)
+        for one in members
+        if one in table.by_id
     )
-    return eject(event.address, event, state).with_effects(again)
+    return (ejected + 1) * EJECTED_SHARE <= len(members)
 
 
-def eject(
-    address: str,
+def with_slow_start(upstream: Upstream, now: float) -> Upstream:
+    """Return an upstream that gets its share of work little by little."""
+    candidate = dataclasses.replace(upstream.candidate, warm_from=now)
+    return dataclasses.replace(upstream, candidate=candidate)
+
+
+def start_ejection(
+    upstream: Upstream,
     event: events.Event,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Send nothing new to a failing upstream for a while."""
-    upstream = state.upstreams.at_address(address)
-    if upstream is None:
-        return transitions.Transition(state)
+    """Eject an upstream, for twice as long as the last time."""
+    earlier = upstream.ejections
+    if event.at - upstream.ejected_at > FORGIVEN_SECONDS + (
+        LONGEST_EJECTION_SECONDS
+    ):
+        earlier = 0
+    seconds = min(
+        EJECTION_SECONDS * 2**earlier,
+        LONGEST_EJECTION_SECONDS,
+    )
     ejected = dataclasses.replace(
         upstream,
-        ejected_until=event.at + EJECTION_SECONDS,
+        ejected_at=event.at,
+        ejected_until=event.at + seconds,
+        ejections=earlier + 1,
     )
-    transition = transitions.Transition(
+    timer = timers.EjectionOver(upstream.listed.instance_id)
+    return transitions.Transition(
         with_table(state, state.upstreams.replace(ejected)),
+        (effects.SetTimer(timer, seconds),),
     )
-    if upstream.ejected_until > event.at:
-        return transition
-    return transition.with_effects(
-        effects.Count('ejections', (upstream.listed.pool,)),
-        effects.LogChange(
-            'upstream ejected',
-            (('upstream', upstream.listed.instance_id),),
+
+
+@reducer.on_timer.register(timers.EjectionOver)
+def end_ejection(
+    timer: timers.EjectionOver,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Use an upstream again, unless it has not reported since."""
+    upstream = state.upstreams.by_id.get(timer.instance_id)
+    if upstream is None or not upstream.ejected_until:
+        return transitions.Transition(state)
+    if upstream.polled and upstream.reported_at <= upstream.ejected_at:
+        return start_ejection(upstream, event, state)
+    returned = dataclasses.replace(
+        with_slow_start(upstream, event.at),
+        ejected_until=0,
+        pace=paces.Pace(),
+    )
+    return transitions.Transition(
+        with_table(state, state.upstreams.replace(returned)),
+        (
+            effects.LogChange(
+                'upstream is used again',
+                (('upstream', timer.instance_id),),
+            ),
         ),
     )
 
@@ -197,8 +382,20 @@
     upstream = state.upstreams.at_address(address)
     if upstream is None:
         return state
-    leaving = dataclasses.replace(upstream, leaving=True)
-    return with_table(state, state.upstreams.replace(leaving))
+    return mark_leaving_ids((upstream.listed.instance_id,), state)
+
+
+def mark_leaving_ids(
+    instance_ids: tuple[str, ...],
+    state: 'states.State',
+) -> 'states.State':
+    """Send nothing new to upstreams that are known to leave."""
+    table = state.upstreams
+    for instance_id in instance_ids:
+        upstream = table.by_id.get(instance_id)
+        if upstream is not None and not upstream.leaving:
+            table = table.replace(dataclasses.replace(upstream, leaving=True))
+    return with_table(state, table)
 
 
 def add_in_flight(
@@ -210,8 +407,29 @@
     upstream = state.upstreams.at_address(address)
     if upstream is None:
         return state
-    changed = dataclasses.replace(
-        upstream,
+    candidate = dataclasses.replace(
+        upstream.candidate,
         in_flight=max(upstream.in_flight + amount, 0),
     )
-    return with_table(state, state.upstreams.replace(changed))
+    changed = dataclasses.replace(upstream, candidate=candidate)
+    return with_table(state, state.upstreams.update(changed))
+
+
+def add_pace(
+    address: str,
+    call: calls.RunSteps,
+    seconds: float,
+    state: 'states.State',
+) -> 'states.State':
+    """Note how long an upstream took for a call of steps."""
+    upstream = state.upstreams.at_address(address)
+    if upstream is None or not seconds:
+        return state
+    prefill = paces.prefill_seconds(call, upstream.candidate.step_seconds)
+    pace = paces.add_sample(upstream.pace, max(seconds - prefill, 0))
+    candidate = dataclasses.replace(
+        upstream.candidate,
+        latency_seconds=pace.mean_seconds,
+    )
+    changed = dataclasses.replace(upstream, pace=pace, candidate=candidate)
+    return with_table(state, state.upstreams.update(changed))
--- a/src/mustardvale/settings.py
+++ b/src/mustardvale/settings.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from mustardvale import errors
+from mustardvale.internal import routing
 
 ENVIRONMENT_PREFIX = 'MUSTARDVALE_'
 
@@ -37,6 +38,12 @@
     Setting('environment', 'environment whose document is served'),
     Setting('log-address', 'host:port of the log service'),
     Setting('list-address', 'host:port of the instance list'),
+    Setting(
+        'policy',
+        'random, round-robin, least-load, two-choices, expected-completion '
+        'or weighted-score',
+        'expected-completion',
+    ),
     Setting('log-level', 'DEBUG, INFO, WARNING or ERROR', 'INFO'),
     Setting('seed', 'seed of random choices, 0 draws one', '0'),
 )
@@ -56,6 +63,7 @@
     list_address: str
     log_level: str
     seed: int
+    policy: str
 
 
 def read(
@@ -80,6 +88,9 @@
         for setting in SETTINGS
         if found[setting.name] is None
     )
+    if found['policy'] not in routing.POLICIES:
+        known = ', '.join(routing.POLICIES)
+        missing += (f'--policy: use one of {known}',)
     if missing:
         raise errors.SettingsError(missing)
     return Settings(
@@ -93,4 +104,5 @@
         list_address=str(found['list-address']),
         log_level=str(found['log-level']),
         seed=int(str(found['seed'])),
+        policy=str(found['policy']),
     )
--- /dev/null
+++ b/tests/building.py
@@ -0,0 +1,72 @@
+"""Build states and upstreams for tests."""
+
+import dataclasses
+from collections import abc
+
+from mustardvale.internal import (
+    calls,
+    events,
+    log_streams,
+    membership,
+    state,
+    upstreams,
+)
+from mustardvale.internal import configuration as configurations
+
+POOL = 'mustardvale-pool'
+
+
+def build_state() -> state.State:
+    """Build the state of an instance that knows no upstream."""
+    return state.State(
+        identity=membership.Identity('entry-0', 'a:1', 'a:2', 'zone-0'),
+        seed=7,
+        configuration=configurations.ConfigurationState('trial'),
+        log=log_streams.LogState('a:3'),
+        membership=membership.Membership('a:4'),
+    )
+
+
+def build_upstream(
+    number: int,
+    first_layer: int,
+    end_layer: int,
+    **changes: object,
+) -> upstreams.Upstream:
+    """Build a usable runner that holds some layers."""
+    row = calls.ListedInstance(
+        f'runner-{number}',
+        POOL,
+        f'10.0.0.{number}:80',
+        'zone-0',
+    )
+    report = calls.LoadReport(
+        row.instance_id,
+        'standard',
+        'affinage',
+        '3',
+        first_layer=first_layer,
+        end_layer=end_layer,
+        step_seconds=0.004,
+    )
+    built = dataclasses.replace(
+        upstreams.build(row, 0),
+        report=report,
+        polled=True,
+    )
+    return dataclasses.replace(built, **changes)  # type: ignore[arg-type]
+
+
+def build_table(
+    members: abc.Iterable[upstreams.Upstream],
+) -> upstreams.UpstreamTable:
+    """Build a table of upstreams."""
+    table = upstreams.UpstreamTable()
+    for member in members:
+        table = table.replace(member)
+    return table
+
+
+def build_event(at: float) -> events.TimerFired:
+    """Build an event that only tells the time."""
+    return events.TimerFired(at=at, timer=None)
--- /dev/null
+++ b/tests/test_chains.py
@@ -0,0 +1,195 @@
+"""Guard the choice of chains and the index that it uses."""
+
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from mustardvale import document
+from mustardvale.internal import chains, placements, routing, upstreams
+from tests import building
+
+MODEL = document.Model('affinage', '3', 12, building.POOL, ('rind',))
+POLICIES = tuple(routing.POLICIES.values())
+
+
+def choose(
+    table: upstreams.UpstreamTable,
+    policy: routing.Policy,
+    seed: int = 1,
+    excluded: frozenset[str] = frozenset(),
+) -> chains.Chain:
+    """Choose a chain for the model of the tests."""
+    return chains.choose_chain(
+        chains.ChainWanted(MODEL, '', excluded),
+        table,
+        policy,
+        chains.Draws(seed),
+        100,
+    )
+
+
+@strategies.composite
+def runners(
+    draw: strategies.DrawFn,
+) -> tuple[upstreams.Upstream, ...]:
+    """Draw runners with any layers in any state."""
+    count = draw(strategies.integers(0, 24))
+    built = []
+    for number in range(count):
+        first = draw(strategies.integers(0, 11))
+        end = draw(strategies.integers(first + 1, 12))
+        one = building.build_upstream(
+            number,
+            first,
+            end,
+            leaving=draw(strategies.integers(0, 5)) == 0,
+            ejected_until=draw(strategies.sampled_from((0.0, 0.0, 105.0))),
+            polled=draw(strategies.integers(0, 5)) > 0,
+        )
+        built.append(one)
+    return tuple(built)
+
+
+class ChainCoverage(unittest.TestCase):
+    """A chain runs every layer exactly once, in order."""
+
+    @hypothesis.given(
+        members=runners(),
+        policy=strategies.sampled_from(POLICIES),
+        seed=strategies.integers(0, 1 << 63),
+    )
+    def test_stages_cover_all_layers_in_order(
+        self,
+        members: tuple[upstreams.Upstream, ...],
+        policy: routing.Policy,
+        seed: int,
+    ) -> None:
+        """Guard against a layer that a chain leaves out or runs twice."""
+        chain = choose(building.build_table(members), policy, seed)
+        layers = tuple(
+            layer
+            for stage in chain.stages
+            for layer in range(stage.first_layer, stage.end_layer)
+        )
+        self.assertIn(layers, ((), tuple(range(12))))
+
+    @hypothesis.given(
+        members=runners(),
+        policy=strategies.sampled_from(POLICIES),
+        excluded=strategies.sets(strategies.integers(0, 23)),
+    )
+    def test_no_unusable_runner_is_chosen(
+        self,
+        members: tuple[upstreams.Upstream, ...],
+        policy: routing.Policy,
+        excluded: set[int],
+    ) -> None:
+        """Guard against work for leaving, ejected or excluded runners."""
+        names = frozenset(f'runner-{number}' for number in excluded)
+        table = building.build_table(members)
+        for stage in choose(table, policy, excluded=names).stages:
+            chosen = table.by_id[stage.instance_id]
+            self.assertFalse(chosen.leaving)
+            self.assertEqual(chosen.ejected_until, 0)
+            self.assertTrue(chosen.polled)
+            self.assertNotIn(stage.instance_id, names)
+
+    @hypothesis.given(
+        members=runners(),
+        policy=strategies.sampled_from(POLICIES),
+    )
+    def test_chain_is_found_when_there_is_one(
+        self,
+        members: tuple[upstreams.Upstream, ...],
+        policy: routing.Policy,
+    ) -> None:
+        """Guard against a dead end when runners are partitioned in two ways."""
+        reached = {0}
+        for layer in range(12):
+            reached |= {
+                one.report.end_layer
+                for one in members
+                if layer in reached
+                and one.report is not None
+                and one.report.first_layer == layer
+                and upstreams.is_in_use(one)
+            }
+        found = choose(building.build_table(members), policy).stages
+        self.assertEqual(bool(found), 12 in reached)
+
+
+class PlacementIndex(unittest.TestCase):
+    """The index holds exactly the usable runners."""
+
+    @hypothesis.given(first=runners(), second=runners())
+    def test_index_after_changes_equals_index_built_anew(
+        self,
+        first: tuple[upstreams.Upstream, ...],
+        second: tuple[upstreams.Upstream, ...],
+    ) -> None:
+        """Guard against runners that stay in the index after a change."""
+        changed = building.build_table((*first, *second))
+        for gone in first:
+            left = changed.by_id[gone.listed.instance_id]
+            if gone is left:
+                changed = changed.without(gone)
+        self.assertEqual(
+            members_of(changed),
+            members_of(building.build_table(changed.by_id.values())),
+        )
+
+    def test_adapter_is_indexed(self) -> None:
+        """Guard against an adapter that is sent to a runner without it."""
+        plain = building.build_upstream(0, 0, 12)
+        assert plain.report is not None
+        report = dataclasses.replace(
+            plain.report,
+            instance_id='runner-1',
+            adapters=('rind',),
+        )
+        with_adapter = building.build_upstream(1, 0, 12, report=report)
+        chain = chains.choose_chain(
+            chains.ChainWanted(MODEL, 'rind'),
+            building.build_table((plain, with_adapter)),
+            routing.ExpectedCompletion(),
+            chains.Draws(1),
+            100,
+        )
+        self.assertEqual(chain.stages[0].instance_id, 'runner-1')
+
+
+class RoundRobinTurns(unittest.TestCase):
+    """Round robin keeps its turn in the state."""
+
+    def test_every_runner_gets_its_turn(self) -> None:
+        """Guard against turns that are lost between two decisions."""
+        table = building.build_table(
+            building.build_upstream(one, 0, 12) for one in range(5)
+        )
+        current = building.build_state()
+        chosen = []
+        for _ in range(10):
+            chain = chains.choose_chain(
+                chains.ChainWanted(MODEL, ''),
+                table,
+                routing.RoundRobin(),
+                chains.Draws(current.seed, current.turns),
+                100,
+            )
+            current = chains.with_draws(chain.draws, current)
+            chosen.append(chain.stages[0].instance_id)
+        self.assertEqual(len(set(chosen[:5])), 5)
+        self.assertEqual(chosen[:5], chosen[5:])
+
+
+def members_of(
+    table: upstreams.UpstreamTable,
+) -> dict[placements.Held, dict[tuple[int, int], set[str]]]:
+    """Return the ids in the index, whatever their order."""
+    return {
+        held: {placements.order(one): set(one.ids) for one in ranges}
+        for held, ranges in table.index.items()
+        if ranges
+    }
