Bound the heartbeats of a large site and spread callers after a loss

Above 16 instances each sends its heartbeats to at most five others on a hash ring and relays only changes, suspicions and their denial. Heartbeats name the upstreams that leave. A caller's first address is drawn among all listed entries, so that the callers of a lost one spread over its region.

--- a/src/mustardvale/internal/edge/codec_peer.py
+++ b/src/mustardvale/internal/edge/codec_peer.py
@@ -12,6 +12,7 @@
     types.MappingProxyType(
         {
             'heartbeat': messages.Heartbeat,
+            'peer_suspected': messages.PeerSuspected,
             'document_wanted': messages.DocumentWanted,
             'document_copy': messages.DocumentCopy,
             'forward_action': messages.ForwardAction,
--- a/src/mustardvale/internal/entries.py
+++ b/src/mustardvale/internal/entries.py
@@ -1,5 +1,6 @@
 """Tell callers which entry addresses to use."""
 
+import dataclasses
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,19 @@
     from mustardvale.internal import state as states
 
 VALID_SECONDS = 10.0
+# A caller that finds none of this many alive asks again.
+MAXIMUM_ADDRESSES = 8
+WEIGHT_BITS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """Describe an entry instance that the list shows."""
+
+    address: str
+    availability_zone: str
+    region: str
+    live: bool
 
 
 @reducer.on_request.register(replies.EntriesWanted)
@@ -26,38 +40,94 @@
 ) -> transitions.Transition['states.State']:
     """Answer with the live entries in the order for this caller."""
     caller_id = wanted.caller_id or wanted.caller_address
+    ordered = order_entries(
+        caller_id,
+        wanted.availability_zone,
+        find_entries(event.at, state),
+    )
+    addresses = tuple(
+        replies.EntryAddress(entry.address, entry.availability_zone)
+        for entry in ordered[:MAXIMUM_ADDRESSES]
+    )
+    found = replies.EntriesFound(addresses, VALID_SECONDS)
+    return transitions.Transition(
+        state,
+        (effects.Reply(event.request_id, found),),
+    )
+
+
+def order_entries(
+    caller_id: str,
+    availability_zone: str,
+    listed: tuple[Entry, ...],
+) -> tuple[Entry, ...]:
+    """Return the live entries in the order in which a caller tries them.
+
+    A caller's first choice is made among all listed entries. If that one is
+    not live, the others follow in the caller's own order whatever their zone,
+    so that the load of a lost entry spreads over the whole region and not over
+    the few entries left in its zone. When it returns, only its own callers
+    move back.
+    """
+    home = frozenset(
+        entry.region
+        for entry in listed
+        if entry.availability_zone == availability_zone
+    )
     ordered = sorted(
-        live_entries(event.at, state),
+        listed,
         key=lambda entry: (
-            entry.availability_zone != wanted.availability_zone,
+            bool(home) and entry.region not in home,
             -weight(caller_id, entry.address),
         ),
     )
-    found = replies.EntriesFound(tuple(ordered), VALID_SECONDS)
-    return transitions.Transition(
-        state,
-        (effects.Reply(event.request_id, found),),
+    local = tuple(
+        entry
+        for entry in ordered
+        if entry.availability_zone == availability_zone
     )
+    if local and prefers_zone(caller_id, local, ordered):
+        ordered.remove(local[0])
+        ordered.insert(0, local[0])
+    return tuple(entry for entry in ordered if entry.live)
 
 
-def live_entries(
-    now: float,
-    state: 'states.State',
-) -> tuple[replies.EntryAddress, ...]:
-    """Return the addresses that take new requests."""
+def prefers_zone(
+    caller_id: str,
+    local: tuple[Entry, ...],
+    ordered: list[Entry],
+) -> bool:
+    """Return whether a caller starts in its own zone.
+
+    In a zone with less than its part of the region's entries only some of the
+    callers do, so that its entries get no more than the others.
+    """
+    regional = tuple(
+        entry for entry in ordered if entry.region == local[0].region
+    )
+    zones = len({entry.availability_zone for entry in regional})
+    share = zones * len(local) / len(regional)
+    drawn = weight(caller_id, local[0].availability_zone) / (1 << WEIGHT_BITS)
+    return drawn < share
+
+
+def find_entries(now: float, state: 'states.State') -> tuple[Entry, ...]:
+    """Return this instance and all listed ones."""
     peers = tuple(
-        replies.EntryAddress(
+        Entry(
             peer.listed.address,
             peer.listed.availability_zone,
+            peer.listed.region,
+            membership.is_live(peer, now),
         )
         for peer in state.membership.peers.values()
-        if membership.is_live(peer, now)
     )
-    if state.membership.own_state != membership.LIVE:
-        return peers
-    own = replies.EntryAddress(
-        state.identity.address,
-        state.identity.availability_zone,
+    identity = state.identity
+    own = Entry(
+        identity.address,
+        identity.availability_zone,
+        identity.region,
+        state.membership.own_state == membership.LIVE,
     )
     return (own, *peers)
 
--- a/src/mustardvale/internal/handlers.py
+++ b/src/mustardvale/internal/handlers.py
@@ -11,6 +11,7 @@
     prefixes,
     reducer,
     statuses,
+    suspicions,
     upstreams,
 )
 
@@ -24,6 +25,7 @@
     membership,
     prefixes,
     statuses,
+    suspicions,
     upstreams,
 )
 
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -46,6 +46,7 @@
         effects.LogChange('instance started'),
         effects.SetTimer(timers.ListDue(), 0),
         effects.SetTimer(timers.HeartbeatDue(), 0),
+        effects.SetTimer(timers.SilenceDue(), 0),
     )
 
 
--- a/src/mustardvale/internal/load_reports.py
+++ b/src/mustardvale/internal/load_reports.py
@@ -102,42 +102,46 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Keep the report of an upstream and eject it if it is far too slow."""
-    upstream = state.upstreams.by_id[report.instance_id]
+    known = state.upstreams.by_id[report.instance_id]
+    updated = with_report(known, report, event)
+    table = state.upstreams.replace(updated)
+    transition = transitions.Transition(upstreams.with_table(state, table))
+    if paces.is_outlier(updated.pace, find_like(updated, table)):
+        transition = transition.then(
+            lambda now: upstreams.eject(event.address, event, now, 'slow'),
+        )
+    if known.report is None and report.model:
+        transition = transition.with_effects(
+            prefixes.watch(report.instance_id),
+        )
+    return transition.with_effects(ask_again(report.instance_id, state))
+
+
+def with_report(
+    known: upstreams.Upstream,
+    report: calls.LoadReport,
+    event: events.CallAnswered,
+) -> upstreams.Upstream:
+    """Return an upstream after a load report; the first starts it slowly."""
     candidate = dataclasses.replace(
-        upstream.candidate,
+        known.candidate,
         queued=report.queued,
         step_seconds=report.step_seconds,
-        in_flight_at_report=upstream.in_flight,
+        in_flight_at_report=known.in_flight,
         link_seconds=paces.add_link_sample(
-            upstream.candidate.link_seconds,
+            known.candidate.link_seconds,
             event.seconds,
         ),
     )
-    is_first = upstream.report is None
-    if is_first:
+    if known.report is None:
         candidate = dataclasses.replace(candidate, warm_from=event.at)
-    updated = dataclasses.replace(
-        upstream,
+    return dataclasses.replace(
+        known,
         candidate=candidate,
         report=report,
         reported_at=event.at,
-        leaving=upstream.leaving or report.leaving,
+        leaving=known.leaving or report.leaving,
     )
-    table = state.upstreams.replace(updated)
-    following = upstreams.with_table(state, table)
-    transition = transitions.Transition(following)
-    if paces.is_outlier(updated.pace, find_like(updated, table)):
-        transition = upstreams.eject(
-            event.address,
-            event,
-            following,
-            'slow',
-        )
-    if is_first and report.model:
-        transition = transition.with_effects(
-            prefixes.watch(report.instance_id),
-        )
-    return transition.with_effects(ask_again(report.instance_id, state))
 
 
 def find_like(
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -9,8 +9,10 @@
     calls,
     effects,
     events,
+    listings,
     messages,
     reducer,
+    rings,
     timers,
     transitions,
     upstreams,
@@ -24,6 +26,13 @@
 HEARTBEAT_PERIOD_SECONDS = 1.0
 SUSPECT_SECONDS = 3.0
 ENTRY_POOL = 'entry'
+# Dozens of upstreams leave at a time when a zone is emptied; a heartbeat names
+# some of them in turn.
+MAXIMUM_MARKS = 16
+# News about upstreams waits this long for more of it.
+NEWS_DELAY_SECONDS = 0.1
+# Whoever missed the news that a peer is back believes it again after this.
+SUSPICION_SECONDS = 30.0
 
 LIVE = 'live'
 LEAVING = 'leaving'
@@ -48,21 +57,33 @@
 class Peer:
     """Describe another entry instance.
 
-    `heard_at` is the monotonic time of its last heartbeat, 0 if none came.
+    `heard_at` is the monotonic time of its last heartbeat, 0 if none came. A
+    peer that is `watched` sends its heartbeats to this instance; of the others
+    at a large site only changes are heard. `suspected_at` is the time of the
+    last news that those who watch it do not hear it, 0 if there is none. One
+    that has just `joined` is not listed and has sent its first heartbeat.
     """
 
     listed: calls.ListedInstance
     heartbeat: messages.Heartbeat | None = None
     heard_at: float = 0
+    watched: bool = True
+    suspected_at: float = 0
+    joined: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
-    """Hold the peers by instance id and the state of this instance."""
+    """Hold the peers by instance id and the state of this instance.
+
+    `beat` counts the heartbeats that this instance has sent.
+    """
 
     list_address: str = ''
     own_state: str = LIVE
     peers: immutables.Map[str, Peer] = immutables.Map()
+    ring: rings.Ring = rings.Ring()
+    beat: int = 0
 
 
 def with_membership(
@@ -73,14 +94,37 @@
     return dataclasses.replace(state, membership=membership)
 
 
+def with_peer(peer: Peer, state: 'states.State') -> 'states.State':
+    """Add or replace a peer; a new one joins the ring."""
+    membership = state.membership
+    instance_id = peer.listed.instance_id
+    ring = membership.ring
+    peers = membership.peers.set(instance_id, peer)
+    if instance_id not in membership.peers:
+        ring = rings.build((state.identity.instance_id, *peers))
+    return with_membership(
+        state,
+        dataclasses.replace(membership, peers=peers, ring=ring),
+    )
+
+
 def is_live(peer: Peer, now: float) -> bool:
     """Return whether callers may be sent to a peer."""
-    heartbeat = peer.heartbeat
-    return (
-        heartbeat is not None
-        and heartbeat.state == LIVE
-        and peer.listed.state is calls.ListedState.LIVE
-        and now - peer.heard_at < SUSPECT_SECONDS
+    if peer.listed.state is not calls.ListedState.LIVE:
+        return False
+    if peer.heartbeat is not None and peer.heartbeat.state != LIVE:
+        return False
+    if peer.watched:
+        return peer.heartbeat is not None and (
+            now - peer.heard_at < SUSPECT_SECONDS
+        )
+    return not is_suspected(peer, now)
+
+
+def is_suspected(peer: Peer, now: float) -> bool:
+    """Return whether there is recent news that a peer is not heard."""
+    return peer.suspected_at > 0 and (
+        now - peer.suspected_at < SUSPICION_SECONDS
     )
 
 
@@ -114,8 +158,8 @@
     entries = tuple(row for row in rows if row.pool == ENTRY_POOL)
     others = tuple(row for row in rows if row.pool != ENTRY_POOL)
     return (
-        take_entries(entries, state)
-        .then(lambda now: upstreams.take_listed(others, event, now))
+        take_entries(entries, event, state)
+        .then(lambda now: listings.take_listed(others, event, now))
         .with_effects(again)
     )
 
@@ -135,24 +179,30 @@
 
 
 def take_entries(
-    rows: tuple[calls.ListedInstance, ...],
+    listed: tuple[calls.ListedInstance, ...],
+    event: events.Event,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Merge the rows of the instance list that are entry instances."""
-    known = state.membership.peers
-    peers = immutables.Map(
-        {
-            row.instance_id: dataclasses.replace(
-                known.get(row.instance_id, Peer(row)),
-                listed=row,
-            )
-            for row in rows
-            if row.instance_id != state.identity.instance_id
-        }
-    )
-    membership = dataclasses.replace(state.membership, peers=peers)
+    rows = (*listed, *find_unlisted(listed, event.at, state))
+    own_id = state.identity.instance_id
+    ids = {own_id, *(row.instance_id for row in rows)}
+    ring = state.membership.ring
+    if ids != set(ring.ids):
+        ring = rings.build(ids)
+    membership = dataclasses.replace(
+        state.membership,
+        peers=immutables.Map(
+            {
+                row.instance_id: merge_row(row, ring, state)
+                for row in rows
+                if row.instance_id != own_id
+            }
+        ),
+        ring=ring,
+    )
     addresses = tuple(
-        sorted(peer.listed.peer_address for peer in peers.values())
+        sorted(peer.listed.peer_address for peer in membership.peers.values())
     )
     return transitions.Transition(
         with_membership(state, membership),
@@ -160,22 +210,72 @@
     )
 
 
+def find_unlisted(
+    listed: tuple[calls.ListedInstance, ...],
+    now: float,
+    state: 'states.State',
+) -> tuple[calls.ListedInstance, ...]:
+    """Return the peers that are heard although the list does not show them."""
+    shown = {row.instance_id for row in listed}
+    return tuple(
+        peer.listed
+        for instance_id, peer in state.membership.peers.items()
+        if instance_id not in shown
+        and peer.heartbeat is not None
+        and now - peer.heard_at < SUSPECT_SECONDS
+    )
+
+
+def merge_row(
+    row: calls.ListedInstance,
+    ring: rings.Ring,
+    state: 'states.State',
+) -> Peer:
+    """Return what is known of a peer with its row of the list."""
+    known = state.membership.peers.get(row.instance_id)
+    if known is not None and ring is state.membership.ring:
+        return dataclasses.replace(known, listed=row)
+    targets = rings.find_targets(row.instance_id, ring)
+    return dataclasses.replace(
+        known or Peer(row),
+        listed=row,
+        watched=state.identity.instance_id in targets,
+    )
+
+
 @reducer.on_timer.register(timers.HeartbeatDue)
 def send_heartbeats(
     timer: timers.HeartbeatDue,
     event: events.TimerFired,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Send a heartbeat to every peer."""
-    heartbeat = build_heartbeat(state)
-    sends = tuple(
-        effects.SendToPeer(peer.listed.peer_address, heartbeat)
-        for peer in state.membership.peers.values()
+    """Send a heartbeat to the targets."""
+    membership = dataclasses.replace(
+        state.membership,
+        beat=state.membership.beat + 1,
     )
+    state = with_membership(state, membership)
     again = effects.SetTimer(timer, HEARTBEAT_PERIOD_SECONDS)
+    sends = send_to_targets(build_heartbeat(state), state)
     return transitions.Transition(state, (*sends, again))
 
 
+def send_to_targets(
+    message: messages.PeerMessage,
+    state: 'states.State',
+) -> tuple[effects.Effect, ...]:
+    """Send a message to the peers that this instance sends to."""
+    membership = state.membership
+    targets = rings.find_targets(state.identity.instance_id, membership.ring)
+    return tuple(
+        effects.SendToPeer(
+            membership.peers[target].listed.peer_address,
+            message,
+        )
+        for target in targets
+    )
+
+
 def build_heartbeat(state: 'states.State') -> messages.Heartbeat:
     """Describe this instance to its peers."""
     identity = state.identity
@@ -192,7 +292,22 @@
         document_version=configuration.applied_version,
         document_offset=configuration.promoted.offset,
         in_force_since=configuration.in_force_since,
+        leaving_upstreams=find_marks(state),
+        beat=state.membership.beat,
+    )
+
+
+def find_marks(state: 'states.State') -> tuple[str, ...]:
+    """Return upstreams that leave and that the list shows as live."""
+    marks = sorted(
+        instance_id
+        for instance_id, upstream in state.upstreams.by_id.items()
+        if upstream.leaving and upstream.listed.state is calls.ListedState.LIVE
     )
+    if len(marks) <= MAXIMUM_MARKS:
+        return tuple(marks)
+    first = state.membership.beat * MAXIMUM_MARKS % len(marks)
+    return tuple((marks + marks)[first : first + MAXIMUM_MARKS])
 
 
 @reducer.on_peer_message.register(messages.Heartbeat)
@@ -202,17 +317,78 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Keep the heartbeat of a peer, also of one that is not listed yet."""
+    if message.instance_id == state.identity.instance_id:
+        return transitions.Transition(state)
     known = state.membership.peers.get(message.instance_id)
     if known is None:
-        known = Peer(to_row(message))
-    elif known.heartbeat is not None and (
-        known.heartbeat.incarnation > message.incarnation
-    ):
+        known = welcome(message, state)
+    if not is_newer(message, known):
         return transitions.Transition(state)
-    peer = dataclasses.replace(known, heartbeat=message, heard_at=event.at)
-    peers = state.membership.peers.set(message.instance_id, peer)
-    membership = dataclasses.replace(state.membership, peers=peers)
-    return transitions.Transition(with_membership(state, membership))
+    peer = dataclasses.replace(
+        known,
+        heartbeat=message,
+        heard_at=event.at,
+        suspected_at=0,
+        joined=False,
+    )
+    relayed: tuple[effects.Effect, ...] = ()
+    state = with_peer(peer, state)
+    if is_news(message, known) and not rings.is_small(state.membership.ring):
+        relayed = send_to_targets(message, state)
+    return take_marks(message, state).with_effects(*relayed)
+
+
+def welcome(message: messages.Heartbeat, state: 'states.State') -> Peer:
+    """Describe a peer that is not listed yet."""
+    joined = (*state.membership.ring.ids, message.instance_id)
+    targets = rings.find_targets(message.instance_id, rings.build(joined))
+    watched = state.identity.instance_id in targets
+    return Peer(to_row(message), watched=watched, joined=True)
+
+
+def is_newer(message: messages.Heartbeat, known: Peer) -> bool:
+    """Return whether a heartbeat was sent after the one that is known."""
+    if known.heartbeat is None:
+        return True
+    return (message.incarnation, message.beat) > (
+        known.heartbeat.incarnation,
+        known.heartbeat.beat,
+    )
+
+
+def is_news(message: messages.Heartbeat, known: Peer) -> bool:
+    """Return whether peers that do not watch the sender have to know.
+
+    One that is listed as live is taken for live without a heartbeat.
+    """
+    if known.suspected_at or known.joined:
+        return True
+    if known.heartbeat is None:
+        return message.state != known.listed.state.value
+    return (known.heartbeat.incarnation, known.heartbeat.state) != (
+        message.incarnation,
+        message.state,
+    )
+
+
+def take_marks(
+    message: messages.Heartbeat,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Take over the leaving marks of a peer and pass on the new ones soon."""
+    by_id = state.upstreams.by_id
+    new = tuple(
+        mark
+        for mark in message.leaving_upstreams
+        if mark in by_id and not by_id[mark].leaving
+    )
+    if not new:
+        return transitions.Transition(state)
+    soon = effects.SetTimer(timers.HeartbeatDue(), NEWS_DELAY_SECONDS)
+    return transitions.Transition(
+        upstreams.mark_leaving_ids(new, state),
+        (soon,),
+    )
 
 
 def to_row(message: messages.Heartbeat) -> calls.ListedInstance:
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -22,7 +22,8 @@
     """Describe the sender to its peers.
 
     `incarnation` is the wall time of the sender's start in milliseconds, so
-    that news of an earlier process at the same address is recognised.
+    that news of an earlier process at the same address is recognised. `beat`
+    counts the sender's heartbeats, so that a relayed one that comes late is.
     """
 
     instance_id: str
@@ -39,6 +40,16 @@
     usage: tuple[AccountUsage, ...] = ()
     suspects: tuple[str, ...] = ()
     leaving_upstreams: tuple[str, ...] = ()
+    beat: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSuspected(PeerMessage):
+    """Report that an instance is not heard since one of its heartbeats."""
+
+    instance_id: str
+    incarnation: int
+    beat: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mustardvale/internal/rings.py
@@ -0,0 +1,63 @@
+"""Choose the peers that an entry instance sends its heartbeats to.
+
+At a small site these are all peers. At a large one the instances form a ring
+in the order of a hash of their ids. Each sends to the two that follow it, so
+that every instance hears at least two others, and to some farther ones, so
+that news that is relayed crosses the ring in a few hops. An instance that
+comes or goes changes the targets of few others.
+"""
+
+import bisect
+import dataclasses
+import hashlib
+from collections import abc
+
+SMALL_SITE_INSTANCES = 16
+FOLLOWING_TARGETS = 2
+# Distances of the farther targets as parts of the ring.
+FINGERS = (1 / 64, 1 / 8, 1 / 2)
+POINT_BYTES = 8
+CIRCUMFERENCE = 1 << (8 * POINT_BYTES)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ring:
+    """Hold instance ids in the order of their points."""
+
+    points: tuple[int, ...] = ()
+    ids: tuple[str, ...] = ()
+
+
+def build(ids: abc.Iterable[str]) -> Ring:
+    """Return the ring of some instances."""
+    ordered = sorted((find_point(one), one) for one in ids)
+    return Ring(
+        tuple(point for point, _ in ordered),
+        tuple(one for _, one in ordered),
+    )
+
+
+def find_point(instance_id: str) -> int:
+    """Return the place of an instance on the ring."""
+    digest = hashlib.blake2b(instance_id.encode(), digest_size=POINT_BYTES)
+    return int.from_bytes(digest.digest())
+
+
+def is_small(ring: Ring) -> bool:
+    """Return whether every instance sends to every other one."""
+    return len(ring.ids) <= SMALL_SITE_INSTANCES
+
+
+def find_targets(instance_id: str, ring: Ring) -> tuple[str, ...]:
+    """Return the instances to which one instance sends its heartbeats."""
+    if is_small(ring):
+        return tuple(one for one in ring.ids if one != instance_id)
+    point = find_point(instance_id)
+    after = bisect.bisect_right(ring.points, point)
+    count = len(ring.ids)
+    places = [after + offset for offset in range(FOLLOWING_TARGETS)]
+    for distance in FINGERS:
+        reached = (point + int(distance * CIRCUMFERENCE)) % CIRCUMFERENCE
+        places.append(bisect.bisect_left(ring.points, reached))
+    targets = dict.fromkeys(ring.ids[place % count] for place in places)
+    return tuple(one for one in targets if one != instance_id)
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -41,6 +41,11 @@
     """Send a heartbeat to the peers."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilenceDue(Timer):
+    """Look for watched peers that are not heard."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadDue(Timer):
     """Read a stream again after a failure."""
--- a/tests/building.py
+++ b/tests/building.py
@@ -5,7 +5,6 @@
 
 from mustardvale.internal import (
     calls,
-    events,
     log_streams,
     membership,
     state,
@@ -27,6 +26,16 @@
     )
 
 
+def build_row(number: int) -> calls.ListedInstance:
+    """Build the row of a runner in the instance list."""
+    return calls.ListedInstance(
+        f'runner-{number}',
+        POOL,
+        f'10.0.{number // 200}.{number % 200}:80',
+        'zone-0',
+    )
+
+
 def build_upstream(
     number: int,
     first_layer: int,
@@ -34,12 +43,7 @@
     **changes: object,
 ) -> upstreams.Upstream:
     """Build a usable runner that holds some layers."""
-    row = calls.ListedInstance(
-        f'runner-{number}',
-        POOL,
-        f'10.0.0.{number}:80',
-        'zone-0',
-    )
+    row = build_row(number)
     report = calls.LoadReport(
         row.instance_id,
         'standard',
@@ -65,8 +69,3 @@
     for member in members:
         table = table.replace(member)
     return table
-
-
-def build_event(at: float) -> events.TimerFired:
-    """Build an event that only tells the time."""
-    return events.TimerFired(at=at, timer=None)
