--- a/src/mustardvale/internal/entries.py
+++ b/src/mustardvale/internal/entries.py
@@ -16,7 +16,6 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
-VALID_SECONDS = 10.0
 # A caller that finds none of this many alive asks again.
 MAXIMUM_ADDRESSES = 8
 WEIGHT_BITS = 64
@@ -49,7 +48,10 @@
         replies.EntryAddress(entry.address, entry.availability_zone)
         for entry in ordered[:MAXIMUM_ADDRESSES]
     )
-    found = replies.EntriesFound(addresses, VALID_SECONDS)
+    found = replies.EntriesFound(
+        addresses,
+        state.timing.address_validity,
+    )
     return transitions.Transition(
         state,
         (effects.Reply(event.request_id, found),),
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -4,7 +4,9 @@
 
 import immutables
 
+from mustardvale.internal import action_calls
 from mustardvale.internal import configuration as configurations
+from mustardvale.internal import forwards as forward_tables
 from mustardvale.internal import generations as generation_tables
 from mustardvale.internal import (
     lifecycle,
@@ -14,7 +16,10 @@
     step_calls,
 )
 from mustardvale.internal import membership as memberships
+from mustardvale.internal import operations as operation_tables
+from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import prefixes as prefix_tables
+from mustardvale.internal import timing as timings
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -36,4 +41,9 @@
     prefixes: prefix_tables.PrefixTable = prefix_tables.PrefixTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
+    operations: operation_tables.Operations = immutables.Map()
+    actions: action_calls.ActionTable = action_calls.ActionTable()
+    forwards: forward_tables.Forwards = immutables.Map()
+    partitions: partition_tables.Partitions = immutables.Map()
+    timing: timings.Timing = timings.Timing()
     stopping: lifecycle.Stopping | None = None
