--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -12,12 +12,14 @@
 from mustardvale.internal import (
     lifecycle,
     log_streams,
+    placements,
     routing,
     step_calls,
 )
 from mustardvale.internal import membership as memberships
 from mustardvale.internal import operations as operation_tables
 from mustardvale.internal import partitions as partition_tables
+from mustardvale.internal import prefixes as prefix_tables
 from mustardvale.internal import timing as timings
 from mustardvale.internal import upstreams as upstream_tables
 
@@ -32,10 +34,12 @@
     identity: memberships.Identity
     seed: int
     policy: routing.Policy = routing.ExpectedCompletion()
+    turns: immutables.Map[placements.Turn, int] = immutables.Map()
     configuration: configurations.ConfigurationState
     log: log_streams.LogState
     membership: memberships.Membership
     upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
+    prefixes: prefix_tables.PrefixTable = prefix_tables.PrefixTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
     operations: operation_tables.Operations = immutables.Map()
--- a/src/mustardvale/settings.py
+++ b/src/mustardvale/settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mustardvale import errors
-from mustardvale.internal import document_checks, setting_rules
+from mustardvale.internal import document_checks, routing, setting_rules
 
 ENVIRONMENT_PREFIX = 'MUSTARDVALE_'
 CHECK_FLAG = '--check'
@@ -62,6 +62,12 @@
     Setting('environment', 'environment whose document is served', ENVIRONMENT),
     Setting('log-address', 'IP:port of the log service', ADDRESS),
     Setting('list-address', 'IP:port of the instance list', ADDRESS),
+    Setting(
+        'policy',
+        'how runners are chosen',
+        setting_rules.Choice(tuple(routing.POLICIES)),
+        'expected-completion',
+    ),
     Setting(
         'log-level',
         'least severe log lines to write',
@@ -112,6 +118,7 @@
     address_validity_seconds: float = 10
     drain_seconds: float = 600
     log_retention_seconds: float = 3600
+    policy: str = 'expected-completion'
     only_check: bool = False
 
 
--- a/tests/entry_states.py
+++ b/tests/entry_states.py
@@ -54,7 +54,17 @@
         end_layer=end_layer,
         step_seconds=0.004,
     )
-    return upstreams.Upstream(listed, report=report, first_seen_at=-1000)
+    seen = upstreams.build(listed, -1000)
+    candidate = dataclasses.replace(
+        seen.candidate,
+        step_seconds=report.step_seconds,
+    )
+    return dataclasses.replace(
+        seen,
+        candidate=candidate,
+        report=report,
+        polled=True,
+    )
 
 
 def build_state(runners: tuple[upstreams.Upstream, ...] = ()) -> state.State:
