--- a/src/mustardvale/errors.py
+++ b/src/mustardvale/errors.py
@@ -18,8 +18,9 @@
 class Scope(enum.Enum):
     """Say what a `not_run` outcome speaks of.
 
-    `KEY` covers every earlier call with the same idempotency key, `CALL` only
-    the call that is answered.
+    `KEY` says that nothing was sent for the idempotency key so far; a call
+    with it that has not ended may still send. `CALL` says only that nothing
+    was or will be sent for the call that is answered.
     """
 
     KEY = 'key'
--- a/src/mustardvale/internal/forwards.py
+++ b/src/mustardvale/internal/forwards.py
@@ -15,6 +15,7 @@
     events,
     membership,
     messages,
+    partitions,
     reducer,
     timers,
     transitions,
@@ -44,6 +45,7 @@
         idempotency_key=request.idempotency_key,
         body=request.body,
         deadline_seconds=remaining,
+        deadline_wall=event.wall + remaining,
         traceparent=request.traceparent,
     )
     table = state.forwards.set(forward_id, request)
@@ -83,10 +85,12 @@
             message.body,
         ),
         received_at=event.at,
-        deadline_at=event.at + message.deadline_seconds,
+        deadline_at=event.at + remaining_seconds(message, event),
         traceparent=message.traceparent,
     )
     error = action_keys.find_problem(message.idempotency_key, event.wall)
+    if request.deadline_at <= event.at:
+        error = action_results.too_late()
     if service is None:
         error = action_requests.not_run(
             errors.NOT_READY,
@@ -97,6 +101,18 @@
     return claims.receive(request, event, state)
 
 
+def remaining_seconds(
+    message: messages.ForwardAction,
+    event: events.PeerMessageReceived,
+) -> float:
+    """Return the time left, at most a clock skew more than by wall time."""
+    by_wall = message.deadline_wall - event.wall
+    return min(
+        message.deadline_seconds,
+        by_wall + partitions.CLOCK_SKEW_SECONDS,
+    )
+
+
 @reducer.on_peer_message.register(messages.ActionOutcome)
 def take_outcome(
     message: messages.ActionOutcome,
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -62,7 +62,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardAction(PeerMessage):
-    """Ask the instance that tails a partition to run an action."""
+    """Ask the instance that tails a partition to run an action.
+
+    `deadline_wall` is the same deadline in seconds since the epoch, because a
+    paused instance does not see how long a message has waited.
+    """
 
     forward_id: str
     reply_to: str
@@ -72,6 +76,7 @@
     idempotency_key: str
     body: bytes
     deadline_seconds: float
+    deadline_wall: float
     traceparent: str
 
 
--- /dev/null
+++ b/tests/action_model.py
@@ -0,0 +1,474 @@
+"""Model a site around the reducer of entry instances.
+
+The model holds the log, the runners, the messages and the clock, and checks
+the guarantees of actions whenever a call is sent or a caller is answered.
+"""
+
+import dataclasses
+import functools
+import uuid
+from typing import Any
+
+
+from mustardvale import document, errors
+from mustardvale.internal import (
+    action_keys,
+    action_requests,
+    calls,
+    configuration,
+    effects,
+    events,
+    handlers,
+    log_streams,
+    membership,
+    messages,
+    records,
+    replies,
+    state,
+    timers,
+    upstreams,
+)
+from tests import action_site
+
+WALL = 1_800_000_000.0
+WINDOW_SECONDS = 6 * 3600
+INSTANCES = 3
+RUNNERS = 2
+BODIES = (b'"wheel 7"', b'"wheel 8"')
+
+
+def make_key(created: float, number: int) -> str:
+    """Return a UUID version 7."""
+    high = int(created * 1000) << 16 | 7 << 12
+    return str(uuid.UUID(int=high << 64 | 2 << 62 | number))
+
+
+# Both belong to one partition; the second expires a minute after the start.
+KEYS = (
+    make_key(WALL, 1),
+    make_key(WALL - WINDOW_SECONDS + 60, 23),
+)
+
+
+@dataclasses.dataclass
+class Instance:
+    """Hold one entry instance and what it has asked of the edge."""
+
+    number: int
+    state: state.State
+    timers: dict[Any, float] = dataclasses.field(default_factory=dict)
+    calls: list[effects.Call] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Asked:
+    """Describe a request and what its caller was told."""
+
+    key: str
+    body: bytes
+    replies: list[Any] = dataclasses.field(default_factory=list)
+    sends: int = 0
+
+
+class Site:
+    """Hold the whole site; each method is one step that may happen."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.log: dict[str, list[records.StoredRecord]] = {}
+        self.next_offsets: dict[str, int] = {}
+        self.late: list[tuple[str, records.Record]] = []
+        self.messages: list[tuple[str, str, Any]] = []
+        self.asked: dict[str, Asked] = {}
+        self.attempts: dict[str, str] = {}
+        self.sends: dict[str, int] = {}
+        self.answers: dict[str, bytes] = {}
+        self.counts: dict[str, int] = {}
+        self.parsed = document.parse(action_site.DOCUMENT)
+        self.instances = [
+            Instance(number, self.fresh_state(number, 1))
+            for number in range(INSTANCES)
+        ]
+        for instance in self.instances:
+            self.begin(instance)
+
+    @property
+    def wall(self) -> float:
+        """Return the wall time, which all clocks share."""
+        return WALL + self.now - 100
+
+    def begin(self, instance: Instance) -> None:
+        """Start the periodic check and hear the peers."""
+        instance.timers[timers.PartitionsDue()] = self.now + 3
+        self.hear(instance.number)
+
+    def fresh_state(self, number: int, incarnation: int) -> state.State:
+        """Return the state of an instance that knows its surroundings."""
+        table = upstreams.UpstreamTable()
+        for runner in range(RUNNERS):
+            listed = calls.ListedInstance(
+                f'service-{runner}',
+                action_site.SERVICE,
+                f'service:{runner}',
+                'zone',
+            )
+            report = calls.LoadReport(f'service-{runner}')
+            table = table.replace(upstreams.Upstream(listed, report))
+        return state.State(
+            identity=membership.Identity(
+                f'entry-{number}',
+                f'entry:{number}',
+                f'peer:{number}',
+                'zone',
+                incarnation=incarnation,
+            ),
+            seed=number + 1,
+            configuration=configuration.ConfigurationState(
+                'production',
+                document=self.parsed,
+            ),
+            log=log_streams.LogState('log:1'),
+            membership=membership.Membership('list:1'),
+            upstreams=table,
+        )
+
+    def stamp(self, kind: Any, **fields: Any) -> Any:
+        """Return an event that happens now."""
+        return kind(at=self.now, wall=self.wall, **fields)
+
+    def feed(self, instance: Instance, kind: Any, **fields: Any) -> None:
+        """Reduce an event and take in the effects."""
+        event = self.stamp(kind, **fields)
+        transition = handlers.reduce(event, instance.state)
+        instance.state = transition.state
+        for effect in transition.effects:
+            perform(effect, instance, self)
+
+    def count(self, what: str) -> None:
+        """Count what a run has reached."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def ask(
+        self,
+        number: int,
+        key: str,
+        body: bytes,
+        deadline_seconds: float,
+    ) -> None:
+        """Send the request of a caller to an instance."""
+        request_id = f'request-{len(self.asked)}'
+        self.asked[request_id] = Asked(key, body)
+        wanted = replies.ActionWanted(
+            account_key=action_site.ACCOUNT_KEY,
+            deadline_seconds=deadline_seconds,
+            service=action_site.SERVICE,
+            operation='log-wheel',
+            idempotency_key=key,
+            body=body,
+        )
+        self.feed(
+            self.instances[number],
+            events.CallerRequested,
+            request_id=request_id,
+            wanted=wanted,
+        )
+
+    def pending(self, kind: type[Any]) -> list[tuple[Instance, effects.Call]]:
+        """Return the calls of a kind that have not ended."""
+        return [
+            (instance, call)
+            for instance in self.instances
+            for call in instance.calls
+            if isinstance(call.call, kind) and self.is_ready(call.call)
+        ]
+
+    def is_ready(self, call: Any) -> bool:
+        """Return whether a call can end; a read waits for records."""
+        if not isinstance(call, calls.ReadRecords):
+            return True
+        name = call.stream.name
+        return self.next_offsets.get(name, 0) > call.from_offset
+
+    def answer(
+        self,
+        instance: Instance,
+        call: effects.Call,
+        answer: Any,
+    ) -> None:
+        """End a call with an answer."""
+        instance.calls.remove(call)
+        self.feed(
+            instance,
+            events.CallAnswered,
+            call=call.call,
+            address=call.address,
+            answer=answer,
+        )
+
+    def fail(
+        self,
+        instance: Instance,
+        call: effects.Call,
+        kind: events.FailureKind,
+        sent: bool,
+    ) -> None:
+        """End a call without an answer."""
+        instance.calls.remove(call)
+        self.feed(
+            instance,
+            events.CallFailed,
+            call=call.call,
+            address=call.address,
+            failure=events.Failure(kind, sent),
+        )
+
+    def store(self, stream: str, record: records.Record) -> int:
+        """Append one record and return its offset."""
+        offset = self.next_offsets.get(stream, 0)
+        stored = records.StoredRecord(offset, self.wall, record)
+        self.log.setdefault(stream, []).append(stored)
+        self.next_offsets[stream] = offset + 1
+        return offset
+
+    def store_all(self, call: calls.AppendRecords) -> int:
+        """Append the records of a call and return the first offset."""
+        name = call.stream.name
+        offsets = [self.store(name, record) for record in call.records]
+        return offsets[0]
+
+    def keep_late(self, call: calls.AppendRecords) -> None:
+        """Keep the records of a call, which may be appended later."""
+        name = call.stream.name
+        self.late.extend((name, record) for record in call.records)
+
+    def read(self, call: calls.ReadRecords, limit: int) -> calls.RecordsRead:
+        """Return what a read finds."""
+        name = call.stream.name
+        stored = self.log.get(name, [])
+        following = self.next_offsets.get(name, 0)
+        earliest = stored[0].offset if stored else following
+        found = [one for one in stored if one.offset >= call.from_offset]
+        return calls.RecordsRead(tuple(found[:limit]), earliest, following)
+
+    def execute(self, call: calls.RunAction) -> calls.ActionAnswer:
+        """Execute an action at a runner."""
+        execution = len(self.answers)
+        text = f'{call.idempotency_key} {call.body.decode()} {execution}'
+        self.answers[call.attempt_id] = text.encode()
+        return calls.ActionAnswer(200, text.encode())
+
+    def note_send(self, instance: Instance, call: calls.RunAction) -> None:
+        """Check that a key is sent for the first time."""
+        self.count('sends')
+        key = call.idempotency_key
+        self.sends[key] = self.sends.get(key, 0) + 1
+        assert self.sends[key] == 1, f'{key} was sent {self.sends[key]} times'
+        holder = instance.state.actions.of_attempt(call.attempt_id)
+        assert holder is not None, 'a sent attempt belongs to a call'
+        asked = self.asked[origin_id(holder.request.origin)]
+        self.attempts[call.attempt_id] = origin_id(holder.request.origin)
+        asked.sends += 1
+        told = [reply for reply in asked.replies if is_not_run(reply)]
+        assert not told, f'sent after the caller was told {told}'
+
+    def note_not_sent(self, call: calls.RunAction) -> None:
+        """Take back a send of which no byte was taken."""
+        self.count('refused connections')
+        self.sends[call.idempotency_key] -= 1
+        self.asked[self.attempts[call.attempt_id]].sends -= 1
+
+    def note_reply(self, request_id: str, reply: Any) -> None:
+        """Check what a caller is told."""
+        asked = self.asked[request_id]
+        assert not asked.replies, f'{request_id} was answered twice'
+        asked.replies.append(reply)
+        if isinstance(reply, replies.ActionDone):
+            self.count('replayed' if reply.replayed else 'done')
+            start = f'{asked.key} {asked.body.decode()} '.encode()
+            assert reply.body.startswith(start), 'answer of another request'
+            assert reply.body in self.answers.values(), 'answer never given'
+            return
+        self.count(f'{reply.code.name} {reply.outcome.value}')
+        if not is_not_run(reply):
+            return
+        assert not asked.sends, f'not_run after a send: {reply}'
+        if reply.scope is errors.Scope.KEY:
+            sends = self.sends.get(asked.key, 0)
+            assert not sends, f'key not_run after a send: {reply}'
+
+    def hear(self, number: int) -> None:
+        """Let an instance hear heartbeats of all others."""
+        instance = self.instances[number]
+        for other in self.instances:
+            if other is not instance:
+                self.feed(
+                    instance,
+                    events.PeerMessageReceived,
+                    sender=other.state.identity.peer_address,
+                    message=membership.build_heartbeat(other.state),
+                )
+
+    def deliver(self, message: tuple[str, str, Any]) -> None:
+        """Deliver a message between instances."""
+        sender, address, content = message
+        instance = self.instances[int(address.rpartition(':')[2])]
+        self.feed(
+            instance,
+            events.PeerMessageReceived,
+            sender=sender,
+            message=content,
+        )
+
+    def due(self) -> list[tuple[Instance, Any]]:
+        """Return the timers that are due."""
+        return [
+            (instance, timer)
+            for instance in self.instances
+            for timer, due in instance.timers.items()
+            if due <= self.now
+        ]
+
+    def fire(self, instance: Instance, timer: Any) -> None:
+        """Fire a timer that is due."""
+        del instance.timers[timer]
+        self.feed(instance, events.TimerFired, timer=timer)
+
+    def restart(self, number: int) -> None:
+        """Replace an instance; its appends in flight may still arrive."""
+        instance = self.instances[number]
+        for call in instance.calls:
+            if isinstance(call.call, calls.AppendRecords):
+                self.keep_late(call.call)
+        incarnation = instance.state.identity.incarnation + 1
+        instance.state = self.fresh_state(number, incarnation)
+        instance.calls.clear()
+        instance.timers.clear()
+        self.begin(instance)
+
+    def settle(self) -> None:
+        """Let everything that is in flight succeed until nothing is left."""
+        for _ in range(200):
+            if not self.settle_one():
+                return
+        raise AssertionError('the site does not come to rest')
+
+    def settle_log(self, number: int) -> None:
+        """Let the calls of one instance to the log succeed."""
+        instance = self.instances[number]
+        for owner, call in self.pending(calls.AppendRecords):
+            if owner is instance:
+                first = self.store_all(call.call)
+                self.answer(instance, call, calls.RecordsAppended(first))
+        for owner, call in self.pending(calls.ReadRecords):
+            if owner is instance:
+                self.answer(instance, call, self.read(call.call, 500))
+
+    def settle_one(self) -> bool:
+        """Let one thing that is in flight succeed, if there is any."""
+        while self.messages:
+            self.deliver(self.messages.pop(0))
+        for instance, call in self.pending(calls.AppendRecords):
+            first = self.store_all(call.call)
+            self.answer(instance, call, calls.RecordsAppended(first))
+            return True
+        for instance, call in self.pending(calls.ReadRecords):
+            self.answer(instance, call, self.read(call.call, 500))
+            return True
+        for instance, call in self.pending(calls.RunAction):
+            self.answer(instance, call, self.execute(call.call))
+            return True
+        return False
+
+
+def partition_of(key: str) -> int:
+    """Return the partition of a key of the test's account."""
+    return action_keys.partition_of(
+        action_keys.ActionKey('cellar-hands', key),
+    )
+
+
+def with_log_available(before: state.State) -> state.State:
+    """Return the state of an instance whose log answers again."""
+    log = dataclasses.replace(before.log, available=True)
+    return dataclasses.replace(before, log=log)
+
+
+def is_not_run(reply: Any) -> bool:
+    """Return whether a reply states that a request was not run."""
+    return (
+        isinstance(reply, replies.RequestError)
+        and reply.outcome is errors.Outcome.NOT_RUN
+    )
+
+
+@functools.singledispatch
+def origin_id(origin: action_requests.Origin) -> str:
+    """Return the id of the request of the first instance."""
+    raise TypeError(type(origin).__name__)
+
+
+@origin_id.register(action_requests.Caller)
+def caller_id(origin: action_requests.Caller) -> str:
+    """Return the id of a local request."""
+    return origin.request_id
+
+
+@origin_id.register(action_requests.ForwardingPeer)
+def forward_id(origin: action_requests.ForwardingPeer) -> str:
+    """Return the id of a forwarded request."""
+    return origin.forward_id
+
+
+@functools.singledispatch
+def perform(effect: Any, instance: Instance, site: Site) -> None:
+    """Ignore effects that only observe."""
+
+
+@perform.register(effects.Call)
+def perform_call(effect: effects.Call, instance: Instance, site: Site) -> None:
+    """Keep a call until the test ends it."""
+    instance.calls.append(effect)
+    if isinstance(effect.call, calls.RunAction):
+        site.note_send(instance, effect.call)
+
+
+@perform.register(effects.SetTimer)
+def perform_set_timer(
+    effect: effects.SetTimer,
+    instance: Instance,
+    site: Site,
+) -> None:
+    """Set a timer."""
+    instance.timers[effect.timer] = site.now + effect.delay_seconds
+
+
+@perform.register(effects.CancelTimer)
+def perform_cancel_timer(
+    effect: effects.CancelTimer,
+    instance: Instance,
+    site: Site,
+) -> None:
+    """Cancel a timer."""
+    instance.timers.pop(effect.timer, None)
+
+
+@perform.register(effects.Reply)
+def perform_reply(
+    effect: effects.Reply,
+    instance: Instance,
+    site: Site,
+) -> None:
+    """Check an answer to a caller."""
+    site.note_reply(effect.request_id, effect.reply)
+
+
+@perform.register(effects.SendToPeer)
+def perform_send_to_peer(
+    effect: effects.SendToPeer,
+    instance: Instance,
+    site: Site,
+) -> None:
+    """Keep a message until the test delivers or drops it."""
+    if not isinstance(effect.message, messages.Heartbeat):
+        sender = instance.state.identity.peer_address
+        site.messages.append((sender, effect.address, effect.message))
--- a/tests/action_site.py
+++ b/tests/action_site.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -73,11 +74,19 @@
         return str(self.body['error']['outcome'])
 
 
-def free_address() -> str:
-    """Return a free loopback address."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+def free_addresses(count: int) -> list[str]:
+    """Return free addresses on a loopback host that only this site uses.
+
+    On 127.0.0.1 the connections of other processes take a port between its
+    choice and its use.
+    """
+    low, middle, high = (secrets.randbelow(253) + 1 for _ in range(3))
+    host = f'127.{low}.{middle}.{high}'
+    with contextlib.ExitStack() as probes:
+        sockets = [probes.enter_context(socket.socket()) for _ in range(count)]
+        for probe in sockets:
+            probe.bind((host, 0))
+        return [f'{host}:{probe.getsockname()[1]}' for probe in sockets]
 
 
 def new_key(age_seconds: float = 0) -> str:
@@ -133,11 +142,12 @@
     def __init__(self, services: int = 1, entries: int = 2) -> None:
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.directory = tempfile.TemporaryDirectory()
-        self.log = free_address()
-        self.list = free_address()
-        self.services = [free_address() for _ in range(services)]
-        self.entries = [free_address() for _ in range(entries)]
-        self.peers = [free_address() for _ in range(entries)]
+        free = iter(free_addresses(2 + services + 2 * entries))
+        self.log = next(free)
+        self.list = next(free)
+        self.services = list(itertools.islice(free, services))
+        self.entries = list(itertools.islice(free, entries))
+        self.peers = list(itertools.islice(free, entries))
 
     def start(self) -> None:
         """Start all processes and wait until the entries are ready."""
@@ -251,6 +261,19 @@
         path = f'/v1/actions/{SERVICE}/{operation}'
         return request('POST', self.entries[entry], path, body, headers)
 
+    def await_stored(self, key: str) -> None:
+        """Repeat an action until all entries give the stored answer."""
+        for entry in range(len(self.entries)):
+            wait_until(
+                lambda at=entry: self.is_stored(at, key),
+                f'the answer to {key} is stored',
+            )
+
+    def is_stored(self, entry: int, key: str) -> bool:
+        """Return whether an entry gives the stored answer to a key."""
+        answer = self.act(entry, key)
+        return answer.headers.get('mustardvale-replayed') == 'true'
+
     def executions(self, key: str) -> int:
         """Return how often the services executed a key."""
         ledgers = [
--- a/tests/test_action_processes.py
+++ b/tests/test_action_processes.py
@@ -1,6 +1,8 @@
 """Guard the path of actions through separate processes."""
 
+import time
 import unittest
+from concurrent import futures
 
 from tests import action_site
 
@@ -47,6 +49,95 @@
             self.assertEqual(repeat.headers['mustardvale-replayed'], 'true')
         self.assertEqual(self.site.executions(key), 1)
 
+    def test_same_key_at_two_entries_at_once(self) -> None:
+        """Guard against two sends by two entries; both get the answer."""
+        for address in self.site.services:
+            self.site.set_faults(address, delay_seconds=0.3)
+        keys = [action_site.new_key() for _ in range(8)]
+        with futures.ThreadPoolExecutor(16) as pool:
+            asked = [
+                pool.submit(self.site.act, entry, key)
+                for key in keys
+                for entry in (0, 1)
+            ]
+            answers = [one.result() for one in asked]
+        self.assertEqual({one.status for one in answers}, {200}, answers)
+        for first, second in zip(answers[::2], answers[1::2], strict=True):
+            self.assertEqual(first.body, second.body)
+        counts = [self.site.executions(key) for key in keys]
+        self.assertEqual(counts, [1] * len(keys))
+
+    def test_lost_answers_of_appends(self) -> None:
+        """Guard against a send after `not_run`, and a key that stays taken.
+
+        The attempts are in the log. An instance that reads its attempt before
+        it learns that the append failed sends it; otherwise it gives it up.
+        """
+        keys = [action_site.new_key() for _ in range(4)]
+        for key in keys:
+            self.site.set_faults(self.site.log, lose_answers=1)
+            first = self.site.act(0, key)
+            if first.status != 200:
+                self.assertEqual(first.code, 'log_unavailable', first)
+                self.assertEqual(first.outcome, 'not_run')
+                self.assertEqual(self.site.executions(key), 0)
+            self.site.await_stored(key)
+        counts = [self.site.executions(key) for key in keys]
+        self.assertEqual(counts, [1] * len(keys))
+
+    def test_entry_is_killed_between_send_and_answer(self) -> None:
+        """Guard against a second send by the instance that takes over."""
+        for address in self.site.services:
+            self.site.set_faults(address, delay_seconds=2)
+        key = action_site.new_key()
+        with futures.ThreadPoolExecutor(1) as pool:
+            cut = pool.submit(self.site.act, 0, key)
+            action_site.wait_until(self.is_any_sent, 'the action is sent')
+            for entry in (0, 1):
+                self.site.kill(f'entry-{entry}')
+            self.assertIsInstance(cut.exception(), Exception)
+        for entry in (0, 1):
+            self.site.spawn_entry(entry)
+        for entry in (0, 1):
+            self.site.await_ready(entry)
+        action_site.wait_until(
+            lambda: self.site.executions(key) == 1,
+            'the service executes what it was sent',
+        )
+        for entry in (0, 1):
+            repeat = self.site.act(entry, key, deadline_ms=1500)
+            self.assertEqual(repeat.code, 'outcome_unknown', repeat)
+            self.assertEqual(repeat.outcome, 'unknown')
+        self.assertEqual(self.site.executions(key), 1)
+
+    def is_any_sent(self) -> bool:
+        """Return whether a service has an operation that waits."""
+        return any(
+            action_site.request('GET', address, '/v1/load').body['queued']
+            for address in self.site.services
+        )
+
+    def test_log_outage(self) -> None:
+        """Guard against slow or false answers while the log is down.
+
+        Stored answers and idempotent operations need no log.
+        """
+        done = action_site.new_key()
+        self.site.await_stored(done)
+        self.site.set_faults(self.site.log, down=True)
+        key = action_site.new_key()
+        started = time.monotonic()
+        refused = self.site.act(0, key)
+        self.assertLess(time.monotonic() - started, 2)
+        self.assertEqual(refused.code, 'log_unavailable', refused)
+        self.assertEqual(refused.outcome, 'not_run')
+        self.assertEqual(self.site.act(0, '', 'read-rack').status, 200)
+        self.assertEqual(self.site.act(1, done).status, 200)
+        self.site.set_faults(self.site.log)
+        self.site.await_stored(key)
+        self.assertEqual(self.site.executions(key), 1)
+        self.assertEqual(self.site.executions(done), 1)
+
 
 class FreshConnections(unittest.TestCase):
     """Each action uses a connection that nothing was sent on before."""
--- /dev/null
+++ b/tests/test_action_scenarios.py
@@ -0,0 +1,348 @@
+"""Guard single steps of actions against pauses, losses and gaps."""
+
+import unittest
+
+from mustardvale import errors
+from mustardvale.internal import calls, events, partitions, timers
+from tests import action_model
+
+KEY, OLD_KEY = action_model.KEYS
+BODY = action_model.BODIES[0]
+
+
+class OneInstance(unittest.TestCase):
+    """Start every test with a site whose instances hear nothing."""
+
+    def setUp(self) -> None:
+        """Build a site in which each instance runs what it is asked."""
+        self.site = action_model.Site()
+        self.site.now += 4
+
+    def ask(self, number: int = 0, key: str = KEY, **fields: object) -> None:
+        """Ask for an action."""
+        body = fields.get('body', BODY)
+        deadline = fields.get('deadline', 10)
+        self.site.ask(number, key, body, deadline)
+
+    def only(self, kind: type, number: int = 0) -> tuple:
+        """Return the only pending call of a kind at an instance."""
+        instance = self.site.instances[number]
+        found = [call for call in instance.calls if isinstance(call.call, kind)]
+        self.assertEqual(len(found), 1, found)
+        return instance, found[0]
+
+    def reply(self, number: int = -1) -> object:
+        """Return the reply to a request, by default to the last one."""
+        return list(self.site.asked.values())[number].replies[0]
+
+    def settle_reads(self, number: int = 0) -> None:
+        """Let one instance read to the end."""
+        for instance, call in self.site.pending(calls.ReadRecords):
+            if instance.number == number:
+                found = self.site.read(call.call, 500)
+                self.site.answer(instance, call, found)
+
+
+class LostAppend(OneInstance):
+    """An unanswered append decides nothing by itself."""
+
+    def test_given_up_attempt_is_not_sent_when_it_appears(self) -> None:
+        """Guard against a send after the caller was told `not_run`."""
+        self.ask()
+        instance, call = self.only(calls.AppendRecords)
+        self.site.store_all(call.call)
+        self.site.fail(instance, call, events.FailureKind.TIMED_OUT, True)
+        self.assertIs(self.reply().code, errors.LOG_UNAVAILABLE)
+        self.assertIs(self.reply().scope, errors.Scope.CALL)
+        self.settle_reads()
+        self.assertEqual(self.site.pending(calls.RunAction), [])
+
+    def test_key_is_usable_again_after_the_abandonment(self) -> None:
+        """Guard against a key that a lost append blocks for the window."""
+        self.ask()
+        instance, call = self.only(calls.AppendRecords)
+        self.site.keep_late(call.call)
+        self.site.fail(instance, call, events.FailureKind.TIMED_OUT, True)
+        self.site.now += 1
+        self.site.fire(instance, timers.AppendDue(call.call.stream))
+        self.site.settle()
+        for stream, record in self.site.late:
+            self.site.store(stream, record)
+        self.site.settle()
+        self.assertTrue(instance.state.actions.is_idle())
+        instance.state = action_model.with_log_available(instance.state)
+        self.ask()
+        self.site.now += 1
+        self.site.fire(instance, timers.AppendDue(call.call.stream))
+        self.site.settle()
+        self.assertEqual(self.reply().status, 200)
+
+    def test_log_that_does_not_answer_is_reported_in_two_seconds(self) -> None:
+        """Guard against callers that wait for a log that hangs."""
+        self.ask()
+        instance = self.site.instances[0]
+        attempt_id = next(iter(instance.state.actions.by_attempt))
+        self.site.now += 2
+        self.site.fire(instance, timers.ClaimDeadline(attempt_id))
+        self.assertIs(self.reply().code, errors.LOG_UNAVAILABLE)
+        self.assertIs(self.reply().outcome, errors.Outcome.NOT_RUN)
+
+    def test_refused_append_is_repeated(self) -> None:
+        """Guard against taking the log's rate limit for an outage."""
+        self.ask()
+        instance, call = self.only(calls.AppendRecords)
+        refused = calls.PlatformRefused(429, 'too many appends')
+        self.site.answer(instance, call, refused)
+        self.site.now += 1
+        self.site.fire(instance, timers.AppendDue(call.call.stream))
+        self.site.settle()
+        self.assertEqual(self.reply().status, 200)
+
+
+class LogOutage(OneInstance):
+    """While the log is known to be down, nothing is claimed."""
+
+    def setUp(self) -> None:
+        """Let an append fail."""
+        super().setUp()
+        self.ask()
+        instance, call = self.only(calls.AppendRecords)
+        self.site.fail(instance, call, events.FailureKind.REFUSED, False)
+
+    def test_next_call_is_refused_at_once(self) -> None:
+        """Guard against callers that wait although the log is down."""
+        self.ask()
+        self.assertIs(self.reply().code, errors.LOG_UNAVAILABLE)
+        self.assertEqual(self.reply().retry_after_seconds, 1)
+
+
+class Pause(OneInstance):
+    """A pause between two steps is not noticed by the paused instance."""
+
+    def test_action_is_not_sent_after_its_deadline(self) -> None:
+        """Guard against sending what the caller has given up."""
+        self.ask()
+        self.site.now += 60
+        instance, call = self.only(calls.AppendRecords)
+        first = self.site.store_all(call.call)
+        self.site.answer(instance, call, calls.RecordsAppended(first))
+        self.settle_reads()
+        self.assertIs(self.reply().code, errors.DEADLINE_EXCEEDED)
+        self.assertIs(self.reply().outcome, errors.Outcome.NOT_RUN)
+        self.assertEqual(self.site.pending(calls.RunAction), [])
+
+    def test_late_answer_is_stored_for_a_repeat(self) -> None:
+        """Guard against losing an answer that came after the deadline."""
+        self.ask()
+        self.site.settle_log(0)
+        instance, call = self.only(calls.RunAction)
+        self.site.now += 10
+        self.site.fire(instance, timers.ActionDeadline(0))
+        self.assertIs(self.reply().outcome, errors.Outcome.UNKNOWN)
+        self.site.answer(instance, call, self.site.execute(call.call))
+        self.site.fire(instance, timers.AppendDue(self.stream()))
+        self.site.settle()
+        self.ask()
+        self.assertTrue(self.reply().replayed)
+
+    def stream(self) -> object:
+        """Return the stream of the key."""
+        return next(iter(self.site.instances[0].state.log.queues))
+
+
+class SecondInstance(OneInstance):
+    """The log decides between instances that both take charge of a key."""
+
+    def test_loser_waits_for_the_answer_of_the_winner(self) -> None:
+        """Guard against two sends when views of the membership differ."""
+        self.ask(0)
+        self.ask(1)
+        self.site.settle()
+        instance = self.site.instances[0]
+        stream = next(iter(instance.state.log.queues))
+        self.site.now += 1
+        self.site.fire(instance, timers.AppendDue(stream))
+        self.site.settle()
+        self.assertEqual(self.site.counts, counts(1, 1))
+
+    def test_repeat_after_a_restart_is_unknown(self) -> None:
+        """Guard against a second send after the sender was killed."""
+        self.ask(0)
+        self.site.settle_log(0)
+        self.site.restart(0)
+        self.site.now += 4
+        self.ask(0)
+        self.site.settle()
+        self.assertIs(self.reply().code, errors.OUTCOME_UNKNOWN)
+
+
+def counts(done: int, replayed: int) -> dict[str, int]:
+    """Return the counts of a site that sent one action."""
+    return {'sends': 1, 'done': done, 'replayed': replayed}
+
+
+class Gap(OneInstance):
+    """Records that were dropped unread may concern a key."""
+
+    def answer_once(self) -> None:
+        """Run an action at instance 0 and record its answer."""
+        self.ask(0)
+        self.site.settle()
+        instance = self.site.instances[0]
+        stream = next(iter(instance.state.log.queues))
+        self.site.now += 1
+        self.site.fire(instance, timers.AppendDue(stream))
+        self.site.settle()
+
+    def test_key_older_than_the_gap_is_unknown(self) -> None:
+        """Guard against a second send when retention drops too much."""
+        self.answer_once()
+        for stored in self.site.log.values():
+            stored.clear()
+        self.ask(1)
+        self.site.settle()
+        self.assertIs(self.reply().code, errors.OUTCOME_UNKNOWN)
+        self.assertEqual(self.site.counts['sends'], 1)
+
+    def test_key_younger_than_the_gap_is_run(self) -> None:
+        """Guard against refusing keys that no dropped record concerns."""
+        self.answer_once()
+        for stored in self.site.log.values():
+            del stored[:-1]
+        margin = 60 + partitions.CLOCK_SKEW_SECONDS
+        self.site.now += margin + 1
+        number = partition_mate(action_model.WALL + margin + 10)
+        self.ask(1, number)
+        self.site.settle()
+        self.assertEqual(self.reply().status, 200)
+
+
+def partition_mate(created: float) -> str:
+    """Return a key of that time in the partition of the first key."""
+    return next(
+        key
+        for key in (
+            action_model.make_key(created, number) for number in range(1000)
+        )
+        if action_model.partition_of(key) == action_model.partition_of(KEY)
+    )
+
+
+class Expiry(OneInstance):
+    """A key that leaves the window while it is claimed is not sent."""
+
+    def test_attempt_appended_after_the_window_is_not_sent(self) -> None:
+        """Guard against readers that have forgotten an answer to the key."""
+        self.ask(0, OLD_KEY, deadline=300)
+        self.site.now += 70
+        instance, call = self.only(calls.AppendRecords)
+        first = self.site.store_all(call.call)
+        self.site.answer(instance, call, calls.RecordsAppended(first))
+        self.settle_reads()
+        self.assertIs(self.reply().code, errors.IDEMPOTENCY_KEY_EXPIRED)
+        self.assertEqual(self.site.pending(calls.RunAction), [])
+
+
+class KeyChecks(OneInstance):
+    """A call without a usable key is answered before anything is done."""
+
+    def test_codes(self) -> None:
+        """Guard against running without the means to recognise a repeat."""
+        cases = {
+            '': errors.IDEMPOTENCY_KEY_REQUIRED,
+            'wheel-7': errors.IDEMPOTENCY_KEY_INVALID,
+            '1b671a64-40d5-491e-99b0-da01ff1f3341': (
+                errors.IDEMPOTENCY_KEY_INVALID
+            ),
+            action_model.make_key(self.site.wall + 61, 1): (
+                errors.IDEMPOTENCY_KEY_INVALID
+            ),
+            action_model.make_key(self.site.wall - 6 * 3600 - 1, 1): (
+                errors.IDEMPOTENCY_KEY_EXPIRED
+            ),
+        }
+        for key, code in cases.items():
+            with self.subTest(key=key):
+                self.ask(0, key)
+                self.assertIs(self.reply().code, code)
+        self.assertEqual(self.site.pending(calls.AppendRecords), [])
+
+    def test_other_body_is_refused(self) -> None:
+        """Guard against an answer to another request."""
+        self.ask(0)
+        self.ask(0, body=action_model.BODIES[1])
+        self.assertIs(self.reply().code, errors.IDEMPOTENCY_KEY_REUSED)
+
+
+class Runners(OneInstance):
+    """Only a refused connection permits another runner."""
+
+    def setUp(self) -> None:
+        """Let an action be sent."""
+        super().setUp()
+        self.ask()
+        self.site.settle_log(0)
+
+    def refuse(self) -> None:
+        """Refuse the connection of the action."""
+        instance, call = self.only(calls.RunAction)
+        self.site.note_not_sent(call.call)
+        self.site.fail(instance, call, events.FailureKind.REFUSED, False)
+
+    def test_refused_connection_leads_to_the_other_runner(self) -> None:
+        """Guard against giving up while a runner is usable."""
+        _, first = self.only(calls.RunAction)
+        self.refuse()
+        _, second = self.only(calls.RunAction)
+        self.assertNotEqual(first.address, second.address)
+
+    def test_key_is_free_when_no_runner_takes_the_action(self) -> None:
+        """Guard against a key that stays taken although nothing was sent."""
+        self.refuse()
+        self.refuse()
+        self.assertIs(self.reply().code, errors.NO_UPSTREAM)
+        self.assertIs(self.reply().scope, errors.Scope.KEY)
+
+    def test_broken_connection_ends_the_attempt(self) -> None:
+        """Guard against a second send after the first byte."""
+        instance, call = self.only(calls.RunAction)
+        self.site.fail(instance, call, events.FailureKind.CLOSED, True)
+        self.assertIs(self.reply().outcome, errors.Outcome.UNKNOWN)
+        self.assertEqual(self.site.pending(calls.RunAction), [])
+        for number in (0, 1):
+            self.ask(number)
+            self.site.now += 1
+            for due in self.site.due():
+                self.site.fire(*due)
+            self.site.settle()
+        self.assertEqual(self.site.counts['sends'], 1)
+
+
+class Forwarding(unittest.TestCase):
+    """An instance that does not tail a partition forwards its calls."""
+
+    def setUp(self) -> None:
+        """Ask an instance that does not tail the partition."""
+        self.site = action_model.Site()
+        self.site.ask(0, KEY, BODY, 10)
+
+    def test_outcome_reaches_the_caller(self) -> None:
+        """Guard against a lost outcome."""
+        self.assertEqual(len(self.site.messages), 1)
+        self.site.settle()
+        self.assertEqual(self.site.asked['request-0'].replies[0].status, 200)
+
+    def test_lost_message_is_unknown_at_the_deadline(self) -> None:
+        """Guard against a false `not_run` about a call that may run."""
+        self.site.messages.clear()
+        self.site.now += 10
+        instance = self.site.instances[0]
+        self.site.fire(instance, timers.ForwardDeadline('request-0'))
+        reply = self.site.asked['request-0'].replies[0]
+        self.assertIs(reply.outcome, errors.Outcome.UNKNOWN)
+
+    def test_message_read_after_a_pause_is_not_run(self) -> None:
+        """Guard against running what its caller gave up a minute ago."""
+        self.site.now += 60
+        self.site.settle()
+        self.assertNotIn('sends', self.site.counts)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,171 @@
+"""Guard the fold that decides which attempt may send."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from mustardvale.internal import action_keys, attempts, records
+from tests import action_model
+
+ACCOUNT = 'cellar-hands'
+KEY = action_model.KEYS[0]
+NOW = action_model.WALL
+
+
+def attempt(attempt_id: str, key: str = KEY) -> records.ActionAttempt:
+    """Build the record of an attempt."""
+    return records.ActionAttempt(attempt_id, ACCOUNT, key, 'digest', 'entry-0')
+
+
+def abandoned(attempt_id: str, key: str = KEY) -> records.AttemptAbandoned:
+    """Build the record of an abandonment."""
+    return records.AttemptAbandoned(attempt_id, ACCOUNT, key)
+
+
+def done(attempt_id: str, key: str = KEY) -> records.AttemptDone:
+    """Build the record of an answer."""
+    return records.AttemptDone(
+        attempt_id,
+        ACCOUNT,
+        key,
+        'digest',
+        200,
+        'application/json',
+        '',
+        0,
+    )
+
+
+def verdicts(*stored: records.Record) -> list[str]:
+    """Fold records and return the verdicts."""
+    table = attempts.AttemptTable()
+    found = []
+    for record in stored:
+        folded = attempts.fold(record, NOW, table)
+        table = folded.table
+        found.append(folded.verdict.value)
+    return found
+
+
+class Holder(unittest.TestCase):
+    """One attempt at a time holds a key."""
+
+    def test_second_attempt_loses(self) -> None:
+        """Guard against two holders."""
+        self.assertEqual(
+            verdicts(attempt('a'), attempt('b'), done('a'), attempt('c')),
+            ['won', 'lost', 'done', 'lost'],
+        )
+
+    def test_repeated_record_of_the_holder_changes_nothing(self) -> None:
+        """Guard against a repeated append that wins twice."""
+        self.assertEqual(
+            verdicts(attempt('a'), attempt('a'), done('a'), attempt('a')),
+            ['won', 'ignored', 'done', 'ignored'],
+        )
+
+    def test_other_account_has_its_own_key(self) -> None:
+        """Guard against accounts that share a key by chance."""
+        other = records.ActionAttempt('b', 'dairy', KEY, 'digest', 'entry-0')
+        self.assertEqual(verdicts(attempt('a'), other), ['won', 'won'])
+
+    def test_answer_of_a_dropped_attempt_is_kept(self) -> None:
+        """Guard against a second send after retention dropped the attempt."""
+        self.assertEqual(
+            verdicts(done('a'), attempt('b')),
+            ['done', 'lost'],
+        )
+
+
+class Abandonment(unittest.TestCase):
+    """An abandoned attempt never holds a key again."""
+
+    def test_abandoned_attempt_frees_the_key(self) -> None:
+        """Guard against a key that stays taken by a dead attempt."""
+        self.assertEqual(
+            verdicts(attempt('a'), abandoned('a'), attempt('b')),
+            ['won', 'freed', 'won'],
+        )
+
+    def test_attempt_after_its_abandonment_is_dead(self) -> None:
+        """Guard against a late append that takes the key for good."""
+        self.assertEqual(
+            verdicts(abandoned('a'), attempt('a'), attempt('b')),
+            ['ignored', 'ignored', 'won'],
+        )
+
+    def test_losing_attempt_frees_nothing(self) -> None:
+        """Guard against an abandonment that frees another's key."""
+        self.assertEqual(
+            verdicts(attempt('a'), abandoned('b'), attempt('c')),
+            ['won', 'ignored', 'lost'],
+        )
+
+    def test_answered_attempt_cannot_be_abandoned(self) -> None:
+        """Guard against a second send after an answer."""
+        self.assertEqual(
+            verdicts(attempt('a'), done('a'), abandoned('a'), attempt('b')),
+            ['won', 'done', 'ignored', 'lost'],
+        )
+
+
+class Forgetting(unittest.TestCase):
+    """Old keys leave memory without a way back."""
+
+    def setUp(self) -> None:
+        """Fold an attempt and, much later, one for another key."""
+        later = NOW + action_keys.WINDOW_SECONDS + 1200
+        self.later = later
+        new_key = action_model.make_key(later, 5)
+        table = attempts.AttemptTable()
+        table = attempts.fold(attempt('a'), NOW, table).table
+        table = attempts.fold(attempt('b', new_key), later, table).table
+        self.kept = attempts.forget(table)
+
+    def test_only_old_keys_are_dropped(self) -> None:
+        """Guard against memory that grows with time."""
+        self.assertEqual(len(self.kept.keys), 1)
+        self.assertEqual(len(self.kept.by_minute), 1)
+
+    def test_late_attempt_for_a_forgotten_key_loses(self) -> None:
+        """Guard against a second send for a key that was forgotten."""
+        folded = attempts.fold(attempt('c'), self.later, self.kept)
+        self.assertIs(folded.verdict, attempts.Verdict.EXPIRED)
+        self.assertEqual(len(folded.table.keys), 1)
+
+    def test_forgetting_reader_agrees_with_the_others(self) -> None:
+        """Guard against readers that forget at different moments."""
+        table = attempts.AttemptTable()
+        late = attempt('c')
+        table = attempts.fold(attempt('a'), NOW, table).table
+        remembering = attempts.fold(late, self.later, table).verdict
+        forgetting = attempts.fold(late, self.later, self.kept).verdict
+        self.assertIs(remembering, forgetting)
+
+
+RECORDS = st.builds(
+    lambda kind, attempt_id: kind(attempt_id),
+    st.sampled_from((attempt, abandoned, done)),
+    st.sampled_from('abcd'),
+)
+
+
+class AnyRecords(unittest.TestCase):
+    """The fold keeps its promises for every sequence of records."""
+
+    @hypothesis.settings(derandomize=True, database=None, max_examples=400)
+    @hypothesis.given(st.lists(RECORDS, max_size=12))
+    def test_key_is_won_again_only_after_an_abandonment(
+        self,
+        stored: list[records.Record],
+    ) -> None:
+        """Guard against two attempts that may both send."""
+        table = attempts.AttemptTable()
+        open_wins = 0
+        for record in stored:
+            folded = attempts.fold(record, NOW, table)
+            table = folded.table
+            open_wins += folded.verdict is attempts.Verdict.WON
+            open_wins -= folded.verdict is attempts.Verdict.FREED
+            self.assertIn(open_wins, (0, 1))
