--- a/src/mustardvale/internal/commands/entries.py
+++ b/src/mustardvale/internal/commands/entries.py
@@ -5,6 +5,7 @@
 from collections import abc
 from typing import Any
 
+from mustardvale import errors
 from mustardvale.internal import (
     effects,
     events,
@@ -19,7 +20,8 @@
 )
 from mustardvale.internal.commands import state as states
 
-LEAVING = 'leaving'
+# Refusals that concern one instance only; nothing was run.
+ELSEWHERE = frozenset((errors.NOT_READY.name, errors.STOPPING.name))
 
 
 @reducer.begin.register(wanted.Status)
@@ -118,7 +120,10 @@
     event: events.CallAnswered,
     state: states.State,
 ) -> reducer.Transition:
-    """Report the refusal with its outcome."""
+    """Report the refusal, or try the next address if it may take it."""
+    following = state.entry_index + 1
+    if answer.code in ELSEWHERE and following < len(state.entry_addresses):
+        return try_next(answer.code, state)
     message = f'{answer.message} (outcome: {answer.outcome})'
     return reducer.refuse(answer.code, message, answer.remedy, state)
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -229,6 +229,14 @@
             ('b:1', ('one',)),
         )
 
+    def test_leaving_instance_is_left_for_the_next_one(self) -> None:
+        """Guard against a refusal although another instance takes it."""
+        run = ask('a:1', 'b:1')
+        run.answer(entry_calls.EntryRefused('stopping', 'leaving'))
+        self.assertEqual(run.calls[0].address, 'b:1')
+        run.answer(entry_calls.EntryRefused('stopping', 'leaving'))
+        self.assertEqual(run.exit_code, 1)
+
     def test_body_without_end_mark_is_cut(self) -> None:
         """Guard against a truncated answer that looks complete."""
         run = ask('a:1')
