Admit requests by limit, deadline and priority

Cause: every request started at once, whatever its account, its deadline or the load.

Change: admission.admit starts, queues or refuses each checked request. The queue is bounded at 512, ordered by priority and fair between accounts; the number in flight follows the time between tokens. Refusals are not_run and carry a retry time, which the Retry-After header now rounds up. A planned stop refuses new requests after the address time and waits for the queue. Steps carry the priority of their account.

Measured: no load was run.

Conclusion: the limit on requests in flight has to be measured under load.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -15,7 +16,7 @@
 import fire
 
 from mustardvale import document as documents
-from mustardvale.internal import limits
+from mustardvale.internal import limits, messages
 
 LIMIT_PER_SECOND = 200.0
 OVERLOAD = 3.0
@@ -75,9 +76,7 @@
     def run(self) -> list[float]:
         """Return the times at which requests were admitted."""
         for number in range(self.count):
-            self.at(
-                self.draws.random(), lambda now, one=number: self.tick(one, now)
-            )
+            self.at(self.draws.random(), functools.partial(self.tick, number))
         self.at(0, self.arrive)
         while self.queue:
             when, _, action = heapq.heappop(self.queue)
@@ -87,7 +86,7 @@
 
     def tick(self, number: int, now: float) -> None:
         """Follow the list and report to the peers."""
-        self.at(now + 1, lambda then: self.tick(number, then))
+        self.at(now + 1, functools.partial(self.tick, number))
         if not self.scenario.lives(number, now):
             return
         listed = frozenset(
@@ -103,10 +102,16 @@
             if peer != number and self.scenario.linked(number, peer, now):
                 self.at(
                     now + LINK_SECONDS,
-                    lambda then, to=peer: self.hear(to, number, usage, then),
+                    functools.partial(self.hear, peer, number, usage),
                 )
 
-    def hear(self, to: int, sender: int, usage: tuple, now: float) -> None:  # type: ignore[type-arg]
+    def hear(
+        self,
+        to: int,
+        sender: int,
+        usage: tuple[messages.AccountUsage, ...],
+        now: float,
+    ) -> None:
         """Take a report."""
         if self.scenario.lives(to, now):
             state = self.states[to]
--- /dev/null
+++ b/src/mustardvale/internal/admission.py
@@ -0,0 +1,312 @@
+"""Decide which requests start now, which wait and which are refused."""
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING, Any
+
+import immutables
+
+from mustardvale import document as documents
+from mustardvale import errors
+from mustardvale.internal import (
+    effects,
+    events,
+    limits,
+    pacing,
+    queues,
+    reducer,
+    refusals,
+    timers,
+    transitions,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+SMALLEST_RETRY_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """Describe what a checked request asks for.
+
+    `model` is empty and `tokens` 0 for an action. `deadline_at` is monotonic.
+    """
+
+    account: documents.ClientAccount
+    deadline_at: float
+    model: str = ''
+    tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionState:
+    """Hold the waiting requests and the start times of the running ones."""
+
+    queue: queues.Queue = queues.Queue()
+    running: immutables.Map[str, float] = immutables.Map()
+    paces: pacing.Paces = pacing.Paces()
+
+
+@functools.singledispatch
+def start(
+    wanted: Any,
+    event: events.CallerRequested,
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start a request that was admitted; `event` is its arrival.
+
+    A handler that ends the request calls `leave`.
+    """
+    raise TypeError(f'no start for {type(wanted).__name__}')
+
+
+def with_admission(
+    state: 'states.State',
+    admission: AdmissionState,
+) -> 'states.State':
+    """Replace the part of the state that this module owns."""
+    return dataclasses.replace(state, admission=admission)
+
+
+def rank_of(account: documents.ClientAccount) -> int:
+    """Return the number of the account's priority, 0 for the most urgent."""
+    return queues.RANKS.index(account.priority)
+
+
+def admit(
+    work: Work,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start, queue or refuse a checked request."""
+    stopping = state.stopping
+    if stopping is not None and event.at >= stopping.refuse_from:
+        return refusals.refuse(
+            event.request_id,
+            errors.STOPPING,
+            'the instance takes no new requests',
+            state,
+        )
+    needed = pacing.needed_seconds(
+        work.model,
+        work.tokens,
+        state.admission.paces,
+    )
+    if event.at + needed > work.deadline_at:
+        return refusals.refuse(
+            event.request_id,
+            errors.DEADLINE_EXCEEDED,
+            f'the answer takes at least {needed:.2f} s',
+            state,
+        )
+    return admit_in_time(work, needed, event, state)
+
+
+def admit_in_time(
+    work: Work,
+    needed: float,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Apply the limits of the account and the wait in the queue."""
+    wait = expected_wait(rank_of(work.account), state.admission)
+    if event.at + wait + needed > work.deadline_at:
+        return refuse_overloaded(event.request_id, wait, state)
+    asked = limits.ask(work.account, work.tokens, event.at, state.limits)
+    state = dataclasses.replace(state, limits=asked.limits)
+    if asked.wait_seconds:
+        return refusals.refuse(
+            event.request_id,
+            errors.RATE_LIMITED,
+            f'{work.account.name} is at its limit at this instance',
+            state,
+            max(asked.wait_seconds, SMALLEST_RETRY_SECONDS),
+        )
+    ticket = queues.Ticket(
+        request_id=event.request_id,
+        account=work.account.name,
+        rank=rank_of(work.account),
+        cost=max(work.tokens, 1),
+        weight=max(work.account.tokens_per_second, 1),
+        start_by=work.deadline_at - needed,
+        event=event,
+    )
+    if can_start(state.admission) and not state.admission.queue.count:
+        return start_ticket(ticket, event.at, state)
+    return enqueue(ticket, state)
+
+
+def expected_wait(rank: int, admission: AdmissionState) -> float:
+    """Return the expected time in the queue."""
+    ahead = queues.count_ahead(rank, admission.queue)
+    if not ahead and can_start(admission):
+        return 0
+    return pacing.wait_seconds(ahead + 1, admission.paces)
+
+
+def can_start(admission: AdmissionState) -> bool:
+    """Return whether one more request may run."""
+    return len(admission.running) < int(admission.paces.concurrency.limit)
+
+
+def refuse_overloaded(
+    request_id: str,
+    wait_seconds: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request that would wait for too long."""
+    return refusals.refuse(
+        request_id,
+        errors.OVERLOADED,
+        f'the expected wait is {wait_seconds:.2f} s',
+        state,
+        max(wait_seconds, SMALLEST_RETRY_SECONDS),
+    )
+
+
+def enqueue(
+    ticket: queues.Ticket,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Let a request wait; a full queue sheds the lowest priority."""
+    put = queues.put(ticket, state.admission.queue)
+    state = with_queue(put.queue, state)
+    waiting = report_waiting(state)
+    delay = ticket.start_by - ticket.event.at
+    expiry = effects.SetTimer(timers.QueueExpiry(ticket.request_id), delay)
+    if put.ticket is None:
+        return transitions.Transition(state, (expiry, waiting))
+    shed = put.ticket
+    refused = refuse_overloaded(
+        shed.request_id,
+        expected_wait(shed.rank, state.admission),
+        state,
+    )
+    if shed is ticket:
+        return refused
+    over = effects.CancelTimer(timers.QueueExpiry(shed.request_id))
+    return refused.with_effects(expiry, over)
+
+
+def with_queue(queue: queues.Queue, state: 'states.State') -> 'states.State':
+    """Replace the queue."""
+    admission = dataclasses.replace(state.admission, queue=queue)
+    return with_admission(state, admission)
+
+
+def report_waiting(state: 'states.State') -> effects.Effect:
+    """Report the length of the queue."""
+    return effects.SetGauge('requests_waiting', state.admission.queue.count)
+
+
+def start_ticket(
+    ticket: queues.Ticket,
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start a request and count it as running."""
+    running = state.admission.running.set(ticket.request_id, now)
+    admission = dataclasses.replace(state.admission, running=running)
+    state = with_admission(state, admission)
+    return start(ticket.event.wanted, ticket.event, now, state)
+
+
+def leave(
+    request_id: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Free the place of a request that has ended."""
+    if request_id not in state.admission.running:
+        return transitions.Transition(state)
+    running = state.admission.running.delete(request_id)
+    admission = dataclasses.replace(state.admission, running=running)
+    more: tuple[effects.Effect, ...] = ()
+    if admission.queue.count:
+        more = (effects.SetTimer(timers.AdmissionDue(), 0),)
+    return transitions.Transition(with_admission(state, admission), more)
+
+
+@reducer.on_timer.register(timers.AdmissionDue)
+def start_waiting(
+    timer: timers.AdmissionDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start waiting requests while there are free places."""
+    transition = transitions.Transition(state)
+    while can_start(transition.state.admission):
+        taken = queues.take(transition.state.admission.queue)
+        if taken.ticket is None:
+            break
+        transition = transition.then(
+            functools.partial(start_taken, taken, event.at),
+        )
+    return transition.with_effects(report_waiting(transition.state))
+
+
+def start_taken(
+    taken: queues.Taken,
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start a request that was taken from the queue."""
+    assert taken.ticket is not None, 'a ticket was taken'
+    over = effects.CancelTimer(timers.QueueExpiry(taken.ticket.request_id))
+    state = with_queue(taken.queue, state)
+    return start_ticket(taken.ticket, now, state).with_effects(over)
+
+
+@reducer.on_timer.register(timers.QueueExpiry)
+def expire_waiting(
+    timer: timers.QueueExpiry,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request that can no longer finish in time."""
+    ticket = queues.find(timer.request_id, state.admission.queue)
+    if ticket is None:
+        return transitions.Transition(state)
+    wait = expected_wait(ticket.rank, state.admission)
+    state = with_queue(queues.remove(ticket, state.admission.queue), state)
+    return refuse_overloaded(ticket.request_id, wait, state)
+
+
+def forget(
+    request_id: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Forget a waiting request whose caller has left."""
+    ticket = queues.find(request_id, state.admission.queue)
+    if ticket is None:
+        return transitions.Transition(state)
+    state = with_queue(queues.remove(ticket, state.admission.queue), state)
+    over = effects.CancelTimer(timers.QueueExpiry(request_id))
+    return transitions.Transition(state, (over, report_waiting(state)))
+
+
+def observe(
+    request_id: str,
+    model: str,
+    gap_seconds: float,
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Adapt to the measured time of a whole answer that still runs."""
+    admission = state.admission
+    started_at = admission.running.get(request_id, now)
+    sample = pacing.Sample(
+        model,
+        gap_seconds,
+        now - started_at,
+        len(admission.running),
+    )
+    before = admission.paces
+    after = pacing.observe(sample, now, before)
+    state = with_admission(state, dataclasses.replace(admission, paces=after))
+    limit = after.concurrency.limit
+    if limit == before.concurrency.limit:
+        return transitions.Transition(state)
+    gauge = effects.SetGauge('concurrency_limit', limit)
+    return transitions.Transition(state, (gauge,))
--- a/src/mustardvale/internal/answers.py
+++ b/src/mustardvale/internal/answers.py
@@ -7,12 +7,14 @@
 from mustardvale import document as documents
 from mustardvale import errors
 from mustardvale.internal import (
+    admission,
     calls,
     chains,
     configuration,
     effects,
     events,
     generations,
+    limits,
     reducer,
     refusals,
     replies,
@@ -55,7 +57,7 @@
     event: events.CallerRequested,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Check a request and start its first attempt."""
+    """Check a request and have it admitted."""
     account = configuration.find_account(wanted.account_key, state)
     if account is None:
         return refusals.refuse_account(event, state)
@@ -67,12 +69,52 @@
             f'model {wanted.model!r} is not served to {account.name}',
             state,
         )
+    allowed = wanted.deadline_seconds or DEFAULT_DEADLINE_SECONDS
+    work = admission.Work(
+        account,
+        event.at + allowed,
+        model.name,
+        max(wanted.maximum_tokens - len(wanted.delivered), 0),
+    )
+    return admission.admit(work, event, state)
+
+
+@admission.start.register(replies.AnswerWanted)
+def start_answer(
+    wanted: replies.AnswerWanted,
+    event: events.CallerRequested,
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start the first attempt, unless the document has changed since."""
+    account = configuration.find_account(wanted.account_key, state)
+    model = find_model(wanted, account, state) if account else None
+    if account is None or model is None:
+        return refuse_admitted(
+            event.request_id,
+            errors.UNKNOWN_MODEL,
+            f'model {wanted.model!r} is no longer served to the account',
+            state,
+        )
     generation = begin(wanted, account, model, event)
     deadline = effects.SetTimer(
         timers.AnswerDeadline(event.request_id),
-        generation.deadline_at - event.at,
+        generation.deadline_at - now,
+    )
+    current = dataclasses.replace(event, at=now)
+    return start_attempt(generation, current, state).with_effects(deadline)
+
+
+def refuse_admitted(
+    request_id: str,
+    code: errors.ErrorCode,
+    message: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request that holds a place but of which nothing was sent."""
+    return refusals.refuse(request_id, code, message, state).then(
+        functools.partial(admission.leave, request_id),
     )
-    return start_attempt(generation, event, state).with_effects(deadline)
 
 
 def find_model(
@@ -107,6 +149,7 @@
         started_at=event.at,
         tokens=wanted.prompt + wanted.delivered,
         sent_tokens=len(wanted.delivered),
+        priority=admission.rank_of(account),
     )
 
 
@@ -161,7 +204,7 @@
 ) -> transitions.Transition['states.State']:
     """Refuse a new request, or try again while an answer is in flight."""
     if generation.attempt == 0:
-        return refusals.refuse(
+        return refuse_admitted(
             generation.request_id,
             errors.NO_UPSTREAM,
             f'no runners hold all layers of {generation.model.name}',
@@ -292,6 +335,8 @@
 ) -> transitions.Transition['states.State']:
     """Send a token to the caller and go on with the next position."""
     moved = generations.take_token(generation, token, event.at)
+    charged = limits.charge(moved.account, 1, event.at, state.limits)
+    state = dataclasses.replace(state, limits=charged)
     part = replies.TokenPart(moved.sent_tokens - 1, token)
     sent: tuple[effects.Effect, ...] = (
         effects.StreamPart(moved.request_id, part),
@@ -358,10 +403,14 @@
 ) -> transitions.Transition['states.State']:
     """Send the end mark and free everything that the answer holds."""
     end = replies.AnswerEnd(generation.sent_tokens, generation.model.version)
-    return release(
-        generation,
+    observed = admission.observe(
+        generation.request_id,
+        generation.model.name,
+        generation.gap_seconds,
+        event.at,
         state,
-    ).with_effects(
+    )
+    return observed.then(functools.partial(release, generation)).with_effects(
         *sent,
         effects.StreamEnd(generation.request_id, end),
         effects.Count('answers', ('complete',)),
@@ -383,9 +432,9 @@
     if generation.request_id in state.generations:
         state = without_generation(generation.request_id, state)
     timer = timers.AnswerDeadline(generation.request_id)
-    return transitions.Transition(
-        state,
-        (effects.CancelTimer(timer), *close_sessions(generation)),
+    return admission.leave(generation.request_id, state).with_effects(
+        effects.CancelTimer(timer),
+        *close_sessions(generation),
     )
 
 
@@ -471,7 +520,7 @@
     """Cancel the answer of a caller that left."""
     generation = state.generations.get(event.request_id)
     if generation is None:
-        return transitions.Transition(state)
+        return admission.forget(event.request_id, state)
     return release(generation, state).with_effects(
         effects.Count('answers', ('caller_left',)),
     )
@@ -486,7 +535,7 @@
     generation = state.generations.get(event.request_id)
     if generation is None:
         return transitions.Transition(state)
-    blocked = dataclasses.replace(generation, blocked=True)
+    blocked = dataclasses.replace(generation, blocked=True, paced=False)
     return transitions.Transition(with_generation(blocked, state))
 
 
--- a/src/mustardvale/internal/calls.py
+++ b/src/mustardvale/internal/calls.py
@@ -12,6 +12,7 @@
 
     `position` is the index of the first input. `inputs` are tokens at the
     first stage and activations at the later ones, one for each position.
+    `priority` is 0 for urgent work, 1 for interactive work and 2 for batch.
     """
 
     session: str
--- a/src/mustardvale/internal/edge/codec.py
+++ b/src/mustardvale/internal/edge/codec.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import math
 from typing import Any
 from urllib import parse
 
@@ -146,7 +147,7 @@
     """Encode an error with its code, outcome and remedy."""
     headers: tuple[tuple[str, str], ...] = ()
     if reply.retry_after_seconds:
-        seconds = max(round(reply.retry_after_seconds), 1)
+        seconds = math.ceil(reply.retry_after_seconds)
         headers = (('Retry-After', str(seconds)),)
     return wire.RawReply(
         reply.code.status,
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -37,5 +37,7 @@
 
 GAUGES = (
     ('document_version', 'Version of the document in force'),
+    ('requests_waiting', 'Requests in the queue'),
+    ('concurrency_limit', 'Requests that may run at the same time'),
     ('log_available', 'Whether the last call to the log was answered'),
 )
--- a/src/mustardvale/internal/generations.py
+++ b/src/mustardvale/internal/generations.py
@@ -20,6 +20,8 @@
     `tokens` are the prompt and every token delivered so far, `sent_tokens`
     counts those delivered on this connection or an earlier one. `position` is
     the index of the first input of the awaited step and `stage` its stage.
+    `priority` is 0 for urgent work, 1 for interactive work and 2 for batch.
+    `paced` says that no wait for the caller or a restart is in its times.
     Times are in seconds of the monotonic clock.
     """
 
@@ -43,6 +45,8 @@
     step_started_at: float = 0
     failed_upstreams: frozenset[str] = frozenset()
     last_problem: str = ''
+    priority: int = 0
+    paced: bool = True
 
     @property
     def session(self) -> str:
@@ -54,6 +58,14 @@
         """Return whether all wanted tokens were delivered."""
         return self.sent_tokens >= self.wanted.maximum_tokens
 
+    @property
+    def gap_seconds(self) -> float:
+        """Return the mean time between two tokens, 0 if it is not known."""
+        count = self.sent_tokens - len(self.wanted.delivered)
+        if count < 2 or not self.paced:
+            return 0
+        return (self.last_token_at - self.first_token_at) / (count - 1)
+
     @property
     def current_stage(self) -> chains.Stage:
         """Return the stage of the awaited step."""
@@ -97,6 +109,7 @@
         adapter=generation.wanted.adapter,
         position=generation.position,
         inputs=inputs,
+        priority=generation.priority,
     )
 
 
@@ -150,6 +163,7 @@
         generation,
         chain=(),
         ready_step=False,
+        paced=False,
         failed_upstreams=generation.failed_upstreams | {address},
         last_problem=problem,
     )
--- a/src/mustardvale/internal/handlers.py
+++ b/src/mustardvale/internal/handlers.py
@@ -1,6 +1,7 @@
 """Import every module that registers handlers with the reducer."""
 
 from mustardvale.internal import (
+    admission,
     answers,
     configuration,
     entries,
@@ -13,6 +14,7 @@
 )
 
 REGISTERED = (
+    admission,
     answers,
     configuration,
     entries,
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -88,7 +88,9 @@
 ) -> transitions.Transition['states.State']:
     """Stop once callers have noticed and nothing is in flight."""
     assert state.stopping is not None, 'the timer is set by a stop'
-    if event.at >= state.stopping.refuse_from and not state.generations:
+    admission = state.admission
+    busy = state.generations or admission.running or admission.queue.count
+    if event.at >= state.stopping.refuse_from and not busy:
         return transitions.Transition(
             state,
             (
--- /dev/null
+++ b/src/mustardvale/internal/queues.py
@@ -0,0 +1,214 @@
+"""Order waiting requests by priority, fairly between client accounts.
+
+Within a priority the order is start-time fair queueing (Goyal et al. 1996):
+each account has a tag that grows by cost / weight with each request that it
+starts, and the account with the lowest tag is next.
+"""
+
+import dataclasses
+
+import immutables
+
+from mustardvale import document as documents
+from mustardvale.internal import events
+
+CAPACITY = 512
+# A waiting priority is served at least once in 16 starts, so that steady work
+# of a higher priority does not starve it.
+MAXIMUM_PASSES = 15
+
+RANKS = tuple(documents.Priority)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """Hold a request that waits.
+
+    `cost` is in tokens and `weight` in tokens per second. `start_by` is the
+    monotonic time after which the request cannot finish in time.
+    """
+
+    request_id: str
+    account: str
+    rank: int
+    cost: float
+    weight: float
+    start_by: float
+    event: events.CallerRequested
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountQueue:
+    """Hold the tickets of one account in the order of arrival."""
+
+    tag: float
+    tickets: tuple[Ticket, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankQueue:
+    """Hold the accounts of one priority.
+
+    `tag` is that of the last start, `passes` the number of starts of higher
+    priorities since then.
+    """
+
+    accounts: immutables.Map[str, AccountQueue] = immutables.Map()
+    tag: float = 0
+    passes: int = 0
+    count: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """Hold the waiting requests, the most urgent priority first."""
+
+    ranks: tuple[RankQueue, ...] = (RankQueue(),) * len(RANKS)
+
+    @property
+    def count(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(rank.count for rank in self.ranks)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """Pair a queue with the ticket that was taken from it, if any."""
+
+    queue: Queue
+    ticket: Ticket | None = None
+
+
+def count_ahead(rank: int, queue: Queue) -> int:
+    """Return how many requests of this priority or a higher one wait."""
+    return sum(one.count for one in queue.ranks[: rank + 1])
+
+
+def put(ticket: Ticket, queue: Queue) -> Taken:
+    """Add a ticket; when the queue is full, take out the one to shed.
+
+    That is the last ticket of the account with the most work per weight in
+    the lowest priority, which may be the added ticket.
+    """
+    rank = queue.ranks[ticket.rank]
+    account = rank.accounts.get(ticket.account, AccountQueue(rank.tag))
+    extended = AccountQueue(
+        max(account.tag, rank.tag),
+        (*account.tickets, ticket),
+    )
+    rank = dataclasses.replace(
+        rank,
+        accounts=rank.accounts.set(ticket.account, extended),
+        count=rank.count + 1,
+    )
+    queue = with_rank(ticket.rank, rank, queue)
+    if queue.count <= CAPACITY:
+        return Taken(queue)
+    shed = find_shed(queue)
+    return Taken(remove(shed, queue), shed)
+
+
+def with_rank(number: int, rank: RankQueue, queue: Queue) -> Queue:
+    """Replace the queue of one priority."""
+    before = queue.ranks[:number]
+    return Queue((*before, rank, *queue.ranks[number + 1 :]))
+
+
+def find_shed(queue: Queue) -> Ticket:
+    """Return the ticket to shed from a queue that is not empty."""
+    lowest = next(rank for rank in reversed(queue.ranks) if rank.count)
+    heaviest = max(
+        (account for account in lowest.accounts.values() if account.tickets),
+        key=backlog,
+    )
+    return heaviest.tickets[-1]
+
+
+def backlog(account: AccountQueue) -> float:
+    """Return the waiting work of an account in relation to its weight."""
+    return sum(ticket.cost / ticket.weight for ticket in account.tickets)
+
+
+def remove(ticket: Ticket, queue: Queue) -> Queue:
+    """Remove a ticket that waits."""
+    rank = queue.ranks[ticket.rank]
+    account = rank.accounts[ticket.account]
+    kept = tuple(one for one in account.tickets if one is not ticket)
+    assert len(kept) + 1 == len(account.tickets), 'a removed ticket waits'
+    rank = with_account(
+        ticket.account,
+        dataclasses.replace(account, tickets=kept),
+        dataclasses.replace(rank, count=rank.count - 1),
+    )
+    return with_rank(ticket.rank, rank, queue)
+
+
+def with_account(
+    name: str,
+    account: AccountQueue,
+    rank: RankQueue,
+) -> RankQueue:
+    """Replace an account; one that is idle and owes nothing is dropped."""
+    if account.tickets or account.tag > rank.tag:
+        accounts = rank.accounts.set(name, account)
+    else:
+        accounts = rank.accounts.delete(name)
+    return dataclasses.replace(rank, accounts=accounts)
+
+
+def find(request_id: str, queue: Queue) -> Ticket | None:
+    """Return the ticket of a request that waits."""
+    for rank in queue.ranks:
+        for account in rank.accounts.values():
+            for ticket in account.tickets:
+                if ticket.request_id == request_id:
+                    return ticket
+    return None
+
+
+def take(queue: Queue) -> Taken:
+    """Take the ticket that is next."""
+    number = next_rank(queue)
+    if number is None:
+        return Taken(queue)
+    rank = queue.ranks[number]
+    name = min(
+        (one for one, account in rank.accounts.items() if account.tickets),
+        key=lambda one: (rank.accounts[one].tag, one),
+    )
+    account = rank.accounts[name]
+    ticket = account.tickets[0]
+    served = dataclasses.replace(
+        rank,
+        tag=max(rank.tag, account.tag),
+        passes=0,
+        count=rank.count - 1,
+    )
+    rest = AccountQueue(
+        account.tag + ticket.cost / ticket.weight,
+        account.tickets[1:],
+    )
+    queue = with_rank(number, with_account(name, rest, served), queue)
+    return Taken(count_passes(number, queue), ticket)
+
+
+def next_rank(queue: Queue) -> int | None:
+    """Return the number of the priority that is served next."""
+    waiting = [number for number, rank in enumerate(queue.ranks) if rank.count]
+    overdue = [
+        number
+        for number in waiting
+        if queue.ranks[number].passes >= MAXIMUM_PASSES
+    ]
+    return next(iter((*overdue, *waiting)), None)
+
+
+def count_passes(served: int, queue: Queue) -> Queue:
+    """Count a start for each lower priority that waits."""
+    ranks = tuple(
+        dataclasses.replace(rank, passes=rank.passes + 1)
+        if rank.count and number > served
+        else rank
+        for number, rank in enumerate(queue.ranks)
+    )
+    return Queue(ranks)
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -4,6 +4,7 @@
 
 import immutables
 
+from mustardvale.internal import admission as admissions
 from mustardvale.internal import configuration as configurations
 from mustardvale.internal import generations as generation_tables
 from mustardvale.internal import limits as limit_tables
@@ -33,5 +34,6 @@
     upstreams: upstream_tables.UpstreamTable = upstream_tables.UpstreamTable()
     step_queues: step_calls.StepQueues = immutables.Map()
     generations: generation_tables.Generations = immutables.Map()
+    admission: admissions.AdmissionState = admissions.AdmissionState()
     limits: limit_tables.LimitState = limit_tables.LimitState()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -56,6 +56,18 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionDue(Timer):
+    """Start waiting requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueExpiry(Timer):
+    """Refuse a waiting request that can no longer finish in time."""
+
+    request_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPhaseDue(Timer):
     """Go on with a planned stop."""
--- /dev/null
+++ b/tests/entry_states.py
@@ -0,0 +1,173 @@
+"""Build states of an entry instance and drive its reducer, for the tests."""
+
+import dataclasses
+import pathlib
+from typing import Any, TypeVar
+
+from mustardvale import document
+from mustardvale.internal import (
+    calls,
+    configuration,
+    effects,
+    events,
+    handlers,
+    log_streams,
+    membership,
+    replies,
+    state,
+    upstreams,
+)
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+COOPERATIVE = (ROOT / 'examples' / 'cooperative.toml').read_text()
+LAYERS = 24
+
+EffectT = TypeVar('EffectT', bound=effects.Effect)
+
+
+def build(runner_count: int = 1) -> state.State:
+    """Build the state of an instance with a document and whole-model runners."""
+    table = upstreams.UpstreamTable()
+    for number in range(runner_count):
+        table = table.replace(build_runner(number))
+    return state.State(
+        identity=membership.Identity('entry-0', 'e:1', 'e:2', 'melton-vault'),
+        seed=1,
+        configuration=configuration.ConfigurationState(
+            'production',
+            document=document.parse(COOPERATIVE),
+        ),
+        log=log_streams.LogState('log:1'),
+        membership=membership.Membership('list:1'),
+        upstreams=table,
+    )
+
+
+def build_runner(number: int) -> upstreams.Upstream:
+    """Build a runner that holds the whole model."""
+    name = f'runner-{number}'
+    return upstreams.Upstream(
+        calls.ListedInstance(
+            name,
+            'mustardvale-pool',
+            f'{name}:1',
+            'melton-vault',
+        ),
+        report=calls.LoadReport(
+            name,
+            model='affinage',
+            version='3',
+            end_layer=LAYERS,
+            step_seconds=0.01,
+        ),
+    )
+
+
+class Entry:
+    """Drive one instance and keep the effects of every event."""
+
+    def __init__(self, runner_count: int = 1) -> None:
+        self.state = build(runner_count)
+        self.now = 100.0
+        self.effects: list[effects.Effect] = []
+        self.count = 0
+
+    def occur(self, kind: Any, **fields: Any) -> list[effects.Effect]:
+        """Reduce one event and return its effects."""
+        event = kind(at=self.now, wall=1e9 + self.now, **fields)
+        transition = handlers.reduce(event, self.state)
+        self.state = transition.state
+        self.effects.extend(transition.effects)
+        return list(transition.effects)
+
+    def ask(
+        self,
+        account: str = 'colston-dairy',
+        prompt: str = 'how old',
+        tokens: int = 2,
+        deadline_seconds: float = 0,
+    ) -> str:
+        """Send a request for an answer and return its id."""
+        self.count += 1
+        request_id = f'request-{self.count}'
+        self.occur(
+            events.CallerRequested,
+            request_id=request_id,
+            wanted=replies.AnswerWanted(
+                account_key=f'{account}-key',
+                model='affinage',
+                prompt=tuple(prompt.split()),
+                maximum_tokens=tokens,
+                deadline_seconds=deadline_seconds,
+            ),
+        )
+        return request_id
+
+    def fire(self, timer: Any) -> list[effects.Effect]:
+        """Let a timer fire."""
+        return self.occur(events.TimerFired, timer=timer)
+
+    def take(self, kind: type[EffectT]) -> list[EffectT]:
+        """Return the effects of a kind since the last call, and forget them."""
+        found = [one for one in self.effects if isinstance(one, kind)]
+        self.effects = [one for one in self.effects if one not in found]
+        return found
+
+    def take_steps(self) -> list[effects.Call]:
+        """Return the calls with steps since the last call."""
+        return [
+            call
+            for call in self.take(effects.Call)
+            if isinstance(call.call, calls.RunSteps)
+        ]
+
+    def answer(self, call: effects.Call, seconds: float = 0.01) -> None:
+        """Answer every step of a call with a token."""
+        self.now += seconds
+        self.occur(
+            events.CallAnswered,
+            call=call.call,
+            address=call.address,
+            answer=calls.StepsRun(
+                tuple(
+                    calls.StepResult(step.session, step.position, ('w',))
+                    for step in call.call.steps
+                ),
+            ),
+        )
+
+    def fail(
+        self,
+        call: effects.Call,
+        kind: events.FailureKind = events.FailureKind.CLOSED,
+        sent: bool = True,
+    ) -> None:
+        """Fail a call."""
+        self.occur(
+            events.CallFailed,
+            call=call.call,
+            address=call.address,
+            failure=events.Failure(kind, sent),
+        )
+
+    def refusal(self, request_id: str) -> replies.RequestError | None:
+        """Return the error that a request was answered with."""
+        for effect in self.effects:
+            if isinstance(effect, effects.Reply) and isinstance(
+                effect.reply,
+                replies.RequestError,
+            ):
+                if effect.request_id == request_id:
+                    return effect.reply
+        return None
+
+    def set_concurrency(self, limit: float) -> None:
+        """Set the number of requests that may run at the same time."""
+        admission = self.state.admission
+        concurrency = dataclasses.replace(
+            admission.paces.concurrency,
+            limit=limit,
+        )
+        paces = dataclasses.replace(admission.paces, concurrency=concurrency)
+        admission = dataclasses.replace(admission, paces=paces)
+        self.state = dataclasses.replace(self.state, admission=admission)
