--- a/bench/limits.py
+++ b/bench/limits.py
@@ -16,7 +16,7 @@
 import fire
 
 from mustardvale import document as documents
-from mustardvale.internal import limits
+from mustardvale.internal import limits, messages
 
 LIMIT_PER_SECOND = 200.0
 OVERLOAD = 3.0
@@ -105,7 +105,13 @@
                     functools.partial(self.hear, peer, number, usage),
                 )
 
-    def hear(self, to: int, sender: int, usage: tuple, now: float) -> None:  # type: ignore[type-arg]
+    def hear(
+        self,
+        to: int,
+        sender: int,
+        usage: tuple[messages.AccountUsage, ...],
+        now: float,
+    ) -> None:
         """Take a report."""
         if self.scenario.lives(to, now):
             state = self.states[to]
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -75,5 +75,7 @@
     ('document_version', 'Version of the document in force'),
     ('partitions_tailed', 'Partitions of attempts that are tailed'),
     ('action_keys_kept', 'Keys of actions in memory'),
+    ('requests_waiting', 'Requests in the queue'),
+    ('concurrency_limit', 'Requests that may run at the same time'),
     ('log_available', 'Whether the last call to the log was answered'),
 )
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -5,6 +5,7 @@
 import immutables
 
 from mustardvale.internal import action_calls
+from mustardvale.internal import admission as admissions
 from mustardvale.internal import configuration as configurations
 from mustardvale.internal import forwards as forward_tables
 from mustardvale.internal import generations as generation_tables
@@ -47,5 +48,6 @@
     forwards: forward_tables.Forwards = immutables.Map()
     partitions: partition_tables.Partitions = immutables.Map()
     timing: timings.Timing = timings.Timing()
+    admission: admissions.AdmissionState = admissions.AdmissionState()
     limits: limit_tables.LimitState = limit_tables.LimitState()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -82,6 +82,18 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionDue(Timer):
+    """Start waiting requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueExpiry(Timer):
+    """Refuse a waiting request that can no longer finish in time."""
+
+    request_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ActionDeadline(Timer):
     """End the call of an action whose time is over."""
