Test pauses, restarts and outages between separate processes

Cause: the return after an absence was tested with reducers only. Change: three tests with a log that keeps records for 8 s: an instance stopped for longer than that, a restart of all three instances after every promotion was dropped, and a start while the log is down.

--- a/bench/promotion_site.py
+++ b/bench/promotion_site.py
@@ -54,6 +54,8 @@
     log_address: str
     list_address: str
     entries: tuple[Entry, ...]
+    environment: str = 'production'
+    retention_seconds: float = 3600
 
     def start_command(self, *arguments: str) -> 'subprocess.Popen[str]':
         """Start the command-line tool."""
@@ -147,7 +149,10 @@
         return tuple(f'{HOST}:{one.getsockname()[1]}' for one in sockets)
 
 
-def start(stack: contextlib.ExitStack, *arguments: str) -> None:
+def start(
+    stack: contextlib.ExitStack,
+    *arguments: str,
+) -> 'subprocess.Popen[bytes]':
     """Start one process, which is stopped when the stack is left."""
     process = subprocess.Popen(
         [sys.executable, '-m', *arguments],
@@ -157,6 +162,7 @@
         stderr=subprocess.DEVNULL,
     )
     stack.callback(stop, process)
+    return process
 
 
 def stop(process: 'subprocess.Popen[bytes]') -> None:
@@ -171,29 +177,27 @@
 
 def start_entry(
     stack: contextlib.ExitStack,
+    site: Site,
     entry: Entry,
-    environment: str,
-    log_address: str,
-    list_address: str,
-) -> None:
+) -> 'subprocess.Popen[bytes]':
     """Start one entry instance."""
-    start(
+    return start(
         stack,
         'mustardvale.daemon',
         f'--instance-id={entry.instance_id}',
         f'--address={entry.address}',
         f'--peer-address={entry.peer_address}',
         f'--availability-zone={entry.availability_zone}',
-        f'--environment={environment}',
-        f'--log-address={log_address}',
-        f'--list-address={list_address}',
+        f'--environment={site.environment}',
+        f'--log-address={site.log_address}',
+        f'--list-address={site.list_address}',
+        f'--log-retention-seconds={site.retention_seconds}',
         '--address-validity-seconds=1',
     )
 
 
-@contextlib.contextmanager
-def run(environment: str, entry_count: int) -> abc.Iterator[Site]:
-    """Run a site and stop all of its processes at the end."""
+def plan(entry_count: int, retention_seconds: float) -> Site:
+    """Choose the addresses of a site."""
     log_address, list_address, *rest = free_addresses(2 + 2 * entry_count)
     entries = tuple(
         Entry(f'entry-{index}', address, peer_address, f'zone-{index % 3}')
@@ -201,19 +205,46 @@
             zip(rest[:entry_count], rest[entry_count:], strict=True)
         )
     )
-    site = Site(log_address, list_address, entries)
+    return Site(
+        log_address,
+        list_address,
+        entries,
+        retention_seconds=retention_seconds,
+    )
+
+
+def start_platform(stack: contextlib.ExitStack, site: Site) -> None:
+    """Start the log and the instance list."""
+    start(
+        stack,
+        'standins.log_main',
+        site.log_address,
+        f'--retention-seconds={site.retention_seconds}',
+    )
+    start(stack, 'standins.list_main', site.list_address)
+    look = functools.partial(set_list, site)
+    wait_until(look, START_SECONDS, 'instance list')
+
+
+def wait_for_start(entry: Entry) -> None:
+    """Wait until an instance answers."""
+    look = functools.partial(call, 'GET', entry.address, '/livez')
+    wait_until(look, START_SECONDS, entry.instance_id)
+
+
+@contextlib.contextmanager
+def run(
+    entry_count: int,
+    retention_seconds: float = 3600,
+) -> abc.Iterator[Site]:
+    """Run a site and stop all of its processes at the end."""
+    site = plan(entry_count, retention_seconds)
     with contextlib.ExitStack() as stack:
-        start(stack, 'standins.log_main', log_address)
-        start(stack, 'standins.list_main', list_address)
-        wait_until(lambda: set_list(site), START_SECONDS, 'instance list')
-        for entry in entries:
-            start_entry(stack, entry, environment, log_address, list_address)
-        for entry in entries:
-            wait_until(
-                functools.partial(call, 'GET', entry.address, '/livez'),
-                START_SECONDS,
-                entry.instance_id,
-            )
+        start_platform(stack, site)
+        for entry in site.entries:
+            start_entry(stack, site, entry)
+        for entry in site.entries:
+            wait_for_start(entry)
         yield site
 
 
--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -136,7 +136,7 @@
     """Measure promotions and write docs/measurements/promotions.*."""
     with (
         tempfile.TemporaryDirectory() as directory,
-        promotion_site.run(ENVIRONMENT, entries) as site,
+        promotion_site.run(entries) as site,
     ):
         promote(site, directory, 1)
         measured = [
--- a/tests/test_promotion_processes.py
+++ b/tests/test_promotion_processes.py
@@ -1,7 +1,10 @@
 """Guard promotions between separate processes."""
 
+import contextlib
 import pathlib
+import signal
 import tempfile
+import time
 import unittest
 
 from bench import promotion_site
@@ -11,33 +14,43 @@
 # Both operators have read the environment before the first append is stored.
 APPEND_DELAY_SECONDS = 2.5
 RACES = 3
+RETENTION_SECONDS = 8.0
+TARGET_SECONDS = 9.0
 FIRST_VERSION = 1
 
 
-class TwoOperators(unittest.TestCase):
-    """Two operators promote different documents at the same moment."""
+def write(directory: str, layers: int) -> str:
+    """Write a document and return the name of its file."""
+    text = EXAMPLE.read_text().replace('layers = 24', f'layers = {layers}')
+    path = pathlib.Path(directory) / f'{layers}.toml'
+    path.write_text(text)
+    return str(path)
 
-    def write(self, directory: str, layers: int) -> str:
-        """Write a document and return the name of its file."""
-        text = EXAMPLE.read_text().replace('layers = 24', f'layers = {layers}')
-        path = pathlib.Path(directory) / f'{layers}.toml'
-        path.write_text(text)
-        return str(path)
 
-    def publish(
-        self,
-        site: promotion_site.Site,
-        path: str,
-        operator: str,
-    ) -> 'promotion_site.subprocess.Popen[str]':
-        """Start to publish a document."""
-        return site.start_command(
-            'publish',
-            path,
-            '--environment=production',
-            f'--operator={operator}',
-            '--json',
-        )
+def start_publish(
+    site: promotion_site.Site,
+    path: str,
+    operator: str,
+) -> 'promotion_site.subprocess.Popen[str]':
+    """Start to publish a document."""
+    return site.start_command(
+        'publish',
+        path,
+        '--environment=production',
+        f'--operator={operator}',
+        '--json',
+    )
+
+
+def publish(site: promotion_site.Site, path: str) -> int:
+    """Publish a document and return its version."""
+    run = promotion_site.finish(start_publish(site, path, 'ann'))
+    assert run.exit_code == 0, run
+    return int(run.report['version'])
+
+
+class TwoOperators(unittest.TestCase):
+    """Two operators promote different documents at the same moment."""
 
     def race(
         self,
@@ -48,9 +61,9 @@
         """Let two operators promote at once and check what they are told."""
         operators = ('ann', 'bob')
         processes = [
-            self.publish(
+            start_publish(
                 site,
-                self.write(directory, 100 * version + index),
+                write(directory, 100 * version + index),
                 operator,
             )
             for index, operator in enumerate(operators)
@@ -76,13 +89,9 @@
         """Guard against a document that is lost without notice."""
         with (
             tempfile.TemporaryDirectory() as directory,
-            promotion_site.run('production', ENTRY_COUNT) as site,
+            promotion_site.run(ENTRY_COUNT) as site,
         ):
-            first = promotion_site.finish(
-                self.publish(site, str(EXAMPLE), 'ann'),
-            )
-            self.assertEqual(first.exit_code, 0, first)
-            site.wait_for_version(FIRST_VERSION)
+            site.wait_for_version(publish(site, str(EXAMPLE)))
             promotion_site.call(
                 'POST',
                 site.log_address,
@@ -108,3 +117,88 @@
     ) -> 'list[dict[str, promotion_site.Any]]':
         """Return the rows of `mustardvale status`."""
         return list(site.command('status', '--json').report['instances'])
+
+
+class Absence(unittest.TestCase):
+    """Instances return to the document in force after any absence."""
+
+    def setUp(self) -> None:
+        """Start a site with a log that forgets within seconds."""
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.directory = self.stack.enter_context(
+            tempfile.TemporaryDirectory(),
+        )
+        self.site = promotion_site.plan(3, RETENTION_SECONDS)
+        promotion_site.start_platform(self.stack, self.site)
+        self.processes = [self.start(entry) for entry in self.site.entries]
+        for entry in self.site.entries:
+            promotion_site.wait_for_start(entry)
+        self.version = publish(self.site, write(self.directory, 1))
+        self.site.wait_for_version(self.version)
+
+    def start(
+        self,
+        entry: promotion_site.Entry,
+    ) -> 'promotion_site.subprocess.Popen[bytes]':
+        """Start an instance."""
+        return promotion_site.start_entry(self.stack, self.site, entry)
+
+    def layers_are(self, layers: int) -> bool:
+        """Return whether the active document has so many layers."""
+        shown = self.site.command('show', 'production', '--json')
+        return f'layers = {layers}\n' in shown.report['document']
+
+    def outlast_retention(self) -> None:
+        """Wait until the log has dropped every promotion."""
+        promotion_site.wait_until(
+            self.has_no_promotion,
+            4 * RETENTION_SECONDS,
+            'a log without promotions',
+        )
+
+    def has_no_promotion(self) -> bool:
+        """Return whether the log holds only snapshots."""
+        shown = self.site.command('history', 'production', '--json')
+        return not shown.report['promotions']
+
+    def test_pause_longer_than_the_retention(self) -> None:
+        """Guard against a paused instance that stays behind or goes back."""
+        paused = self.processes[0]
+        paused.send_signal(signal.SIGSTOP)
+        self.stack.callback(paused.send_signal, signal.SIGCONT)
+        last = publish(self.site, write(self.directory, 2))
+        self.outlast_retention()
+        paused.send_signal(signal.SIGCONT)
+        self.site.wait_for_version(last)
+        self.assertTrue(self.layers_are(2))
+
+    def test_restart_of_all_instances(self) -> None:
+        """Guard against a version that is lost with the last instance."""
+        last = publish(self.site, write(self.directory, 2))
+        self.site.wait_for_version(last)
+        self.outlast_retention()
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        for entry in self.site.entries:
+            self.start(entry)
+        rows = self.site.wait_for_version(last)
+        self.assertEqual({row['document_version'] for row in rows}, {last})
+        self.assertEqual(publish(self.site, write(self.directory, 3)), last + 1)
+        self.site.wait_for_version(last + 1)
+
+    def test_start_during_an_outage_of_the_log(self) -> None:
+        """Guard against an instance that cannot start without the log."""
+        promotion_site.call(
+            'POST',
+            self.site.log_address,
+            '/faults',
+            {'down': True},
+        )
+        self.processes[0].kill()
+        self.processes[0].wait()
+        began = time.monotonic()
+        self.start(self.site.entries[0])
+        self.site.wait_for_version(self.version)
+        self.assertLess(time.monotonic() - began, TARGET_SECONDS)
