List every command in the help and every instance in the status

Cause: the help of the tool named no command, and the status left out instances that are listed but were never heard, and showed silent or listed as leaving ones as live.

--- a/src/mustardvale/command.py
+++ b/src/mustardvale/command.py
@@ -6,9 +6,6 @@
 import contextlib
 import dataclasses
 import io
-import os
-import pathlib
-import secrets
 import sys
 from collections import abc
 from typing import Any, TypeVar
@@ -17,8 +14,6 @@
 from fire import core, decorators
 
 from mustardvale.internal import (
-    addresses,
-    document_checks,
     events,
     transitions,
 )
@@ -32,6 +27,8 @@
 from mustardvale.internal.edge import (
     codec_entry,
     codec_reports,
+    command_help,
+    command_values,
     http_client,
     idempotency_keys,
     metrics,
@@ -39,7 +36,6 @@
     runtime,
 )
 
-PROMOTION_ID_BYTES = 8
 DEFAULT_TIMEOUT_SECONDS = '10'
 DEFAULT_MAXIMUM_TOKENS = '64'
 DEFAULT_HISTORY_LIMIT = '20'
@@ -55,10 +51,6 @@
 CalledT = TypeVar('CalledT')
 
 
-class UsageError(Exception):
-    """Report a command line that cannot be carried out."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Invocation:
     """Pair a command with the options that every command takes."""
@@ -70,42 +62,6 @@
     timeout_seconds: float
 
 
-def read_variable(name: str, default: str = '') -> str:
-    """Return an environment variable of the tool."""
-    return os.environ.get(f'MUSTARDVALE_{name}', default)
-
-
-def read_file(name: str) -> str:
-    """Return the text of a file, `-` stands for standard input."""
-    try:
-        if name == '-':
-            return sys.stdin.read()
-        return pathlib.Path(name).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise UsageError(f'{name} cannot be read: {error}') from error
-
-
-def to_number(flag: str, text: str, least: float) -> float:
-    """Return the number that a flag holds."""
-    try:
-        number = float(text)
-    except ValueError:
-        number = least - 1
-    if number >= least:
-        return number
-    raise UsageError(f'--{flag}: {text!r} must be a number from {least:g} on')
-
-
-def to_environment(text: str) -> str:
-    """Return the name of an environment, which is part of a stream's name."""
-    if document_checks.ENVIRONMENT_PATTERN.fullmatch(text):
-        return text
-    raise UsageError(
-        f'{text!r} is no environment, use 1 to 63 lower-case letters, digits '
-        'and hyphens',
-    )
-
-
 def keep_text(called: CalledT) -> CalledT:
     """Keep fire from reading arguments as Python literals."""
     decorators.SetParseFn(str)(called)
@@ -133,38 +89,39 @@
         json: str = 'False',
         timeout: str = DEFAULT_TIMEOUT_SECONDS,
     ) -> None:
-        self.log_address = log_address or read_variable('LOG_ADDRESS')
-        self.entry_address = entry_address or read_variable('ENTRY_ADDRESS')
+        self.log_address = log_address or command_values.read_variable(
+            'LOG_ADDRESS'
+        )
+        self.entry_address = entry_address or command_values.read_variable(
+            'ENTRY_ADDRESS'
+        )
         self.json = json
         self.timeout = timeout
 
-    def invoke(self, command: wanted.Command) -> Invocation:
-        """Pair a command with the options of this run."""
-        return Invocation(
-            command,
-            self.log_address,
-            self.entry_address,
-            self.json == 'True',
-            to_number('timeout', self.timeout, 0),
-        )
-
     @keep_text
     def validate(self, path: str) -> Invocation:
         """Check a document and name every problem."""
-        return self.invoke(wanted.Validate(path, read_file(path)))
+        return invoke(
+            self, wanted.Validate(path, command_values.read_file(path))
+        )
 
     @keep_text
-    def diff(self, path: str, environment: str) -> Invocation:
+    def diff(self, path: str, environment: str = '') -> Invocation:
         """Show what a document would change in its environment."""
-        return self.invoke(
-            wanted.Diff(path, read_file(path), to_environment(environment))
+        return invoke(
+            self,
+            wanted.Diff(
+                path,
+                command_values.read_file(path),
+                command_values.to_environment(environment),
+            ),
         )
 
     @keep_text
     def publish(
         self,
         path: str,
-        environment: str,
+        environment: str = '',
         operator: str = '',
         based_on: str = '-1',
     ) -> Invocation:
@@ -172,10 +129,13 @@
 
         With --based-on it is refused unless that version is still active.
         """
-        proposal = build_proposal(operator, based_on)
-        text = read_file(path)
-        return self.invoke(
-            wanted.Publish(path, text, to_environment(environment), proposal)
+        proposal = command_values.build_proposal(operator, based_on)
+        text = command_values.read_file(path)
+        return invoke(
+            self,
+            wanted.Publish(
+                path, text, command_values.to_environment(environment), proposal
+            ),
         )
 
     @keep_text
@@ -188,38 +148,46 @@
     ) -> Invocation:
         """Promote the active document of one environment to another one."""
         if source == target:
-            raise UsageError('--source and --target must differ')
-        proposal = build_proposal(operator, based_on)
-        return self.invoke(
+            raise command_values.UsageError('--source and --target must differ')
+        proposal = command_values.build_proposal(operator, based_on)
+        return invoke(
+            self,
             wanted.Promote(
-                to_environment(source), to_environment(target), proposal
-            )
+                command_values.to_environment(source),
+                command_values.to_environment(target),
+                proposal,
+            ),
         )
 
     @keep_text
-    def show(self, environment: str) -> Invocation:
+    def show(self, environment: str = '') -> Invocation:
         """Print the active document; its version goes to standard error."""
-        return self.invoke(wanted.Show(to_environment(environment)))
+        return invoke(
+            self, wanted.Show(command_values.to_environment(environment))
+        )
 
     @keep_text
     def history(
         self,
-        environment: str,
+        environment: str = '',
         limit: str = DEFAULT_HISTORY_LIMIT,
     ) -> Invocation:
         """Show the latest promotions and who won."""
-        count = int(to_number('limit', limit, 1))
-        return self.invoke(wanted.History(to_environment(environment), count))
+        count = int(command_values.to_number('limit', limit, 1))
+        return invoke(
+            self,
+            wanted.History(command_values.to_environment(environment), count),
+        )
 
     @keep_text
     def status(self) -> Invocation:
         """Show version, age and state of every entry instance."""
-        return self.invoke(wanted.Status())
+        return invoke(self, wanted.Status())
 
     @keep_text
     def entries(self, caller: str = '', zone: str = '') -> Invocation:
         """Show the entry addresses that a caller is given."""
-        return self.invoke(wanted.Entries(caller, zone))
+        return invoke(self, wanted.Entries(caller, zone))
 
     @keep_text
     def ask(
@@ -232,14 +200,20 @@
         deadline: str = '0',
     ) -> Invocation:
         """Ask a model and print the answer while it arrives."""
-        return self.invoke(
+        return invoke(
+            self,
             wanted.Ask(
-                account_key=account_key or read_variable('ACCOUNT_KEY'),
+                account_key=account_key
+                or command_values.read_variable('ACCOUNT_KEY'),
                 model=model,
                 adapter=adapter,
                 prompt=prompt,
-                maximum_tokens=int(to_number('tokens', tokens, 1)),
-                deadline_seconds=to_number('deadline', deadline, 0),
+                maximum_tokens=int(
+                    command_values.to_number('tokens', tokens, 1)
+                ),
+                deadline_seconds=command_values.to_number(
+                    'deadline', deadline, 0
+                ),
             ),
         )
 
@@ -254,37 +228,40 @@
         deadline: str = '0',
     ) -> Invocation:
         """Run an operation; --key repeats an earlier one safely."""
-        return self.invoke(
+        return invoke(
+            self,
             wanted.Act(
-                account_key=account_key or read_variable('ACCOUNT_KEY'),
+                account_key=account_key
+                or command_values.read_variable('ACCOUNT_KEY'),
                 service=service,
                 operation=operation,
                 idempotency_key=key or idempotency_keys.make(),
                 body=body.encode(),
-                deadline_seconds=to_number('deadline', deadline, 0),
+                deadline_seconds=command_values.to_number(
+                    'deadline', deadline, 0
+                ),
             ),
         )
 
     @keep_text
     def quota(self, account: str = '') -> Invocation:
         """Show the limits of client accounts."""
-        return self.invoke(wanted.Quota(account))
+        return invoke(self, wanted.Quota(account))
 
     @keep_text
     def upstreams(self, pool: str = '') -> Invocation:
         """Show the upstreams that an entry instance knows."""
-        return self.invoke(wanted.Upstreams(pool))
-
-
-def build_proposal(operator: str, based_on: str) -> wanted.Proposal:
-    """Return a proposal with an id of its own."""
-    name = operator or read_variable('OPERATOR', os.environ.get('USER', ''))
-    if not name:
-        raise UsageError('--operator or MUSTARDVALE_OPERATOR is required')
-    return wanted.Proposal(
-        secrets.token_hex(PROMOTION_ID_BYTES),
-        name,
-        int(to_number('based-on', based_on, -1)),
+        return invoke(self, wanted.Upstreams(pool))
+
+
+def invoke(tool: Tool, command: wanted.Command) -> Invocation:
+    """Pair a command with the options that every command takes."""
+    return Invocation(
+        command,
+        tool.log_address,
+        tool.entry_address,
+        tool.json == 'True',
+        command_values.to_number('timeout', tool.timeout, 0),
     )
 
 
@@ -308,12 +285,11 @@
                 serialize=print_nothing,
             )
     except core.FireExit as error:
-        if not error.code:
-            sys.stderr.write(hidden.getvalue())
-            raise
-        raise UsageError(explain(error)) from error
+        raise command_values.UsageError(explain(error)) from error
     if not isinstance(found, Invocation):
-        raise UsageError(f'no command in {" ".join(arguments)!r}')
+        raise command_values.UsageError(
+            f'no command in {" ".join(arguments)!r}'
+        )
     return found
 
 
@@ -338,10 +314,10 @@
         if address.strip()
     )
     if isinstance(invocation.command, READS_LOG):
-        check_address('log-address', invocation.log_address)
+        command_values.check_address('log-address', invocation.log_address)
     elif not isinstance(invocation.command, wanted.Validate):
         for address in entry_addresses or ('',):
-            check_address('entry-address', address)
+            command_values.check_address('entry-address', address)
     return states.State(
         command=invocation.command,
         log_address=invocation.log_address,
@@ -351,15 +327,6 @@
     )
 
 
-def check_address(flag: str, address: str) -> None:
-    """Check an address that the command needs."""
-    name = f'MUSTARDVALE_{flag.replace("-", "_").upper()}'
-    if not address:
-        raise UsageError(f'--{flag} or {name} is required')
-    if not addresses.is_address(address):
-        raise UsageError(f'--{flag}: {address!r}, {addresses.ALLOWED}')
-
-
 def reduce_or_stop(
     event: events.Event,
     state: states.State,
@@ -395,9 +362,12 @@
 def main(arguments: abc.Sequence[str] | None = None) -> None:
     """Run the tool."""
     given = sys.argv[1:] if arguments is None else arguments
+    if command_help.HELP_WORDS.intersection(given):
+        sys.stdout.write(command_help.describe(Tool, given))
+        return
     try:
         state = build_state(read_command(given))
-    except UsageError as error:
+    except command_values.UsageError as error:
         report = reports.Failed(
             'wrong_usage',
             str(error),
--- a/src/mustardvale/document.py
+++ b/src/mustardvale/document.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import cattrs
-from cattrs import gen, transform_error
+from cattrs import gen
 
 from mustardvale import errors
 from mustardvale.internal import document_changes, document_checks
@@ -274,7 +274,7 @@
 
 def explain_structure(error: cattrs.BaseValidationError) -> tuple[str, ...]:
     """Return one problem for each part with the wrong structure."""
-    lines = transform_error(error, format_exception=explain)
+    lines = cattrs.transform_error(error, format_exception=explain)
     return tuple(place_first(line) for line in lines)
 
 
@@ -296,7 +296,7 @@
         structured = tuple(structure_row(row, kind) for row in rows)
         sound[field] = tuple(one for one in structured if one is not None)
         broken.update(
-            str(row.get('name')) if isinstance(row, dict) else ''
+            find_name(row)
             for row, one in zip(rows, structured, strict=True)
             if one is None
         )
@@ -309,6 +309,11 @@
     )
 
 
+def find_name(row: Any) -> str:
+    """Return the name in a row of any structure."""
+    return str(row.get('name')) if isinstance(row, dict) else ''
+
+
 def structure_row(row: Any, kind: type[Any]) -> Any:
     """Structure one row of a table; a broken one gives nothing."""
     if not isinstance(row, dict):
--- a/src/mustardvale/internal/edge/codec_reports.py
+++ b/src/mustardvale/internal/edge/codec_reports.py
@@ -186,6 +186,11 @@
     )
 
 
+def to_heard(seconds_ago: float) -> str:
+    """Return the time since a heartbeat as people read it."""
+    return 'never' if seconds_ago < 0 else f'{seconds_ago:.1f} s ago'
+
+
 @to_text.register(reports.StatusShown)
 def status_to_text(report: reports.StatusShown) -> str:
     """Encode a table of entry instances."""
@@ -199,7 +204,7 @@
                 row.state,
                 f'{row.version}{" (behind)" if row.behind else ""}',
                 f'{row.age_seconds:.1f} s',
-                f'{row.heard_seconds_ago:.1f} s ago',
+                to_heard(row.heard_seconds_ago),
             )
             for row in report.instances
         ),
--- /dev/null
+++ b/src/mustardvale/internal/edge/command_help.py
@@ -0,0 +1,56 @@
+"""Write the help of the command-line tool.
+
+fire lists the commands of an object only after it was made, and shows its own
+bookkeeping as groups.
+"""
+
+import inspect
+from collections import abc
+from typing import Any
+
+HELP_WORDS = frozenset(('--help', '-h', 'help'))
+
+
+def find_commands(tool: type[Any]) -> dict[str, abc.Callable[..., Any]]:
+    """Return the commands of a tool: its public methods with a doc comment."""
+    return {
+        name: method
+        for name, method in inspect.getmembers(tool, inspect.isfunction)
+        if not name.startswith('_')
+    }
+
+
+def describe(tool: type[Any], arguments: abc.Sequence[str]) -> str:
+    """Return the help for the first command in the arguments, or for all."""
+    commands = find_commands(tool)
+    wanted = next((word for word in arguments if word in commands), None)
+    if wanted is None:
+        return describe_all(tool, commands)
+    doc = inspect.getdoc(commands[wanted]) or ''
+    return f'usage: mustardvale {usage(wanted, commands[wanted])}\n\n{doc}\n'
+
+
+def describe_all(
+    tool: type[Any],
+    commands: dict[str, abc.Callable[..., Any]],
+) -> str:
+    """Return the help for all commands and the options they share."""
+    rows = [
+        (usage(name, method), (inspect.getdoc(method) or '').split('\n')[0])
+        for name, method in commands.items()
+    ]
+    listed = ''.join(f'  {call}\n      {doc}\n' for call, doc in rows)
+    doc = inspect.getdoc(tool) or ''
+    return f'usage: mustardvale COMMAND [FLAGS]\n\n{doc}\n\nCommands:\n{listed}'
+
+
+def usage(name: str, method: abc.Callable[..., Any]) -> str:
+    """Return a command with its arguments; those with a default are flags."""
+    words = [name]
+    for parameter in list(inspect.signature(method).parameters.values())[1:]:
+        flag = parameter.name.replace('_', '-')
+        if parameter.default is inspect.Parameter.empty:
+            words.append(flag.upper())
+        else:
+            words.append(f'[--{flag}={flag.upper()}]')
+    return ' '.join(words)
--- a/src/mustardvale/internal/statuses.py
+++ b/src/mustardvale/internal/statuses.py
@@ -1,5 +1,6 @@
 """Answer what operators and health checks ask."""
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from mustardvale.internal import (
@@ -16,6 +17,9 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
+SUSPECT = 'suspect'
+UNHEARD = 'unheard'
+
 
 @reducer.on_request.register(replies.ReadinessWanted)
 def answer_readiness(
@@ -44,9 +48,8 @@
     """Answer with all that this instance knows."""
     own = describe_instance(membership.build_heartbeat(state), 0)
     peers = tuple(
-        describe_instance(peer.heartbeat, event.at - peer.heard_at)
+        describe_peer(peer, event.at)
         for peer in state.membership.peers.values()
-        if peer.heartbeat is not None
     )
     status = replies.Status(
         instances=(own, *peers),
@@ -62,6 +65,38 @@
     )
 
 
+def describe_peer(
+    peer: membership.Peer,
+    now: float,
+) -> replies.InstanceStatus:
+    """Describe a peer, also one that is listed but was never heard."""
+    if peer.heartbeat is None:
+        return replies.InstanceStatus(
+            instance_id=peer.listed.instance_id,
+            address=peer.listed.address,
+            availability_zone=peer.listed.availability_zone,
+            state=UNHEARD,
+            environment='',
+            document_version=0,
+            document_offset=-1,
+            in_force_since=0,
+            heard_seconds_ago=-1,
+        )
+    described = describe_instance(peer.heartbeat, now - peer.heard_at)
+    return dataclasses.replace(described, state=peer_state(peer, now))
+
+
+def peer_state(peer: membership.Peer, now: float) -> str:
+    """Name the state of a peer by the list, its heartbeats and their age."""
+    assert peer.heartbeat is not None, 'the peer was heard'
+    if peer.listed.state.value == membership.LEAVING:
+        return membership.LEAVING
+    silent = now - peer.heard_at >= membership.SUSPECT_SECONDS
+    if silent and peer.heartbeat.state == membership.LIVE:
+        return SUSPECT
+    return peer.heartbeat.state
+
+
 def describe_instance(
     heartbeat: messages.Heartbeat,
     heard_seconds_ago: float,
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -291,6 +291,39 @@
             self.assertTrue(written.startswith('mustardvale: '), written)
 
 
+class Help(unittest.TestCase):
+    """Help names every command."""
+
+    def test_every_command_is_listed(self) -> None:
+        """Guard against a command that operators cannot find."""
+        written = io.StringIO()
+        with contextlib.redirect_stdout(written):
+            command.main(['--help'])
+        for name in (
+            'validate PATH',
+            'diff PATH [--environment=ENVIRONMENT]',
+            'publish PATH',
+            'promote SOURCE TARGET',
+            'show',
+            'history',
+            'status',
+            'entries',
+            'ask MODEL PROMPT',
+            'act SERVICE OPERATION',
+            'quota',
+            'upstreams',
+        ):
+            self.assertIn(f'\n  {name}', written.getvalue())
+        self.assertIn('0 done, 1 refused or lost', written.getvalue())
+
+    def test_help_of_one_command(self) -> None:
+        """Guard against help that starts the command."""
+        written = io.StringIO()
+        with contextlib.redirect_stdout(written):
+            command.main(['publish', '--help'])
+        self.assertIn('[--based-on=BASED-ON]', written.getvalue())
+
+
 class Output(unittest.TestCase):
     """Every report has a text and a JSON form."""
 
--- /dev/null
+++ b/tests/test_statuses.py
@@ -0,0 +1,58 @@
+"""Guard what an entry instance tells operators of its peers."""
+
+import unittest
+
+from mustardvale.internal import calls, events, replies
+from tests import configuration_site
+
+NAMES = ('entry-a', 'entry-b')
+
+
+class Peers(unittest.TestCase):
+    """Every listed instance is shown with its state."""
+
+    def setUp(self) -> None:
+        """Start two instances that hear each other."""
+        self.site = configuration_site.Site(NAMES)
+        self.site.advance(0)
+
+    def states(self) -> list[str]:
+        """Return the states that the first instance shows."""
+        node = self.site.nodes[NAMES[0]]
+        event = events.CallerRequested(
+            at=self.site.at,
+            request_id='r',
+            wanted=replies.StatusWanted(),
+        )
+        reply = configuration_site.handlers.reduce(event, node.state).effects[0]
+        return [row.state for row in reply.reply.instances]  # type: ignore[attr-defined]
+
+    def test_listed_peer_that_was_never_heard(self) -> None:
+        """Guard against an instance that is missing without notice."""
+        self.assertEqual(self.states(), ['live', 'unheard'])
+
+    def test_peer_that_fell_silent(self) -> None:
+        """Guard against a dead instance shown as live."""
+        self.site.advance(1)
+        self.site.deliver(self.site.nodes[NAMES[0]])
+        self.assertEqual(self.states(), ['live', 'live'])
+        self.site.at += 4
+        self.assertEqual(self.states(), ['live', 'suspect'])
+
+    def test_peer_that_the_list_calls_leaving(self) -> None:
+        """Guard against a leaving instance shown as live."""
+        node = self.site.nodes[NAMES[0]]
+        self.site.advance(1)
+        self.site.deliver(node)
+        row = self.site.nodes[NAMES[1]].row()
+        leaving = configuration_site.dataclasses.replace(
+            row,
+            state=calls.ListedState.LEAVING,
+        )
+        fields = {
+            'call': calls.ListInstances(),
+            'address': 'list',
+            'answer': calls.InstancesListed((leaving,)),
+        }
+        self.site.feed(node, events.CallAnswered, fields)
+        self.assertEqual(self.states(), ['live', 'leaving'])
