Accept that an engine dies before it confirms the order to die

On a machine with a load of 20 the connection was closed before the answer was written, and the site launcher raised.

--- a/bench/sites.py
+++ b/bench/sites.py
@@ -284,7 +284,13 @@
     def set_faults(self, name: str, faults: dict[str, Any]) -> None:
         """Replace the faults of a stand-in; `{}` switches all off."""
         address = self.address_of(name)
-        answer = processes.request('POST', address, '/faults', faults)
+        try:
+            answer = processes.request('POST', address, '/faults', faults)
+        except ConnectionError:
+            # On a busy machine an engine may die before it has confirmed.
+            if faults.get('die'):
+                return
+            raise
         if answer.status != 200:
             raise processes.ProcessError(f'faults of {name}: {answer.body!r}')
 
