--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -13,12 +13,14 @@
     log_streams,
     membership,
     state,
+    timing,
 )
 from mustardvale.internal.edge import (
     codec,
     codec_peer,
     codec_upstream,
     entry_metrics,
+    http_checks,
     http_client,
     http_server,
     logs,
@@ -29,6 +31,7 @@
 
 EXIT_BAD_SETTINGS = 2
 SEED_BITS = 63
+DEFAULT_LIMITS = http_checks.Limits()
 
 
 def initial_state(settings: setting_table.Settings) -> state.State:
@@ -45,10 +48,18 @@
         configuration=configuration.ConfigurationState(settings.environment),
         log=log_streams.LogState(settings.log_address),
         membership=membership.Membership(settings.list_address),
+        timing=timing.Timing(
+            address_validity=settings.address_validity_seconds,
+            drain=settings.drain_seconds,
+            log_retention=settings.log_retention_seconds,
+        ),
     )
 
 
-def build(settings: setting_table.Settings) -> runtime.Runtime:
+def build(
+    settings: setting_table.Settings,
+    limits: http_checks.Limits = DEFAULT_LIMITS,
+) -> runtime.Runtime:
     """Return an entry instance whose loop can be run."""
     loop = runtime.Runtime(
         handlers.reduce,
@@ -60,6 +71,7 @@
         codec_upstream,
         loop.poller,
         loop.occur,
+        entry_metrics.count_call_bytes(loop.metrics),
     ).register(loop)
     loop.peers = peer_socket.PeerSocket(
         settings.peer_address,
@@ -74,6 +86,7 @@
         codec,
         loop.occur,
         f'{settings.instance_id}-{secrets.token_hex(4)}',
+        limits,
     ).register(loop)
     return loop
 
@@ -89,5 +102,12 @@
         for problem in error.problems:
             sys.stderr.write(f'mustardvaled: {problem}\n')
         raise SystemExit(EXIT_BAD_SETTINGS) from error
+    if settings.only_check:
+        sys.stdout.write('mustardvaled: settings are valid\n')
+        return
     logs.configure(settings.log_level, settings.instance_id)
     build(settings).run()
+
+
+if __name__ == '__main__':
+    main()
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -5,8 +5,8 @@
 
 from mustardvale.internal import (
     configuration,
+    document_copies,
     effects,
-    entries,
     events,
     membership,
     reducer,
@@ -41,11 +41,19 @@
         state.identity,
         incarnation=int(event.wall * 1000),
     )
-    state = dataclasses.replace(state, identity=identity)
+    state = dataclasses.replace(
+        state,
+        identity=identity,
+        limits=dataclasses.replace(state.limits, started_at=event.at),
+    )
     return configuration.follow_environment(state).with_effects(
         effects.LogChange('instance started'),
         effects.SetTimer(timers.ListDue(), 0),
         effects.SetTimer(timers.HeartbeatDue(), 0),
+        # By then the peers that are live have been heard.
+        effects.SetTimer(timers.PartitionsDue(), membership.SUSPECT_SECONDS),
+        effects.SetTimer(timers.CopyDue(), document_copies.SETTLE_SECONDS),
+        effects.SetTimer(timers.SnapshotDue(), 0),
     )
 
 
@@ -64,7 +72,7 @@
     state = dataclasses.replace(
         state,
         membership=leaving,
-        stopping=Stopping(event.at + entries.VALID_SECONDS),
+        stopping=Stopping(event.at + state.timing.address_validity),
     )
     return transitions.Transition(
         state,
@@ -84,7 +92,10 @@
 ) -> transitions.Transition['states.State']:
     """Stop once callers have noticed and nothing is in flight."""
     assert state.stopping is not None, 'the timer is set by a stop'
-    if event.at >= state.stopping.refuse_from and not state.generations:
+    drained_at = state.stopping.refuse_from + state.timing.drain
+    if event.at >= drained_at or (
+        event.at >= state.stopping.refuse_from and is_idle(state)
+    ):
         return transitions.Transition(
             state,
             (
@@ -96,3 +107,10 @@
         state,
         (effects.SetTimer(timer, STOP_POLL_SECONDS),),
     )
+
+
+def is_idle(state: 'states.State') -> bool:
+    """Return whether nothing that callers asked for is in flight."""
+    return state.actions.is_idle() and not (
+        state.generations or state.operations or state.forwards
+    )
