Test the site launcher, and count as recovered only what had an error

Requests that repeat an answered action on purpose were counted as recovered: 3 in a run without any error. Prompts now share a prefix of 32 tokens per account, because the shortest prefix that is cached has 16.

--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -188,7 +188,7 @@
 def main(
     site: str = 'cooperative',
     runners: int = 12,
-    prompt_tokens: float = 18.5,
+    prompt_tokens: float = 38.5,
     answer_tokens: float = 20,
     cached_tokens: float = 0,
 ) -> None:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -145,8 +145,8 @@
     print(
         f'{summary["requests_per_second"]} requests/s and'
         f' {summary["tokens_per_second"]} tokens/s over'
-        f' {summary["seconds"]} s; {summary["recovered"]} requests needed more'
-        ' than one call',
+        f' {summary["seconds"]} s; {summary["recovered"]} requests ended right'
+        ' after an error',
     )
     for title in ('refusals', 'failures'):
         if summary[title]:
--- a/bench/load_metrics.py
+++ b/bench/load_metrics.py
@@ -34,8 +34,8 @@
 
     Rates count what came before the end of the arrivals. `refusals` are errors
     by code, `failures` other calls without an answer by code or kind. Both
-    count calls; `verdicts` count requests. `recovered` requests needed more
-    than one call.
+    count calls; `verdicts` count requests. `recovered` requests ended
+    right after an error.
     """
 
     seconds: float
--- a/bench/load_requests.py
+++ b/bench/load_requests.py
@@ -145,6 +145,7 @@
     request = dataclasses.replace(
         request,
         unknown=uncertain or (request.unknown and error.scope != 'key'),
+        errors=request.errors + 1,
     )
     recorded = record(
         'error',
@@ -261,7 +262,7 @@
             load_state.Stalled(request.request_id, request.calls),
         ),
     )
-    if request.calls > 1 and verdict == 'right':
+    if request.errors and verdict == 'right':
         noted = (*noted, effects.Count('recovered'))
     return transitions.Transition(state, noted).then(
         functools.partial(end_if_drained, event),
--- a/bench/load_state.py
+++ b/bench/load_state.py
@@ -82,6 +82,7 @@
     last_token_at: float = 0
     recorded_at: float = 0
     unknown: bool = False
+    errors: int = 0
     repeat: bool = False
     answered: bytes | None = None
 
--- a/bench/load_work.py
+++ b/bench/load_work.py
@@ -49,7 +49,7 @@
     answers: float = 0.6
     idempotent_actions: float = 0.2
     actions: float = 0.2
-    prefix_tokens: int = 12
+    prefix_tokens: int = 32
     tail_tokens: int = 12
     minimum_tokens: int = 8
     maximum_tokens: int = 32
--- /dev/null
+++ b/tests/test_standins_site.py
@@ -0,0 +1,85 @@
+"""Guard the launcher of a site, on which the fault runs depend."""
+
+import pathlib
+import tempfile
+import unittest
+from typing import ClassVar
+
+from bench import processes, site_specs, sites
+
+SPEC = site_specs.SiteSpec(
+    entries=2,
+    runners=3,
+    action_runners=0,
+    runners_per_process=3,
+)
+
+
+class SmallSite(unittest.TestCase):
+    """A site starts, can be disturbed and leaves no process."""
+
+    site: ClassVar[sites.Site]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start a site with its runners in one process."""
+        directory = tempfile.mkdtemp()
+        cls.site = sites.Site(SPEC, pathlib.Path(directory))
+        cls.site.start()
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        """Stop the site."""
+        cls.site.stop()
+        left = [
+            name
+            for name, process in cls.site.processes.items()
+            if process.is_running
+        ]
+        assert not left, f'{left} still run after the stop'
+
+    def test_disturbances(self) -> None:
+        """Guard against a kill or freeze that does nothing."""
+        site = self.site
+        address = site.address_of('entry-1')
+        site.freeze('entry-1')
+        number = site.process_of('entry-1').process_id
+        stat = pathlib.Path(f'/proc/{number}/stat').read_text()
+        self.assertEqual(stat.rpartition(')')[2].split()[0], 'T')
+        site.resume('entry-1')
+        site.wait_for_entry('entry-1')
+        site.kill('entry-1')
+        self.assertFalse(processes.answers(address, '/readyz'))
+        site.start_again('entry-1')
+        site.wait_for_entry('entry-1')
+
+    def test_shared_process(self) -> None:
+        """Guard against a kill that takes other runners down."""
+        with self.assertRaises(processes.ProcessError):
+            self.site.kill('runner-0')
+
+    def test_promotion(self) -> None:
+        """Guard against promotions that are based on an old version."""
+        before = self.site.read_promoted().version
+        self.site.publish(SPEC.read_document())
+        self.assertEqual(self.site.read_promoted().version, before + 1)
+
+    def test_audit_of_all_runners(self) -> None:
+        """Guard against an audit that looks at one runner only."""
+        self.assertEqual(self.site.audit(), ())
+        step = {
+            'session': 'audited',
+            'model': 'affinage',
+            'version': '3',
+            'adapter': '',
+            'position': 0,
+            'inputs': ['a'],
+        }
+        for _ in range(2):
+            address = self.site.address_of('runner-1')
+            body = {'steps': [step]}
+            processes.request('POST', address, '/v1/steps', body)
+            processes.request('DELETE', address, '/v1/sessions/audited')
+        found = self.site.audit()
+        self.assertEqual({one.session for one in found}, {'audited'})
+        self.assertEqual({one.layer for one in found}, set(range(8, 16)))
