--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -44,6 +44,12 @@
     ('attempt_gaps', 'Gaps found in partitions of attempts', ()),
     ('operation_retries', 'Idempotent operations sent again', ()),
     ('ejections', 'Upstreams ejected', ('pool',)),
+    (
+        'ejections_withheld',
+        'Failures of upstreams when a third of their pool was ejected',
+        ('pool',),
+    ),
+    ('cache_event_gaps', 'Cache events that were missing', ()),
     ('promotions', 'Records of the environment stream', ('verdict',)),
     ('documents_unreadable', 'Documents that did not parse', ()),
     ('configuration_gaps', 'Gaps of dropped environment records', ()),
@@ -53,6 +59,7 @@
     ('list_failures', 'Failed calls to the instance list', ()),
     ('call_bytes', 'Bytes of calls', ('call', 'direction')),
     ('peer_bytes', 'Bytes of peer messages', ('direction',)),
+    ('peers_suspected', 'Watched peers that were not heard', ()),
     ('peer_frames_rejected', 'Peer frames that did not decode', ()),
     ('peer_messages_dropped', 'Peer messages without a connection', ()),
 )
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -22,7 +22,8 @@
     """Describe the sender to its peers.
 
     `incarnation` is the wall time of the sender's start in milliseconds, so
-    that news of an earlier process at the same address is recognised.
+    that news of an earlier process at the same address is recognised. `beat`
+    counts the sender's heartbeats, so that a relayed one that comes late is.
     """
 
     instance_id: str
@@ -39,6 +40,16 @@
     usage: tuple[AccountUsage, ...] = ()
     suspects: tuple[str, ...] = ()
     leaving_upstreams: tuple[str, ...] = ()
+    beat: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSuspected(PeerMessage):
+    """Report that an instance is not heard since one of its heartbeats."""
+
+    instance_id: str
+    incarnation: int
+    beat: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +74,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardAction(PeerMessage):
-    """Ask the instance that tails a partition to run an action."""
+    """Ask the instance that tails a partition to run an action.
+
+    `deadline_wall` is the same deadline in seconds since the epoch, because a
+    paused instance does not see how long a message has waited.
+    """
 
     forward_id: str
     reply_to: str
@@ -73,6 +88,7 @@
     idempotency_key: str
     body: bytes
     deadline_seconds: float
+    deadline_wall: float
     traceparent: str
 
 
