Bound retries and refuse requests that crash runners

Cause: an answer restarted up to five times on other runners, so one request could take down five runners at every instance that its caller tried, and a failing site could multiply its own load.

A request that was sent to a runner when it died is a suspect: heartbeats carry its fingerprint with the lost runner at once, its next attempt travels alone, and after 2 lost runners it is refused for 10 min and its answers are cut.

--- a/src/mustardvale/internal/answers.py
+++ b/src/mustardvale/internal/answers.py
@@ -18,7 +18,9 @@
     reducer,
     refusals,
     replies,
+    retries,
     step_calls,
+    suspects,
     timers,
     transitions,
     upstreams,
@@ -31,6 +33,7 @@
 CLOSE_TIMEOUT_SECONDS = 2.0
 MAXIMUM_ATTEMPTS = 5
 RESTART_SECONDS = 0.05
+SUSPECT_MESSAGE = 'runners that ran this request have died'
 
 
 def with_generation(
@@ -69,6 +72,14 @@
             f'model {wanted.model!r} is not served to {account.name}',
             state,
         )
+    mark = suspects.fingerprint(account.name, wanted)
+    if suspects.is_refused(mark, event.wall, state):
+        return refusals.refuse(
+            event.request_id,
+            errors.SUSPECT_REQUEST,
+            SUSPECT_MESSAGE,
+            state,
+        )
     allowed = wanted.deadline_seconds or DEFAULT_DEADLINE_SECONDS
     work = admission.Work(
         account,
@@ -97,6 +108,7 @@
             state,
         )
     generation = begin(wanted, account, model, event)
+    state = retries.earn(state)
     deadline = effects.SetTimer(
         timers.AnswerDeadline(event.request_id),
         generation.deadline_at - now,
@@ -149,6 +161,7 @@
         started_at=event.at,
         tokens=wanted.prompt + wanted.delivered,
         sent_tokens=len(wanted.delivered),
+        fingerprint=suspects.fingerprint(account.name, wanted),
         priority=admission.rank_of(account),
     )
 
@@ -227,7 +240,8 @@
     generation = state.generations.get(timer.request_id)
     if generation is None or generation.attempt != timer.attempt:
         return transitions.Transition(state)
-    if generation.chain:
+    refused = suspects.is_refused(generation.fingerprint, event.wall, state)
+    if generation.chain or refused:
         return transitions.Transition(state)
     return start_attempt(generation, event, state)
 
@@ -243,6 +257,7 @@
     if isinstance(event.answer, calls.StepsRefused):
         problem = f'status {event.answer.status}'
         if event.answer.leaving:
+            problem = retries.LEAVING
             transition = transition.then(
                 lambda now: transitions.Transition(
                     upstreams.mark_leaving(event.address, now),
@@ -263,12 +278,36 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Eject the runner and restart the answers whose steps are lost."""
-    transition = step_calls.end_call(event.address, call, state).then(
-        lambda now: upstreams.eject(event.address, event, now),
+    transition = (
+        suspects.blame(
+            call, find_marks(call, event.address, state), event, state
+        )
+        .then(functools.partial(step_calls.end_call, event.address, call))
+        .then(lambda now: upstreams.eject(event.address, event, now))
     )
     return fail_steps(call, event.failure.kind.value, event, transition)
 
 
+def find_marks(
+    call: calls.RunSteps,
+    address: str,
+    state: 'states.State',
+) -> frozenset[str]:
+    """Return the fingerprints of the requests whose steps are awaited."""
+    found = []
+    for step in call.steps:
+        request_id = generations.request_of(step.session)
+        generation = state.generations.get(request_id)
+        lost = calls.StepResult(step.session, step.position)
+        if generation is not None and generations.is_awaited(
+            generation,
+            address,
+            lost,
+        ):
+            found.append(generation.fingerprint)
+    return frozenset(found)
+
+
 def fail_steps(
     call: calls.RunSteps,
     problem: str,
@@ -403,6 +442,7 @@
 ) -> transitions.Transition['states.State']:
     """Send the end mark and free everything that the answer holds."""
     end = replies.AnswerEnd(generation.sent_tokens, generation.model.version)
+    state = suspects.clear(generation.fingerprint, event.wall, state)
     observed = admission.observe(
         generation.request_id,
         generation.model.name,
@@ -463,18 +503,26 @@
     )
     closed = close_sessions(generation)
     count = effects.Count('attempts_abandoned', (problem,))
-    if generation.attempt >= MAXIMUM_ATTEMPTS:
+    if suspects.is_refused(generation.fingerprint, event.wall, state):
+        # `SuspectsDue` is set and cuts the answer.
+        return transitions.Transition(
+            with_generation(abandoned, state),
+            (*closed, count),
+        )
+    spent = retries.spend(problem, state)
+    state = spent.state
+    if generation.attempt >= MAXIMUM_ATTEMPTS or not spent.granted:
         return cut(
             abandoned,
             errors.NO_UPSTREAM,
             f'{generation.attempt} attempts failed, the last one: {problem}',
             state,
         ).with_effects(*closed, count)
-    return start_attempt(
-        abandoned,
-        event,
-        with_generation(abandoned, state),
-    ).with_effects(*closed, count)
+    state = with_generation(abandoned, state)
+    if suspects.runs_alone(generation.fingerprint, state):
+        # The results of copies of the request that run elsewhere come first.
+        return wait_for_chain(abandoned, state).with_effects(*closed, count)
+    return start_attempt(abandoned, event, state).with_effects(*closed, count)
 
 
 def cut(
@@ -512,6 +560,27 @@
     )
 
 
+@reducer.on_timer.register(timers.SuspectsDue)
+def cut_suspects(
+    timer: timers.SuspectsDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Cut the answers of requests that have lost too many runners."""
+    transition = transitions.Transition(state)
+    for generation in state.generations.values():
+        if suspects.is_refused(generation.fingerprint, event.wall, state):
+            transition = transition.then(
+                functools.partial(
+                    cut,
+                    generation,
+                    errors.SUSPECT_REQUEST,
+                    SUSPECT_MESSAGE,
+                ),
+            )
+    return transition
+
+
 @reducer.reduce.register(events.CallerLeft)
 def cancel(
     event: events.CallerLeft,
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -20,6 +20,7 @@
     ('tokens', 'Tokens delivered', ('account',)),
     ('refusals', 'Refused requests', ('code',)),
     ('attempts_abandoned', 'Attempts of answers given up', ('problem',)),
+    ('suspects', 'Requests blamed for a lost runner', ()),
     ('late_step_results', 'Step results that were not awaited', ()),
     ('ejections', 'Upstreams ejected', ('pool',)),
     ('promotions', 'Records of the environment stream', ('verdict',)),
--- a/src/mustardvale/internal/generations.py
+++ b/src/mustardvale/internal/generations.py
@@ -45,6 +45,7 @@
     step_started_at: float = 0
     failed_upstreams: frozenset[str] = frozenset()
     last_problem: str = ''
+    fingerprint: str = ''
     priority: int = 0
     paced: bool = True
 
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -12,6 +12,7 @@
     limits,
     messages,
     reducer,
+    suspects,
     timers,
     transitions,
     upstreams,
@@ -172,6 +173,7 @@
     state = follow_limits(event.at, state).state
     reported = limits.report(event.at, state.limits)
     state = dataclasses.replace(state, limits=reported)
+    state = suspects.prune(event.at, event.wall, state)
     heartbeat = build_heartbeat(state)
     sends = tuple(
         effects.SendToPeer(peer.listed.peer_address, heartbeat)
@@ -198,6 +200,7 @@
         document_offset=configuration.promoted.offset,
         in_force_since=configuration.in_force_since,
         usage=limits.usage(state.limits),
+        suspects=suspects.report(state),
     )
 
 
@@ -225,7 +228,8 @@
         state.limits,
     )
     state = dataclasses.replace(state, limits=heard)
-    return transitions.Transition(with_membership(state, membership))
+    state = with_membership(state, membership)
+    return suspects.hear(message.suspects, event.wall, state)
 
 
 def follow_limits(
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -17,6 +17,18 @@
     tokens_per_second: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRunner:
+    """Report a runner that died while it had a step of a request.
+
+    `lost_at` is a wall time.
+    """
+
+    fingerprint: str
+    runner: str
+    lost_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat(PeerMessage):
     """Describe the sender to its peers.
@@ -37,7 +49,7 @@
     document_offset: int
     in_force_since: float
     usage: tuple[AccountUsage, ...] = ()
-    suspects: tuple[str, ...] = ()
+    suspects: tuple[LostRunner, ...] = ()
     leaving_upstreams: tuple[str, ...] = ()
 
 
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -15,6 +15,8 @@
     step_calls,
 )
 from mustardvale.internal import membership as memberships
+from mustardvale.internal import retries as retry_budgets
+from mustardvale.internal import suspects as suspect_tables
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -36,4 +38,6 @@
     generations: generation_tables.Generations = immutables.Map()
     admission: admissions.AdmissionState = admissions.AdmissionState()
     limits: limit_tables.LimitState = limit_tables.LimitState()
+    retries: retry_budgets.RetryBudget = retry_budgets.RetryBudget()
+    suspects: suspect_tables.SuspectState = suspect_tables.SuspectState()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/step_calls.py
+++ b/src/mustardvale/internal/step_calls.py
@@ -5,7 +5,14 @@
 
 import immutables
 
-from mustardvale.internal import calls, effects, transitions, upstreams
+from mustardvale.internal import (
+    calls,
+    effects,
+    generations,
+    suspects,
+    transitions,
+    upstreams,
+)
 
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
@@ -19,10 +26,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepQueue:
-    """Hold the steps that wait for a runner and the calls in flight to it."""
+    """Hold the steps that wait for a runner and the calls in flight to it.
+
+    Steps of suspects wait apart; `alone` is the session of the one that is in
+    flight in a call of its own.
+    """
 
     calls_in_flight: int = 0
     waiting: tuple[calls.Step, ...] = ()
+    waiting_alone: tuple[calls.Step, ...] = ()
+    alone: str = ''
 
 
 StepQueues = immutables.Map[str, StepQueue]
@@ -35,11 +48,52 @@
 ) -> transitions.Transition['states.State']:
     """Send a step with the next call to its runner."""
     queue = state.step_queues.get(address, StepQueue())
-    queue = dataclasses.replace(queue, waiting=(*queue.waiting, step))
+    if is_suspect(step, state):
+        waiting_alone = (*queue.waiting_alone, step)
+        queue = dataclasses.replace(queue, waiting_alone=waiting_alone)
+    else:
+        queue = dataclasses.replace(queue, waiting=(*queue.waiting, step))
     state = upstreams.add_in_flight(address, 1, state)
     return send_waiting(address, queue, state)
 
 
+def is_suspect(step: calls.Step, state: 'states.State') -> bool:
+    """Return whether a step must not share its call."""
+    request_id = generations.request_of(step.session)
+    generation = state.generations.get(request_id)
+    return generation is not None and suspects.runs_alone(
+        generation.fingerprint,
+        state,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Pair the steps of the next call with the queue without them."""
+
+    steps: tuple[calls.Step, ...]
+    queue: StepQueue
+
+
+def next_batch(queue: StepQueue) -> Batch:
+    """Take the steps of the next call, or none."""
+    if queue.calls_in_flight >= CALLS_IN_FLIGHT_PER_RUNNER:
+        return Batch((), queue)
+    if queue.waiting_alone and not queue.alone:
+        first, *rest = queue.waiting_alone
+        rest_queue = dataclasses.replace(
+            queue,
+            waiting_alone=tuple(rest),
+            alone=first.session,
+        )
+        return Batch((first,), rest_queue)
+    rest_queue = dataclasses.replace(
+        queue,
+        waiting=queue.waiting[STEPS_PER_CALL:],
+    )
+    return Batch(queue.waiting[:STEPS_PER_CALL], rest_queue)
+
+
 def send_waiting(
     address: str,
     queue: StepQueue,
@@ -47,15 +101,13 @@
 ) -> transitions.Transition['states.State']:
     """Send one call with the waiting steps if another may be in flight."""
     to_send: tuple[effects.Effect, ...] = ()
-    if queue.waiting and queue.calls_in_flight < CALLS_IN_FLIGHT_PER_RUNNER:
-        steps = queue.waiting[:STEPS_PER_CALL]
-        to_send = (
-            effects.Call(calls.RunSteps(steps), address, STEP_TIMEOUT_SECONDS),
-        )
-        queue = StepQueue(
-            queue.calls_in_flight + 1,
-            queue.waiting[STEPS_PER_CALL:],
-        )
+    batch = next_batch(queue)
+    queue = batch.queue
+    if batch.steps:
+        call = calls.RunSteps(batch.steps)
+        to_send = (effects.Call(call, address, STEP_TIMEOUT_SECONDS),)
+        in_flight = queue.calls_in_flight + 1
+        queue = dataclasses.replace(queue, calls_in_flight=in_flight)
     queues = state.step_queues.set(address, queue)
     return transitions.Transition(
         dataclasses.replace(state, step_queues=queues),
@@ -63,6 +115,11 @@
     )
 
 
+def ends_alone(call: calls.RunSteps, queue: StepQueue) -> bool:
+    """Return whether a call is the one that a suspect travels alone in."""
+    return any(step.session == queue.alone for step in call.steps)
+
+
 def end_call(
     address: str,
     call: calls.RunSteps,
@@ -73,6 +130,7 @@
     queue = dataclasses.replace(
         queue,
         calls_in_flight=max(queue.calls_in_flight - 1, 0),
+        alone='' if ends_alone(call, queue) else queue.alone,
     )
     state = upstreams.add_in_flight(address, -len(call.steps), state)
     return send_waiting(address, queue, state)
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -56,6 +56,11 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectsDue(Timer):
+    """End the answers of requests that may no longer run."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissionDue(Timer):
     """Start waiting requests."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -53,12 +53,13 @@
     """Hold the faults that are switched on.
 
     A frozen engine accepts calls and answers none. `slowdown` multiplies the
-    time of an iteration.
+    time of an iteration. A step with the input `crash_on` ends the process.
     """
 
     frozen: bool = False
     leaving: bool = False
     slowdown: float = 1
+    crash_on: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,6 +180,8 @@
     state: State,
 ) -> Transition:
     """Queue steps for the next iteration."""
+    if state.faults.crash_on and crashes(wanted, state):
+        return transitions.Transition(state, (effects.StopLoop(1),))
     opens = any(step.position == 0 for step in wanted.steps)
     if state.faults.leaving and opens:
         return answer(event.request_id, LEAVING, state)
@@ -187,6 +190,11 @@
     return start_iteration(dataclasses.replace(state, waiting=waiting))
 
 
+def crashes(wanted: calls.RunSteps, state: State) -> bool:
+    """Return whether a step has the input that ends the process."""
+    return any(state.faults.crash_on in step.inputs for step in wanted.steps)
+
+
 def start_iteration(state: State) -> Transition:
     """Run all waiting steps in one iteration unless one is running."""
     if state.running or not state.waiting or state.faults.frozen:
--- a/tests/entry_states.py
+++ b/tests/entry_states.py
@@ -15,6 +15,7 @@
     membership,
     replies,
     state,
+    timers,
     upstreams,
 )
 
@@ -150,6 +151,13 @@
             failure=events.Failure(kind, sent),
         )
 
+    def restart(self) -> None:
+        """Let the timers fire that restart answers."""
+        for effect in self.take(effects.SetTimer):
+            if isinstance(effect.timer, timers.RestartDue):
+                self.now += effect.delay_seconds
+                self.fire(effect.timer)
+
     def refusal(self, request_id: str) -> replies.RequestError | None:
         """Return the error that a request was answered with."""
         for effect in self.effects:
--- a/tests/guarded_entry.py
+++ b/tests/guarded_entry.py
@@ -11,15 +11,16 @@
     peer_address: str,
     log_address: str,
     list_address: str,
+    instance_id: str = 'entry-0',
     request_seconds: float = 10,
     idle_seconds: float = 60,
     connections: int = 512,
 ) -> None:
     """Serve callers at `host:port`."""
-    logs.configure('INFO', 'entry-0')
+    logs.configure('INFO', instance_id)
     loop = daemon.build(
         settings.Settings(
-            instance_id='entry-0',
+            instance_id=instance_id,
             address=address,
             peer_address=peer_address,
             availability_zone='melton-vault',
--- a/tests/site_processes.py
+++ b/tests/site_processes.py
@@ -50,14 +50,18 @@
         self.errors = tempfile.TemporaryFile()
         self.log_address = free_address()
         self.list_address = free_address()
-        self.address = free_address()
-        self.peer_address = free_address()
+        self.address = ''
+        self.peer_address = ''
+        self.addresses: tuple[str, ...] = ()
+        self.peer_addresses: tuple[str, ...] = ()
         self.runners: tuple[str, ...] = ()
+        self.runner_processes: list[subprocess.Popen[bytes]] = []
         self.entry: subprocess.Popen[bytes] | None = None
 
     def start(
         self,
         runner_count: int = 1,
+        entry_count: int = 1,
         iteration_ms: float = 4,
         **flags: Any,
     ) -> None:
@@ -66,7 +70,7 @@
         self.spawn('standins.list_main', address=self.list_address)
         self.runners = tuple(free_address() for _ in range(runner_count))
         for number, address in enumerate(self.runners):
-            self.spawn(
+            process = self.spawn(
                 'standins.engine_main',
                 address=address,
                 instance_id=f'runner-{number}',
@@ -78,17 +82,31 @@
                 adapters='rind',
                 iteration_ms=iteration_ms,
             )
-        self.entry = self.spawn(
-            'tests.guarded_entry',
-            address=self.address,
-            peer_address=self.peer_address,
-            log_address=self.log_address,
-            list_address=self.list_address,
-            **flags,
-        )
+            self.runner_processes.append(process)
+        self.start_entries(entry_count, **flags)
         self.retry(self.publish)
         self.retry(self.check_ready)
 
+    def start_entries(self, count: int, **flags: Any) -> None:
+        """Start the entry instances."""
+        self.addresses = tuple(free_address() for _ in range(count))
+        self.peer_addresses = tuple(free_address() for _ in range(count))
+        self.address = self.addresses[0]
+        self.peer_address = self.peer_addresses[0]
+        processes = [
+            self.spawn(
+                'tests.guarded_entry',
+                instance_id=f'entry-{number}',
+                address=address,
+                peer_address=self.peer_addresses[number],
+                log_address=self.log_address,
+                list_address=self.list_address,
+                **flags,
+            )
+            for number, address in enumerate(self.addresses)
+        ]
+        self.entry = processes[0]
+
     def spawn(self, module: str, **flags: Any) -> subprocess.Popen[bytes]:
         """Start one process of ours."""
         process = subprocess.Popen(
@@ -129,6 +147,16 @@
             }
             for number, address in enumerate(self.runners)
         ]
+        rows.extend(
+            {
+                'instance_id': f'entry-{number}',
+                'pool': 'entry',
+                'address': address,
+                'peer_address': self.peer_addresses[number],
+                'availability_zone': 'melton-vault',
+            }
+            for number, address in enumerate(self.addresses)
+        )
         listed = {'instances': rows}
         ask(self.list_address, 'PUT', '/v1/instances', listed)
         promotion = {
@@ -144,9 +172,12 @@
         return True
 
     def check_ready(self) -> bool:
-        """Return whether the instance answers a request for a token."""
-        status, _ = self.answer('how old', 1)
-        return status == 200
+        """Return whether every instance answers a request for a token."""
+        statuses = [
+            self.answer('how old', 1, address=address)[0]
+            for address in self.addresses
+        ]
+        return statuses == [200] * len(self.addresses)
 
     def answer(
         self,
@@ -154,16 +185,40 @@
         tokens: int,
         account: str = 'colston-dairy',
         model: str = 'affinage',
+        address: str = '',
     ) -> tuple[int, bytes]:
         """Ask for a model answer."""
         return ask(
-            self.address,
+            address or self.address,
             'POST',
             '/v1/answers',
             {'model': model, 'prompt': prompt, 'maximum_tokens': tokens},
             {'Authorization': f'Bearer {account}-key'},
         )
 
+    def begin_answer(
+        self,
+        prompt: str,
+        tokens: int,
+        address: str,
+        account: str = 'colston-dairy',
+    ) -> http.client.HTTPConnection:
+        """Ask for a model answer and return without waiting for it."""
+        host, _, port = address.rpartition(':')
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        body = {
+            'model': 'affinage',
+            'prompt': prompt,
+            'maximum_tokens': tokens,
+        }
+        connection.request(
+            'POST',
+            '/v1/answers',
+            json.dumps(body).encode(),
+            {'Authorization': f'Bearer {account}-key'},
+        )
+        return connection
+
     def logged(self) -> str:
         """Return what all processes wrote to standard error."""
         self.errors.seek(0)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,67 @@
+"""Guard the bound on attempts that are started again."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from mustardvale import errors
+from mustardvale.internal import calls, events, retries
+from tests import entry_states
+
+
+class Budget(unittest.TestCase):
+    """Retries stay a small part of the requests."""
+
+    @hypothesis.given(strategies.lists(strategies.booleans(), max_size=600))
+    @hypothesis.settings(deadline=None)
+    def test_never_above_a_tenth_and_the_reserve(
+        self,
+        steps: list[bool],
+    ) -> None:
+        """Guard against retries that multiply the load of a failing site."""
+        state = entry_states.build()
+        requests = 0
+        granted = 0
+        for is_request in steps:
+            if is_request:
+                requests += 1
+                state = retries.earn(state)
+            else:
+                spent = retries.spend('closed', state)
+                state = spent.state
+                granted += spent.granted
+        bound = retries.LARGEST_BALANCE + requests / 10
+        self.assertLessEqual(granted, bound + 1e-6)
+
+    def test_answer_is_cut_when_nothing_is_left(self) -> None:
+        """Guard against endless attempts while all runners fail."""
+        entry = entry_states.Entry(1)
+        entry.state = entry_states.dataclasses.replace(
+            entry.state,
+            retries=retries.RetryBudget(0.5),
+        )
+        request_id = entry.ask()
+        entry.fail(entry.take_steps()[0], events.FailureKind.TIMED_OUT)
+        refused = entry.refusal(request_id)
+        assert refused is not None
+        self.assertEqual(refused.code, errors.NO_UPSTREAM)
+        self.assertEqual(refused.outcome, errors.Outcome.UNKNOWN)
+
+    def test_planned_stop_of_a_runner_is_free(self) -> None:
+        """Guard against a rolling restart that uses up the budget."""
+        entry = entry_states.Entry(2)
+        entry.state = entry_states.dataclasses.replace(
+            entry.state,
+            retries=retries.RetryBudget(0),
+        )
+        entry.ask()
+        call = entry.take_steps()[0]
+        entry.occur(
+            events.CallAnswered,
+            call=call.call,
+            address=call.address,
+            answer=calls.StepsRefused(503, leaving=True),
+        )
+        (following,) = entry.take_steps()
+        self.assertNotEqual(following.address, call.address)
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,272 @@
+"""Guard runners against requests that crash them, and innocent requests."""
+
+import dataclasses
+import json
+import time
+import unittest
+
+from mustardvale import errors
+from mustardvale.internal import effects, events, messages, suspects, timers
+from tests import entry_states, site_processes
+
+POISON = 'poison'
+
+
+class Blame(unittest.TestCase):
+    """Only the death of a runner blames the requests that it had."""
+
+    def start(self, runner_count: int = 4) -> entry_states.Entry:
+        """Start an instance."""
+        return entry_states.Entry(runner_count)
+
+    def count(self, entry: entry_states.Entry, prompt: str) -> int:
+        """Return the runners that a request has lost."""
+        wanted = entry_states.replies.AnswerWanted(
+            model='affinage',
+            prompt=tuple(prompt.split()),
+            maximum_tokens=1,
+        )
+        mark = suspects.fingerprint('colston-dairy', wanted)
+        return suspects.count_losses(mark, 1e9 + entry.now, entry.state)
+
+    def test_two_lost_runners(self) -> None:
+        """Guard against a request that takes down one runner after another."""
+        entry = self.start()
+        request_id = entry.ask(prompt=POISON)
+        for _ in range(2):
+            entry.now += 1
+            (call,) = entry.take_steps()
+            entry.fail(call)
+            entry.restart()
+        self.assertFalse(entry.take_steps())
+        entry.fire(timers.SuspectsDue())
+        refused = entry.refusal(request_id)
+        assert refused is not None
+        self.assertEqual(refused.code, errors.SUSPECT_REQUEST)
+        self.assertEqual(refused.outcome, errors.Outcome.UNKNOWN)
+        again = entry.refusal(entry.ask(prompt=POISON))
+        assert again is not None
+        self.assertEqual(
+            (again.code, again.outcome),
+            (errors.SUSPECT_REQUEST, errors.Outcome.NOT_RUN),
+        )
+
+    def test_forgotten_after_ten_minutes(self) -> None:
+        """Guard against a prompt that is refused for ever."""
+        entry = self.start()
+        entry.ask(prompt=POISON)
+        for _ in range(2):
+            entry.fail(entry.take_steps()[0])
+            entry.restart()
+        entry.now += suspects.MEMORY_SECONDS - 1
+        entry.fire(timers.HeartbeatDue())
+        self.assertIsNotNone(entry.refusal(entry.ask(prompt=POISON)))
+        entry.now += 2
+        entry.fire(timers.HeartbeatDue())
+        self.assertIsNone(entry.refusal(entry.ask(prompt=POISON)))
+        self.assertFalse(entry.state.suspects.losses)
+
+    def test_slow_runner_blames_nobody(self) -> None:
+        """Guard against requests that are refused because a runner is slow."""
+        entry = self.start()
+        entry.ask(prompt=POISON)
+        entry.fail(entry.take_steps()[0], events.FailureKind.TIMED_OUT)
+        self.assertEqual(self.count(entry, POISON), 0)
+
+    def test_call_that_was_not_sent_blames_nobody(self) -> None:
+        """Guard against blame for a runner that was dead before."""
+        entry = self.start()
+        entry.ask(prompt=POISON)
+        entry.fail(entry.take_steps()[0], events.FailureKind.REFUSED, False)
+        self.assertEqual(self.count(entry, POISON), 0)
+
+    def test_resumed_request_has_the_same_fingerprint(self) -> None:
+        """Guard against a request that is new each time it resumes."""
+        wanted = entry_states.replies.AnswerWanted(
+            model='affinage',
+            prompt=('how', 'old'),
+            maximum_tokens=9,
+        )
+        resumed = dataclasses.replace(wanted, delivered=('w1',))
+        self.assertEqual(
+            suspects.fingerprint('a', wanted),
+            suspects.fingerprint('a', resumed),
+        )
+        self.assertNotEqual(
+            suspects.fingerprint('a', wanted),
+            suspects.fingerprint('b', wanted),
+        )
+
+
+class Isolation(unittest.TestCase):
+    """Requests that shared a call with a crash are told apart."""
+
+    def start_batch(self) -> tuple[entry_states.Entry, effects.Call]:
+        """Start five requests on one runner, three of them in one call."""
+        entry = entry_states.Entry(1)
+        for prompt in ('first', 'second', POISON, 'third', 'fourth'):
+            entry.ask(prompt=prompt)
+        first, second = entry.take_steps()
+        entry.answer(first)
+        batch = entry.take_steps()[0]
+        self.assertEqual(len(batch.call.steps), 3)
+        entry.answer(second)
+        entry.take_steps()
+        return entry, batch
+
+    def test_suspects_travel_alone(self) -> None:
+        """Guard against a second shared call, whose blame says nothing."""
+        entry, batch = self.start_batch()
+        entry.state = dataclasses.replace(
+            entry.state,
+            upstreams=entry.state.upstreams.replace(
+                entry_states.build_runner(1),
+            ),
+        )
+        entry.fail(batch)
+        entry.restart()
+        self.assertEqual(len(entry.state.suspects.losses), 3)
+        seen = 0
+        while calls_sent := entry.take_steps():
+            for call in calls_sent:
+                self.assertEqual(len(call.call.steps), 1)
+                entry.answer(call)
+                seen += 1
+        self.assertGreaterEqual(seen, 3)
+
+    def test_only_the_suspect_is_blamed(self) -> None:
+        """Guard against new suspects each time that a suspect crashes."""
+        entry = entry_states.Entry(3)
+        entry.ask(prompt=POISON)
+        entry.fail(entry.take_steps()[0])
+        entry.restart()
+        alone = entry.take_steps()[0]
+        sent: list[effects.Call] = []
+        while not any(call.address == alone.address for call in sent):
+            entry.ask(prompt=f'innocent {entry.count}')
+            sent.extend(entry.take_steps())
+        beside = next(one for one in sent if one.address == alone.address)
+        for order in ((alone, beside), (beside, alone)):
+            with self.subTest(order=order):
+                before = entry.state
+                for call in order:
+                    entry.fail(call)
+                self.assertEqual(len(entry.state.suspects.losses), 1)
+                entry.state = before
+
+    def test_complete_answer_clears(self) -> None:
+        """Guard against an innocent request that is refused later."""
+        entry = entry_states.Entry(3)
+        entry.ask(prompt='innocent', tokens=1)
+        entry.fail(entry.take_steps()[0])
+        self.assertTrue(entry.state.suspects.losses)
+        entry.restart()
+        entry.now += 1
+        entry.answer(entry.take_steps()[0])
+        self.assertFalse(entry.state.suspects.losses)
+
+
+class Peers(unittest.TestCase):
+    """Losses count over all instances."""
+
+    def hear(
+        self,
+        entry: entry_states.Entry,
+        rows: tuple[messages.LostRunner, ...],
+    ) -> None:
+        """Take a heartbeat of a peer."""
+        heartbeat = dataclasses.replace(
+            entry_states.membership.build_heartbeat(entry.state),
+            instance_id='entry-1',
+            suspects=rows,
+        )
+        entry.occur(
+            events.PeerMessageReceived,
+            sender='e:3',
+            message=heartbeat,
+        )
+
+    def test_losses_of_two_instances_add_up(self) -> None:
+        """Guard against two lost runners for each instance."""
+        entry = entry_states.Entry(3)
+        entry.ask(prompt=POISON)
+        entry.fail(entry.take_steps()[0])
+        ((mark, (loss,)),) = entry.state.suspects.losses.items()
+        same = messages.LostRunner(mark, loss.runner, loss.at + 0.5)
+        self.hear(entry, (same,))
+        self.assertEqual(len(entry.state.suspects.losses[mark]), 1)
+        other = messages.LostRunner(mark, 'runner-9', loss.at + 0.5)
+        self.hear(entry, (other,))
+        entry.fire(timers.SuspectsDue())
+        self.assertFalse(entry.state.generations)
+        refused = entry.refusal('request-1')
+        assert refused is not None
+        self.assertEqual(refused.code, errors.SUSPECT_REQUEST)
+
+    def test_report_is_immediate_and_bounded(self) -> None:
+        """Guard against late news and heartbeats of any size."""
+        entry = entry_states.Entry(1)
+        for number in range(100):
+            entry.ask(prompt=f'prompt {number}')
+        first, second = entry.take_steps()
+        entry.answer(first)
+        entry.fail(second)
+        entry.fail(entry.take_steps()[0])
+        self.assertIn(
+            effects.SetTimer(timers.HeartbeatDue(), 0),
+            entry.take(effects.SetTimer),
+        )
+        rows = suspects.report(entry.state)
+        self.assertEqual(len(rows), suspects.REPORTED_ROWS)
+
+
+class LostRunners(unittest.TestCase):
+    """A poisonous request takes down few runners of a real site."""
+
+    def start(self, runner_count: int) -> site_processes.Site:
+        """Start a site whose runners crash on one prompt."""
+        site = site_processes.Site()
+        self.addCleanup(site.stop)
+        site.start(runner_count=runner_count, entry_count=2)
+        for address in site.runners:
+            faults = {'crash_on': POISON}
+            site_processes.ask(address, 'POST', '/faults', faults)
+        return site
+
+    def count_lost(self, site: site_processes.Site) -> int:
+        """Return how many runners have ended."""
+        return sum(
+            process.poll() is not None for process in site.runner_processes
+        )
+
+    def test_caller_that_repeats_at_every_instance(self) -> None:
+        """Guard against two lost runners for each instance that is asked."""
+        site = self.start(6)
+        codes = []
+        for number in range(8):
+            address = site.addresses[number % 2]
+            status, body = site.answer(POISON, 2, address=address)
+            codes.append((status, json.loads(body)['error']['code']))
+        self.assertEqual(set(codes), {(422, 'suspect_request')})
+        time.sleep(0.5)
+        self.assertEqual(self.count_lost(site), 2)
+        for address in site.addresses:
+            status, body = site.answer('how old', 3, address=address)
+            self.assertEqual((status, body.count(b'"token"')), (200, 3))
+
+    def test_concurrent_copies(self) -> None:
+        """Guard against more lost runners than the copies in flight and one."""
+        site = self.start(8)
+        copies = 4
+        connections = [
+            site.begin_answer(POISON, 2, site.addresses[number % 2])
+            for number in range(copies)
+        ]
+        for connection in connections:
+            self.assertEqual(connection.getresponse().status, 422)
+            connection.close()
+        time.sleep(0.5)
+        self.assertLessEqual(self.count_lost(site), copies + 1)
+        self.assertGreaterEqual(self.count_lost(site), 2)
+        self.assertEqual(site.answer(POISON, 2)[0], 422)
+        self.assertEqual(site.answer('how old', 2)[0], 200)
