--- a/src/mustardvale/errors.py
+++ b/src/mustardvale/errors.py
@@ -28,11 +28,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ErrorCode:
-    """Describe one kind of error: its name, HTTP status and remedy."""
+    """Describe one kind of error: its name, HTTP status and remedy.
+
+    `outcomes` are those that it is reported with, the usual one first.
+    """
 
     name: str
     status: int
     remedy: str
+    outcomes: tuple[Outcome, ...] = (Outcome.NOT_RUN,)
 
 
 MALFORMED_REQUEST = ErrorCode(
@@ -105,11 +109,13 @@
     'idempotency_key_expired',
     409,
     'Check whether the action took effect before using a new key.',
+    (Outcome.UNKNOWN,),
 )
 OUTCOME_UNKNOWN = ErrorCode(
     'outcome_unknown',
     504,
     'Repeat with the same key later, or check the service itself.',
+    (Outcome.UNKNOWN,),
 )
 RATE_LIMITED = ErrorCode(
     'rate_limited',
@@ -121,6 +127,7 @@
     'deadline_exceeded',
     504,
     'Allow more time or ask for fewer tokens.',
+    (Outcome.NOT_RUN, Outcome.UNKNOWN),
 )
 LOG_UNAVAILABLE = ErrorCode(
     'log_unavailable',
@@ -131,11 +138,13 @@
     'no_upstream',
     503,
     'Wait for the time in Retry-After.',
+    (Outcome.NOT_RUN, Outcome.UNKNOWN),
 )
 SUSPECT_REQUEST = ErrorCode(
     'suspect_request',
     422,
     'Do not repeat this request: runners that ran it have failed.',
+    (Outcome.NOT_RUN, Outcome.UNKNOWN),
 )
 NOT_READY = ErrorCode(
     'not_ready',
@@ -147,6 +156,7 @@
     'internal_error',
     500,
     'Report the error with the request id.',
+    (Outcome.UNKNOWN,),
 )
 
 ALL_CODES = (
--- a/src/mustardvale/internal/edge/codec.py
+++ b/src/mustardvale/internal/edge/codec.py
@@ -216,22 +216,23 @@
 
 def encode_error(error: wire.DecodeError) -> wire.RawReply:
     """Encode the answer to a request that did not decode."""
+    code = find_code(error.code)
     body = {
         'error': {
             'code': error.code,
             'message': error.message,
-            'outcome': errors.Outcome.NOT_RUN.value,
+            'outcome': code.outcomes[0].value,
             'scope': errors.Scope.CALL.value,
             'retry_after_seconds': 0,
-            'remedy': remedy_of(error.code),
+            'remedy': code.remedy,
         },
     }
     return wire.RawReply(error.status, json.dumps(body).encode())
 
 
-def remedy_of(name: str) -> str:
-    """Return the remedy for an error code."""
+def find_code(name: str) -> errors.ErrorCode:
+    """Return the error code of that name."""
     return next(
-        (code.remedy for code in errors.ALL_CODES if code.name == name),
-        '',
+        (code for code in errors.ALL_CODES if code.name == name),
+        errors.INTERNAL_ERROR,
     )
--- a/src/mustardvale/internal/edge/http_server.py
+++ b/src/mustardvale/internal/edge/http_server.py
@@ -13,6 +13,7 @@
 from mustardvale.internal.edge import http_checks, http_guard, wire
 
 MAXIMUM_QUEUED_BYTES = 256 * 1024
+INTERNAL_STATUS = 500
 
 
 class CallerCodec(Protocol):
@@ -103,6 +104,8 @@
         event.stop()
         status = int(code or event.code)
         error = wire.DecodeError(status, 'malformed_request', 'bad request')
+        if status >= INTERNAL_STATUS:
+            error = wire.DecodeError(status, 'internal_error', 'server error')
         response.close = True
         self.respond(response, self.codec.encode_error(error))
 
--- /dev/null
+++ b/tests/test_error_page.py
@@ -0,0 +1,41 @@
+"""Guard the page of error codes."""
+
+import unittest
+
+from mustardvale import errors
+from mustardvale.internal.edge import codec, wire
+from tools import document_errors
+
+
+class ErrorPage(unittest.TestCase):
+    """The page lists the codes that callers get."""
+
+    def test_page_is_current(self) -> None:
+        """Guard against a code that was added or changed without the page."""
+        self.assertEqual(
+            document_errors.PAGE.read_text(),
+            document_errors.render(),
+            'run tools/document_errors.py',
+        )
+
+    def test_every_code_is_listed(self) -> None:
+        """Guard against a code that programs get but no page explains."""
+        defined = {
+            code.name
+            for code in vars(errors).values()
+            if isinstance(code, errors.ErrorCode)
+        }
+        listed = [code.name for code in errors.ALL_CODES]
+        self.assertEqual(defined, set(listed))
+        self.assertEqual(len(listed), len(set(listed)))
+
+
+class InternalErrors(unittest.TestCase):
+    """An internal error claims nothing."""
+
+    def test_outcome_is_unknown(self) -> None:
+        """Guard against not_run for a request whose steps may be sent."""
+        error = wire.DecodeError(500, 'internal_error', 'internal error')
+        raw = codec.encode_error(error)
+        assert raw.body is not None
+        self.assertIn(b'"outcome": "unknown"', raw.body)
