--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -35,6 +35,7 @@
     ('tokens', 'Tokens delivered', ('account',)),
     ('refusals', 'Refused requests', ('code',)),
     ('attempts_abandoned', 'Attempts of answers given up', ('problem',)),
+    ('suspects', 'Requests blamed for a lost runner', ()),
     ('late_step_results', 'Step results that were not awaited', ()),
     ('actions', 'Actions by how they ended', ('end',)),
     ('actions_forwarded', 'Actions forwarded to another instance', ()),
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -1,6 +1,7 @@
 """Keep what is known of the entry instances."""
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 import immutables
@@ -14,6 +15,7 @@
     messages,
     reducer,
     rings,
+    suspects,
     timers,
     transitions,
     upstreams,
@@ -255,6 +257,7 @@
     state = follow_limits(event.at, state).state
     reported = limits.report(event.at, state.limits)
     state = dataclasses.replace(state, limits=reported)
+    state = suspects.prune(event.at, event.wall, state)
     membership = dataclasses.replace(
         state.membership,
         beat=state.membership.beat + 1,
@@ -300,6 +303,7 @@
         usage=limits.usage(state.limits),
         leaving_upstreams=find_marks(state),
         beat=state.membership.beat,
+        suspects=suspects.report(state),
     )
 
 
@@ -347,7 +351,11 @@
     state = dataclasses.replace(with_peer(peer, state), limits=heard)
     if is_news(message, known) and not rings.is_small(state.membership.ring):
         relayed = send_to_targets(message, state)
-    return take_marks(message, state).with_effects(*relayed)
+    return (
+        take_marks(message, state)
+        .then(functools.partial(suspects.hear, message.suspects, event.wall))
+        .with_effects(*relayed)
+    )
 
 
 def welcome(message: messages.Heartbeat, state: 'states.State') -> Peer:
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -22,6 +22,8 @@
 from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import prefixes as prefix_tables
 from mustardvale.internal import timing as timings
+from mustardvale.internal import retries as retry_budgets
+from mustardvale.internal import suspects as suspect_tables
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -50,4 +52,6 @@
     timing: timings.Timing = timings.Timing()
     admission: admissions.AdmissionState = admissions.AdmissionState()
     limits: limit_tables.LimitState = limit_tables.LimitState()
+    retries: retry_budgets.RetryBudget = retry_budgets.RetryBudget()
+    suspects: suspect_tables.SuspectState = suspect_tables.SuspectState()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -82,6 +82,11 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectsDue(Timer):
+    """End the answers of requests that may no longer run."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissionDue(Timer):
     """Start waiting requests."""
