Give the links of stand-in engines a round trip

Sites of benchmarks need links that differ; a fault can only slow a link down for a while. The bound takes the delay into account. Tests run an order with a lease of the weight store and a copy of a session over HTTP.

--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -178,11 +178,9 @@
 
 
 def read_runners(plan: site_specs.Plan) -> tuple[Runner, ...]:
-    """Return the runners of a site; its links are those of one machine."""
-    return tuple(
-        Runner(site_specs.describe_held(member, plan))
-        for member in plan.runners
-    )
+    """Return the runners of a site with the delays of their links."""
+    held = (site_specs.describe_held(member, plan) for member in plan.runners)
+    return tuple(Runner(one, Link(one.link_seconds / 2)) for one in held)
 
 
 def main(
--- a/bench/site_specs.py
+++ b/bench/site_specs.py
@@ -68,7 +68,8 @@
 
     `runners` are spread evenly over `stages`; `runners_per_process` of them
     share a process. `document_path` replaces the example document of the site.
-    `engine_options` are fields of `engine.Held` that all runners get.
+    `engine_options` are fields of `engine.Held` that all runners get. `link_ms`
+    are the round trips of the links to the runners of a stage, in turn.
     """
 
     name: str = 'cooperative'
@@ -85,6 +86,7 @@
     document_path: pathlib.Path | None = None
     entry_arguments: tuple[str, ...] = ()
     engine_options: immutables.Map[str, Any] = immutables.Map()
+    link_ms: tuple[float, ...] = (0,)
     weight_units_per_second: float = 20
     weight_slots: int = 2
 
@@ -123,6 +125,7 @@
     accelerator: Accelerator = ACCELERATORS[0]
     first_layer: int = 0
     end_layer: int = 0
+    link_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,6 +229,7 @@
         accelerator=spec.accelerators[rank % len(spec.accelerators)],
         first_layer=stage * model.layers // spec.stages,
         end_layer=(stage + 1) * model.layers // spec.stages,
+        link_ms=spec.link_ms[rank % len(spec.link_ms)],
     )
 
 
@@ -315,6 +319,7 @@
         input_seconds=member.accelerator.input_ms / MILLISECONDS,
         fenced=fenced,
         weight_store=plan.weight_address,
+        link_seconds=member.link_ms / MILLISECONDS,
     )
     return dataclasses.replace(held, **dict(plan.spec.engine_options))
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -27,7 +27,8 @@
     token, another one ignores the token. `cache_event_loss` loses every n-th
     cache event. Without the address of a weight store a layer loads in
     `layer_load_seconds`. Export and import of a session take
-    `position_copy_seconds` for each position.
+    `position_copy_seconds` for each position. `link_seconds` is the round trip
+    of the link to the engine.
     """
 
     instance_id: str
@@ -51,6 +52,7 @@
     layer_load_seconds: float = 0.2
     position_copy_seconds: float = 0.0001
     weight_store: str = ''
+    link_seconds: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,8 +74,8 @@
     A frozen engine accepts calls and answers none. A leaving one takes no new
     sessions, a refusing one no steps. `slowdown` multiplies the time of an
     iteration. The next `drop_answers` calls run and their connection is closed
-    in place of an answer. Every answer waits for `delay_seconds`, as on a slow
-    link, and the next `late_answers` ones for `late_seconds`. The results of
+    in place of an answer. Every answer waits for `delay_seconds` in addition
+    to the link, and the next `late_answers` ones for `late_seconds`. The results of
     the next `crossed_answers` iterations go to the wrong calls. `die` ends
     the engine at once, and so does running a step that has `poison` among its
     inputs: it loses all state and closes its port until it is started again
--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -100,8 +100,9 @@
             use_up('late_answers', state),
             (effects.SetTimer(later, faults.late_seconds),),
         )
-    if faults.delay_seconds:
-        delay = effects.SetTimer(later, faults.delay_seconds)
+    seconds = faults.delay_seconds + state.held.link_seconds
+    if seconds:
+        delay = effects.SetTimer(later, seconds)
         return transitions.Transition(state, (delay,))
     return engine.answer(request_id, reply, state)
 
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -126,6 +126,18 @@
         driver.pass_time(5)
         self.assertEqual(set(driver.replies) & set('st'), {'s', 't'})
 
+    def test_link(self) -> None:
+        """Guard against a slow link that holds the engine up."""
+        driver = engine_cases.build_driver(link_seconds=0.5)
+        for name in 'st':
+            step = engine_cases.build_step(name)
+            engine_cases.ask_steps(driver, name, step)
+        driver.pass_time(0.5)
+        self.assertEqual(set(driver.replies), set())
+        self.assertEqual(driver.state.steps_run, 2)
+        driver.pass_time(0.1)
+        self.assertEqual(set(driver.replies), {'s', 't'})
+
     def test_crossed(self) -> None:
         """Guard against a switch that leaves answers in place."""
         driver = engine_cases.build_driver()
--- a/tests/test_standins_processes.py
+++ b/tests/test_standins_processes.py
@@ -110,3 +110,18 @@
         lines = [msgspec.json.decode(line) for line in answer.body.splitlines()]
         self.assertEqual([line.get('index') for line in lines[:3]], [0, 1, 2])
         self.assertEqual(lines[3], {'tokens': 3, 'end': True})
+
+    def test_session_copy_over_http(self) -> None:
+        """Guard against a copy that does not survive its encoding."""
+        first, second = self.addresses
+        self.steps(first, 'copied')
+        copy = processes.request(
+            'POST', first, '/v1/sessions/copied/export'
+        ).as_json()
+        answer = processes.request(
+            'POST', second, '/v1/sessions/copied/import', copy
+        )
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(
+            self.steps(second, 'copied')['error'], 'wrong_position'
+        )
--- a/tests/test_standins_site.py
+++ b/tests/test_standins_site.py
@@ -83,3 +83,34 @@
         found = self.site.audit()
         self.assertEqual({one.session for one in found}, {'audited'})
         self.assertEqual({one.layer for one in found}, set(range(8, 16)))
+
+    def test_order_with_lease(self) -> None:
+        """Guard against a load that does not ask the weight store."""
+        address = self.site.address_of('runner-2')
+        order = {
+            'fencing_token': 5,
+            'model': 'affinage',
+            'version': '3',
+            'layers': 24,
+            'first_layer': 16,
+            'end_layer': 24,
+            'adapters': ['rind', 'brine'],
+        }
+        answer = processes.request('POST', address, '/v1/orders', order)
+        self.assertEqual(answer.as_json()['units'], 1)
+        processes.wait_until(
+            lambda: 'brine' in self.report(address)['adapters'],
+            10,
+            'end of the load',
+        )
+        self.assertEqual(self.report(address)['plan_offset'], 5)
+        weights = self.site.address_of('weights')
+        leases = processes.request('GET', weights, '/v1/leases').as_json()
+        self.assertEqual(leases['granted'], 1)
+        stale = order | {'fencing_token': 4}
+        answer = processes.request('POST', address, '/v1/orders', stale)
+        self.assertEqual(answer.status, 409)
+
+    def report(self, address: str) -> dict:
+        """Return the load report of a runner."""
+        return processes.request('GET', address, '/v1/load').as_json()
