--- a/src/mustardvale/internal/handlers.py
+++ b/src/mustardvale/internal/handlers.py
@@ -3,6 +3,7 @@
 from mustardvale.internal import (
     action_deadlines,
     actions,
+    admission,
     answers,
     attempt_streams,
     claims,
@@ -28,6 +29,7 @@
 REGISTERED = (
     action_deadlines,
     actions,
+    admission,
     answers,
     attempt_streams,
     claims,
--- a/tests/action_model.py
+++ b/tests/action_model.py
@@ -28,7 +28,7 @@
     timers,
     upstreams,
 )
-from tests import action_site
+from tests import action_site, entry_states
 
 WALL = 1_800_000_000.0
 WINDOW_SECONDS = 6 * 3600
@@ -113,7 +113,7 @@
                 'zone',
             )
             report = calls.LoadReport(f'service-{runner}')
-            table = table.replace(upstreams.Upstream(listed, report))
+            table = table.replace(entry_states.build_upstream(listed, report))
         return state.State(
             identity=membership.Identity(
                 f'entry-{number}',
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -18,14 +18,14 @@
     upstreams,
 )
 from standins import engine, reference_model
-from tests import entry_states
+from tests import answer_states
 
 RANGES = ((0, 8), (8, 16), (16, 24))
 RUNNERS = tuple(
-    entry_states.build_runner(f'runner-{number}', *RANGES[number // 2])
+    answer_states.build_runner(f'runner-{number}', *RANGES[number // 2])
     for number in range(6)
 )
-INITIAL_STATE = entry_states.build_state(RUNNERS)
+INITIAL_STATE = answer_states.build_state(RUNNERS)
 PROMPT = ('how', 'is', 'the', 'rind')
 TOKENS = 4
 STEP_SECONDS = 0.01
@@ -42,7 +42,7 @@
             model=report.model,
             version=report.version,
             adapters=report.adapters,
-            layers=entry_states.LAYERS,
+            layers=answer_states.LAYERS,
             first_layer=report.first_layer,
             end_layer=report.end_layer,
             iteration_seconds=0.004,
@@ -121,7 +121,7 @@
         self.started.append(request_id)
         self.parts[request_id] = []
         wanted = replies.AnswerWanted(
-            account_key=entry_states.ACCOUNT_KEY,
+            account_key=answer_states.ACCOUNT_KEY,
             model='affinage',
             prompt=PROMPT,
             maximum_tokens=TOKENS,
@@ -213,7 +213,7 @@
             'affinage',
             '3',
             '',
-            entry_states.LAYERS,
+            answer_states.LAYERS,
             PROMPT,
             TOKENS,
         )
