Bound the imbalance of subsets and the bytes of polls

The share of a pool that an instance uses follows from the number of instances, so that the standard deviation of a runner's load stays below a tenth of its mean. Long lists and large subsets are polled less often; what fits in 64 runners is polled each second.

--- /dev/null
+++ b/bench/measurements.py
@@ -0,0 +1,38 @@
+"""Keep the results of measurements beside the pages that show them."""
+
+import json
+import pathlib
+import platform
+import subprocess
+import time
+from typing import Any
+
+from bench import processes
+
+DIRECTORY = processes.ROOT / 'docs' / 'measurements'
+
+
+def write(name: str, command: str, found: dict[str, Any]) -> pathlib.Path:
+    """Write results with the command that gives them again."""
+    path = DIRECTORY / f'{name}.json'
+    document = {
+        'command': command,
+        'measured_at': time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime()),
+        'commit': find_commit(),
+        'python': platform.python_version(),
+        **found,
+    }
+    path.write_text(f'{json.dumps(document, indent=2)}\n')
+    return path
+
+
+def find_commit() -> str:
+    """Return the commit that was measured, with a mark if it was changed."""
+    described = subprocess.run(
+        ('git', 'describe', '--always', '--dirty', '--exclude=*'),
+        cwd=processes.ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return described.stdout.strip()
--- a/src/mustardvale/internal/listings.py
+++ b/src/mustardvale/internal/listings.py
@@ -1,4 +1,4 @@
-"""Merge the instance list into what is known of the upstreams."""
+"""Read the instance list and merge it into what is known."""
 
 import dataclasses
 from collections import abc
@@ -10,6 +10,8 @@
     calls,
     effects,
     events,
+    membership,
+    reducer,
     subsets,
     timers,
     transitions,
@@ -19,6 +21,78 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
+LIST_PERIOD_SECONDS = 1.0
+# The list has no way to ask for changes only, so a long one is read less
+# often. Direct evidence does not wait for it.
+LIST_ROW_BYTES = 200
+LIST_BYTES_PER_SECOND = 4000
+FREQUENTLY_READ_ROWS = 100
+LIST_TIMEOUT_SECONDS = 3.0
+
+
+@reducer.on_timer.register(timers.ListDue)
+def ask_list(
+    timer: timers.ListDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask for the instance list."""
+    call = effects.Call(
+        calls.ListInstances(),
+        state.membership.list_address,
+        LIST_TIMEOUT_SECONDS,
+    )
+    return transitions.Transition(state, (call,))
+
+
+@reducer.on_answer.register(calls.ListInstances)
+def take_list(
+    call: calls.ListInstances,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Merge the instance list and ask again after the period."""
+    if not isinstance(event.answer, calls.InstancesListed):
+        return fail_list(state)
+    rows = event.answer.instances
+    period = list_period_seconds(len(rows))
+    again = effects.SetTimer(timers.ListDue(), period)
+    entries = tuple(row for row in rows if row.pool == membership.ENTRY_POOL)
+    others = tuple(row for row in rows if row.pool != membership.ENTRY_POOL)
+    return (
+        membership.take_entries(entries, event, state)
+        .then(lambda now: take_listed(others, event, now))
+        .with_effects(again)
+    )
+
+
+@reducer.on_failure.register(calls.ListInstances)
+def take_list_failure(
+    call: calls.ListInstances,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Keep the last list and ask again after the period."""
+    return fail_list(state)
+
+
+def list_period_seconds(rows: int) -> float:
+    """Return how often a list of some rows is read."""
+    counted = rows - FREQUENTLY_READ_ROWS
+    seconds = counted * LIST_ROW_BYTES / LIST_BYTES_PER_SECOND
+    return max(LIST_PERIOD_SECONDS, seconds)
+
+
+def fail_list(
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Count a list that did not come and ask again."""
+    again = effects.SetTimer(timers.ListDue(), LIST_PERIOD_SECONDS)
+    return transitions.Transition(
+        state,
+        (again, effects.Count('list_failures')),
+    )
+
 
 def take_listed(
     listed: tuple[calls.ListedInstance, ...],
@@ -65,9 +139,11 @@
 ) -> transitions.Transition['states.State']:
     """Choose the upstreams that this instance uses and ask the new ones."""
     table = state.upstreams
+    entries = len(state.membership.ring.ids)
     polled: set[str] = set()
     for ranked in table.ranked.values():
-        polled |= subsets.choose(ranked, find_stages(ranked, table))
+        stages = find_stages(ranked, table)
+        polled |= subsets.choose(ranked, stages, entries)
     asked: list[effects.Effect] = []
     for instance_id, upstream in tuple(table.by_id.items()):
         wanted = instance_id in polled
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -9,7 +9,6 @@
     calls,
     effects,
     events,
-    listings,
     messages,
     reducer,
     rings,
@@ -21,8 +20,6 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
-LIST_PERIOD_SECONDS = 1.0
-LIST_TIMEOUT_SECONDS = 3.0
 HEARTBEAT_PERIOD_SECONDS = 1.0
 SUSPECT_SECONDS = 3.0
 ENTRY_POOL = 'entry'
@@ -128,56 +125,6 @@
     )
 
 
-@reducer.on_timer.register(timers.ListDue)
-def ask_list(
-    timer: timers.ListDue,
-    event: events.TimerFired,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Ask for the instance list."""
-    call = effects.Call(
-        calls.ListInstances(),
-        state.membership.list_address,
-        LIST_TIMEOUT_SECONDS,
-    )
-    return transitions.Transition(state, (call,))
-
-
-@reducer.on_answer.register(calls.ListInstances)
-def take_list(
-    call: calls.ListInstances,
-    event: events.CallAnswered,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Merge the instance list and ask again after the period."""
-    again = effects.SetTimer(timers.ListDue(), LIST_PERIOD_SECONDS)
-    if not isinstance(event.answer, calls.InstancesListed):
-        count = effects.Count('list_failures')
-        return transitions.Transition(state, (again, count))
-    rows = event.answer.instances
-    entries = tuple(row for row in rows if row.pool == ENTRY_POOL)
-    others = tuple(row for row in rows if row.pool != ENTRY_POOL)
-    return (
-        take_entries(entries, event, state)
-        .then(lambda now: listings.take_listed(others, event, now))
-        .with_effects(again)
-    )
-
-
-@reducer.on_failure.register(calls.ListInstances)
-def take_list_failure(
-    call: calls.ListInstances,
-    event: events.CallFailed,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Keep the last list and ask again after the period."""
-    again = effects.SetTimer(timers.ListDue(), LIST_PERIOD_SECONDS)
-    return transitions.Transition(
-        state,
-        (again, effects.Count('list_failures')),
-    )
-
-
 def take_entries(
     listed: tuple[calls.ListedInstance, ...],
     event: events.Event,
--- a/src/mustardvale/internal/prefixes.py
+++ b/src/mustardvale/internal/prefixes.py
@@ -31,6 +31,8 @@
 SEPARATOR = b'\x1f'
 
 EVENTS_TIMEOUT_SECONDS = 2.0
+# What is cached changes more slowly than the load.
+LOAD_PERIODS = 4
 # Engines without cache events may be replaced by others that have them.
 UNSUPPORTED_SECONDS = 60.0
 # 256 digests of 680 runners fit in 30 MB of the memory that a node has.
@@ -165,8 +167,10 @@
     state: 'states.State',
     longer: float = 0,
 ) -> effects.Effect:
-    """Ask again after the period of the load reports, or a longer one."""
-    period = subsets.poll_period_seconds(state.upstreams.polled_count)
+    """Ask again after some periods of the load reports, or a longer time."""
+    period = LOAD_PERIODS * subsets.poll_period_seconds(
+        state.upstreams.polled_count
+    )
     timer = timers.CacheEventsDue(call.instance_id)
     return effects.SetTimer(timer, max(period, longer))
 
--- a/src/mustardvale/internal/subsets.py
+++ b/src/mustardvale/internal/subsets.py
@@ -13,11 +13,20 @@
 SMALL_POOL = 64
 SUBSET_SHARE = 0.2
 STAGE_MINIMUM = 8
+# A runner is in the subset of each of n instances with the chance p, so the
+# standard deviation of its load is sqrt((1 - p) / (n * p)) of the mean.
+# Subsets are large enough that this stays below a tenth.
+LOAD_DEVIATION = 0.1
+# As long as a stage lacks runners, this part of the subset's size is tried.
+TRIAL_SHARE = 0.25
 
-# Load reports may use half of the 18 KB/s that a node has for control.
-POLL_BYTES_PER_SECOND = 9000
+# Load reports may use a third of the 18 KB/s that a node has for control. The
+# first 64 are asked each second all the same: reports are fresh where pools
+# are small.
+POLL_BYTES_PER_SECOND = 6000
 # One question and answer with their headers and those of TCP/IP.
-POLL_BYTES = 900
+POLL_BYTES = 700
+FREQUENTLY_POLLED = 64
 SHORTEST_PERIOD_SECONDS = 1.0
 
 
@@ -35,22 +44,25 @@
 def choose(
     ranked: tuple[str, ...],
     stages: abc.Mapping[str, abc.Hashable],
+    entries: int,
 ) -> frozenset[str]:
     """Choose from ranked runners, given the stages of those that reported.
 
+    `entries` is the number of entry instances that choose.
+
     A stage of which fewer than the minimum are chosen gets more of its
     runners, and some whose stage is not known yet are tried as well.
     """
     if len(ranked) <= SMALL_POOL:
         return frozenset(ranked)
-    size = math.ceil(SUBSET_SHARE * len(ranked))
+    size = math.ceil(find_share(entries) * len(ranked))
     missing = dict.fromkeys(stages.values(), STAGE_MINIMUM)
     for one in ranked[:size]:
         stage = stages.get(one)
         if stage is not None:
             missing[stage] -= 1
-    lacking = sum(max(count, 0) for count in missing.values())
-    trials = lacking * len(missing) if len(stages) >= size else 0
+    lacks = any(count > 0 for count in missing.values())
+    trials = math.ceil(TRIAL_SHARE * size) if lacks else 0
     chosen = set(ranked[:size])
     for other in ranked[size:]:
         stage = stages.get(other)
@@ -65,6 +77,12 @@
     return frozenset(chosen)
 
 
+def find_share(entries: int) -> float:
+    """Return the part of a pool that each of some entry instances uses."""
+    needed = 1 / (1 + entries * LOAD_DEVIATION**2)
+    return max(SUBSET_SHARE, needed)
+
+
 def poll_period_seconds(members: int) -> float:
     """Return how often each member is asked for its load.
 
@@ -73,5 +91,5 @@
     """
     return max(
         SHORTEST_PERIOD_SECONDS,
-        members * POLL_BYTES / POLL_BYTES_PER_SECOND,
+        (members - FREQUENTLY_POLLED) * POLL_BYTES / POLL_BYTES_PER_SECOND,
     )
