Carry out the placement plan by fenced orders

The plan is a record of the stream 'orders', folded like promotions; its offset is the fencing token. One instance compares it with the load reports, asks the weight store for a lease before each load and repeats orders without effect. 15 tests of the fold, the executor and the encoding pass.

--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -12,6 +12,7 @@
     handlers,
     log_streams,
     membership,
+    orders,
     routing,
     state,
     timing,
@@ -48,6 +49,7 @@
         configuration=configuration.ConfigurationState(settings.environment),
         log=log_streams.LogState(settings.log_address),
         membership=membership.Membership(settings.list_address),
+        orders=orders.OrderState(settings.weight_store_address),
         timing=timing.Timing(
             address_validity=settings.address_validity_seconds,
             drain=settings.drain_seconds,
--- a/src/mustardvale/internal/calls.py
+++ b/src/mustardvale/internal/calls.py
@@ -131,6 +131,51 @@
     next: int
 
 
+STALE_TOKEN_STATUS = 409
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLease:
+    """Ask the weight store for the right to load weights on a runner."""
+
+    instance_id: str
+    model: str
+    version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """Grant one load for a time."""
+
+    lease_id: str
+    expires_in_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseDenied:
+    """Report that the rate limit of the weight store is reached."""
+
+    retry_after_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Order a runner to hold layers `first_layer` up to `end_layer`."""
+
+    instance_id: str
+    fencing_token: int
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    first_layer: int
+    end_layer: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderAccepted:
+    """Confirm that a runner carries out an order."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunAction:
     """Run one operation of a plain service that must not run twice."""
--- a/src/mustardvale/internal/edge/codec_records.py
+++ b/src/mustardvale/internal/edge/codec_records.py
@@ -16,6 +16,7 @@
             'attempt_abandoned': records.AttemptAbandoned,
             'attempt_done': records.AttemptDone,
             'plan_proposal': records.PlanProposal,
+            'plan_snapshot': records.PlanSnapshot,
         }
     )
 )
--- a/src/mustardvale/internal/edge/codec_upstream.py
+++ b/src/mustardvale/internal/edge/codec_upstream.py
@@ -12,6 +12,8 @@
 OK = 200
 MILLISECONDS = 1000
 UNAVAILABLE = 503
+TOO_MANY_REQUESTS = 429
+DEFAULT_RETRY_SECONDS = 5.0
 
 
 class StoredObject(msgspec.Struct, frozen=True):
@@ -146,6 +148,57 @@
     return answer
 
 
+@encode_call.register(calls.RequestLease)
+def encode_lease(call: calls.RequestLease) -> wire.RawCall:
+    """Encode a question for a lease."""
+    return wire.RawCall('POST', '/v1/leases', msgspec.json.encode(call))
+
+
+@decode_answer.register(calls.RequestLease)
+def decode_lease(
+    call: calls.RequestLease,
+    raw: wire.RawAnswer,
+) -> calls.LeaseGranted | calls.LeaseDenied | calls.PlatformRefused:
+    """Decode a lease, or how long to wait for one."""
+    if raw.status == TOO_MANY_REQUESTS:
+        return calls.LeaseDenied(read_retry_after(raw))
+    if raw.status != OK:
+        return refused(raw)
+    granted: calls.LeaseGranted = decode_json(
+        raw.body,
+        calls.LeaseGranted,
+    )
+    return granted
+
+
+def read_retry_after(raw: wire.RawAnswer) -> float:
+    """Return the seconds of the header `Retry-After`."""
+    try:
+        seconds = float(raw.headers.get('retry-after', ''))
+    except ValueError:
+        return DEFAULT_RETRY_SECONDS
+    return max(seconds, 0)
+
+
+@encode_call.register(calls.SendOrder)
+def encode_order(call: calls.SendOrder) -> wire.RawCall:
+    """Encode an order."""
+    body = msgspec.to_builtins(call)
+    body.pop('instance_id')
+    return wire.RawCall('POST', '/v1/orders', msgspec.json.encode(body))
+
+
+@decode_answer.register(calls.SendOrder)
+def decode_order(
+    call: calls.SendOrder,
+    raw: wire.RawAnswer,
+) -> calls.OrderAccepted | calls.PlatformRefused:
+    """Decode whether a runner accepts an order."""
+    if raw.status == OK:
+        return calls.OrderAccepted()
+    return refused(raw)
+
+
 @encode_call.register(calls.RunAction)
 def encode_run_action(call: calls.RunAction) -> wire.RawCall:
     """Encode an operation of a plain service.
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -39,6 +39,7 @@
     ('documents_unreadable', 'Documents that did not parse', ()),
     ('log_failures', 'Failed calls to the log service', ('operation',)),
     ('list_failures', 'Failed calls to the instance list', ()),
+    ('orders', 'Orders to runners by what became of them', ('end',)),
     ('peers_suspected', 'Watched peers that were not heard', ()),
     ('peer_frames_rejected', 'Peer frames that did not decode', ()),
     ('peer_messages_dropped', 'Peer messages without a connection', ()),
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -46,6 +46,7 @@
         effects.SetTimer(timers.ListDue(), 0),
         effects.SetTimer(timers.HeartbeatDue(), 0),
         effects.SetTimer(timers.SilenceDue(), 0),
+        effects.SetTimer(timers.PlanDue(), membership.SUSPECT_SECONDS),
         # By then the peers that are live have been heard.
         effects.SetTimer(timers.PartitionsDue(), membership.SUSPECT_SECONDS),
     )
--- /dev/null
+++ b/src/mustardvale/internal/orders.py
@@ -0,0 +1,440 @@
+"""Carry out the placement plan by orders to the runners.
+
+One instance, the first in rendezvous order, carries out the plan; two that do
+so for a while because their views differ give the same orders. An order states
+all that a runner has to hold and carries the offset of its plan, so that a
+runner that checks it refuses one of an earlier plan. Runners that do not check
+it are brought back by the comparison with their load reports.
+"""
+
+import dataclasses
+import enum
+import functools
+from typing import TYPE_CHECKING
+
+import immutables
+
+from mustardvale.internal import (
+    calls,
+    effects,
+    entries,
+    events,
+    log_streams,
+    membership,
+    plans,
+    records,
+    reducer,
+    streams,
+    timers,
+    transitions,
+    upstreams,
+)
+
+if TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+CHECK_PERIOD_SECONDS = 2.0
+ORDER_TIMEOUT_SECONDS = 5.0
+LEASE_TIMEOUT_SECONDS = 5.0
+# A runner needs some time for a load before its report shows it.
+LOADING_SECONDS = 20.0
+ORDERS_IN_FLIGHT = 4
+REPORTS_PER_CHECK = 20
+# Runners that this instance does not poll are looked at this often.
+REPORT_VALID_SECONDS = 300.0
+SNAPSHOT_PART = 4
+SNAPSHOT_REPEAT_SECONDS = 60.0
+
+STREAM = streams.OrderStream()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderState:
+    """Hold the plan and the orders that are under way.
+
+    `busy_until` holds, for each runner with a lease or an order under way,
+    the monotonic time after which it is looked at again. No lease is asked for
+    before `lease_after`. `superseded` is the offset of a plan of which an
+    order was refused as outdated. `recorded_at` and `snapshot_at` are wall
+    times of the last record of the plan and of the last own snapshot.
+    """
+
+    weight_store_address: str = ''
+    plan: plans.Plan = plans.Plan()
+    caught_up: bool = False
+    busy_until: immutables.Map[str, float] = immutables.Map()
+    lease_after: float = 0
+    superseded: int = -1
+    recorded_at: float = 0
+    snapshot_at: float = 0
+
+
+def with_orders(state: 'states.State', orders: OrderState) -> 'states.State':
+    """Replace the part of the state that this module owns."""
+    return dataclasses.replace(state, orders=orders)
+
+
+def change(state: 'states.State', **changes: object) -> 'states.State':
+    """Change fields of the part of the state that this module owns."""
+    orders = dataclasses.replace(state.orders, **changes)  # type: ignore[arg-type]
+    return with_orders(state, orders)
+
+
+def is_executor(now: float, state: 'states.State') -> bool:
+    """Return whether this instance carries out the plan."""
+    if state.membership.own_state != membership.LIVE:
+        return False
+    own_weight = entries.weight(STREAM.name, state.identity.instance_id)
+    return all(
+        entries.weight(STREAM.name, instance_id) < own_weight
+        for instance_id, peer in state.membership.peers.items()
+        if membership.is_live(peer, now)
+    )
+
+
+@log_streams.on_stored.register(streams.OrderStream)
+def fold_stored(
+    stream: streams.OrderStream,
+    stored: records.StoredRecord,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Fold a record of the stream."""
+    before = state.orders.plan
+    plan = plans.fold(stored.record, stored.offset, before)
+    state = change(state, plan=plan)
+    if isinstance(stored.record, records.PlanSnapshot):
+        state = change(state, recorded_at=stored.appended_at)
+    if plan.offset == before.offset:
+        return transitions.Transition(state)
+    return transitions.Transition(
+        change(state, recorded_at=stored.appended_at),
+        (effects.LogChange('plan in force', (('offset', plan.offset),)),),
+    )
+
+
+@log_streams.on_gap.register(streams.OrderStream)
+def note_gap(
+    stream: streams.OrderStream,
+    earliest_offset: int,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Wait for a snapshot when records were dropped before they were read."""
+    plan = plans.note_gap(earliest_offset, state.orders.plan)
+    return transitions.Transition(change(state, plan=plan))
+
+
+@log_streams.on_caught_up.register(streams.OrderStream)
+def note_caught_up(
+    stream: streams.OrderStream,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Note that the whole stream was read."""
+    return transitions.Transition(change(state, caught_up=True))
+
+
+@reducer.on_timer.register(timers.PlanDue)
+def check_plan(
+    timer: timers.PlanDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Compare the plan with the load reports if this instance executes it."""
+    again = effects.SetTimer(timer, CHECK_PERIOD_SECONDS)
+    follows = STREAM in state.log.tails
+    if not is_executor(event.at, state):
+        if follows:
+            state = log_streams.unfollow(STREAM, state)
+            address = state.orders.weight_store_address
+            state = with_orders(state, OrderState(address))
+        return transitions.Transition(state, (again,))
+    if not follows:
+        return log_streams.follow(STREAM, state).with_effects(again)
+    orders = state.orders
+    if not orders.caught_up or not orders.plan.is_known:
+        return transitions.Transition(state, (again,))
+    return (
+        snapshot_plan(event, state)
+        .then(lambda now: place_orders(event, now))
+        .with_effects(again)
+    )
+
+
+def snapshot_plan(
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Repeat the plan in the log before retention drops it."""
+    orders = state.orders
+    age = event.wall - max(orders.recorded_at, 0)
+    since_own = event.wall - orders.snapshot_at
+    if age < state.timing.log_retention / SNAPSHOT_PART or (
+        since_own < SNAPSHOT_REPEAT_SECONDS
+    ):
+        return transitions.Transition(state)
+    plan = orders.plan
+    snapshot = records.PlanSnapshot(plan.offset, plan.assignments, plan.as_of)
+    return log_streams.append(
+        STREAM,
+        snapshot,
+        change(state, snapshot_at=event.wall),
+    )
+
+
+class Need(enum.Enum):
+    """Say what has to be done for a runner of the plan."""
+
+    NOTHING = 'nothing'
+    REPORT = 'report'
+    ORDER = 'order'
+
+
+def find_need(
+    assignment: records.Assignment,
+    now: float,
+    state: 'states.State',
+) -> Need:
+    """Compare an assignment with the runner's load report."""
+    upstream = state.upstreams.by_id.get(assignment.instance_id)
+    if upstream is None or upstream.leaving or upstream.ejected_until:
+        return Need.NOTHING
+    busy_until = state.orders.busy_until.get(assignment.instance_id, 0)
+    if busy_until > now:
+        return Need.NOTHING
+    is_old = upstream.reported_at < max(busy_until, now - REPORT_VALID_SECONDS)
+    if upstream.report is None or is_old:
+        return Need.REPORT
+    return Need.ORDER if differs(assignment, state) else Need.NOTHING
+
+
+def differs(
+    assignment: records.Assignment,
+    state: 'states.State',
+) -> bool:
+    """Return whether a runner reports something else than its assignment.
+
+    One that has an order of a later plan is left alone; this instance has not
+    read that plan yet.
+    """
+    upstream = state.upstreams.by_id.get(assignment.instance_id)
+    if upstream is None or upstream.report is None:
+        return False
+    if upstream.report.plan_offset > state.orders.plan.offset:
+        return False
+    return not matches(assignment, upstream.report)
+
+
+def matches(
+    assignment: records.Assignment,
+    report: calls.LoadReport,
+) -> bool:
+    """Return whether a runner holds what it is assigned."""
+    return (
+        assignment.model == report.model
+        and assignment.version == report.version
+        and frozenset(assignment.adapters) == frozenset(report.adapters)
+        and assignment.first_layer == report.first_layer
+        and assignment.end_layer == report.end_layer
+    )
+
+
+def place_orders(
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask for reports and leases where the plan is not carried out."""
+    needs = {
+        assignment: find_need(assignment, event.at, state)
+        for assignment in state.orders.plan.assignments
+    }
+    unreported = [one for one in needs if needs[one] is Need.REPORT]
+    reports = tuple(
+        effects.Call(
+            calls.ReadLoad(),
+            state.upstreams.by_id[one.instance_id].listed.address,
+            ORDER_TIMEOUT_SECONDS,
+        )
+        for one in unreported[:REPORTS_PER_CHECK]
+    )
+    transition = transitions.Transition(state, reports)
+    orders = state.orders
+    if (
+        event.at < orders.lease_after
+        or orders.superseded == orders.plan.offset
+        or not orders.weight_store_address
+    ):
+        return transition
+    busy = sum(until > event.at for until in orders.busy_until.values())
+    wanted = [one for one in needs if needs[one] is Need.ORDER]
+    for assignment in wanted[: max(ORDERS_IN_FLIGHT - busy, 0)]:
+        transition = transition.then(
+            functools.partial(ask_lease, assignment, event),
+        )
+    return transition
+
+
+def set_busy(
+    instance_id: str,
+    until: float,
+    state: 'states.State',
+) -> 'states.State':
+    """Look at a runner again after a time."""
+    busy_until = state.orders.busy_until.set(instance_id, until)
+    return change(state, busy_until=busy_until)
+
+
+def ask_lease(
+    assignment: records.Assignment,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask the weight store to let a runner load."""
+    call = effects.Call(
+        calls.RequestLease(
+            assignment.instance_id,
+            assignment.model,
+            assignment.version,
+        ),
+        state.orders.weight_store_address,
+        LEASE_TIMEOUT_SECONDS,
+    )
+    until = event.at + LEASE_TIMEOUT_SECONDS
+    return transitions.Transition(
+        set_busy(assignment.instance_id, until, state),
+        (call,),
+    )
+
+
+@reducer.on_answer.register(calls.RequestLease)
+def take_lease(
+    call: calls.RequestLease,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Send the order, unless the plan or the need for it has changed."""
+    if not isinstance(event.answer, calls.LeaseGranted):
+        return delay_leases(call, event, state)
+    state = set_busy(call.instance_id, event.at, state)
+    assignment = find_assignment(call, state)
+    if assignment is None or not may_send(assignment, event, state):
+        return transitions.Transition(
+            state,
+            (effects.Count('orders', ('dropped',)),),
+        )
+    return send_order(assignment, event, state)
+
+
+def may_send(
+    assignment: records.Assignment,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> bool:
+    """Return whether an order with a granted lease may still be sent."""
+    # The lease is over if this process was paused meanwhile.
+    if event.seconds >= event.answer.expires_in_seconds:
+        return False
+    return is_executor(event.at, state) and differs(assignment, state)
+
+
+def find_assignment(
+    call: calls.RequestLease,
+    state: 'states.State',
+) -> records.Assignment | None:
+    """Return the assignment that a lease is for, if it is still planned."""
+    return next(
+        (
+            one
+            for one in state.orders.plan.assignments
+            if one.instance_id == call.instance_id
+            and (one.model, one.version) == (call.model, call.version)
+        ),
+        None,
+    )
+
+
+def delay_leases(
+    call: calls.RequestLease,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask for the next lease after the time that the store names."""
+    waits = CHECK_PERIOD_SECONDS
+    if isinstance(event.answer, calls.LeaseDenied):
+        waits = event.answer.retry_after_seconds
+    state = set_busy(call.instance_id, event.at, state)
+    return transitions.Transition(
+        change(state, lease_after=event.at + waits),
+        (effects.Count('orders', ('lease_denied',)),),
+    )
+
+
+@reducer.on_failure.register(calls.RequestLease)
+def take_lease_failure(
+    call: calls.RequestLease,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Ask again later; a lease that was granted unseen runs out."""
+    return transitions.Transition(
+        change(state, lease_after=event.at + CHECK_PERIOD_SECONDS),
+        (effects.Count('orders', ('lease_failed',)),),
+    )
+
+
+def send_order(
+    assignment: records.Assignment,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Order a runner to hold what it is assigned."""
+    upstream: upstreams.Upstream = state.upstreams.by_id[assignment.instance_id]
+    order = calls.SendOrder(
+        instance_id=assignment.instance_id,
+        fencing_token=state.orders.plan.offset,
+        model=assignment.model,
+        version=assignment.version,
+        adapters=assignment.adapters,
+        first_layer=assignment.first_layer,
+        end_layer=assignment.end_layer,
+    )
+    until = event.at + LOADING_SECONDS
+    return transitions.Transition(
+        set_busy(assignment.instance_id, until, state),
+        (
+            effects.Call(order, upstream.listed.address, ORDER_TIMEOUT_SECONDS),
+            effects.Count('orders', ('sent',)),
+        ),
+    )
+
+
+@reducer.on_answer.register(calls.SendOrder)
+def take_order_answer(
+    call: calls.SendOrder,
+    event: events.CallAnswered,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Stop to carry out a plan when a runner has an order of a later one."""
+    if isinstance(event.answer, calls.OrderAccepted):
+        accepted = effects.Count('orders', ('accepted',))
+        return transitions.Transition(state, (accepted,))
+    if event.answer.status == calls.STALE_TOKEN_STATUS:
+        state = change(state, superseded=call.fencing_token)
+        stale = effects.Count('orders', ('stale',))
+        return transitions.Transition(state, (stale,))
+    refused = effects.Count('orders', ('refused',))
+    return transitions.Transition(state, (refused,))
+
+
+@reducer.on_failure.register(calls.SendOrder)
+def take_order_failure(
+    call: calls.SendOrder,
+    event: events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Leave it to the load report whether the order took effect."""
+    return transitions.Transition(
+        state,
+        (effects.Count('orders', ('failed',)),),
+    )
--- /dev/null
+++ b/src/mustardvale/internal/plans.py
@@ -0,0 +1,81 @@
+"""Decide which placement plan is in force."""
+
+import dataclasses
+import functools
+
+from mustardvale.internal import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptProposal:
+    """Pair a proposal with its offset."""
+
+    offset: int
+    proposal: records.PlanProposal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Describe the plan in force after folding all records to `as_of`.
+
+    `offset` is that of the accepted proposal, -1 for no plan; it is the
+    fencing token of the plan's orders. While `gap_end` is not 0, records
+    before that offset are missing and the proposals after it wait in `kept`.
+    """
+
+    offset: int = -1
+    assignments: tuple[records.Assignment, ...] = ()
+    as_of: int = -1
+    gap_end: int = 0
+    kept: tuple[KeptProposal, ...] = ()
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether there is a plan that all readers agree on."""
+        return self.offset >= 0 and not self.gap_end
+
+
+def note_gap(earliest_offset: int, plan: Plan) -> Plan:
+    """Return the plan when records before an offset were dropped unread."""
+    return dataclasses.replace(plan, gap_end=earliest_offset, kept=())
+
+
+@functools.singledispatch
+def fold(record: records.Record, offset: int, plan: Plan) -> Plan:
+    """Fold one record of the stream of orders; readers agree on the result."""
+    return dataclasses.replace(plan, as_of=offset)
+
+
+@fold.register(records.PlanProposal)
+def fold_proposal(
+    record: records.PlanProposal,
+    offset: int,
+    plan: Plan,
+) -> Plan:
+    """Accept a proposal that is based on the plan in force."""
+    if plan.gap_end:
+        kept = (*plan.kept, KeptProposal(offset, record))
+        return dataclasses.replace(plan, as_of=offset, kept=kept)
+    if record.based_on_offset != plan.offset:
+        return dataclasses.replace(plan, as_of=offset)
+    return Plan(offset, record.assignments, offset)
+
+
+@fold.register(records.PlanSnapshot)
+def fold_snapshot(
+    record: records.PlanSnapshot,
+    offset: int,
+    plan: Plan,
+) -> Plan:
+    """Close a gap with a snapshot that covers all records before it.
+
+    An older snapshot, e.g. of an instance that was paused, may lack a proposal
+    that was dropped.
+    """
+    if not plan.gap_end or record.as_of < plan.gap_end - 1:
+        return dataclasses.replace(plan, as_of=offset)
+    restored = Plan(record.offset, record.assignments, record.as_of)
+    for kept in plan.kept:
+        if kept.offset > record.as_of:
+            restored = fold_proposal(kept.proposal, kept.offset, restored)
+    return dataclasses.replace(restored, as_of=offset)
--- a/src/mustardvale/internal/records.py
+++ b/src/mustardvale/internal/records.py
@@ -88,6 +88,15 @@
     end_layer: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanSnapshot(Record):
+    """Repeat the plan in force after folding all records to `as_of`."""
+
+    offset: int
+    assignments: tuple[Assignment, ...]
+    as_of: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnknownRecord(Record):
     """Stand for a record that this release cannot decode; folds ignore it."""
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -17,6 +17,7 @@
 )
 from mustardvale.internal import membership as memberships
 from mustardvale.internal import operations as operation_tables
+from mustardvale.internal import orders as order_tables
 from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import prefixes as prefix_tables
 from mustardvale.internal import timing as timings
@@ -45,5 +46,6 @@
     actions: action_calls.ActionTable = action_calls.ActionTable()
     forwards: forward_tables.Forwards = immutables.Map()
     partitions: partition_tables.Partitions = immutables.Map()
+    orders: order_tables.OrderState = order_tables.OrderState()
     timing: timings.Timing = timings.Timing()
     stopping: lifecycle.Stopping | None = None
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -46,6 +46,11 @@
     """Look for watched peers that are not heard."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanDue(Timer):
+    """Compare the placement plan with the load reports."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadDue(Timer):
     """Read a stream again after a failure."""
--- a/src/mustardvale/settings.py
+++ b/src/mustardvale/settings.py
@@ -2,6 +2,7 @@
 
 import argparse
 import dataclasses
+import re
 from collections import abc
 from typing import Any
 
@@ -26,6 +27,10 @@
     'use 1 to 63 lower-case letters, digits and hyphens',
 )
 ADDRESS = setting_rules.Address()
+OPTIONAL_ADDRESS = setting_rules.Pattern(
+    re.compile(r'(\d{1,3}(\.\d{1,3}){3}:\d{1,5})?'),
+    'use IP:port, or nothing',
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +67,12 @@
     Setting('environment', 'environment whose document is served', ENVIRONMENT),
     Setting('log-address', 'IP:port of the log service', ADDRESS),
     Setting('list-address', 'IP:port of the instance list', ADDRESS),
+    Setting(
+        'weight-store-address',
+        'IP:port of the weight store; without it no orders are given',
+        OPTIONAL_ADDRESS,
+        '',
+    ),
     Setting(
         'policy',
         'how runners are chosen',
@@ -118,6 +129,7 @@
     address_validity_seconds: float = 10
     drain_seconds: float = 600
     log_retention_seconds: float = 3600
+    weight_store_address: str = ''
     policy: str = 'expected-completion'
     only_check: bool = False
 
--- a/tests/building.py
+++ b/tests/building.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 from collections import abc
+from types import MappingProxyType
+
+import immutables
 
 from mustardvale.internal import (
     calls,
@@ -11,6 +14,7 @@
     upstreams,
 )
 from mustardvale.internal import configuration as configurations
+from mustardvale.internal.edge import wire
 
 POOL = 'mustardvale-pool'
 
@@ -69,3 +73,17 @@
     for member in members:
         table = table.replace(member)
     return table
+
+
+def build_tail(caught_up: bool) -> log_streams.Tail:
+    """Build the tail of a stream."""
+    return log_streams.Tail(next_offset=8, caught_up=caught_up)
+
+
+def build_answer(
+    status: int,
+    body: bytes,
+    headers: abc.Mapping[str, str] = MappingProxyType({}),
+) -> wire.RawAnswer:
+    """Build an answer as it was received."""
+    return wire.RawAnswer(status, immutables.Map(headers), body)
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,359 @@
+"""Guard the placement plan and the orders that carry it out."""
+
+import dataclasses
+import unittest
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    handlers,
+    membership,
+    orders,
+    plans,
+    records,
+    state,
+    streams,
+    timers,
+    transitions,
+    upstreams,
+)
+from mustardvale.internal.edge import codec_upstream, wire
+from tests import building
+
+STORE = '10.9.0.1:80'
+
+
+def assign(number: int, version: str = '4') -> records.Assignment:
+    """Assign all layers to a runner."""
+    return records.Assignment(
+        f'runner-{number}',
+        'affinage',
+        version,
+        (),
+        0,
+        12,
+    )
+
+
+def propose(
+    based_on: int,
+    *assignments: records.Assignment,
+) -> records.PlanProposal:
+    """Build a proposal."""
+    return records.PlanProposal('p', based_on, assignments)
+
+
+class PlanFold(unittest.TestCase):
+    """All readers agree on one plan."""
+
+    def test_second_proposal_on_the_same_plan_loses(self) -> None:
+        """Guard against opposite orders of two plans."""
+        first = plans.fold(propose(-1, assign(1)), 0, plans.Plan())
+        second = plans.fold(propose(-1, assign(2)), 1, first)
+        self.assertEqual(second.offset, 0)
+        self.assertEqual(second.assignments, (assign(1),))
+
+    @hypothesis.given(
+        based_on=strategies.lists(strategies.integers(-1, 12), max_size=12),
+        cut=strategies.integers(0, 12),
+        late=strategies.integers(0, 12),
+    )
+    def test_reader_behind_a_gap_agrees(
+        self,
+        based_on: list[int],
+        cut: int,
+        late: int,
+    ) -> None:
+        """Guard against a stale snapshot that restores an earlier plan."""
+        proposals = [
+            propose(base, assign(number))
+            for number, base in enumerate(based_on)
+        ]
+        cut = min(cut, len(proposals))
+        late = min(late, len(proposals))
+        whole = plans.Plan()
+        snapshots = [records.PlanSnapshot(-1, (), -1)]
+        for offset, proposal in enumerate(proposals):
+            whole = plans.fold(proposal, offset, whole)
+            snapshots.append(
+                records.PlanSnapshot(
+                    whole.offset,
+                    whole.assignments,
+                    whole.as_of,
+                ),
+            )
+        reader = plans.note_gap(cut, plans.Plan()) if cut else plans.Plan()
+        for offset in range(cut, len(proposals)):
+            reader = plans.fold(proposals[offset], offset, reader)
+        reader = plans.fold(snapshots[late], len(proposals), reader)
+        if cut and late < cut:
+            self.assertFalse(reader.is_known)
+        else:
+            self.assertEqual(reader.offset, whole.offset)
+            self.assertEqual(reader.assignments, whole.assignments)
+
+
+def build_state(
+    *runners: upstreams.Upstream,
+    plan: plans.Plan,
+) -> state.State:
+    """Build an instance that carries out a plan."""
+    built = building.build_state()
+    tails = built.log.tails.set(
+        streams.OrderStream(),
+        building.build_tail(caught_up=True),
+    )
+    return dataclasses.replace(
+        built,
+        log=dataclasses.replace(built.log, tails=tails),
+        upstreams=building.build_table(runners),
+        orders=orders.OrderState(
+            STORE,
+            plan=plan,
+            caught_up=True,
+            recorded_at=1000,
+        ),
+    )
+
+
+def check(
+    current: state.State,
+    at: float = 100,
+) -> transitions.Transition[state.State]:
+    """Return the transition of a check of the plan."""
+    fired = events.TimerFired(at=at, wall=1000 + at, timer=timers.PlanDue())
+    return handlers.reduce(fired, current)
+
+
+def sent(
+    transition: transitions.Transition[state.State],
+    kind: type[Any],
+) -> list[Any]:
+    """Return the calls of a kind."""
+    return [
+        effect.call
+        for effect in transition.effects
+        if isinstance(effect, effects.Call) and isinstance(effect.call, kind)
+    ]
+
+
+def grant(
+    call: calls.RequestLease,
+    current: state.State,
+    seconds: float = 0.01,
+) -> transitions.Transition[state.State]:
+    """Return the transition after a lease was granted."""
+    answered = events.CallAnswered(
+        at=101,
+        call=call,
+        address=STORE,
+        answer=calls.LeaseGranted('lease', 10),
+        seconds=seconds,
+    )
+    return handlers.reduce(answered, current)
+
+
+class Execution(unittest.TestCase):
+    """Orders are sent where the load report differs from the plan."""
+
+    def setUp(self) -> None:
+        """Plan another version for one of two runners."""
+        self.current = build_state(
+            building.build_upstream(1, 0, 12, reported_at=99),
+            building.build_upstream(2, 0, 12, reported_at=99),
+            plan=plans.Plan(7, (assign(1), assign(2, '3')), 7),
+        )
+
+    def test_lease_goes_before_the_order(self) -> None:
+        """Guard against loads beyond the rate limit of the weight store."""
+        asked = check(self.current)
+        self.assertEqual(sent(asked, calls.SendOrder), [])
+        leases = sent(asked, calls.RequestLease)
+        self.assertEqual(
+            leases,
+            [calls.RequestLease('runner-1', 'affinage', '4')],
+        )
+        ordered = sent(grant(leases[0], asked.state), calls.SendOrder)
+        self.assertEqual(len(ordered), 1)
+        self.assertEqual(ordered[0].fencing_token, 7)
+        self.assertEqual(ordered[0].version, '4')
+
+    def test_order_is_not_repeated_while_the_runner_loads(self) -> None:
+        """Guard against a load that is started again and again."""
+        asked = check(self.current)
+        leased = grant(sent(asked, calls.RequestLease)[0], asked.state)
+        again = check(leased.state, at=103)
+        self.assertEqual(sent(again, calls.RequestLease), [])
+
+    def test_order_without_effect_is_repeated(self) -> None:
+        """Guard against an order that was lost for good."""
+        asked = check(self.current)
+        leased = grant(sent(asked, calls.RequestLease)[0], asked.state)
+        later = check(leased.state, at=130)
+        self.assertEqual(len(sent(later, calls.ReadLoad)), 1)
+        runner = building.build_upstream(1, 0, 12)
+        answered = events.CallAnswered(
+            at=131,
+            call=calls.ReadLoad(),
+            address=runner.listed.address,
+            answer=runner.report,
+        )
+        reported = handlers.reduce(answered, later.state).state
+        repeated = check(reported, at=132)
+        self.assertEqual(len(sent(repeated, calls.RequestLease)), 1)
+
+    def test_denied_lease_waits_as_long_as_told(self) -> None:
+        """Guard against questions that the weight store has to refuse."""
+        asked = check(self.current)
+        denied = events.CallAnswered(
+            at=101,
+            call=sent(asked, calls.RequestLease)[0],
+            address=STORE,
+            answer=calls.LeaseDenied(30),
+        )
+        waiting = handlers.reduce(denied, asked.state).state
+        self.assertEqual(sent(check(waiting, at=130), calls.RequestLease), [])
+
+    def test_expired_lease_is_not_used(self) -> None:
+        """Guard against a load by a process that was paused."""
+        asked = check(self.current)
+        lease = sent(asked, calls.RequestLease)[0]
+        dropped = grant(lease, asked.state, seconds=11)
+        self.assertEqual(sent(dropped, calls.SendOrder), [])
+
+    def test_changed_plan_drops_the_order(self) -> None:
+        """Guard against an order of a plan that was replaced meanwhile."""
+        asked = check(self.current)
+        replaced = orders.change(
+            asked.state,
+            plan=plans.Plan(9, (assign(1, '3'), assign(2, '3')), 9),
+        )
+        dropped = grant(sent(asked, calls.RequestLease)[0], replaced)
+        self.assertEqual(sent(dropped, calls.SendOrder), [])
+
+    def test_stale_token_stops_the_plan(self) -> None:
+        """Guard against an instance that fights a later plan."""
+        asked = check(self.current)
+        lease = sent(asked, calls.RequestLease)[0]
+        ordered = grant(lease, asked.state)
+        order = sent(ordered, calls.SendOrder)[0]
+        refused = events.CallAnswered(
+            at=102,
+            call=order,
+            address='x',
+            answer=calls.PlatformRefused(409, ''),
+        )
+        stopped = handlers.reduce(refused, ordered.state).state
+        self.assertEqual(sent(check(stopped, at=300), calls.RequestLease), [])
+
+    def test_runner_with_a_later_order_is_left_alone(self) -> None:
+        """Guard against an engine that ignores tokens and is set back."""
+        runner = building.build_upstream(1, 0, 12, reported_at=99)
+        assert runner.report is not None
+        later = dataclasses.replace(
+            runner,
+            report=dataclasses.replace(runner.report, plan_offset=8),
+        )
+        current = build_state(later, plan=plans.Plan(7, (assign(1),), 7))
+        self.assertEqual(sent(check(current), calls.RequestLease), [])
+
+    def test_nothing_is_ordered_before_the_stream_is_read(self) -> None:
+        """Guard against orders of a plan that is not the last."""
+        unread = orders.change(self.current, caught_up=False)
+        self.assertEqual(sent(check(unread), calls.RequestLease), [])
+        gap = orders.change(
+            self.current,
+            plan=plans.note_gap(20, self.current.orders.plan),
+        )
+        self.assertEqual(sent(check(gap), calls.RequestLease), [])
+
+    def test_one_instance_executes(self) -> None:
+        """Guard against a site in which none or all give orders."""
+        states = [self.with_peers(number) for number in range(7)]
+        executors = [
+            current for current in states if orders.is_executor(100, current)
+        ]
+        self.assertEqual(len(executors), 1)
+
+    def with_peers(self, number: int) -> state.State:
+        """Return the state of one of seven instances that hear each other."""
+        current = dataclasses.replace(
+            self.current,
+            identity=membership.Identity(f'entry-{number}', 'a', 'b', 'z'),
+        )
+        for other in range(7):
+            heartbeat = membership.build_heartbeat(
+                dataclasses.replace(
+                    self.current,
+                    identity=membership.Identity(
+                        f'entry-{other}',
+                        'a',
+                        'b',
+                        'z',
+                    ),
+                ),
+            )
+            received = events.PeerMessageReceived(
+                at=100,
+                sender='b',
+                message=heartbeat,
+            )
+            current = handlers.reduce(received, current).state
+        return current
+
+    def test_plan_is_repeated_before_retention_drops_it(self) -> None:
+        """Guard against a plan that a later reader cannot know."""
+        old = orders.change(self.current, recorded_at=1)
+        appended = sent(check(old, at=2000), calls.AppendRecords)
+        self.assertEqual(
+            appended[0].records[0],
+            records.PlanSnapshot(7, (assign(1), assign(2, '3')), 7),
+        )
+
+
+class OrderMessages(unittest.TestCase):
+    """Orders and leases keep to the published protocol."""
+
+    def test_order_body(self) -> None:
+        """Guard against fields that an engine does not know."""
+        order = calls.SendOrder('runner-1', 7, 'affinage', '4', ('r',), 0, 12)
+        raw = codec_upstream.encode_call(order)
+        self.assertEqual((raw.method, raw.target), ('POST', '/v1/orders'))
+        self.assertEqual(
+            raw.body,
+            b'{"fencing_token":7,"model":"affinage","version":"4",'
+            b'"adapters":["r"],"first_layer":0,"end_layer":12}',
+        )
+
+    def test_lease_answers(self) -> None:
+        """Guard against a denied lease that is taken for a granted one."""
+        call = calls.RequestLease('runner-1', 'affinage', '4')
+        raw = codec_upstream.encode_call(call)
+        self.assertEqual(
+            raw.body,
+            b'{"instance_id":"runner-1","model":"affinage","version":"4"}',
+        )
+        granted = codec_upstream.decode_answer(
+            call,
+            building.build_answer(
+                200,
+                b'{"lease_id":"l","expires_in_seconds":5}',
+            ),
+        )
+        self.assertEqual(granted, calls.LeaseGranted('l', 5))
+        for header, seconds in (('12', 12), ('', 5), ('soon', 5)):
+            denied = codec_upstream.decode_answer(
+                call,
+                building.build_answer(429, b'', {'retry-after': header}),
+            )
+            self.assertEqual(denied, calls.LeaseDenied(seconds))
+        with self.assertRaises(wire.DecodeError):
+            codec_upstream.decode_answer(
+                call,
+                building.build_answer(200, b'{}'),
+            )
