--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -22,6 +22,7 @@
     codec_peer,
     codec_upstream,
     entry_metrics,
+    http_checks,
     http_client,
     http_server,
     logs,
@@ -32,6 +33,7 @@
 
 EXIT_BAD_SETTINGS = 2
 SEED_BITS = 63
+DEFAULT_LIMITS = http_checks.Limits()
 
 
 def initial_state(settings: setting_table.Settings) -> state.State:
@@ -58,7 +60,10 @@
     )
 
 
-def build(settings: setting_table.Settings) -> runtime.Runtime:
+def build(
+    settings: setting_table.Settings,
+    limits: http_checks.Limits = DEFAULT_LIMITS,
+) -> runtime.Runtime:
     """Return an entry instance whose loop can be run."""
     loop = runtime.Runtime(
         handlers.reduce,
@@ -70,6 +75,7 @@
         codec_upstream,
         loop.poller,
         loop.occur,
+        entry_metrics.count_call_bytes(loop.metrics),
     ).register(loop)
     loop.peers = peer_socket.PeerSocket(
         settings.peer_address,
@@ -84,6 +90,7 @@
         codec,
         loop.occur,
         f'{settings.instance_id}-{secrets.token_hex(4)}',
+        limits,
     ).register(loop)
     return loop
 
@@ -104,3 +111,7 @@
         return
     logs.configure(settings.log_level, settings.instance_id)
     build(settings).run()
+
+
+if __name__ == '__main__':
+    main()
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -5,6 +5,7 @@
 
 from mustardvale.internal import (
     configuration,
+    document_copies,
     effects,
     events,
     membership,
@@ -40,7 +41,11 @@
         state.identity,
         incarnation=int(event.wall * 1000),
     )
-    state = dataclasses.replace(state, identity=identity)
+    state = dataclasses.replace(
+        state,
+        identity=identity,
+        limits=dataclasses.replace(state.limits, started_at=event.at),
+    )
     return configuration.follow_environment(state).with_effects(
         effects.LogChange('instance started'),
         effects.SetTimer(timers.ListDue(), 0),
@@ -49,6 +54,8 @@
         effects.SetTimer(timers.PlanDue(), membership.SUSPECT_SECONDS),
         # By then the peers that are live have been heard.
         effects.SetTimer(timers.PartitionsDue(), membership.SUSPECT_SECONDS),
+        effects.SetTimer(timers.CopyDue(), document_copies.SETTLE_SECONDS),
+        effects.SetTimer(timers.SnapshotDue(), 0),
     )
 
 
--- a/src/mustardvale/internal/listings.py
+++ b/src/mustardvale/internal/listings.py
@@ -61,6 +61,7 @@
     others = tuple(row for row in rows if row.pool != membership.ENTRY_POOL)
     return (
         membership.take_entries(entries, event, state)
+        .then(lambda now: membership.follow_limits(event.at, now))
         .then(lambda now: take_listed(others, event, now))
         .with_effects(again)
     )
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -9,6 +9,7 @@
     calls,
     effects,
     events,
+    limits,
     messages,
     reducer,
     rings,
@@ -197,6 +198,9 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Send a heartbeat to the targets."""
+    state = follow_limits(event.at, state).state
+    reported = limits.report(event.at, state.limits)
+    state = dataclasses.replace(state, limits=reported)
     membership = dataclasses.replace(
         state.membership,
         beat=state.membership.beat + 1,
@@ -239,6 +243,7 @@
         document_version=configuration.applied_version,
         document_offset=configuration.promoted.offset,
         in_force_since=configuration.in_force_since,
+        usage=limits.usage(state.limits),
         leaving_upstreams=find_marks(state),
         beat=state.membership.beat,
     )
@@ -279,7 +284,13 @@
         joined=False,
     )
     relayed: tuple[effects.Effect, ...] = ()
-    state = with_peer(peer, state)
+    heard = limits.hear(
+        message.instance_id,
+        message.usage,
+        event.at,
+        state.limits,
+    )
+    state = dataclasses.replace(with_peer(peer, state), limits=heard)
     if is_news(message, known) and not rings.is_small(state.membership.ring):
         relayed = send_to_targets(message, state)
     return take_marks(message, state).with_effects(*relayed)
@@ -338,6 +349,16 @@
     )
 
 
+def follow_limits(
+    now: float,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Divide the limits by the peers that are known now."""
+    known = frozenset(state.membership.peers.keys())
+    followed = limits.follow(known, now, state.limits)
+    return transitions.Transition(dataclasses.replace(state, limits=followed))
+
+
 def to_row(message: messages.Heartbeat) -> calls.ListedInstance:
     """Describe a peer that joined before the instance list shows it."""
     return calls.ListedInstance(
--- a/src/mustardvale/internal/orders.py
+++ b/src/mustardvale/internal/orders.py
@@ -231,12 +231,12 @@
     report: calls.LoadReport,
 ) -> bool:
     """Return whether a runner holds what it is assigned."""
+    assigned = (assignment.model, assignment.version)
+    layers = (assignment.first_layer, assignment.end_layer)
     return (
-        assignment.model == report.model
-        and assignment.version == report.version
+        assigned == (report.model, report.version)
+        and layers == (report.first_layer, report.end_layer)
         and frozenset(assignment.adapters) == frozenset(report.adapters)
-        and assignment.first_layer == report.first_layer
-        and assignment.end_layer == report.end_layer
     )
 
 
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -8,6 +8,7 @@
 from mustardvale.internal import configuration as configurations
 from mustardvale.internal import forwards as forward_tables
 from mustardvale.internal import generations as generation_tables
+from mustardvale.internal import limits as limit_tables
 from mustardvale.internal import (
     lifecycle,
     log_streams,
@@ -48,4 +49,5 @@
     partitions: partition_tables.Partitions = immutables.Map()
     orders: order_tables.OrderState = order_tables.OrderState()
     timing: timings.Timing = timings.Timing()
+    limits: limit_tables.LimitState = limit_tables.LimitState()
     stopping: lifecycle.Stopping | None = None
