--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,168 @@
+"""Measure the time of one decision for each policy and number of runners.
+
+    python -m bench.decisions
+
+All runners hold the same layers, so that one decision sees all of them.
+"""
+
+import dataclasses
+import statistics
+import time
+from collections import abc
+from typing import Any
+
+import fire
+import immutables
+
+from bench import measurements
+from mustardvale import document as documents
+from mustardvale.internal import calls, chains, placements, routing, upstreams
+
+COMMAND = 'PYTHONPATH=src:. python -m bench.decisions'
+COUNTS = (40, 400, 3400)
+REPEATS = 7
+REPEAT_SECONDS = 0.2
+MICROSECONDS = 1e6
+MODEL = documents.Model('affinage', '3', 24, 'mustardvale-pool')
+KINDS = (0.003, 0.004, 0.005, 0.006)
+
+
+def build_table(count: int) -> upstreams.UpstreamTable:
+    """Build a table of usable runners with different loads."""
+    table = upstreams.UpstreamTable()
+    for number in range(count):
+        row = calls.ListedInstance(
+            f'runner-{number}',
+            MODEL.pool,
+            f'10.0.{number // 200}.{number % 200}:80',
+            'zone-0',
+        )
+        candidate = routing.Candidate(
+            row.instance_id,
+            in_flight=number % 3,
+            queued=number % 7,
+            step_seconds=KINDS[number % len(KINDS)],
+            link_seconds=0.001,
+        )
+        report = calls.LoadReport(
+            row.instance_id,
+            model=MODEL.name,
+            version=MODEL.version,
+            end_layer=MODEL.layers,
+        )
+        built = upstreams.build(row, 0)
+        table = table.replace(
+            dataclasses.replace(
+                built,
+                candidate=candidate,
+                report=report,
+                polled=True,
+            ),
+        )
+    return table
+
+
+def measure(decide: abc.Callable[[int], int]) -> dict[str, float]:
+    """Return the microseconds of one decision; each hands on its seed."""
+    samples = []
+    seed = 1
+    for _ in range(REPEATS):
+        count = 0
+        started = time.perf_counter()
+        while time.perf_counter() - started < REPEAT_SECONDS:
+            seed = decide(seed)
+            count += 1
+        samples.append((time.perf_counter() - started) / count * MICROSECONDS)
+    return {
+        'median': round(statistics.median(samples), 1),
+        'least': round(min(samples), 1),
+        'greatest': round(max(samples), 1),
+    }
+
+
+def build_decision(
+    policy: routing.Policy,
+    table: upstreams.UpstreamTable,
+) -> abc.Callable[[int], int]:
+    """Return a function that chooses a chain of one stage."""
+    wanted = chains.ChainWanted(MODEL, '', inputs=24)
+
+    def decide(seed: int) -> int:
+        """Choose a chain and return the next seed."""
+        chain = chains.choose_chain(
+            wanted,
+            table,
+            policy,
+            chains.Draws(seed),
+            100,
+        )
+        return chain.draws.seed
+
+    return decide
+
+
+def build_first_version(
+    table: upstreams.UpstreamTable,
+) -> abc.Callable[[int], int]:
+    """Return the first version's decision: an object for each runner."""
+    policy = routing.ExpectedCompletion(sample_size=0)
+    held = placements.Held(MODEL.pool, MODEL.name, MODEL.version, '')
+
+    def decide(seed: int) -> int:
+        """Look at all upstreams, copy the usable ones and choose."""
+        usable = tuple(
+            dataclasses.replace(one.candidate)
+            for one in table.by_id.values()
+            if upstreams.is_usable(one, 100)
+            and one.report is not None
+            and (one.report.model, one.report.version)
+            == (held.model, held.version)
+        )
+        return routing.choose(policy, usable, seed).seed
+
+    return decide
+
+
+def measure_count(count: int) -> dict[str, Any]:
+    """Measure all policies with a number of runners."""
+    table = build_table(count)
+    policies = {
+        **routing.POLICIES,
+        'expected-completion of all': routing.ExpectedCompletion(0),
+    }
+    cached = immutables.Map({f'runner-{one}': 512 for one in range(8)})
+    wanted = chains.ChainWanted(MODEL, '', inputs=600, cached_inputs=cached)
+    found = {
+        name: measure(build_decision(policy, table))
+        for name, policy in policies.items()
+    }
+    found['expected-completion with prefixes'] = measure(
+        lambda seed: (
+            chains.choose_chain(
+                wanted,
+                table,
+                routing.ExpectedCompletion(),
+                chains.Draws(seed),
+                100,
+            ).draws.seed
+        ),
+    )
+    found['first version'] = measure(build_first_version(table))
+    return found
+
+
+def main() -> None:
+    """Measure all numbers of runners and print a table."""
+    found = {count: measure_count(count) for count in COUNTS}
+    for name in found[COUNTS[0]]:
+        row = ' | '.join(str(found[count][name]['median']) for count in COUNTS)
+        print(f'| {name} | {row} |')
+    measurements.write(
+        'decisions',
+        COMMAND,
+        {'unit': 'microseconds', 'runners': found},
+    )
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/src/mustardvale/internal/routing.py
+++ b/src/mustardvale/internal/routing.py
@@ -293,16 +293,25 @@
 
 
 def draw_sample(candidates: Candidates, size: int, seed: int) -> Sample:
-    """Draw different candidates, all of them when there are fewer."""
+    """Draw different candidates, all of them when there are fewer.
+
+    They are equally far apart, at a distance that is drawn, which takes two
+    draws whatever the size.
+    """
     count = len(candidates)
     if count <= size:
         return Sample(tuple(candidates), seed)
-    indices: set[int] = set()
-    while len(indices) < size:
-        drawn = draws.draw(seed)
-        seed = drawn.seed
-        indices.add(int(drawn.unit * count))
-    return Sample(tuple(candidates[index] for index in sorted(indices)), seed)
+    first = draws.draw(seed)
+    second = draws.draw(first.seed)
+    start = int(first.unit * count)
+    step = 1 + int(second.unit * (count // size))
+    return Sample(
+        tuple(
+            candidates[(start + number * step) % count]
+            for number in range(size)
+        ),
+        second.seed,
+    )
 
 
 def share_of(candidate: Candidate, now: float) -> float:
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -17,6 +17,7 @@
     transitions,
     upstreams,
 )
+from standins import prefix_cache
 from tests import building
 
 WHOLE = calls.FROM_WHOLE_SET
@@ -196,3 +197,10 @@
             )
         }
         self.assertEqual(len(found), 5)
+
+    def test_engine_stand_in_reports_the_same_digests(self) -> None:
+        """Guard against prefixes that are never found."""
+        self.assertEqual(
+            prefixes.digest_prefixes('m', '1', 'rind', self.tokens),
+            prefix_cache.digest_prefixes('m', '1', 'rind', self.tokens),
+        )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -177,3 +177,38 @@
         ):
             with self.subTest(policy=type(policy).__name__):
                 self.assertLess(self.largest_share(policy), 0.2)
+
+
+class Samples(unittest.TestCase):
+    """A sample holds different candidates, each equally often."""
+
+    @hypothesis.given(
+        count=strategies.integers(1, 200),
+        size=strategies.integers(1, 40),
+        seed=strategies.integers(0, 1 << 63),
+    )
+    def test_candidates_of_a_sample_differ(
+        self,
+        count: int,
+        size: int,
+        seed: int,
+    ) -> None:
+        """Guard against two choices between one and the same runner."""
+        offered = tuple(
+            routing.Candidate(str(number)) for number in range(count)
+        )
+        sample = routing.draw_sample(offered, size, seed).candidates
+        self.assertEqual(len(set(sample)), min(size, count))
+
+    def test_every_candidate_is_drawn_equally_often(self) -> None:
+        """Guard against runners that a policy never sees."""
+        offered = tuple(routing.Candidate(str(number)) for number in range(50))
+        drawn: collections.Counter[str] = collections.Counter()
+        seed = 1
+        for _ in range(20_000):
+            sample = routing.draw_sample(offered, 2, seed)
+            seed = sample.seed
+            drawn.update(one.instance_id for one in sample.candidates)
+        # 800 are expected; the standard deviation is about 28.
+        self.assertGreater(min(drawn.values()), 660)
+        self.assertLess(max(drawn.values()), 940)
