--- /dev/null
+++ b/bench/heartbeats.py
@@ -0,0 +1,208 @@
+"""Compute and measure the control traffic of an entry instance.
+
+    python -m bench.heartbeats
+
+Computed: the heartbeats that the reducer sends at sites of several sizes, as
+encoded, with the headers of ZMTP, TCP and IP. Measured: the counters of real
+entry instances over 20 s without callers. At 20 instances the ring is in use,
+so that each sends to five others as at 410.
+"""
+
+import re
+import statistics
+import time
+from typing import Any
+
+import fire
+
+from bench import measurements, processes, site_specs, sites
+from mustardvale import daemon, settings
+from mustardvale.internal import (
+    calls,
+    effects,
+    events,
+    handlers,
+    listings,
+    membership,
+    messages,
+    state,
+    subsets,
+    timers,
+)
+from mustardvale.internal.edge import codec_peer
+
+COMMAND = 'PYTHONPATH=src:. python -m bench.heartbeats'
+ENTRY_COUNTS = (7, 20, 410)
+ACCOUNT_COUNTS = (0, 10, 690)
+# ZMTP puts 2 bytes before a short frame and 9 before one over 255 bytes; TCP
+# and IP take 52 for the segment and 52 for its acknowledgement.
+SHORT_FRAME_BYTES = 255
+SHORT_HEADER_BYTES = 2
+LONG_HEADER_BYTES = 9
+SEGMENT_BYTES = 104
+SECONDS = 20
+COUNTED = re.compile(
+    r'^mustardvale_(call|peer)_bytes_total\{(.*)\} (\S+)$',
+    re.MULTILINE,
+)
+
+
+def build_state(entries: int) -> state.State:
+    """Build an entry instance that has read the instance list."""
+    arguments = (
+        '--instance-id=entry-0',
+        '--address=10.1.0.0:80',
+        '--peer-address=10.1.0.0:81',
+        '--availability-zone=melton-vault',
+        '--region=east-mids',
+        '--environment=production',
+        '--log-address=10.2.0.1:80',
+        '--list-address=10.2.0.2:80',
+    )
+    rows = tuple(
+        calls.ListedInstance(
+            f'entry-{number}',
+            membership.ENTRY_POOL,
+            f'10.1.{number // 200}.{number % 200}:80',
+            'melton-vault',
+            peer_address=f'10.1.{number // 200}.{number % 200}:81',
+        )
+        for number in range(entries)
+    )
+    answered = events.CallAnswered(
+        at=100,
+        call=calls.ListInstances(),
+        address='10.2.0.2:80',
+        answer=calls.InstancesListed(rows),
+    )
+    built = daemon.initial_state(settings.read(arguments, {}))
+    return handlers.reduce(answered, built).state
+
+
+def frame_bytes(message: messages.PeerMessage) -> int:
+    """Return the bytes that a message takes on the network."""
+    frame = codec_peer.encode_message('10.1.0.0:81', message)
+    header = LONG_HEADER_BYTES
+    if len(frame) <= SHORT_FRAME_BYTES:
+        header = SHORT_HEADER_BYTES
+    return len(frame) + header + SEGMENT_BYTES
+
+
+def compute(entries: int) -> dict[str, Any]:
+    """Return the heartbeat bytes that an instance sends per second."""
+    current = build_state(entries)
+    fired = events.TimerFired(at=101, wall=1, timer=timers.HeartbeatDue())
+    transition = handlers.reduce(fired, current)
+    sends = [
+        effect
+        for effect in transition.effects
+        if isinstance(effect, effects.SendToPeer)
+    ]
+    found: dict[str, Any] = {'entries': entries, 'targets': len(sends)}
+    heartbeat = sends[0].message
+    for accounts in ACCOUNT_COUNTS:
+        size = frame_bytes(with_usage(heartbeat, accounts))
+        found[f'bytes_per_second_{accounts}_accounts'] = round(
+            len(sends) * size / membership.HEARTBEAT_PERIOD_SECONDS,
+        )
+    return found
+
+
+def with_usage(
+    heartbeat: messages.Heartbeat,
+    accounts: int,
+) -> messages.Heartbeat:
+    """Return a heartbeat with the usage of some client accounts."""
+    fields = {
+        name: getattr(heartbeat, name)
+        for name in heartbeat.__dataclass_fields__
+    }
+    fields['usage'] = tuple(
+        messages.AccountUsage(f'account-{number}', 1.5, 100.5)
+        for number in range(accounts)
+    )
+    return messages.Heartbeat(**fields)
+
+
+def compute_polls(runners: int, entries: int) -> dict[str, float]:
+    """Return the bytes per second of load questions and of the list."""
+    members = round(subsets.find_share(entries) * runners)
+    if runners <= subsets.SMALL_POOL:
+        members = runners
+    rows = runners + entries
+    load_period = subsets.poll_period_seconds(members)
+    list_period = listings.list_period_seconds(rows)
+    return {
+        'entries': entries,
+        'runners': runners,
+        'members': members,
+        'load_period_seconds': round(load_period, 1),
+        'load_bytes_per_second': round(
+            members * subsets.POLL_BYTES / load_period,
+        ),
+        'list_period_seconds': round(list_period, 1),
+        'list_bytes_per_second': round(
+            rows * listings.LIST_ROW_BYTES / list_period,
+        ),
+    }
+
+
+def read_bytes(address: str) -> dict[str, float]:
+    """Return the byte counters of an entry instance."""
+    page = processes.request('GET', address, '/metrics').body.decode()
+    return {
+        f'{kind} {labels}': float(count)
+        for kind, labels, count in COUNTED.findall(page)
+    }
+
+
+def measure(entries: int, runners: int) -> dict[str, Any]:
+    """Return the bytes per second of real instances, the mean over all."""
+    spec = site_specs.SiteSpec(
+        entries=entries,
+        runners=runners,
+        action_runners=0,
+    )
+    with sites.Site(spec) as site:
+        time.sleep(5)
+        before = [read_bytes(address) for address in site.entry_addresses]
+        started = time.monotonic()
+        time.sleep(SECONDS)
+        after = [read_bytes(address) for address in site.entry_addresses]
+        seconds = time.monotonic() - started
+    names = sorted({name for counted in after for name in counted})
+    return {
+        'entries': entries,
+        'runners': runners,
+        'bytes_per_second': {
+            name: round(
+                statistics.mean(
+                    (late.get(name, 0) - early.get(name, 0)) / seconds
+                    for early, late in zip(before, after, strict=True)
+                ),
+                1,
+            )
+            for name in names
+        },
+    }
+
+
+def main() -> None:
+    """Compute and measure, and print both."""
+    found = {
+        'heartbeats_computed': [compute(count) for count in ENTRY_COUNTS],
+        'polls_computed': [
+            compute_polls(40, 7),
+            compute_polls(400, 60),
+            compute_polls(3400, 410),
+        ],
+        'measured': [measure(7, 12), measure(20, 6)],
+    }
+    for name, rows in found.items():
+        for row in rows:
+            print(name, row)
+    measurements.write('heartbeats', COMMAND, found)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
