--- a/src/mustardvale/internal/handlers.py
+++ b/src/mustardvale/internal/handlers.py
@@ -3,6 +3,7 @@
 from mustardvale.internal import (
     action_deadlines,
     actions,
+    admission,
     answers,
     attempt_streams,
     claims,
@@ -30,6 +31,7 @@
 REGISTERED = (
     action_deadlines,
     actions,
+    admission,
     answers,
     attempt_streams,
     claims,
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -113,6 +113,11 @@
 
 def is_idle(state: 'states.State') -> bool:
     """Return whether nothing that callers asked for is in flight."""
-    return state.actions.is_idle() and not (
-        state.generations or state.operations or state.forwards
+    in_flight = (
+        state.generations,
+        state.operations,
+        state.forwards,
+        state.admission.running,
+        state.admission.queue.count,
     )
+    return state.actions.is_idle() and not any(in_flight)
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -298,7 +298,12 @@
 
 def welcome(message: messages.Heartbeat, state: 'states.State') -> Peer:
     """Describe a peer that is not listed yet."""
-    joined = (*state.membership.ring.ids, message.instance_id)
+    # Before the first instance list the ring lacks this instance, too.
+    joined = {
+        *state.membership.ring.ids,
+        state.identity.instance_id,
+        message.instance_id,
+    }
     targets = rings.find_targets(message.instance_id, rings.build(joined))
     watched = state.identity.instance_id in targets
     return Peer(to_row(message), watched=watched, joined=True)
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -5,6 +5,7 @@
 import immutables
 
 from mustardvale.internal import action_calls
+from mustardvale.internal import admission as admissions
 from mustardvale.internal import configuration as configurations
 from mustardvale.internal import forwards as forward_tables
 from mustardvale.internal import generations as generation_tables
@@ -49,5 +50,6 @@
     partitions: partition_tables.Partitions = immutables.Map()
     orders: order_tables.OrderState = order_tables.OrderState()
     timing: timings.Timing = timings.Timing()
+    admission: admissions.AdmissionState = admissions.AdmissionState()
     limits: limit_tables.LimitState = limit_tables.LimitState()
     stopping: lifecycle.Stopping | None = None
