--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -58,6 +58,7 @@
     ('snapshots', 'Snapshots of the document handed to the log', ()),
     ('log_failures', 'Failed calls to the log service', ('operation',)),
     ('list_failures', 'Failed calls to the instance list', ()),
+    ('orders', 'Orders to runners by what became of them', ('end',)),
     ('call_bytes', 'Bytes of calls', ('call', 'direction')),
     ('peer_bytes', 'Bytes of peer messages', ('direction',)),
     ('peers_suspected', 'Watched peers that were not heard', ()),
