Take over a forwarded action whose owner does not confirm it or is gone

Change: the owner confirms at once; without a confirmation after 0.5 s, or when the owner is no longer live, the instance runs the call itself. The log decides which attempt may send. Its result may then not say not_run, because the owner may still run the action. The test for the outcome fails without the rule about not_run.

--- a/src/mustardvale/internal/action_requests.py
+++ b/src/mustardvale/internal/action_requests.py
@@ -44,7 +44,8 @@
 class ActionRequest:
     """Describe one call of a service operation; times are monotonic.
 
-    `idempotency_key` is empty for an operation that is idempotent.
+    `idempotency_key` is empty for an operation that is idempotent. A peer that
+    the request was forwarded to may run it even if this instance does not.
     """
 
     origin: Origin
@@ -58,6 +59,7 @@
     received_at: float
     deadline_at: float
     traceparent: str = ''
+    forwarded: bool = False
 
 
 @functools.singledispatch
@@ -168,6 +170,18 @@
     return replies.RequestError(code, message, errors.Outcome.UNKNOWN)
 
 
+@functools.singledispatch
+def without_certainty(result: Result) -> Result:
+    """Return a result that holds also if a peer runs the request."""
+    return result
+
+
+@without_certainty.register(replies.RequestError)
+def error_without_certainty(result: replies.RequestError) -> Result:
+    """Say `unknown` in place of `not_run`."""
+    return dataclasses.replace(result, outcome=errors.Outcome.UNKNOWN)
+
+
 def settle(
     request: ActionRequest,
     result: Result,
@@ -175,6 +189,8 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Give a request its result."""
+    if request.forwarded:
+        result = without_certainty(result)
     end = 'done'
     if isinstance(result, replies.RequestError):
         end = result.code.name
--- a/src/mustardvale/internal/edge/codec_peer.py
+++ b/src/mustardvale/internal/edge/codec_peer.py
@@ -20,6 +20,7 @@
             'document_wanted': messages.DocumentWanted,
             'document_copy': messages.DocumentCopy,
             'forward_action': messages.ForwardAction,
+            'action_accepted': messages.ActionAccepted,
             'action_outcome': messages.ActionOutcome,
         }
     )
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -38,6 +38,11 @@
     ('suspects', 'Requests blamed for a lost runner', ()),
     ('late_step_results', 'Step results that were not awaited', ()),
     ('actions', 'Actions by how they ended', ('end',)),
+    (
+        'actions_taken_over',
+        'Forwarded actions that were run here after all',
+        (),
+    ),
     ('actions_forwarded', 'Actions forwarded to another instance', ()),
     ('action_connections_refused', 'Actions sent to another runner', ()),
     ('late_action_results', 'Results of actions that were not awaited', ()),
--- a/src/mustardvale/internal/forwards.py
+++ b/src/mustardvale/internal/forwards.py
@@ -24,7 +24,19 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
-Forwards = immutables.Map[str, action_requests.ActionRequest]
+CHECK_SECONDS = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Describe a forwarded request; `accepted` says whether it arrived."""
+
+    request: action_requests.ActionRequest
+    owner_id: str
+    accepted: bool = False
+
+
+Forwards = immutables.Map[str, Forward]
 
 
 def forward(
@@ -48,12 +60,14 @@
         deadline_wall=event.wall + remaining,
         traceparent=request.traceparent,
     )
-    table = state.forwards.set(forward_id, request)
+    forwarded = Forward(request, owner.listed.instance_id)
+    table = state.forwards.set(forward_id, forwarded)
     return transitions.Transition(
         dataclasses.replace(state, forwards=table),
         (
             effects.SendToPeer(owner.listed.peer_address, message),
             effects.SetTimer(timers.ForwardDeadline(forward_id), remaining),
+            effects.SetTimer(timers.ForwardCheck(forward_id), CHECK_SECONDS),
             effects.Count('actions_forwarded'),
         ),
     )
@@ -65,7 +79,21 @@
     event: events.PeerMessageReceived,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
-    """Run a forwarded action; it is never forwarded again."""
+    """Confirm a forwarded action and run it; it is never forwarded again."""
+    accepted = effects.SendToPeer(
+        message.reply_to,
+        messages.ActionAccepted(message.forward_id),
+    )
+    ran = run_forwarded(message, event, state)
+    return transitions.Transition(ran.state, (accepted, *ran.effects))
+
+
+def run_forwarded(
+    message: messages.ForwardAction,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Run an action that a peer forwarded."""
     document = state.configuration.document
     service = document.find_service(message.service) if document else None
     request = action_requests.ActionRequest(
@@ -113,6 +141,52 @@
     )
 
 
+@reducer.on_peer_message.register(messages.ActionAccepted)
+def take_acceptance(
+    message: messages.ActionAccepted,
+    event: events.PeerMessageReceived,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Note that the owner has a forwarded action."""
+    forwarded = state.forwards.get(message.forward_id)
+    if forwarded is None:
+        return transitions.Transition(state)
+    accepted = dataclasses.replace(forwarded, accepted=True)
+    table = state.forwards.set(message.forward_id, accepted)
+    return transitions.Transition(dataclasses.replace(state, forwards=table))
+
+
+@reducer.on_timer.register(timers.ForwardCheck)
+def check(
+    timer: timers.ForwardCheck,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Run a forwarded action here when its owner does not seem to.
+
+    This is safe because the log decides which attempt may send. Only the
+    outcome `not_run` is no longer certain, as the owner may run the action.
+    """
+    forwarded = state.forwards.get(timer.forward_id)
+    if forwarded is None:
+        return transitions.Transition(state)
+    owner = state.membership.peers.get(forwarded.owner_id)
+    lives = owner is not None and membership.is_live(owner, event.at)
+    if forwarded.accepted and lives:
+        again = effects.SetTimer(timer, CHECK_SECONDS)
+        return transitions.Transition(state, (again,))
+    table = state.forwards.delete(timer.forward_id)
+    request = dataclasses.replace(forwarded.request, forwarded=True)
+    return claims.receive(
+        request,
+        event,
+        dataclasses.replace(state, forwards=table),
+    ).with_effects(
+        effects.CancelTimer(timers.ForwardDeadline(timer.forward_id)),
+        effects.Count('actions_taken_over'),
+    )
+
+
 @reducer.on_peer_message.register(messages.ActionOutcome)
 def take_outcome(
     message: messages.ActionOutcome,
@@ -142,14 +216,14 @@
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
     """Give a forwarded request its result, unless it has one."""
-    request = state.forwards.get(forward_id)
-    if request is None:
+    forwarded = state.forwards.get(forward_id)
+    if forwarded is None:
         count = effects.Count('late_action_results')
         return transitions.Transition(state, (count,))
     table = state.forwards.delete(forward_id)
     cancel = effects.CancelTimer(timers.ForwardDeadline(forward_id))
     return action_requests.settle(
-        request,
+        forwarded.request,
         result,
         event,
         dataclasses.replace(state, forwards=table),
--- a/src/mustardvale/internal/messages.py
+++ b/src/mustardvale/internal/messages.py
@@ -104,6 +104,13 @@
     traceparent: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActionAccepted(PeerMessage):
+    """Confirm that a forwarded action arrived."""
+
+    forward_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ActionOutcome(PeerMessage):
     """Report what became of a forwarded action.
--- a/src/mustardvale/internal/timers.py
+++ b/src/mustardvale/internal/timers.py
@@ -118,6 +118,13 @@
     attempt_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardCheck(Timer):
+    """See whether the owner of a forwarded action has taken it and lives."""
+
+    forward_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardDeadline(Timer):
     """End a forwarded action that has no outcome."""
--- a/tests/test_action_scenarios.py
+++ b/tests/test_action_scenarios.py
@@ -341,6 +341,39 @@
         reply = self.site.asked['request-0'].replies[0]
         self.assertIs(reply.outcome, errors.Outcome.UNKNOWN)
 
+    def check(self) -> None:
+        """Let the instance look after its forwarded call."""
+        self.site.now += 0.5
+        instance = self.site.instances[0]
+        self.site.fire(instance, timers.ForwardCheck('request-0'))
+
+    def test_lost_message_is_made_up_for(self) -> None:
+        """Guard against a caller that waits for an owner that is gone."""
+        self.site.messages.clear()
+        self.check()
+        self.site.settle()
+        self.assertEqual(self.site.asked['request-0'].replies[0].status, 200)
+        self.assertEqual(self.site.counts['sends'], 1)
+
+    def test_call_that_both_run_is_sent_once(self) -> None:
+        """Guard against a second send when the owner was only slow."""
+        self.check()
+        self.site.settle()
+        self.assertEqual(self.site.asked['request-0'].replies[0].status, 200)
+        self.assertEqual(self.site.counts['sends'], 1)
+
+    def test_call_that_a_peer_may_run_is_not_denied(self) -> None:
+        """Guard against `not_run` while the owner may send the action."""
+        self.check()
+        instance = self.site.instances[0]
+        for call in list(instance.calls):
+            self.site.fail(instance, call, events.FailureKind.CLOSED, True)
+        replies = self.site.asked['request-0'].replies
+        self.assertEqual(
+            [reply.outcome for reply in replies],
+            [errors.Outcome.UNKNOWN],
+        )
+
     def test_message_read_after_a_pause_is_not_run(self) -> None:
         """Guard against running what its caller gave up a minute ago."""
         self.site.now += 60
