--- /dev/null
+++ b/tests/test_fault_runs.py
@@ -0,0 +1,44 @@
+"""Guard the promises in separate processes under overlapping faults."""
+
+import unittest
+
+from bench import fault_run
+
+SECONDS = 16
+RATE = 8
+
+
+class FaultRuns(unittest.TestCase):
+    """No promise is broken while several faults overlap."""
+
+    def check(self, seed: int) -> None:
+        """Run one seed and expect no violation and right answers."""
+        outcome = fault_run.run(seed, SECONDS, rate=RATE)
+        self.assertEqual(outcome.violations, ())
+        self.assertGreater(outcome.verdicts['answer'].get('right', 0), 0)
+        self.assertGreater(outcome.verdicts['action'].get('right', 0), 0)
+
+    def test_kills_pauses_and_outages(self) -> None:
+        """Guard all promises against faults drawn from seed 11."""
+        self.check(11)
+
+    def test_other_order_of_faults(self) -> None:
+        """Guard all promises against faults drawn from seed 12."""
+        self.check(12)
+
+
+class PlannedStops(unittest.TestCase):
+    """A rolling replacement of all entry instances cuts no request (P6)."""
+
+    def test_rolling_replacement(self) -> None:
+        """Guard against a planned stop that cuts what is in flight."""
+        outcome = fault_run.run(
+            13,
+            SECONDS,
+            kinds=('stop_entry',),
+            rate=RATE,
+            period_seconds=3.0,
+        )
+        self.assertEqual(outcome.violations, ())
+        for verdicts in outcome.verdicts.values():
+            self.assertEqual(set(verdicts) - {'right'}, set())
