Tell an unknown outcome apart from a refusal in the tool

Cause: act made a key and did not name it when the outcome was unknown, ended with the exit code of a refusal, and gave up at the deadline itself. Change: the key is printed with every outcome, an unknown outcome ends with exit code 3, and the tool waits one second past the deadline.

--- a/src/mustardvale/command.py
+++ b/src/mustardvale/command.py
@@ -1,6 +1,6 @@
 """Run the command-line tool (`mustardvale`).
 
-Exit codes: 0 done, 1 refused or lost, 2 wrong usage, 3 unreachable.
+Exit codes: 0 done, 1 refused or lost, 2 wrong usage, 3 unreachable or unknown.
 """
 
 import contextlib
@@ -72,7 +72,7 @@
 class Tool:
     """Promote environment documents and look at entry instances.
 
-    Exit codes: 0 done, 1 refused or lost, 2 wrong usage, 3 unreachable.
+    Exit codes: 0 done, 1 refused or lost, 2 wrong usage, 3 unreachable or unknown.
 
     Args:
         log_address: IP:port of the log service, or MUSTARDVALE_LOG_ADDRESS.
--- a/src/mustardvale/internal/commands/entries.py
+++ b/src/mustardvale/internal/commands/entries.py
@@ -20,6 +20,10 @@
 )
 from mustardvale.internal.commands import state as states
 
+# What an entry instance allows when a request names no deadline.
+ENTRY_DEADLINE_SECONDS = 60.0
+DEADLINE_SLACK_SECONDS = 1.0
+
 # Refusals that concern one instance only; nothing was run.
 ELSEWHERE = frozenset((errors.NOT_READY.name, errors.STOPPING.name))
 
@@ -42,13 +46,29 @@
 def call_entry(call: Any, state: states.State) -> reducer.Transition:
     """Call the entry address in use."""
     address = state.entry_addresses[state.entry_index]
-    timeout = getattr(call, 'deadline_seconds', 0) or state.timeout_seconds
     return transitions.Transition(
         state,
-        (effects.Call(call, address, timeout),),
+        (effects.Call(call, address, find_timeout(call, state)),),
     )
 
 
+@functools.singledispatch
+def find_timeout(call: Any, state: states.State) -> float:
+    """Return how long to wait for an answer."""
+    return state.timeout_seconds
+
+
+@find_timeout.register(entry_calls.AskModel)
+@find_timeout.register(entry_calls.RunEntryAction)
+def find_work_timeout(
+    call: entry_calls.AskModel | entry_calls.RunEntryAction,
+    state: states.State,
+) -> float:
+    """Wait past the deadline, so that the instance can tell the outcome."""
+    deadline = call.deadline_seconds or ENTRY_DEADLINE_SECONDS
+    return deadline + DEADLINE_SLACK_SECONDS
+
+
 @functools.singledispatch
 def build_call(command: wanted.Command, state: states.State) -> Any:
     """Return the call that carries a command."""
@@ -124,8 +144,30 @@
     following = state.entry_index + 1
     if answer.code in ELSEWHERE and following < len(state.entry_addresses):
         return try_next(answer.code, state)
-    message = f'{answer.message} (outcome: {answer.outcome})'
-    return reducer.refuse(answer.code, message, answer.remedy, state)
+    report = reports.Failed(
+        answer.code,
+        f'{answer.message} ({describe_outcome(event.call, answer)})',
+        answer.remedy,
+    )
+    exit_code = states.EXIT_REFUSED
+    if answer.outcome == errors.Outcome.UNKNOWN.value:
+        exit_code = states.EXIT_UNREACHABLE
+    return reducer.finish(report, exit_code, state)
+
+
+@functools.singledispatch
+def describe_outcome(call: Any, answer: entry_calls.EntryRefused) -> str:
+    """Say what became of a refused call."""
+    return f'outcome: {answer.outcome}'
+
+
+@describe_outcome.register(entry_calls.RunEntryAction)
+def describe_action_outcome(
+    call: entry_calls.RunEntryAction,
+    answer: entry_calls.EntryRefused,
+) -> str:
+    """Name the key, which a repetition has to carry."""
+    return f'outcome: {answer.outcome}, --key {call.idempotency_key}'
 
 
 @on_entry_answer.register(replies.EntriesFound)
--- a/src/mustardvale/internal/edge/codec_reports.py
+++ b/src/mustardvale/internal/edge/codec_reports.py
@@ -50,6 +50,13 @@
     return CAPITAL.sub('_', type(named).__name__).lower()
 
 
+@to_note.register(reports.ActionShown)
+def action_to_note(report: reports.ActionShown) -> str:
+    """Name the key, with which the same answer can be had again."""
+    stored = ', stored answer of an earlier call' if report.replayed else ''
+    return f'key {report.idempotency_key}{stored}\n'
+
+
 def to_json(report: reports.Report) -> str:
     """Encode a report as one line with its kind."""
     fields = msgspec.to_builtins(report)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -255,6 +255,26 @@
         unsent.fail(REFUSED)
         self.assertEqual(unsent.calls[0].address, 'b:1')
 
+    def test_unknown_outcome_is_no_refusal(self) -> None:
+        """Guard against a script that repeats an action under a new key."""
+        act = wanted.Act('key', 'cellar-ledger', 'log-wheel', 'k-1', b'{}', 0)
+        run = runs.Run(act, entry_addresses=('a:1',))
+        run.answer(
+            entry_calls.EntryRefused(
+                'outcome_unknown',
+                'no answer',
+                outcome='unknown',
+            )
+        )
+        self.assertEqual(run.exit_code, 3)
+        self.assertIn('--key k-1', str(run.shown[0]))
+
+    def test_tool_waits_past_the_deadline(self) -> None:
+        """Guard against a time-out that hides the outcome."""
+        act = wanted.Act('key', 'cellar-ledger', 'log-wheel', 'k-1', b'{}', 20)
+        run = runs.Run(act, entry_addresses=('a:1',))
+        self.assertGreater(run.calls[0].timeout_seconds, 20)
+
 
 def exit_of(*arguments: str) -> tuple[int, str]:
     """Return the exit code and standard error of a wrong command line."""
