Read few documents at a time, so that a full log can be read

Cause: a read asked for 500 records, each of which holds a whole document. An answer of more than 8 MB is rejected, and the read was repeated for ever. Change: environment streams are read 10 records at a time, and a document has at most 256 KiB, so that an answer fits even when escapes make it three times as long.

--- a/src/mustardvale/document.py
+++ b/src/mustardvale/document.py
@@ -15,6 +15,8 @@
 from mustardvale.internal import document_changes, document_checks
 
 FORMAT = 1
+# Readers of the log take several documents in one answer.
+MAXIMUM_BYTES = 256 * 1024
 
 TYPE_NAMES = types.MappingProxyType(
     {
@@ -236,6 +238,11 @@
 
     Raises `errors.DocumentError` with every problem found.
     """
+    size = len(text.encode())
+    if size > MAXIMUM_BYTES:
+        raise errors.DocumentError(
+            (f'document: has {size} bytes, at most {MAXIMUM_BYTES} are read',),
+        )
     try:
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
--- a/src/mustardvale/internal/commands/environments.py
+++ b/src/mustardvale/internal/commands/environments.py
@@ -18,7 +18,6 @@
 from mustardvale.internal.commands import reducer, reports, wanted
 from mustardvale.internal.commands import state as states
 
-READ_LIMIT_RECORDS = 500
 CALL_TIMEOUT_SECONDS = 3.0
 RETRY_SECONDS = 0.3
 
@@ -47,7 +46,7 @@
     call = calls.ReadRecords(
         stream=streams.EnvironmentStream(environment),
         from_offset=reading.promoted.next_offset,
-        limit=READ_LIMIT_RECORDS,
+        limit=promotions.READ_LIMIT_RECORDS,
         wait_seconds=0,
     )
     return transitions.Transition(
--- a/src/mustardvale/internal/configuration.py
+++ b/src/mustardvale/internal/configuration.py
@@ -51,6 +51,12 @@
     return log_streams.follow(stream, state)
 
 
+@log_streams.read_limit.register(streams.EnvironmentStream)
+def limit_read(stream: streams.EnvironmentStream) -> int:
+    """Return how many documents one read may hold."""
+    return promotions.READ_LIMIT_RECORDS
+
+
 @log_streams.on_stored.register(streams.EnvironmentStream)
 def fold_stored(
     stream: streams.EnvironmentStream,
--- a/src/mustardvale/internal/log_streams.py
+++ b/src/mustardvale/internal/log_streams.py
@@ -92,6 +92,12 @@
     return transitions.Transition(state)
 
 
+@functools.singledispatch
+def read_limit(stream: streams.Stream) -> int:
+    """Return how many records to ask for in one read of a stream."""
+    return READ_LIMIT_RECORDS
+
+
 @functools.singledispatch
 def on_append_failed(
     record: records.Record,
@@ -140,7 +146,7 @@
     call = calls.ReadRecords(
         stream=stream,
         from_offset=state.log.tails[stream].next_offset,
-        limit=READ_LIMIT_RECORDS,
+        limit=read_limit(stream),
         wait_seconds=READ_WAIT_SECONDS,
     )
     effect = effects.Call(call, state.log.address, READ_TIMEOUT_SECONDS)
--- a/src/mustardvale/internal/promotions.py
+++ b/src/mustardvale/internal/promotions.py
@@ -10,6 +10,10 @@
 
 from mustardvale.internal import records
 
+# Each record holds a whole document, which JSON escapes can make three times as
+# long, and an answer of the log may not exceed what the HTTP client takes.
+READ_LIMIT_RECORDS = 10
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Gap:
--- a/tests/test_never_reverting.py
+++ b/tests/test_never_reverting.py
@@ -1,13 +1,20 @@
 """Guard that a document in force is never replaced by an earlier one."""
 
+import json
 import unittest
 from unittest import mock
 
 from hypothesis import stateful
 
+from mustardvale import document, errors
 from mustardvale.internal import messages, promotions, records
 from mustardvale.internal.commands import wanted
-from mustardvale.internal.edge import codec_peer, peer_socket
+from mustardvale.internal.edge import (
+    codec_peer,
+    codec_records,
+    http_client,
+    peer_socket,
+)
 from tests import configuration_site, promotion_machine, runs
 
 
@@ -203,6 +210,36 @@
         self.assertEqual(self.applied(), [1, 1, 1])
 
 
+class LargeDocuments(unittest.TestCase):
+    """A stream full of the largest documents can be read."""
+
+    def test_read_fits_into_an_answer(self) -> None:
+        """Guard against an instance that never starts on a full log.
+
+        With 500 records in one read, 45 documents for 690 accounts exceeded
+        the size that the HTTP client takes.
+        """
+        text = configuration_site.document_text(1)
+        room = document.MAXIMUM_BYTES - len(text) - 1
+        text += '#' + 'қ' * (room // 2) + ' ' * (room % 2)
+        promotion = records.Promotion('p', 'ann', 0, -1, text)
+        answer = json.dumps(
+            [codec_records.to_object(promotion)]
+            * promotions.READ_LIMIT_RECORDS,
+        )
+        self.assertLess(len(answer), http_client.MAXIMUM_ANSWER_BYTES)
+        document.parse(text)
+        with self.assertRaises(errors.DocumentError):
+            document.parse(f'{text}#')
+
+    def test_reads_of_instance_and_tool_are_limited(self) -> None:
+        """Guard against a read that asks for more than that."""
+        site = configuration_site.Site(('entry-a',))
+        run = runs.Run(wanted.Show('production'))
+        for call in (site.nodes['entry-a'].calls[0], run.calls[0]):
+            self.assertEqual(call.call.limit, promotions.READ_LIMIT_RECORDS)
+
+
 class Copies(unittest.TestCase):
     """A copy is compressed, and a wrong frame is rejected."""
 
