Report a promotion as unknown when its record was dropped unread

A random run of the stateful test found it. Change: the tool notes that records were dropped unread after it proposed, and then reports promotion_unknown instead of a loss.

--- a/src/mustardvale/internal/commands/environments.py
+++ b/src/mustardvale/internal/commands/environments.py
@@ -98,6 +98,7 @@
 ) -> states.Reading:
     """Fold the records of one read."""
     promoted = promotions.skip_to(answer.earliest_offset, reading.promoted)
+    overtaken = reading.overtaken or promoted != reading.promoted
     rows = reading.rows
     for stored in answer.records:
         folded = promotions.fold(stored.record, stored.offset, promoted)
@@ -106,7 +107,7 @@
             row = describe(stored, stored.record, folded)
             rows = (*rows, row)
     end = answer.next_offset if reading.end < 0 else reading.end
-    return states.Reading(promoted, end, rows)
+    return states.Reading(promoted, end, rows, overtaken)
 
 
 def describe(
--- a/src/mustardvale/internal/commands/promoting.py
+++ b/src/mustardvale/internal/commands/promoting.py
@@ -147,6 +147,11 @@
         based_on_offset=active.offset,
         document=text,
     )
+    reading = dataclasses.replace(
+        state.readings[environment],
+        overtaken=False,
+    )
+    state = environments.with_reading(environment, reading, state)
     proposed = dataclasses.replace(state, proposed=promotion)
     return append(environment, promotion, proposed)
 
@@ -235,6 +240,9 @@
     if not reading.promoted.anchored:
         return report_unknown(environment, promotion, state)
     if reading.promoted.version != promotion.based_on_version:
+        # The promotion may be among records that were dropped unread.
+        if reading.overtaken:
+            return report_unknown(environment, promotion, state)
         return lose(
             environment,
             promotion.based_on_version,
--- a/src/mustardvale/internal/commands/state.py
+++ b/src/mustardvale/internal/commands/state.py
@@ -18,12 +18,14 @@
     """Hold what was read of one environment.
 
     `end` is the offset up to which the stream is read, known after the first
-    answer of the log.
+    answer of the log. `overtaken` says that the log dropped records before
+    they were read.
     """
 
     promoted: promotions.Promoted = promotions.Promoted()
     end: int = -1
     rows: tuple[reports.HistoryRow, ...] = ()
+    overtaken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/edge/codec_reports.py
+++ b/src/mustardvale/internal/edge/codec_reports.py
@@ -155,7 +155,7 @@
     return (
         'mustardvale: promotion_unknown: the log did not say whether it holds '
         f'promotion {report.promotion_id} to {report.environment}. Look for '
-        'it with history when the log is back.\n'
+        'it with history, and at the active document with show.\n'
     )
 
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -155,6 +155,22 @@
         self.assertEqual(run.exit_code, 1)
         self.assertIn('no snapshot covers it', str(run.shown[0]))
 
+    def test_promotion_that_was_dropped_unread_is_not_lost(self) -> None:
+        """Guard against a loss reported for a promotion that has won.
+
+        Found by a random run of the stateful test.
+        """
+        log = fakes.FakeLog()
+        run = publish(FIRST, 'ann')
+        run.read(log)
+        run.append(log)
+        snapshot = records.DocumentSnapshot(1, 0, FIRST, 0, 'ann')
+        log.append(calls.AppendRecords(PRODUCTION, (snapshot,)))
+        log.drop_before(PRODUCTION, 1)
+        run.read(log)
+        self.assertEqual(run.exit_code, 3)
+        self.assertIsInstance(run.shown[0], reports.PromotionUnknown)
+
     def test_snapshot_gives_version_and_base(self) -> None:
         """Guard against a version that starts again at 1."""
         log = fakes.FakeLog()
