--- a/src/mustardvale/internal/commands/environments.py
+++ b/src/mustardvale/internal/commands/environments.py
@@ -18,7 +18,6 @@
 from mustardvale.internal.commands import reducer, reports, wanted
 from mustardvale.internal.commands import state as states
 
-READ_LIMIT_RECORDS = 500
 CALL_TIMEOUT_SECONDS = 3.0
 RETRY_SECONDS = 0.3
 
@@ -47,7 +46,7 @@
     call = calls.ReadRecords(
         stream=streams.EnvironmentStream(environment),
         from_offset=reading.promoted.next_offset,
-        limit=READ_LIMIT_RECORDS,
+        limit=promotions.READ_LIMIT_RECORDS,
         wait_seconds=0,
     )
     return transitions.Transition(
@@ -99,6 +98,7 @@
 ) -> states.Reading:
     """Fold the records of one read."""
     promoted = promotions.skip_to(answer.earliest_offset, reading.promoted)
+    overtaken = reading.overtaken or promoted != reading.promoted
     rows = reading.rows
     for stored in answer.records:
         folded = promotions.fold(stored.record, stored.offset, promoted)
@@ -107,7 +107,7 @@
             row = describe(stored, stored.record, folded)
             rows = (*rows, row)
     end = answer.next_offset if reading.end < 0 else reading.end
-    return states.Reading(promoted, end, rows)
+    return states.Reading(promoted, end, rows, overtaken)
 
 
 def describe(
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -155,6 +155,22 @@
         self.assertEqual(run.exit_code, 1)
         self.assertIn('no snapshot covers it', str(run.shown[0]))
 
+    def test_promotion_that_was_dropped_unread_is_not_lost(self) -> None:
+        """Guard against a loss reported for a promotion that has won.
+
+        Found by a random run of the stateful test.
+        """
+        log = fakes.FakeLog()
+        run = publish(FIRST, 'ann')
+        run.read(log)
+        run.append(log)
+        snapshot = records.DocumentSnapshot(1, 0, FIRST, 0, 'ann')
+        log.append(calls.AppendRecords(PRODUCTION, (snapshot,)))
+        log.drop_before(PRODUCTION, 1)
+        run.read(log)
+        self.assertEqual(run.exit_code, 3)
+        self.assertIsInstance(run.shown[0], reports.PromotionUnknown)
+
     def test_snapshot_gives_version_and_base(self) -> None:
         """Guard against a version that starts again at 1."""
         log = fakes.FakeLog()
@@ -255,6 +271,26 @@
         unsent.fail(REFUSED)
         self.assertEqual(unsent.calls[0].address, 'b:1')
 
+    def test_unknown_outcome_is_no_refusal(self) -> None:
+        """Guard against a script that repeats an action under a new key."""
+        act = wanted.Act('key', 'cellar-ledger', 'log-wheel', 'k-1', b'{}', 0)
+        run = runs.Run(act, entry_addresses=('a:1',))
+        run.answer(
+            entry_calls.EntryRefused(
+                'outcome_unknown',
+                'no answer',
+                outcome='unknown',
+            )
+        )
+        self.assertEqual(run.exit_code, 3)
+        self.assertIn('--key k-1', str(run.shown[0]))
+
+    def test_tool_waits_past_the_deadline(self) -> None:
+        """Guard against a time-out that hides the outcome."""
+        act = wanted.Act('key', 'cellar-ledger', 'log-wheel', 'k-1', b'{}', 20)
+        run = runs.Run(act, entry_addresses=('a:1',))
+        self.assertGreater(run.calls[0].timeout_seconds, 20)
+
 
 def exit_of(*arguments: str) -> tuple[int, str]:
     """Return the exit code and standard error of a wrong command line."""
