Close the connection of a stalled call, and cut streams by a fault

A caller that gives a call up closes it; the load tool left it open, so that the entry instance went on with answers that nobody took.

--- a/bench/load.py
+++ b/bench/load.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from bench import (
+    load_client,
     load_codec,
     load_history,
     load_metrics,
@@ -23,7 +24,7 @@
     load_work,
 )
 from mustardvale import document as documents
-from mustardvale.internal.edge import http_client, logs, performer, runtime
+from mustardvale.internal.edge import logs, performer, runtime
 
 
 class LoadRuntime(runtime.Runtime):
@@ -44,7 +45,7 @@
         )
         self.history = history
         self.summary_path = summary_path
-        self.client = http_client.HttpClient(
+        self.client = load_client.LoadClient(
             load_codec,
             self.poller,
             self.occur,
@@ -62,6 +63,16 @@
     runtime.history.write(f'{line.decode()}\n')
 
 
+@performer.perform.register(load_client.AbandonCall)
+def abandon_call(
+    effect: load_client.AbandonCall,
+    runtime: runtime.Runtime,  # noqa: WPS442
+) -> None:
+    """Give up a call."""
+    assert isinstance(runtime.client, load_client.LoadClient), 'set at start'
+    runtime.client.abandon(effect)
+
+
 @performer.perform.register(load_history.WriteSummary)
 def write_summary(
     effect: load_history.WriteSummary,
--- a/bench/load_answers.py
+++ b/bench/load_answers.py
@@ -6,6 +6,7 @@
 
 from bench import (
     load_calls,
+    load_client,
     load_history,
     load_requests,
     load_state,
@@ -186,12 +187,22 @@
     event: events.TimerFired,
     state: load_state.State,
 ) -> load_state.Transition:
-    """Resume an answer elsewhere when its next token does not come."""
+    """Resume an answer elsewhere when its next token does not come.
+
+    The connection is closed as well, so that the entry instance does not go on
+    with an answer that nobody takes.
+    """
     request = state.requests.get(timer.request_id)
     if request is None or request.calls != timer.call:
         return transitions.Transition(state)
     error = load_calls.ErrorAnswer('stalled')
-    return load_requests.take_error(request, error, event, state)
+    abandon = load_client.AbandonCall(timer.request_id, timer.call)
+    return load_requests.take_error(
+        request,
+        error,
+        event,
+        state,
+    ).with_effects(abandon)
 
 
 def find_problem(
--- /dev/null
+++ b/bench/load_client.py
@@ -0,0 +1,43 @@
+"""Give up calls of the load tool as a caller does, by closing them."""
+
+import dataclasses
+
+from bench import load_calls
+from mustardvale.internal import effects, events
+from mustardvale.internal.edge import http_client
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonCall(effects.Effect):
+    """Close the connection of a call for a model answer without a report."""
+
+    request_id: str
+    call: int
+
+
+class LoadClient(http_client.HttpClient):
+    """Perform calls that can be given up."""
+
+    def abandon(self, wanted: AbandonCall) -> None:
+        """Close the connection of a call, or forget one that waits."""
+        for pending in tuple(self.deadlines.current):
+            if is_wanted(pending, wanted) and self.end(pending):
+                self.close_abandoned(pending)
+
+    def close_abandoned(self, pending: http_client.PendingCall) -> None:
+        """Close the connection of a call that has ended, if it has one."""
+        connection = pending.connection
+        if connection is not None and connection.pending is pending:
+            kind = events.FailureKind.CLOSED
+            self.close(connection, kind, 'abandoned')
+
+
+def is_wanted(
+    pending: http_client.PendingCall,
+    wanted: AbandonCall,
+) -> bool:
+    """Return whether a pending call is the one to give up."""
+    called = pending.call
+    return isinstance(called, load_calls.AskAnswer) and (
+        (called.request_id, called.call) == (wanted.request_id, wanted.call)
+    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -74,7 +74,7 @@
     A frozen engine accepts calls and answers none. A leaving one takes no new
     sessions, a refusing one no steps. `slowdown` multiplies the time of an
     iteration. The next `drop_answers` calls run and their connection is closed
-    in place of an answer. Every answer waits for `delay_seconds` in addition
+    in place of an answer; a stream is closed in place of its next token. Every answer waits for `delay_seconds` in addition
     to the link, and the next `late_answers` ones for `late_seconds`. The results of
     the next `crossed_answers` iterations go to the wrong calls. `die` ends
     the engine at once, and so does running a step that has `poison` among its
--- a/standins/engine_streams.py
+++ b/standins/engine_streams.py
@@ -6,7 +6,7 @@
 import immutables
 
 from mustardvale.internal import calls, effects, events, replies, transitions
-from standins import engine, engine_batches, json_codec
+from standins import engine, engine_batches, engine_faults, json_codec
 
 # A stream whose caller has left can be resumed for this long.
 RESUME_SECONDS = 30.0
@@ -125,6 +125,10 @@
 
 def send_on(stream: engine.Stream, state: engine.State) -> engine.Transition:
     """Send the tokens that the caller lacks, then end or run the next step."""
+    if state.faults.drop_answers and stream.sent < len(stream.tokens):
+        dropped = engine_faults.use_up('drop_answers', state)
+        closed = effects.CloseCaller(stream.request_id)
+        return keep_paused(stream, dropped).with_effects(closed)
     parts = tuple(
         effects.StreamPart(
             stream.request_id,
@@ -236,6 +240,14 @@
     stream = find_stream(event.request_id, state)
     if stream is None:
         return transitions.Transition(state)
+    return keep_paused(stream, state)
+
+
+def keep_paused(
+    stream: engine.Stream,
+    state: engine.State,
+) -> engine.Transition:
+    """Keep a stream without a caller until it is resumed or expires."""
     stream = dataclasses.replace(stream, request_id='')
     timer = StreamExpired(state.held.instance_id, stream.template.session)
     return transitions.Transition(
--- a/tests/test_load_tool.py
+++ b/tests/test_load_tool.py
@@ -8,6 +8,7 @@
 
 from bench import (
     load_calls,
+    load_client,
     load_codec,
     load_history,
     load_reducer,
@@ -170,6 +171,8 @@
         begun = begin(WORK)
         timer = load_state.Stalled('load-0', 1)
         stalled = reduce(events.TimerFired(at=6, timer=timer), begun)
+        abandon = load_client.AbandonCall('load-0', 1)
+        self.assertIn(abandon, stalled.effects)
         again = call_again(stalled)
         self.assertEqual(calls_of(again)[0].address, 'b:1')
 
--- a/tests/test_standins_streams.py
+++ b/tests/test_standins_streams.py
@@ -4,7 +4,7 @@
 import unittest
 
 from mustardvale.internal import calls, events
-from standins import engine_streams, reference_model
+from standins import engine, engine_streams, reference_model
 from tests import engine_cases
 
 PROMPT = ('how', 'old')
@@ -59,6 +59,20 @@
         driver.pass_time(1)
         self.assertEqual(first + tokens_of(driver, 'r1'), EXPECTED)
 
+    def test_cut_by_a_fault(self) -> None:
+        """Guard against a cut stream that cannot be resumed."""
+        driver = engine_cases.build_driver()
+        driver.ask('r0', WANTED)
+        driver.pass_time(0.03)
+        driver.ask('faults', engine.Faults(drop_answers=1))
+        driver.pass_time(1)
+        first = tokens_of(driver, 'r0')
+        self.assertEqual(driver.closed, ['r0'])
+        self.assertLess(len(first), 6)
+        driver.ask('r1', dataclasses.replace(WANTED, delivered=first))
+        driver.pass_time(1)
+        self.assertEqual(first + tokens_of(driver, 'r1'), EXPECTED)
+
     def test_other_tokens(self) -> None:
         """Guard against a resume that mixes two answers."""
         driver, _ = self.start_and_leave()
