--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -1,6 +1,7 @@
 """Keep what is known of the entry instances."""
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 import immutables
@@ -10,10 +11,10 @@
     effects,
     events,
     limits,
-    listings,
     messages,
     reducer,
     rings,
+    suspects,
     timers,
     transitions,
     upstreams,
@@ -22,8 +23,6 @@
 if TYPE_CHECKING:
     from mustardvale.internal import state as states
 
-LIST_PERIOD_SECONDS = 1.0
-LIST_TIMEOUT_SECONDS = 3.0
 HEARTBEAT_PERIOD_SECONDS = 1.0
 SUSPECT_SECONDS = 3.0
 ENTRY_POOL = 'entry'
@@ -129,57 +128,6 @@
     )
 
 
-@reducer.on_timer.register(timers.ListDue)
-def ask_list(
-    timer: timers.ListDue,
-    event: events.TimerFired,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Ask for the instance list."""
-    call = effects.Call(
-        calls.ListInstances(),
-        state.membership.list_address,
-        LIST_TIMEOUT_SECONDS,
-    )
-    return transitions.Transition(state, (call,))
-
-
-@reducer.on_answer.register(calls.ListInstances)
-def take_list(
-    call: calls.ListInstances,
-    event: events.CallAnswered,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Merge the instance list and ask again after the period."""
-    again = effects.SetTimer(timers.ListDue(), LIST_PERIOD_SECONDS)
-    if not isinstance(event.answer, calls.InstancesListed):
-        count = effects.Count('list_failures')
-        return transitions.Transition(state, (again, count))
-    rows = event.answer.instances
-    entries = tuple(row for row in rows if row.pool == ENTRY_POOL)
-    others = tuple(row for row in rows if row.pool != ENTRY_POOL)
-    return (
-        take_entries(entries, event, state)
-        .then(lambda now: follow_limits(event.at, now))
-        .then(lambda now: listings.take_listed(others, event, now))
-        .with_effects(again)
-    )
-
-
-@reducer.on_failure.register(calls.ListInstances)
-def take_list_failure(
-    call: calls.ListInstances,
-    event: events.CallFailed,
-    state: 'states.State',
-) -> transitions.Transition['states.State']:
-    """Keep the last list and ask again after the period."""
-    again = effects.SetTimer(timers.ListDue(), LIST_PERIOD_SECONDS)
-    return transitions.Transition(
-        state,
-        (again, effects.Count('list_failures')),
-    )
-
-
 def take_entries(
     listed: tuple[calls.ListedInstance, ...],
     event: events.Event,
@@ -255,6 +203,7 @@
     state = follow_limits(event.at, state).state
     reported = limits.report(event.at, state.limits)
     state = dataclasses.replace(state, limits=reported)
+    state = suspects.prune(event.at, event.wall, state)
     membership = dataclasses.replace(
         state.membership,
         beat=state.membership.beat + 1,
@@ -300,6 +249,7 @@
         usage=limits.usage(state.limits),
         leaving_upstreams=find_marks(state),
         beat=state.membership.beat,
+        suspects=suspects.report(state),
     )
 
 
@@ -347,7 +297,11 @@
     state = dataclasses.replace(with_peer(peer, state), limits=heard)
     if is_news(message, known) and not rings.is_small(state.membership.ring):
         relayed = send_to_targets(message, state)
-    return take_marks(message, state).with_effects(*relayed)
+    return (
+        take_marks(message, state)
+        .then(functools.partial(suspects.hear, message.suspects, event.wall))
+        .with_effects(*relayed)
+    )
 
 
 def welcome(message: messages.Heartbeat, state: 'states.State') -> Peer:
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -19,9 +19,12 @@
 )
 from mustardvale.internal import membership as memberships
 from mustardvale.internal import operations as operation_tables
+from mustardvale.internal import orders as order_tables
 from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import prefixes as prefix_tables
 from mustardvale.internal import timing as timings
+from mustardvale.internal import retries as retry_budgets
+from mustardvale.internal import suspects as suspect_tables
 from mustardvale.internal import upstreams as upstream_tables
 
 
@@ -47,7 +50,10 @@
     actions: action_calls.ActionTable = action_calls.ActionTable()
     forwards: forward_tables.Forwards = immutables.Map()
     partitions: partition_tables.Partitions = immutables.Map()
+    orders: order_tables.OrderState = order_tables.OrderState()
     timing: timings.Timing = timings.Timing()
     admission: admissions.AdmissionState = admissions.AdmissionState()
     limits: limit_tables.LimitState = limit_tables.LimitState()
+    retries: retry_budgets.RetryBudget = retry_budgets.RetryBudget()
+    suspects: suspect_tables.SuspectState = suspect_tables.SuspectState()
     stopping: lifecycle.Stopping | None = None
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -17,6 +17,7 @@
     transitions,
     upstreams,
 )
+from standins import prefix_cache
 from tests import building
 
 WHOLE = calls.FROM_WHOLE_SET
@@ -109,7 +110,10 @@
         read = calls.CacheEventsRead((change(3),), False, 9)
         transition = answer(WHOLE, read, build_state())
         due = timers.CacheEventsDue('runner-1')
-        self.assertIn(effects.SetTimer(due, 1), transition.effects)
+        self.assertIn(
+            effects.SetTimer(due, prefixes.LOAD_PERIODS),
+            transition.effects,
+        )
 
     def test_engine_without_cache_events_is_left_alone(self) -> None:
         """Guard against a question each second that is answered with 404."""
@@ -193,3 +197,10 @@
             )
         }
         self.assertEqual(len(found), 5)
+
+    def test_engine_stand_in_reports_the_same_digests(self) -> None:
+        """Guard against prefixes that are never found."""
+        self.assertEqual(
+            prefixes.digest_prefixes('m', '1', 'rind', self.tokens),
+            prefix_cache.digest_prefixes('m', '1', 'rind', self.tokens),
+        )
