--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,78 @@
+"""Plot the measurements of routing.
+
+python -m bench.plots
+"""
+
+import json
+from typing import Any
+
+import fire
+import matplotlib
+from matplotlib import pyplot
+
+from bench import measurements
+
+POLICY_FILES = ('mixed-stale', 'uniform-fresh')
+
+
+def read(name: str) -> dict[str, Any]:
+    """Return the results of a measurement."""
+    path = measurements.DIRECTORY / f'{name}.json'
+    found: dict[str, Any] = json.loads(path.read_text())
+    return found
+
+
+def plot_decisions() -> None:
+    """Plot the time of a decision over the number of runners."""
+    runners = read('decisions')['runners']
+    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    for name in next(iter(runners.values())):
+        axes.plot(
+            [int(count) for count in runners],
+            [found[name]['median'] for found in runners.values()],
+            marker='o',
+            label=name,
+        )
+    axes.set(
+        xscale='log',
+        yscale='log',
+        xlabel='runners that hold the layers',
+        ylabel='microseconds per decision',
+    )
+    axes.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(measurements.DIRECTORY / 'decisions.svg')
+
+
+def plot_policies() -> None:
+    """Plot the tokens per second over the load for each policy."""
+    figure, columns = pyplot.subplots(1, len(POLICY_FILES), figsize=(10, 4.5))
+    for axes, name in zip(columns, POLICY_FILES, strict=True):
+        rows = read(f'policies-{name}')['runs']
+        for policy in dict.fromkeys(row['policy'] for row in rows):
+            chosen = [row for row in rows if row['policy'] == policy]
+            axes.plot(
+                [row['part_of_bound'] for row in chosen],
+                [row['share_of_bound'] for row in chosen],
+                marker='o',
+                label=policy,
+            )
+        axes.set(
+            title=name.replace('-', ' accelerators, ') + ' reports',
+            xlabel='requested part of the bound',
+            ylabel='served part of the bound',
+        )
+        axes.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(measurements.DIRECTORY / 'policies.svg')
+
+
+def main() -> None:
+    """Plot everything."""
+    matplotlib.use('svg')
+    plot_decisions()
+    plot_policies()
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import os
 import types
 from collections import abc
 from typing import Any
@@ -91,11 +92,13 @@
     rate = cell.bound * cell.part / MEAN_TOKENS
     with sites.Site(cell.spec) as site:
         summary = demo.run_load(site, SECONDS, rate, cell.seed)
+    machine_load = os.getloadavg()[0]
     latency = summary['latency']
     return {
         'policy': cell.policy,
         'part_of_bound': cell.part,
         'seed': cell.seed,
+        'machine_load': round(machine_load, 1),
         'requests_per_second': round(rate, 2),
         'tokens_per_second': summary['tokens_per_second'],
         'share_of_bound': round(summary['tokens_per_second'] / cell.bound, 3),
--- /dev/null
+++ b/tests/test_frozen_runner.py
@@ -0,0 +1,71 @@
+"""Guard the time until a frozen runner is noticed, with real processes."""
+
+import json
+import re
+import time
+import unittest
+from http import client
+
+from bench import processes, site_specs, sites
+
+ANSWERS = 6
+TOKENS = 200
+# Where steps take milliseconds, a second without a token is far too long. On a
+# machine so busy that most tokens miss their 25 ms, steps do not, and the
+# longest timeout of a call, 5 s, is what bounds the gap.
+USUAL_SECONDS = '0.025'
+LIMIT_SECONDS = '1.0'
+BUSY_LIMIT_SECONDS = '10.0'
+BUCKET = re.compile(
+    r'^mustardvale_between_tokens_seconds_bucket\{le="([^"]+)"\} (\S+)$',
+    re.MULTILINE,
+)
+ABANDONED = re.compile(
+    r'^mustardvale_attempts_abandoned_total\{problem="timed_out"\} (\S+)$',
+    re.MULTILINE,
+)
+
+
+def ask(address: str) -> client.HTTPConnection:
+    """Ask for an answer that takes a few seconds."""
+    connection = client.HTTPConnection(address, timeout=30)
+    body = {'model': 'affinage', 'prompt': 'how old', 'maximum_tokens': TOKENS}
+    connection.request(
+        'POST',
+        '/v1/answers',
+        json.dumps(body),
+        {
+            'Authorization': 'Bearer colston-dairy-key',
+            'Content-Type': 'application/json',
+        },
+    )
+    return connection
+
+
+class FrozenRunner(unittest.TestCase):
+    """A runner that stops to answer delays its answers only shortly."""
+
+    def test_answers_go_on_elsewhere_within_a_second(self) -> None:
+        """Guard against seconds of silence after a runner freezes."""
+        spec = site_specs.SiteSpec(
+            entries=1,
+            runners=4,
+            stages=2,
+            action_runners=0,
+        )
+        with sites.Site(spec) as site:
+            address = site.entry_addresses[0]
+            asked = [ask(address) for _ in range(ANSWERS)]
+            time.sleep(1)
+            site.freeze('runner-0')
+            for connection in asked:
+                lines = connection.getresponse().read().splitlines()
+                self.assertEqual(json.loads(lines[-1])['tokens'], TOKENS)
+                connection.close()
+            page = processes.request('GET', address, '/metrics').body.decode()
+        counts = {edge: float(count) for edge, count in BUCKET.findall(page)}
+        abandoned = ABANDONED.search(page)
+        self.assertIsNotNone(abandoned, 'the frozen runner was not in use')
+        busy = counts[USUAL_SECONDS] < counts['+Inf'] / 2
+        limit = BUSY_LIMIT_SECONDS if busy else LIMIT_SECONDS
+        self.assertEqual(counts['+Inf'], counts[limit])
