Return from a freeze only when the process is paused

Cause: SIGSTOP takes effect later on a busy machine; the test of the launcher read the state 'R' once, at a load of 40. A fault run that freezes a process would have counted the moment before as frozen. The whole set was not run again after this change.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -159,8 +159,15 @@
             self.popen.send_signal(number)
 
     def freeze(self) -> None:
-        """Pause the process; the kernel still accepts its connections."""
+        """Pause the process; the kernel still accepts its connections.
+
+        The signal takes effect later on a busy machine, so wait for the pause.
+        """
+        if not self.is_running:
+            return
         self.signal(signal.SIGSTOP)
+        awaited = os.WSTOPPED | os.WEXITED | os.WNOWAIT
+        os.waitid(os.P_PID, self.process_id, awaited)
 
     def resume(self) -> None:
         """Let a paused process go on."""
