Drop waiting steps of attempts that are over, and poll with epoll

Cause: steps that waited for a call were sent although their answer had ended and its sessions were closed, so that the runner opened the session again (8 sessions left 2 s after a load). The default poller is select(2), which drops descriptors from 1024 on. Change: steps that are not of the current attempt are dropped before a call is built; the loop uses epoll.

--- a/src/mustardvale/internal/edge/runtime.py
+++ b/src/mustardvale/internal/edge/runtime.py
@@ -75,7 +75,8 @@
         self.waiting: collections.deque[events.Event] = collections.deque()
         self.reducing = False
         self.exit_code = 0
-        self.poller = pollers.Poller().register(self)
+        # `pollers.Poller` is select(2) and drops descriptors from 1024 on.
+        self.poller = pollers.EPoll().register(self)
         self.deadlines = deadlines.Deadlines(self.report_timer).register(self)
         self.client: http_client.HttpClient | None = None
         self.server: http_server.HttpServer | None = None
--- a/src/mustardvale/internal/step_calls.py
+++ b/src/mustardvale/internal/step_calls.py
@@ -1,6 +1,7 @@
 """Send the steps that wait for one runner together in one call."""
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 import immutables
@@ -38,6 +39,11 @@
     waiting_alone: tuple[calls.Step, ...] = ()
     alone: str = ''
 
+    @property
+    def waiting_count(self) -> int:
+        """Return how many steps wait."""
+        return len(self.waiting) + len(self.waiting_alone)
+
 
 StepQueues = immutables.Map[str, StepQueue]
 
@@ -95,6 +101,28 @@
     return Batch(queue.waiting[:STEPS_PER_CALL], rest_queue)
 
 
+def is_current(step: calls.Step, state: 'states.State') -> bool:
+    """Return whether a step belongs to the current attempt of an answer."""
+    request_id = generations.request_of(step.session)
+    generation = state.generations.get(request_id)
+    if generation is None or not generation.chain:
+        return False
+    return generation.session == step.session
+
+
+def drop_ended(queue: StepQueue, state: 'states.State') -> StepQueue:
+    """Return the queue without the steps of attempts that are over.
+
+    Their sessions have been closed and would be opened again.
+    """
+    keep = functools.partial(is_current, state=state)
+    return dataclasses.replace(
+        queue,
+        waiting=tuple(filter(keep, queue.waiting)),
+        waiting_alone=tuple(filter(keep, queue.waiting_alone)),
+    )
+
+
 def send_waiting(
     address: str,
     queue: StepQueue,
@@ -102,6 +130,10 @@
 ) -> transitions.Transition['states.State']:
     """Send one call with the waiting steps if another may be in flight."""
     to_send: tuple[effects.Effect, ...] = ()
+    kept = drop_ended(queue, state)
+    dropped = queue.waiting_count - kept.waiting_count
+    state = upstreams.add_in_flight(address, -dropped, state)
+    queue = kept
     batch = next_batch(queue)
     queue = batch.queue
     if batch.steps:
