--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -8,8 +8,8 @@
 import dataclasses
 import statistics
 import time
+import typing
 from collections import abc
-from typing import Any
 
 import fire
 import immutables
@@ -123,7 +123,7 @@
     return decide
 
 
-def measure_count(count: int) -> dict[str, Any]:
+def measure_count(count: int) -> dict[str, typing.Any]:
     """Measure all policies with a number of runners."""
     table = build_table(count)
     policies = {
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,8 +12,8 @@
 import signal
 import sys
 import time
+import typing
 from collections import abc
-from typing import Any
 
 import fire
 
@@ -66,7 +66,7 @@
     seconds: float,
     rate: float,
     seed: int,
-) -> dict[str, Any]:
+) -> dict[str, typing.Any]:
     """Send load to a site and return the summary."""
     summary = site.directory / 'summary.json'
     load = build_load(site, seconds, rate, seed)
@@ -77,11 +77,11 @@
         load.kill()
     if not summary.exists():
         raise processes.ProcessError(f'no summary:\n{load.read_log()}')
-    found: dict[str, Any] = json.loads(summary.read_text())
+    found: dict[str, typing.Any] = json.loads(summary.read_text())
     return found
 
 
-def format_table(rows: abc.Sequence[abc.Sequence[Any]]) -> str:
+def format_table(rows: abc.Sequence[abc.Sequence[typing.Any]]) -> str:
     """Return rows as a table; the first row holds the titles."""
     texts = [[str(cell) for cell in row] for row in rows]
     widths = [
@@ -98,19 +98,21 @@
     return '\n'.join(lines)
 
 
-def served_rows(summary: dict[str, Any]) -> list[list[Any]]:
+def served_rows(summary: dict[str, typing.Any]) -> list[list[typing.Any]]:
     """Return what became of the requests, by kind of work."""
     verdicts = ('right', 'wrong', 'cut', 'refused', 'failed')
-    rows: list[list[Any]] = [['requests', 'total', *verdicts]]
+    rows: list[list[typing.Any]] = [['requests', 'total', *verdicts]]
     for work, found in sorted(summary['verdicts'].items()):
         counts = [found.get(verdict, 0) for verdict in verdicts]
         rows.append([work, sum(counts), *counts])
     return rows
 
 
-def latency_rows(summary: dict[str, Any]) -> list[list[Any]]:
+def latency_rows(summary: dict[str, typing.Any]) -> list[list[typing.Any]]:
     """Return the latencies in milliseconds."""
-    rows: list[list[Any]] = [['latency (ms)', 'count', 'p50', 'p95', 'p99']]
+    rows: list[list[typing.Any]] = [
+        ['latency (ms)', 'count', 'p50', 'p95', 'p99']
+    ]
     for name, title in LATENCIES:
         found = summary['latency'][name]
         if found['count']:
@@ -119,21 +121,23 @@
     return rows
 
 
-def entry_rows(history: pathlib.Path) -> list[list[Any]]:
+def entry_rows(history: pathlib.Path) -> list[list[typing.Any]]:
     """Return the calls and errors of each entry address."""
     counts: collections.Counter[tuple[str, str]] = collections.Counter()
     with history.open() as lines:
         for line in lines:
             event = json.loads(line)
             counts[event['entry'], event['event']] += 1
-    rows: list[list[Any]] = [['entry instance', 'calls', 'whole', 'errors']]
+    rows: list[list[typing.Any]] = [
+        ['entry instance', 'calls', 'whole', 'errors']
+    ]
     for address in sorted({address for address, _ in counts}):
         names = ('start', 'end', 'error')
         rows.append([address, *(counts[address, name] for name in names)])
     return rows
 
 
-def report(site: sites.Site, summary: dict[str, Any]) -> None:
+def report(site: sites.Site, summary: dict[str, typing.Any]) -> None:
     """Print what was served."""
     history = site.directory / 'history.jsonl'
     for rows in (
@@ -154,7 +158,7 @@
     print(f'history: {history}')
 
 
-def exit_on_signal(number: int, _: Any) -> None:
+def exit_on_signal(number: int, _: typing.Any) -> None:
     """Leave through the context managers, which stop all processes."""
     raise SystemExit(128 + number)
 
--- a/bench/fault_plans.py
+++ b/bench/fault_plans.py
@@ -3,8 +3,8 @@
 import dataclasses
 import random
 import types
+import typing
 from collections import abc
-from typing import Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
     """Switch faults of a stand-in on, and off when the fault ends."""
 
     target: str
-    faults: tuple[tuple[str, Any], ...]
+    faults: tuple[tuple[str, typing.Any], ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +66,7 @@
     action_runners: tuple[str, ...]
 
 
-def disturb(target: str, **faults: Any) -> Disturb:
+def disturb(target: str, **faults: typing.Any) -> Disturb:
     """Return the fault that switches faults of a stand-in on."""
     return Disturb(target, tuple(faults.items()))
 
--- a/bench/fault_run.py
+++ b/bench/fault_run.py
@@ -14,8 +14,8 @@
 import random
 import sys
 import time
+import typing
 from collections import abc
-from typing import Any
 
 import fire
 
@@ -78,7 +78,7 @@
         if not process.is_running:
             process.start()
 
-    def set_faults(self, name: str, faults: dict[str, Any]) -> None:
+    def set_faults(self, name: str, faults: dict[str, typing.Any]) -> None:
         """Set the faults of a stand-in, which may be killed or paused."""
         if name in self.frozen or not self.site.process_of(name).is_running:
             return
@@ -241,7 +241,7 @@
     """Hold what a run showed."""
 
     violations: tuple[history_checks.Violation, ...]
-    verdicts: abc.Mapping[str, Any]
+    verdicts: abc.Mapping[str, typing.Any]
     faults: int
     observations: int
 
--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -11,7 +11,7 @@
 import re
 import statistics
 import time
-from typing import Any
+import typing
 
 import fire
 
@@ -88,7 +88,7 @@
     return len(frame) + header + SEGMENT_BYTES
 
 
-def compute(entries: int) -> dict[str, Any]:
+def compute(entries: int) -> dict[str, typing.Any]:
     """Return the heartbeat bytes that an instance sends per second."""
     current = build_state(entries)
     fired = events.TimerFired(at=101, wall=1, timer=timers.HeartbeatDue())
@@ -98,7 +98,7 @@
         for effect in transition.effects
         if isinstance(effect, effects.SendToPeer)
     ]
-    found: dict[str, Any] = {'entries': entries, 'targets': len(sends)}
+    found: dict[str, typing.Any] = {'entries': entries, 'targets': len(sends)}
     heartbeat = sends[0].message
     for accounts in ACCOUNT_COUNTS:
         size = frame_bytes(with_usage(heartbeat, accounts))
@@ -156,7 +156,7 @@
     }
 
 
-def measure(entries: int, runners: int) -> dict[str, Any]:
+def measure(entries: int, runners: int) -> dict[str, typing.Any]:
     """Return the bytes per second of real instances, the mean over all."""
     spec = site_specs.SiteSpec(
         entries=entries,
--- a/bench/history_checks.py
+++ b/bench/history_checks.py
@@ -8,10 +8,10 @@
 import collections
 import dataclasses
 import functools
+import typing
 from collections import abc
-from typing import Any
 
-Line = abc.Mapping[str, Any]
+Line = abc.Mapping[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bench/load.py
+++ b/bench/load.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import pathlib
-from typing import Any, TextIO
+import typing
 
 import fire
 import msgspec
@@ -33,7 +33,7 @@
     def __init__(
         self,
         plan: load_state.LoadPlan,
-        history: TextIO,
+        history: typing.TextIO,
         summary_path: pathlib.Path | None,
     ) -> None:
         self.measured = load_metrics.LoadMetrics()
@@ -106,7 +106,7 @@
     summary: str = '',
     zones: str = '',
     versions: str = '',
-    **options: Any,
+    **options: typing.Any,
 ) -> None:
     """Send load to the entry addresses, which are separated by commas.
 
@@ -128,7 +128,7 @@
     run(plan, pathlib.Path(history), pathlib.Path(summary) if summary else None)
 
 
-def split(text: Any) -> tuple[str, ...]:
+def split(text: typing.Any) -> tuple[str, ...]:
     """Split a flag at its commas; fire may have split it already."""
     parts = text if isinstance(text, (tuple, list)) else str(text).split(',')
     return tuple(str(part) for part in parts if str(part))
--- a/bench/load_actions.py
+++ b/bench/load_actions.py
@@ -1,7 +1,7 @@
 """Ask for operations of the plain service and check their answers."""
 
 import dataclasses
-from typing import Any
+import typing
 
 import msgspec
 
@@ -35,7 +35,7 @@
 def describe_action_start(
     work: load_work.ActionWork,
     request: load_state.Request,
-) -> dict[str, Any]:
+) -> dict[str, typing.Any]:
     """Return what is asked for."""
     return {
         'target': f'{work.service}/{work.operation}',
--- a/bench/load_answers.py
+++ b/bench/load_answers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import Any
+import typing
 
 from bench import (
     load_calls,
@@ -41,7 +41,7 @@
 def describe_answer_start(
     work: load_work.AnswerWork,
     request: load_state.Request,
-) -> dict[str, Any]:
+) -> dict[str, typing.Any]:
     """Return what is asked for."""
     return {
         'target': work.model,
@@ -66,7 +66,7 @@
 
 @functools.singledispatch
 def on_part(
-    part: Any,
+    part: typing.Any,
     request: load_state.Request,
     event: events.CallPartArrived,
     state: load_state.State,
--- a/bench/load_codec.py
+++ b/bench/load_codec.py
@@ -1,7 +1,7 @@
 """Encode the calls of the load tool and decode their answers."""
 
 import functools
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -87,18 +87,18 @@
 
 
 @functools.singledispatch
-def encode_call(call: Any) -> wire.RawCall:
+def encode_call(call: typing.Any) -> wire.RawCall:
     """Encode a call."""
     raise TypeError(type(call).__name__)
 
 
 @functools.singledispatch
-def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+def decode_answer(call: typing.Any, raw: wire.RawAnswer) -> typing.Any:
     """Decode the answer to a call."""
     raise TypeError(type(call).__name__)
 
 
-def decode_part(call: Any, line: bytes) -> Any:
+def decode_part(call: typing.Any, line: bytes) -> typing.Any:
     """Decode one line of a model answer."""
     try:
         decoded = msgspec.json.decode(line, type=StreamLine)
--- a/bench/load_history.py
+++ b/bench/load_history.py
@@ -40,7 +40,7 @@
 """
 
 import dataclasses
-from typing import Any
+import typing
 
 from mustardvale.internal import effects
 
@@ -59,9 +59,9 @@
     work: str
     entry: str
     key: str
-    fields: tuple[tuple[str, Any], ...] = ()
+    fields: tuple[tuple[str, typing.Any], ...] = ()
 
-    def to_object(self) -> dict[str, Any]:
+    def to_object(self) -> dict[str, typing.Any]:
         """Return the JSON object of the line."""
         return {
             'event': self.event,
--- a/bench/load_metrics.py
+++ b/bench/load_metrics.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import json
-from typing import Any
+import typing
 
 from hdrh import histogram  # type: ignore[import-untyped]
 
@@ -139,7 +139,7 @@
         return round(self.counts[name][(IN_TIME,)] / seconds, 2)
 
 
-def describe(recorded: Any) -> Latency:
+def describe(recorded: typing.Any) -> Latency:
     """Return the percentiles of a histogram of microseconds."""
 
     def milliseconds(percentile: float) -> float:
--- a/bench/load_reducer.py
+++ b/bench/load_reducer.py
@@ -4,7 +4,7 @@
 import functools
 import math
 import types
-from typing import Any
+import typing
 
 from bench import (
     load_actions,
@@ -94,7 +94,7 @@
 
 @functools.singledispatch
 def on_timer(
-    timer: Any,
+    timer: typing.Any,
     event: events.TimerFired,
     state: load_state.State,
 ) -> load_state.Transition:
@@ -286,7 +286,7 @@
 
 @functools.singledispatch
 def on_answer(
-    called: Any,
+    called: typing.Any,
     event: events.CallAnswered,
     state: load_state.State,
 ) -> load_state.Transition:
@@ -345,7 +345,7 @@
 
 @functools.singledispatch
 def on_failure(
-    called: Any,
+    called: typing.Any,
     event: events.CallFailed,
     state: load_state.State,
 ) -> load_state.Transition:
--- a/bench/load_requests.py
+++ b/bench/load_requests.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import Any
+import typing
 
 from bench import load_calls, load_history, load_state, load_work
 from mustardvale.internal import effects, events, transitions
@@ -37,7 +37,7 @@
     name: str,
     request: load_state.Request,
     event: events.Event,
-    **fields: Any,
+    **fields: typing.Any,
 ) -> load_history.Record:
     """Describe a line of the history."""
     return load_history.Record(
@@ -59,7 +59,7 @@
     request: load_state.Request,
     account: str,
     deadline_seconds: float,
-) -> Any:
+) -> typing.Any:
     """Build the next call of a request."""
     raise TypeError(type(work).__name__)
 
@@ -68,7 +68,7 @@
 def describe_start(
     work: load_work.Work,
     request: load_state.Request,
-) -> dict[str, Any]:
+) -> dict[str, typing.Any]:
     """Return the fields of a `start` line that depend on the work."""
     raise TypeError(type(work).__name__)
 
@@ -122,7 +122,7 @@
 
 
 def find_current(
-    called: Any,
+    called: typing.Any,
     state: load_state.State,
 ) -> load_state.Request | None:
     """Return the request whose current call this is, if it is in flight."""
--- a/bench/measurements.py
+++ b/bench/measurements.py
@@ -5,14 +5,16 @@
 import platform
 import subprocess
 import time
-from typing import Any
+import typing
 
 from bench import processes
 
 DIRECTORY = processes.ROOT / 'docs' / 'measurements'
 
 
-def write(name: str, command: str, found: dict[str, Any]) -> pathlib.Path:
+def write(
+    name: str, command: str, found: dict[str, typing.Any]
+) -> pathlib.Path:
     """Write results with the command that gives them again."""
     path = DIRECTORY / f'{name}.json'
     document = {
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -4,7 +4,7 @@
 """
 
 import json
-from typing import Any
+import typing
 
 import fire
 import matplotlib
@@ -15,10 +15,10 @@
 POLICY_FILES = ('mixed-stale', 'uniform-fresh')
 
 
-def read(name: str) -> dict[str, Any]:
+def read(name: str) -> dict[str, typing.Any]:
     """Return the results of a measurement."""
     path = measurements.DIRECTORY / f'{name}.json'
-    found: dict[str, Any] = json.loads(path.read_text())
+    found: dict[str, typing.Any] = json.loads(path.read_text())
     return found
 
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -10,8 +10,8 @@
 import dataclasses
 import os
 import types
+import typing
 from collections import abc
-from typing import Any
 
 import fire
 import immutables
@@ -87,7 +87,7 @@
         )
 
 
-def run(cell: Cell) -> dict[str, Any]:
+def run(cell: Cell) -> dict[str, typing.Any]:
     """Run one cell and return what was served."""
     rate = cell.bound * cell.part / MEAN_TOKENS
     with sites.Site(cell.spec) as site:
@@ -111,7 +111,7 @@
     }
 
 
-def select(found: dict[str, Any]) -> dict[str, Any]:
+def select(found: dict[str, typing.Any]) -> dict[str, typing.Any]:
     """Return the percentiles of a latency."""
     return {name: found.get(f'{name}_ms') for name in ('p50', 'p95')}
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,9 +9,9 @@
 import subprocess
 import sys
 import time
+import typing
 from collections import abc
 from http import client
-from typing import Any
 
 HOST = '127.0.0.1'
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -45,7 +45,7 @@
     status: int
     body: bytes
 
-    def as_json(self) -> Any:
+    def as_json(self) -> typing.Any:
         """Return the decoded body."""
         return json.loads(self.body)
 
@@ -70,7 +70,7 @@
     method: str,
     address: str,
     target: str,
-    body: Any = None,
+    body: typing.Any = None,
 ) -> HttpAnswer:
     """Send one HTTP request with a JSON body; raise `OSError` on failure."""
     connection = client.HTTPConnection(address, timeout=HTTP_TIMEOUT_SECONDS)
--- a/bench/site_specs.py
+++ b/bench/site_specs.py
@@ -5,7 +5,7 @@
 import itertools
 import pathlib
 import types
-from typing import Any
+import typing
 
 import immutables
 import msgspec
@@ -85,7 +85,7 @@
     accelerators: tuple[Accelerator, ...] = ACCELERATORS
     document_path: pathlib.Path | None = None
     entry_arguments: tuple[str, ...] = ()
-    engine_options: immutables.Map[str, Any] = immutables.Map()
+    engine_options: immutables.Map[str, typing.Any] = immutables.Map()
     link_ms: tuple[float, ...] = (0,)
     weight_units_per_second: float = 20
     weight_slots: int = 2
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -14,7 +14,7 @@
 import pathlib
 import tempfile
 import types
-from typing import Any
+import typing
 
 import msgspec
 
@@ -121,7 +121,7 @@
         ]
         self.post_to_list('PUT', '/v1/instances', {'instances': rows})
 
-    def post_to_list(self, method: str, target: str, body: Any) -> None:
+    def post_to_list(self, method: str, target: str, body: typing.Any) -> None:
         """Change the instance list."""
         address = self.plan.list_address
         answer = processes.request(method, address, target, body)
@@ -289,7 +289,7 @@
         member = self.members.get(name)
         return member.address if member else self.processes[name].spec.address
 
-    def set_faults(self, name: str, faults: dict[str, Any]) -> None:
+    def set_faults(self, name: str, faults: dict[str, typing.Any]) -> None:
         """Replace the faults of a stand-in; `{}` switches all off."""
         address = self.address_of(name)
         try:
--- a/bench/subsets.py
+++ b/bench/subsets.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import statistics
-from typing import Any
+import typing
 
 import fire
 
@@ -79,7 +79,7 @@
     return loads
 
 
-def measure(size: Size) -> dict[str, Any]:
+def measure(size: Size) -> dict[str, typing.Any]:
     """Return the imbalance at a site and what a change of a member costs."""
     stages = find_stages(size)
     chosen = choose_all(size, stages)
--- a/src/mustardvale/command.py
+++ b/src/mustardvale/command.py
@@ -7,8 +7,8 @@
 import dataclasses
 import io
 import sys
+import typing
 from collections import abc
-from typing import Any, TypeVar
 
 import fire
 from fire import core, decorators
@@ -48,7 +48,7 @@
     wanted.History,
 )
 
-CalledT = TypeVar('CalledT')
+CalledT = typing.TypeVar('CalledT')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -302,7 +302,7 @@
     )
 
 
-def print_nothing(printed: Any) -> None:
+def print_nothing(printed: typing.Any) -> None:
     """Keep fire from printing the command that it returns."""
 
 
--- a/src/mustardvale/document.py
+++ b/src/mustardvale/document.py
@@ -6,7 +6,6 @@
 import tomllib
 import types
 import typing
-from typing import Any
 
 import cattrs
 from cattrs import gen
@@ -132,13 +131,15 @@
 
 
 @functools.singledispatch
-def explain(error: Exception, wanted: Any) -> str:
+def explain(error: Exception, wanted: typing.Any) -> str:
     """Say what to do about a part that has the wrong structure."""
     return str(error)
 
 
 @explain.register(cattrs.ForbiddenExtraKeysError)
-def explain_unknown(error: cattrs.ForbiddenExtraKeysError, wanted: Any) -> str:
+def explain_unknown(
+    error: cattrs.ForbiddenExtraKeysError, wanted: typing.Any
+) -> str:
     """Name the unknown fields and those that exist."""
     unknown = ', '.join(sorted(error.extra_fields))
     known = ', '.join(field.name for field in dataclasses.fields(error.cl))
@@ -146,7 +147,7 @@
 
 
 @explain.register(KeyError)
-def explain_missing(error: KeyError, wanted: Any) -> str:
+def explain_missing(error: KeyError, wanted: typing.Any) -> str:
     """Say that a field is missing."""
     return f'is missing, add it ({describe_type(wanted)})'
 
@@ -154,12 +155,12 @@
 @explain.register(AttributeError)
 @explain.register(ValueError)
 @explain.register(TypeError)
-def explain_value(error: Exception, wanted: Any) -> str:
+def explain_value(error: Exception, wanted: typing.Any) -> str:
     """Say what a field must hold."""
     return f'must be {describe_type(wanted)}'
 
 
-def describe_type(wanted: Any) -> str:
+def describe_type(wanted: typing.Any) -> str:
     """Name a type in the terms of the notation."""
     if wanted in {PoolKind, Priority}:
         names = (repr(member.value) for member in wanted)
@@ -170,7 +171,7 @@
     return TYPE_NAMES.get(wanted, 'a table')
 
 
-def structure_scalar(found: Any, wanted: Any) -> Any:
+def structure_scalar(found: typing.Any, wanted: typing.Any) -> typing.Any:
     """Take a value only if it has exactly the type of its field.
 
     The default of cattrs converts, and would read `idempotent = "false"` as
@@ -182,19 +183,19 @@
     return found
 
 
-def structure_float(found: Any, wanted: Any) -> float:
+def structure_float(found: typing.Any, wanted: typing.Any) -> float:
     """Take a number, also one that is written without a point."""
     if isinstance(found, bool) or not isinstance(found, int | float):
         raise TypeError(found)
     return float(found)
 
 
-def is_tuple(wanted: Any) -> bool:
+def is_tuple(wanted: typing.Any) -> bool:
     """Return whether a field holds a list."""
     return typing.get_origin(wanted) is tuple
 
 
-def structure_list(found: Any, wanted: Any) -> Any:
+def structure_list(found: typing.Any, wanted: typing.Any) -> typing.Any:
     """Take a list; a string is not a list of its characters."""
     if not isinstance(found, list):
         raise TypeError(found)
@@ -223,13 +224,15 @@
 
 CONVERTER = build_converter()
 
-TABLE_KINDS: types.MappingProxyType[str, type[Any]] = types.MappingProxyType(
-    {
-        'pools': Pool,
-        'client_accounts': ClientAccount,
-        'models': Model,
-        'services': Service,
-    }
+TABLE_KINDS: types.MappingProxyType[str, type[typing.Any]] = (
+    types.MappingProxyType(
+        {
+            'pools': Pool,
+            'client_accounts': ClientAccount,
+            'models': Model,
+            'services': Service,
+        }
+    )
 )
 
 
@@ -260,7 +263,7 @@
     return document
 
 
-def check_format(found: Any) -> None:
+def check_format(found: typing.Any) -> None:
     """Reject a format of another release before its fields are looked at.
 
     The fields of a newer format would all be reported as unknown.
@@ -292,9 +295,9 @@
     return f'{path or "document"}: {problem}'
 
 
-def check_sound_parts(table: dict[str, Any]) -> tuple[str, ...]:
+def check_sound_parts(table: dict[str, typing.Any]) -> tuple[str, ...]:
     """Check the parts with the right structure, so that all is told at once."""
-    sound: dict[str, Any] = {}
+    sound: dict[str, typing.Any] = {}
     broken: set[str] = set()
     for field, kind in TABLE_KINDS.items():
         rows = table.get(field, [])
@@ -316,12 +319,12 @@
     )
 
 
-def find_name(row: Any) -> str:
+def find_name(row: typing.Any) -> str:
     """Return the name in a row of any structure."""
     return str(row.get('name')) if isinstance(row, dict) else ''
 
 
-def structure_row(row: Any, kind: type[Any]) -> Any:
+def structure_row(row: typing.Any, kind: type[typing.Any]) -> typing.Any:
     """Structure one row of a table; a broken one gives nothing."""
     if not isinstance(row, dict):
         return None
--- a/src/mustardvale/internal/action_deadlines.py
+++ b/src/mustardvale/internal/action_deadlines.py
@@ -1,7 +1,7 @@
 """End the calls of actions whose time is over."""
 
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     action_calls,
@@ -13,7 +13,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 
--- a/src/mustardvale/internal/action_requests.py
+++ b/src/mustardvale/internal/action_requests.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale import errors
 from mustardvale.internal import (
@@ -14,7 +14,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 Result = replies.ActionDone | replies.RequestError
--- a/src/mustardvale/internal/actions.py
+++ b/src/mustardvale/internal/actions.py
@@ -1,7 +1,7 @@
 """Check requests for actions and pass them to the part that runs them."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale import document as documents
 from mustardvale import errors
@@ -20,7 +20,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 DEFAULT_DEADLINE_SECONDS = 10.0
--- a/src/mustardvale/internal/admission.py
+++ b/src/mustardvale/internal/admission.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING, Any
+import typing
 
 import immutables
 
@@ -20,7 +20,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 SMALLEST_RETRY_SECONDS = 0.1
@@ -53,7 +53,7 @@
 
 @functools.singledispatch
 def start(
-    wanted: Any,
+    wanted: typing.Any,
     event: events.CallerRequested,
     now: float,
     state: 'states.State',
--- /dev/null
+++ b/src/mustardvale/internal/answer_attempts.py
@@ -0,0 +1,145 @@
+"""Start the attempts of model answers and replace those that fail."""
+
+import dataclasses
+import functools
+import typing
+
+from mustardvale import errors
+from mustardvale.internal import (
+    answer_ends,
+    chains,
+    effects,
+    events,
+    generations,
+    prefixes,
+    reducer,
+    retries,
+    step_calls,
+    suspects,
+    timers,
+    transitions,
+)
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+MAXIMUM_ATTEMPTS = 5
+RESTART_SECONDS = 0.05
+
+
+def start_attempt(
+    generation: generations.Generation,
+    event: events.Event,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Choose a chain and send the prefill, or wait for a chain."""
+    if generation.is_complete:
+        return answer_ends.complete(generation, event, state)
+    chain = find_chain(generation, event, state)
+    state = chains.with_draws(chain.draws, state)
+    if not chain.stages:
+        return wait_for_chain(generation, state)
+    started = generations.start_attempt(generation, chain.stages, event.at)
+    step = generations.first_step(started)
+    return step_calls.enqueue(
+        started.current_stage.address,
+        step,
+        answer_ends.with_generation(started, state),
+    )
+
+
+def find_chain(
+    generation: generations.Generation,
+    event: events.Event,
+    state: 'states.State',
+) -> chains.Chain:
+    """Choose a chain without the runners that failed, if that is possible."""
+    wanted = chains.ChainWanted(
+        generation.model,
+        generation.wanted.adapter,
+        generation.failed_upstreams,
+        len(generation.tokens),
+        prefixes.find_cached(generation, state),
+    )
+    choose = functools.partial(
+        chains.choose_chain,
+        table=state.upstreams,
+        policy=state.policy,
+        drawn=chains.Draws(state.seed, state.turns),
+        now=event.at,
+    )
+    chain = choose(wanted)
+    if chain.stages or not wanted.excluded:
+        return chain
+    return choose(dataclasses.replace(wanted, excluded=frozenset()))
+
+
+def wait_for_chain(
+    generation: generations.Generation,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a new request, or try again while an answer is in flight."""
+    if generation.attempt == 0:
+        return answer_ends.refuse_admitted(
+            generation.request_id,
+            errors.NO_UPSTREAM,
+            f'no runners hold all layers of {generation.model.name}',
+            state,
+        )
+    timer = timers.RestartDue(generation.request_id, generation.attempt)
+    return transitions.Transition(
+        answer_ends.with_generation(generation, state),
+        (effects.SetTimer(timer, RESTART_SECONDS),),
+    )
+
+
+@reducer.on_timer.register(timers.RestartDue)
+def restart(
+    timer: timers.RestartDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Start the next attempt of an answer."""
+    generation = state.generations.get(timer.request_id)
+    if generation is None or generation.attempt != timer.attempt:
+        return transitions.Transition(state)
+    refused = suspects.is_refused(generation.fingerprint, event.wall, state)
+    if generation.chain or refused:
+        return transitions.Transition(state)
+    return start_attempt(generation, event, state)
+
+
+def restart_elsewhere(
+    generation: generations.Generation,
+    problem: str,
+    event: events.CallAnswered | events.CallFailed,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Abandon the attempt and start the next one on another chain."""
+    abandoned = generations.abandon_attempt(
+        generation,
+        generation.current_stage.instance_id,
+        problem,
+    )
+    closed = answer_ends.close_sessions(generation)
+    count = effects.Count('attempts_abandoned', (problem,))
+    if suspects.is_refused(generation.fingerprint, event.wall, state):
+        # `SuspectsDue` is set and cuts the answer.
+        return transitions.Transition(
+            answer_ends.with_generation(abandoned, state),
+            (*closed, count),
+        )
+    spent = retries.spend(problem, state)
+    state = spent.state
+    if generation.attempt >= MAXIMUM_ATTEMPTS or not spent.granted:
+        return answer_ends.cut(
+            abandoned,
+            errors.NO_UPSTREAM,
+            f'{generation.attempt} attempts failed, the last one: {problem}',
+            state,
+        ).with_effects(*closed, count)
+    state = answer_ends.with_generation(abandoned, state)
+    if suspects.runs_alone(generation.fingerprint, state):
+        # The results of copies of the request that run elsewhere come first.
+        return wait_for_chain(abandoned, state).with_effects(*closed, count)
+    return start_attempt(abandoned, event, state).with_effects(*closed, count)
--- /dev/null
+++ b/src/mustardvale/internal/answer_ends.py
@@ -0,0 +1,181 @@
+"""End model answers and free what they hold."""
+
+import dataclasses
+import functools
+import typing
+
+from mustardvale import errors
+from mustardvale.internal import (
+    admission,
+    calls,
+    effects,
+    events,
+    generations,
+    reducer,
+    refusals,
+    replies,
+    suspects,
+    timers,
+    transitions,
+)
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal import state as states
+
+CLOSE_TIMEOUT_SECONDS = 2.0
+SUSPECT_MESSAGE = 'runners that ran this request have died'
+
+
+def with_generation(
+    generation: generations.Generation,
+    state: 'states.State',
+) -> 'states.State':
+    """Add or replace a generation."""
+    table = state.generations.set(generation.request_id, generation)
+    return dataclasses.replace(state, generations=table)
+
+
+def without_generation(
+    request_id: str,
+    state: 'states.State',
+) -> 'states.State':
+    """Forget a generation."""
+    table = state.generations.delete(request_id)
+    return dataclasses.replace(state, generations=table)
+
+
+def complete(
+    generation: generations.Generation,
+    event: events.Event,
+    state: 'states.State',
+    sent: tuple[effects.Effect, ...] = (),
+) -> transitions.Transition['states.State']:
+    """Send the end mark and free everything that the answer holds."""
+    end = replies.AnswerEnd(generation.sent_tokens, generation.model.version)
+    state = suspects.clear(generation.fingerprint, event.wall, state)
+    observed = admission.observe(
+        generation.request_id,
+        generation.model.name,
+        generation.gap_seconds,
+        event.at,
+        state,
+    )
+    return observed.then(functools.partial(release, generation)).with_effects(
+        *sent,
+        effects.StreamEnd(generation.request_id, end),
+        effects.Count('answers', ('complete',)),
+        effects.RecordSpan(
+            'answer',
+            generation.wanted.traceparent,
+            generation.started_at,
+            event.at,
+            (('request', generation.request_id),),
+        ),
+    )
+
+
+def release(
+    generation: generations.Generation,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Forget an answer, close its sessions and cancel its deadline."""
+    if generation.request_id in state.generations:
+        state = without_generation(generation.request_id, state)
+    timer = timers.AnswerDeadline(generation.request_id)
+    return admission.leave(generation.request_id, state).with_effects(
+        effects.CancelTimer(timer),
+        *close_sessions(generation),
+    )
+
+
+def close_sessions(
+    generation: generations.Generation,
+) -> tuple[effects.Effect, ...]:
+    """Free the sessions of the current attempt on all its runners."""
+    call = calls.CloseSession(generation.session)
+    return tuple(
+        effects.Call(call, stage.address, CLOSE_TIMEOUT_SECONDS)
+        for stage in generation.chain
+    )
+
+
+def cut(
+    generation: generations.Generation,
+    code: errors.ErrorCode,
+    message: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """End an answer with an error line in place of the end mark."""
+    error = replies.RequestError(code, message, errors.Outcome.UNKNOWN)
+    answer: effects.Effect = effects.Reply(generation.request_id, error)
+    if generation.first_token_at:
+        answer = effects.StreamEnd(generation.request_id, error)
+    return release(generation, state).with_effects(
+        answer,
+        effects.Count('answers', (code.name,)),
+    )
+
+
+@reducer.on_timer.register(timers.AnswerDeadline)
+def expire(
+    timer: timers.AnswerDeadline,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Cut an answer whose time is over."""
+    generation = state.generations.get(timer.request_id)
+    if generation is None:
+        return transitions.Transition(state)
+    return cut(
+        generation,
+        errors.DEADLINE_EXCEEDED,
+        f'the answer stopped after {generation.sent_tokens} tokens',
+        state,
+    )
+
+
+@reducer.on_timer.register(timers.SuspectsDue)
+def cut_suspects(
+    timer: timers.SuspectsDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Cut the answers of requests that have lost too many runners."""
+    transition = transitions.Transition(state)
+    for generation in state.generations.values():
+        if suspects.is_refused(generation.fingerprint, event.wall, state):
+            transition = transition.then(
+                functools.partial(
+                    cut,
+                    generation,
+                    errors.SUSPECT_REQUEST,
+                    SUSPECT_MESSAGE,
+                ),
+            )
+    return transition
+
+
+@reducer.reduce.register(events.CallerLeft)
+def cancel(
+    event: events.CallerLeft,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Cancel the answer of a caller that left."""
+    generation = state.generations.get(event.request_id)
+    if generation is None:
+        return admission.forget(event.request_id, state)
+    return release(generation, state).with_effects(
+        effects.Count('answers', ('caller_left',)),
+    )
+
+
+def refuse_admitted(
+    request_id: str,
+    code: errors.ErrorCode,
+    message: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request that holds a place but of which nothing was sent."""
+    return refusals.refuse(request_id, code, message, state).then(
+        functools.partial(admission.leave, request_id),
+    )
--- a/src/mustardvale/internal/chains.py
+++ b/src/mustardvale/internal/chains.py
@@ -1,15 +1,15 @@
 """Choose runners whose layer ranges together hold a whole model."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import TYPE_CHECKING
 
 import immutables
 
 from mustardvale import document as documents
 from mustardvale.internal import draws, placements, routing, upstreams
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 # A prefix that more runners have than this needs no search for all of them.
--- a/src/mustardvale/internal/commands/entries.py
+++ b/src/mustardvale/internal/commands/entries.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 import functools
+import typing
 from collections import abc
-from typing import Any
 
 from mustardvale import errors
 from mustardvale.internal import (
@@ -43,7 +43,7 @@
     return call_entry(build_call(command, state), state)
 
 
-def call_entry(call: Any, state: states.State) -> reducer.Transition:
+def call_entry(call: typing.Any, state: states.State) -> reducer.Transition:
     """Call the entry address in use."""
     address = state.entry_addresses[state.entry_index]
     return transitions.Transition(
@@ -53,7 +53,7 @@
 
 
 @functools.singledispatch
-def find_timeout(call: Any, state: states.State) -> float:
+def find_timeout(call: typing.Any, state: states.State) -> float:
     """Return how long to wait for an answer."""
     return state.timeout_seconds
 
@@ -70,13 +70,13 @@
 
 
 @functools.singledispatch
-def build_call(command: wanted.Command, state: states.State) -> Any:
+def build_call(command: wanted.Command, state: states.State) -> typing.Any:
     """Return the call that carries a command."""
     return entry_calls.ReadStatus()
 
 
 @build_call.register(wanted.Entries)
-def build_entries(command: wanted.Entries, state: states.State) -> Any:
+def build_entries(command: wanted.Entries, state: states.State) -> typing.Any:
     """Return the question for entry addresses."""
     return entry_calls.ReadEntries(
         command.caller_id,
@@ -85,7 +85,7 @@
 
 
 @build_call.register(wanted.Ask)
-def build_ask(command: wanted.Ask, state: states.State) -> Any:
+def build_ask(command: wanted.Ask, state: states.State) -> typing.Any:
     """Return the request, with the tokens that an earlier answer gave."""
     return entry_calls.AskModel(
         account_key=command.account_key,
@@ -99,7 +99,7 @@
 
 
 @build_call.register(wanted.Act)
-def build_act(command: wanted.Act, state: states.State) -> Any:
+def build_act(command: wanted.Act, state: states.State) -> typing.Any:
     """Return the operation."""
     return entry_calls.RunEntryAction(
         account_key=command.account_key,
@@ -116,7 +116,7 @@
 @reducer.on_answer.register(entry_calls.RunEntryAction)
 @reducer.on_answer.register(entry_calls.AskModel)
 def take_answer(
-    call: Any,
+    call: typing.Any,
     event: events.CallAnswered,
     state: states.State,
 ) -> reducer.Transition:
@@ -126,7 +126,7 @@
 
 @functools.singledispatch
 def on_entry_answer(
-    answer: Any,
+    answer: typing.Any,
     event: events.CallAnswered,
     state: states.State,
 ) -> reducer.Transition:
@@ -156,7 +156,7 @@
 
 
 @functools.singledispatch
-def describe_outcome(call: Any, answer: entry_calls.EntryRefused) -> str:
+def describe_outcome(call: typing.Any, answer: entry_calls.EntryRefused) -> str:
     """Say what became of a refused call."""
     return f'outcome: {answer.outcome}'
 
@@ -353,7 +353,7 @@
 @reducer.on_failure.register(entry_calls.ReadEntries)
 @reducer.on_failure.register(entry_calls.AskModel)
 def take_failure(
-    call: Any,
+    call: typing.Any,
     event: events.CallFailed,
     state: states.State,
 ) -> reducer.Transition:
--- a/src/mustardvale/internal/commands/reducer.py
+++ b/src/mustardvale/internal/commands/reducer.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import Any
+import typing
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.commands import reports, wanted
@@ -29,7 +29,7 @@
 
 @functools.singledispatch
 def on_answer(
-    call: Any,
+    call: typing.Any,
     event: events.CallAnswered,
     state: states.State,
 ) -> Transition:
@@ -39,7 +39,7 @@
 
 @functools.singledispatch
 def on_failure(
-    call: Any,
+    call: typing.Any,
     event: events.CallFailed,
     state: states.State,
 ) -> Transition:
@@ -49,7 +49,7 @@
 
 @functools.singledispatch
 def on_timer(
-    timer: Any,
+    timer: typing.Any,
     event: events.TimerFired,
     state: states.State,
 ) -> Transition:
@@ -59,7 +59,7 @@
 
 @functools.singledispatch
 def on_part(
-    part: Any,
+    part: typing.Any,
     event: events.CallPartArrived,
     state: states.State,
 ) -> Transition:
--- a/src/mustardvale/internal/configuration.py
+++ b/src/mustardvale/internal/configuration.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import hashlib
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale import document as documents
 from mustardvale import errors
@@ -16,7 +16,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 
--- a/src/mustardvale/internal/document_changes.py
+++ b/src/mustardvale/internal/document_changes.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 import functools
+import typing
 from collections import abc
-from typing import Any
 
 NAME = 'name'
 
@@ -22,25 +22,27 @@
 class ItemAdded(Change):
     """Report a pool, model, service, operation or account that is new."""
 
-    added: Any
+    added: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ItemRemoved(Change):
     """Report a pool, model, service, operation or account that is gone."""
 
-    removed: Any
+    removed: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FieldChanged(Change):
     """Report a field that has another value."""
 
-    old: Any
-    new: Any
+    old: typing.Any
+    new: typing.Any
 
 
-def diff(old: Any, new: Any, prefix: str = '') -> tuple[Change, ...]:
+def diff(
+    old: typing.Any, new: typing.Any, prefix: str = ''
+) -> tuple[Change, ...]:
     """Return the differences between two documents or parts of them."""
     changes: list[Change] = []
     for field in dataclasses.fields(old):
@@ -54,7 +56,7 @@
     return tuple(changes)
 
 
-def is_table(candidate: Any) -> bool:
+def is_table(candidate: typing.Any) -> bool:
     """Return whether a field holds named items."""
     return (
         isinstance(candidate, tuple)
@@ -65,8 +67,8 @@
 
 def diff_tables(
     path: str,
-    before: abc.Sequence[Any],
-    after: abc.Sequence[Any],
+    before: abc.Sequence[typing.Any],
+    after: abc.Sequence[typing.Any],
 ) -> tuple[Change, ...]:
     """Return the differences between two tables of named items."""
     old_items = {part.name: part for part in before}
@@ -110,12 +112,12 @@
 
 
 @functools.singledispatch
-def show(shown: Any) -> str:
+def show(shown: typing.Any) -> str:
     """Return a field's value as people read it."""
     return str(getattr(shown, 'value', shown))
 
 
 @show.register(tuple)
-def show_names(shown: tuple[Any, ...]) -> str:
+def show_names(shown: tuple[typing.Any, ...]) -> str:
     """Return a list of names as people read it."""
     return f'[{", ".join(show(one) for one in shown)}]'
--- a/src/mustardvale/internal/document_checks.py
+++ b/src/mustardvale/internal/document_checks.py
@@ -4,10 +4,10 @@
 import itertools
 import math
 import re
+import typing
 from collections import abc
-from typing import TYPE_CHECKING, Any
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale import document as documents
 
 # The name of an environment is part of the name of a log stream.
@@ -57,7 +57,7 @@
         )
 
 
-def check_names(path: str, named: abc.Sequence[Any]) -> Problems:
+def check_names(path: str, named: abc.Sequence[typing.Any]) -> Problems:
     """Check that names are well formed and unique."""
     yield from check_words(path, tuple(one.name for one in named))
 
@@ -91,7 +91,7 @@
         )
 
 
-def list_names(named: abc.Sequence[Any]) -> str:
+def list_names(named: abc.Sequence[typing.Any]) -> str:
     """List names for a message."""
     return ', '.join(repr(one.name) for one in named) or '(none)'
 
@@ -167,7 +167,7 @@
 def check_uses(
     path: str,
     names: abc.Sequence[str],
-    defined: abc.Sequence[Any],
+    defined: abc.Sequence[typing.Any],
     broken: frozenset[str],
 ) -> Problems:
     """Check that an account uses what the document defines, each once."""
--- a/src/mustardvale/internal/document_copies.py
+++ b/src/mustardvale/internal/document_copies.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     configuration,
@@ -19,7 +19,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 # Two periods of the heartbeat, so that every live peer was heard before the
--- a/src/mustardvale/internal/edge/codec.py
+++ b/src/mustardvale/internal/edge/codec.py
@@ -3,7 +3,7 @@
 import functools
 import json
 import math
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -57,7 +57,7 @@
     )
 
 
-def common_fields(raw: wire.RawRequest) -> dict[str, Any]:
+def common_fields(raw: wire.RawRequest) -> dict[str, typing.Any]:
     """Return the fields that every request carries."""
     authorization = raw.headers.get('authorization', '')
     return {
@@ -137,7 +137,7 @@
 
 
 @functools.singledispatch
-def encode_reply(reply: Any) -> wire.RawReply:
+def encode_reply(reply: typing.Any) -> wire.RawReply:
     """Encode a whole answer as JSON."""
     return wire.RawReply(200, msgspec.json.encode(reply))
 
@@ -156,7 +156,7 @@
     )
 
 
-def describe_error(reply: replies.RequestError) -> dict[str, Any]:
+def describe_error(reply: replies.RequestError) -> dict[str, typing.Any]:
     """Return the JSON object of an error."""
     return {
         'code': reply.code.name,
@@ -196,7 +196,7 @@
 
 
 @functools.singledispatch
-def encode_part(part: Any) -> bytes:
+def encode_part(part: typing.Any) -> bytes:
     """Encode one line of a streamed answer."""
     return msgspec.json.encode(part) + b'\n'
 
--- a/src/mustardvale/internal/edge/codec_entry.py
+++ b/src/mustardvale/internal/edge/codec_entry.py
@@ -1,7 +1,7 @@
 """Encode the calls of the command-line tool (HTTP and JSON)."""
 
 import functools
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -29,18 +29,18 @@
 
 
 @functools.singledispatch
-def encode_call(call: Any) -> wire.RawCall:
+def encode_call(call: typing.Any) -> wire.RawCall:
     """Encode a call; those to the log are the same as the daemon's."""
     return codec_upstream.encode_call(call)
 
 
 @functools.singledispatch
-def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+def decode_answer(call: typing.Any, raw: wire.RawAnswer) -> typing.Any:
     """Decode the answer to a call, or raise `wire.DecodeError`."""
     return codec_upstream.decode_answer(call, raw)
 
 
-def decode_part(call: Any, line: bytes) -> Any:
+def decode_part(call: typing.Any, line: bytes) -> typing.Any:
     """Decode a line of a streamed answer.
 
     A line of another form ends the answer like an error of the instance.
@@ -58,7 +58,7 @@
 
 
 @functools.singledispatch
-def unwrap(part: Any) -> Any:
+def unwrap(part: typing.Any) -> typing.Any:
     """Return a part as the reducer takes it."""
     return part
 
@@ -100,7 +100,9 @@
 
 
 @decode_answer.register(entry_calls.ReadStatus)
-def decode_status(call: entry_calls.ReadStatus, raw: wire.RawAnswer) -> Any:
+def decode_status(
+    call: entry_calls.ReadStatus, raw: wire.RawAnswer
+) -> typing.Any:
     """Decode a status."""
     if raw.status != OK:
         return refused(raw)
@@ -120,7 +122,9 @@
 
 
 @decode_answer.register(entry_calls.ReadEntries)
-def decode_entries(call: entry_calls.ReadEntries, raw: wire.RawAnswer) -> Any:
+def decode_entries(
+    call: entry_calls.ReadEntries, raw: wire.RawAnswer
+) -> typing.Any:
     """Decode entry addresses."""
     if raw.status != OK:
         return refused(raw)
@@ -147,7 +151,7 @@
 
 
 @decode_answer.register(entry_calls.AskModel)
-def decode_ask(call: entry_calls.AskModel, raw: wire.RawAnswer) -> Any:
+def decode_ask(call: entry_calls.AskModel, raw: wire.RawAnswer) -> typing.Any:
     """Decode a refusal, or note the end of the body."""
     if raw.status != OK:
         return refused(raw)
@@ -172,7 +176,9 @@
 
 
 @decode_answer.register(entry_calls.RunEntryAction)
-def decode_act(call: entry_calls.RunEntryAction, raw: wire.RawAnswer) -> Any:
+def decode_act(
+    call: entry_calls.RunEntryAction, raw: wire.RawAnswer
+) -> typing.Any:
     """Decode the answer of the service, or the refusal of the instance.
 
     Only an answer of a service carries the replay header.
--- a/src/mustardvale/internal/edge/codec_peer.py
+++ b/src/mustardvale/internal/edge/codec_peer.py
@@ -2,8 +2,8 @@
 
 import functools
 import types
+import typing
 import zlib
-from typing import Any
 
 import msgspec
 
@@ -40,7 +40,7 @@
 
 
 @functools.singledispatch
-def encode_fields(message: Any) -> bytes:
+def encode_fields(message: typing.Any) -> bytes:
     """Encode the fields of a message."""
     return msgspec.msgpack.encode(message)
 
@@ -52,7 +52,7 @@
     return msgspec.msgpack.encode(zlib.compress(encoded))
 
 
-def decode_fields(kind: type[Any], fields: bytes) -> Any:
+def decode_fields(kind: type[typing.Any], fields: bytes) -> typing.Any:
     """Decode the fields of a message."""
     if kind is not messages.DocumentCopy:
         return msgspec.msgpack.decode(fields, type=kind)
@@ -68,7 +68,7 @@
         raise msgspec.DecodeError(str(error)) from error
 
 
-def encode_message(sender: str, message: Any) -> bytes:
+def encode_message(sender: str, message: typing.Any) -> bytes:
     """Encode a message."""
     envelope = Envelope(
         sender,
--- a/src/mustardvale/internal/edge/codec_records.py
+++ b/src/mustardvale/internal/edge/codec_records.py
@@ -1,7 +1,7 @@
 """Encode and decode the records of the log (JSON)."""
 
 import types
-from typing import Any
+import typing
 
 import msgspec
 
@@ -26,7 +26,7 @@
 )
 
 
-def to_object(record: records.Record) -> dict[str, Any]:
+def to_object(record: records.Record) -> dict[str, typing.Any]:
     """Return the JSON object of a record."""
     return {
         'kind': KIND_NAMES[type(record)],
@@ -34,7 +34,7 @@
     }
 
 
-def from_object(candidate: Any) -> records.Record:
+def from_object(candidate: typing.Any) -> records.Record:
     """Return the record of a JSON object.
 
     One that does not decode becomes an `UnknownRecord`, so that a record of a
--- a/src/mustardvale/internal/edge/codec_reports.py
+++ b/src/mustardvale/internal/edge/codec_reports.py
@@ -4,8 +4,8 @@
 import re
 import sys
 import time
+import typing
 from collections import abc
-from typing import Any
 
 import msgspec
 
@@ -45,7 +45,7 @@
     )
 
 
-def kind_of(named: Any) -> str:
+def kind_of(named: typing.Any) -> str:
     """Return the name of a type in lower case, such as `promotion_lost`."""
     return CAPITAL.sub('_', type(named).__name__).lower()
 
@@ -71,7 +71,7 @@
 
 def to_table(
     head: tuple[str, ...],
-    rows: abc.Sequence[tuple[Any, ...]],
+    rows: abc.Sequence[tuple[typing.Any, ...]],
 ) -> str:
     """Align rows under their head."""
     lines = [head, *(tuple(str(cell) for cell in row) for row in rows)]
--- a/src/mustardvale/internal/edge/codec_upstream.py
+++ b/src/mustardvale/internal/edge/codec_upstream.py
@@ -1,7 +1,7 @@
 """Encode calls to upstreams and the platform (HTTP and JSON)."""
 
 import functools
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -21,7 +21,7 @@
 
     offset: int
     appended_at: float
-    record: Any
+    record: typing.Any
 
 
 class ReadBody(msgspec.Struct, frozen=True):
@@ -32,7 +32,7 @@
     next_offset: int
 
 
-def decode_json(body: bytes, kind: type[Any]) -> Any:
+def decode_json(body: bytes, kind: type[typing.Any]) -> typing.Any:
     """Decode JSON into a type, or raise `wire.DecodeError`."""
     try:
         return msgspec.json.decode(body, type=kind)
@@ -46,18 +46,18 @@
 
 
 @functools.singledispatch
-def encode_call(call: Any) -> wire.RawCall:
+def encode_call(call: typing.Any) -> wire.RawCall:
     """Encode a call."""
     raise TypeError(f'no encoding for {type(call).__name__}')
 
 
 @functools.singledispatch
-def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+def decode_answer(call: typing.Any, raw: wire.RawAnswer) -> typing.Any:
     """Decode the answer to a call, or raise `wire.DecodeError`."""
     raise TypeError(f'no decoding for {type(call).__name__}')
 
 
-def decode_part(call: Any, line: bytes) -> Any:
+def decode_part(call: typing.Any, line: bytes) -> typing.Any:
     """Decode a line of a streamed answer; no call of ours streams."""
     raise TypeError(f'{type(call).__name__} is not streamed')
 
--- a/src/mustardvale/internal/edge/command_help.py
+++ b/src/mustardvale/internal/edge/command_help.py
@@ -5,13 +5,15 @@
 """
 
 import inspect
+import typing
 from collections import abc
-from typing import Any
 
 HELP_WORDS = frozenset(('--help', '-h', 'help'))
 
 
-def find_commands(tool: type[Any]) -> dict[str, abc.Callable[..., Any]]:
+def find_commands(
+    tool: type[typing.Any],
+) -> dict[str, abc.Callable[..., typing.Any]]:
     """Return the commands of a tool: its public methods with a doc comment."""
     return {
         name: method
@@ -20,7 +22,7 @@
     }
 
 
-def describe(tool: type[Any], arguments: abc.Sequence[str]) -> str:
+def describe(tool: type[typing.Any], arguments: abc.Sequence[str]) -> str:
     """Return the help for the first command in the arguments, or for all."""
     commands = find_commands(tool)
     wanted = next((word for word in arguments if word in commands), None)
@@ -31,8 +33,8 @@
 
 
 def describe_all(
-    tool: type[Any],
-    commands: dict[str, abc.Callable[..., Any]],
+    tool: type[typing.Any],
+    commands: dict[str, abc.Callable[..., typing.Any]],
 ) -> str:
     """Return the help for all commands and the options they share."""
     rows = [
@@ -44,7 +46,7 @@
     return f'usage: mustardvale COMMAND [FLAGS]\n\n{doc}\n\nCommands:\n{listed}'
 
 
-def usage(name: str, method: abc.Callable[..., Any]) -> str:
+def usage(name: str, method: abc.Callable[..., typing.Any]) -> str:
     """Return a command with its arguments; those with a default are flags."""
     words = [name]
     for parameter in list(inspect.signature(method).parameters.values())[1:]:
--- a/src/mustardvale/internal/edge/deadlines.py
+++ b/src/mustardvale/internal/edge/deadlines.py
@@ -3,8 +3,8 @@
 import heapq
 import itertools
 import time
+import typing
 from collections import abc
-from typing import Any
 
 import circuits
 
@@ -18,26 +18,26 @@
 
     channel = 'deadlines'
 
-    def __init__(self, report: abc.Callable[[Any], None]) -> None:
+    def __init__(self, report: abc.Callable[[typing.Any], None]) -> None:
         super().__init__()
         self.report = report
-        self.heap: list[tuple[float, int, Any]] = []
-        self.current: dict[Any, int] = {}
+        self.heap: list[tuple[float, int, typing.Any]] = []
+        self.current: dict[typing.Any, int] = {}
         self.sequence = itertools.count()
 
-    def set_timer(self, timer: Any, delay_seconds: float) -> None:
+    def set_timer(self, timer: typing.Any, delay_seconds: float) -> None:
         """Set or replace a timer."""
         number = next(self.sequence)
         self.current[timer] = number
         due = time.monotonic() + max(delay_seconds, 0)
         heapq.heappush(self.heap, (due, number, timer))
 
-    def cancel_timer(self, timer: Any) -> None:
+    def cancel_timer(self, timer: typing.Any) -> None:
         """Forget a timer."""
         self.current.pop(timer, None)
 
     @circuits.handler('generate_events')
-    def bound_poll(self, event: Any) -> None:
+    def bound_poll(self, event: typing.Any) -> None:
         """Report what is due and bound the time that the poller may block."""
         if self.report_due(time.monotonic()):
             # Events that are fired while this one is handled do not shorten
--- a/src/mustardvale/internal/edge/entry_metrics.py
+++ b/src/mustardvale/internal/edge/entry_metrics.py
@@ -1,6 +1,6 @@
 """Declare the metrics of an entry instance."""
 
-from typing import Any
+import typing
 
 from mustardvale.internal.edge import http_client, metrics
 
@@ -20,7 +20,7 @@
 def count_call_bytes(table: metrics.Metrics) -> http_client.CountBytes:
     """Return a function that counts the bytes of calls by kind."""
 
-    def count(call: Any, sent: int, received: int) -> None:
+    def count(call: typing.Any, sent: int, received: int) -> None:
         kind = type(call).__name__
         if sent:
             table.count('call_bytes', (kind, 'sent'), sent)
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -2,10 +2,11 @@
 
 import collections
 import errno
+import functools
 import socket
 import time
+import typing
 from collections import abc
-from typing import Any, Protocol
 
 import circuits
 import h11
@@ -22,23 +23,27 @@
 PENDING_CONNECT = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
 
 
-class CallCodec(Protocol):
+class CallCodec(typing.Protocol):
     """Encode calls and decode their answers."""
 
-    def encode_call(self, call: Any) -> wire.RawCall:
+    def encode_call(self, call: typing.Any) -> wire.RawCall:
         """Encode a call."""
 
-    def decode_answer(self, call: Any, raw: wire.RawAnswer) -> Any:
+    def decode_answer(
+        self, call: typing.Any, raw: wire.RawAnswer
+    ) -> typing.Any:
         """Decode the answer to a call, or raise `wire.DecodeError`."""
 
-    def decode_part(self, call: Any, line: bytes) -> Any:
+    def decode_part(self, call: typing.Any, line: bytes) -> typing.Any:
         """Decode one line of a streamed answer."""
 
 
 class PendingCall:
     """Track one call from its start to its answer or failure."""
 
-    def __init__(self, call: Any, address: str, raw: wire.RawCall) -> None:
+    def __init__(
+        self, call: typing.Any, address: str, raw: wire.RawCall
+    ) -> None:
         self.call = call
         self.address = address
         self.raw = raw
@@ -72,14 +77,14 @@
         self.waiting: collections.deque[PendingCall] = collections.deque()
 
 
-class CountBytes(Protocol):
+class CountBytes(typing.Protocol):
     """Count the bytes of calls by the kind of call."""
 
-    def __call__(self, call: Any, sent: int, received: int) -> None:
+    def __call__(self, call: typing.Any, sent: int, received: int) -> None:
         """Add bytes that were sent and received for a call."""
 
 
-def ignore_bytes(call: Any, sent: int, received: int) -> None:
+def ignore_bytes(call: typing.Any, sent: int, received: int) -> None:
     """Count nothing, for processes without such metrics."""
 
 
@@ -91,7 +96,7 @@
     def __init__(
         self,
         codec: CallCodec,
-        poller: Any,
+        poller: typing.Any,
         occur: abc.Callable[..., None],
         count_bytes: CountBytes = ignore_bytes,
     ) -> None:
@@ -104,7 +109,9 @@
         self.connections: dict[socket.socket, Connection] = {}
         self.deadlines = deadlines.Deadlines(self.expire).register(self)
 
-    def start_call(self, call: Any, address: str, timeout: float) -> None:
+    def start_call(
+        self, call: typing.Any, address: str, timeout: float
+    ) -> None:
         """Start a call, or queue it when all connections are in use."""
         pending = PendingCall(call, address, self.codec.encode_call(call))
         pool = self.pools.setdefault(address, AddressPool())
@@ -252,19 +259,7 @@
         pending = connection.pending
         if pending is None or event in (h11.NEED_DATA, h11.PAUSED):
             return False
-        if isinstance(event, h11.Response):
-            pending.status = event.status_code
-            pending.headers = immutables.Map(
-                {
-                    name.decode('latin-1'): text.decode('latin-1')
-                    for name, text in event.headers
-                }
-            )
-        elif isinstance(event, h11.Data):
-            self.take_body(connection, pending, bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            self.finish(connection, pending)
-            return False
+        take_event(event, self, connection, pending)
         return connection.pending is pending
 
     def take_body(
@@ -421,3 +416,52 @@
         pending.ended = True
         self.deadlines.cancel_timer(pending)
         return True
+
+
+@functools.singledispatch
+def take_event(
+    event: typing.Any,
+    client: HttpClient,
+    connection: Connection,
+    pending: PendingCall,
+) -> None:
+    """Take one event of the protocol; others than these have no content."""
+
+
+@take_event.register(h11.Response)
+def take_head(
+    event: h11.Response,
+    client: HttpClient,
+    connection: Connection,
+    pending: PendingCall,
+) -> None:
+    """Keep the status and headers of an answer."""
+    pending.status = event.status_code
+    pending.headers = immutables.Map(
+        {
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in event.headers
+        },
+    )
+
+
+@take_event.register(h11.Data)
+def take_data(
+    event: h11.Data,
+    client: HttpClient,
+    connection: Connection,
+    pending: PendingCall,
+) -> None:
+    """Take a piece of the body of an answer."""
+    client.take_body(connection, pending, bytes(event.data))
+
+
+@take_event.register(h11.EndOfMessage)
+def take_end(
+    event: h11.EndOfMessage,
+    client: HttpClient,
+    connection: Connection,
+    pending: PendingCall,
+) -> None:
+    """Finish the call of an answer that is whole."""
+    client.finish(connection, pending)
--- a/src/mustardvale/internal/edge/http_guard.py
+++ b/src/mustardvale/internal/edge/http_guard.py
@@ -11,8 +11,8 @@
 import functools
 import socket
 import time
+import typing
 from collections import abc
-from typing import Any
 
 import circuits
 import h11
@@ -116,7 +116,7 @@
         self.deadlines.set_timer(SweepDue(), limits.sweep_seconds)
 
     @circuits.handler('connect', priority=1)
-    def on_connect(self, sock: socket.socket, *_: Any) -> None:
+    def on_connect(self, sock: socket.socket, *_: typing.Any) -> None:
         """Track a connection, or refuse it when there are too many."""
         count = len(self.connections)
         connection = GuardedConnection(sock, self.limits)
@@ -135,7 +135,9 @@
         self.connections.pop(sock, None)
 
     @circuits.handler('read', priority=1)
-    def on_read(self, event: Any, sock: socket.socket, received: bytes) -> None:
+    def on_read(
+        self, event: typing.Any, sock: socket.socket, received: bytes
+    ) -> None:
         """Take received bytes; only checked requests reach circuits.web."""
         if isinstance(event, checked_read):
             # The caller may have left while the request waited in the queue.
@@ -153,13 +155,15 @@
             self.receive(connection)
 
     @circuits.handler('write', priority=1)
-    def on_write(self, event: Any, sock: socket.socket, _: bytes) -> None:
+    def on_write(
+        self, event: typing.Any, sock: socket.socket, _: bytes
+    ) -> None:
         """Drop output for a closed socket, which nothing would ever free."""
         if sock.fileno() < 0:
             event.stop()
 
     @circuits.handler('response', priority=-1)
-    def on_response(self, response: Any) -> None:
+    def on_response(self, response: typing.Any) -> None:
         """Go on with the next request after a whole answer.
 
         circuits.web never completes the answer to HEAD, which closes instead.
@@ -170,7 +174,7 @@
             self.finish(response)
 
     @circuits.handler('stream', priority=-1)
-    def on_stream(self, response: Any, _: bytes | None) -> None:
+    def on_stream(self, response: typing.Any, _: bytes | None) -> None:
         """Go on with the next request after a streamed answer."""
         if response.done:
             self.finish(response)
@@ -238,7 +242,7 @@
         connection.body.clear()
         self.fire(checked_read(connection.sock, request))
 
-    def finish(self, response: Any) -> None:
+    def finish(self, response: typing.Any) -> None:
         """Account for an answer that is complete."""
         connection = self.connections.get(response.request.sock)
         if connection is None or connection.phase is not Phase.ANSWERING:
@@ -315,7 +319,9 @@
 
 
 @functools.singledispatch
-def take(event: Any, connection: GuardedConnection, guard: HttpGuard) -> bool:
+def take(
+    event: typing.Any, connection: GuardedConnection, guard: HttpGuard
+) -> bool:
     """Handle one protocol event; return whether to ask for another."""
     return False
 
--- a/src/mustardvale/internal/edge/http_server.py
+++ b/src/mustardvale/internal/edge/http_server.py
@@ -1,8 +1,8 @@
 """Serve callers over HTTP with circuits.web."""
 
 import socket
+import typing
 from collections import abc
-from typing import Any, Protocol
 
 import circuits
 import immutables
@@ -16,16 +16,16 @@
 INTERNAL_STATUS = 500
 
 
-class CallerCodec(Protocol):
+class CallerCodec(typing.Protocol):
     """Decode requests of callers and encode what they are answered."""
 
-    def decode_request(self, raw: wire.RawRequest) -> Any:
+    def decode_request(self, raw: wire.RawRequest) -> typing.Any:
         """Decode a request, or raise `wire.DecodeError`."""
 
-    def encode_reply(self, reply: Any) -> wire.RawReply:
+    def encode_reply(self, reply: typing.Any) -> wire.RawReply:
         """Encode a whole answer."""
 
-    def encode_part(self, part: Any) -> bytes:
+    def encode_part(self, part: typing.Any) -> bytes:
         """Encode one part of a streamed answer."""
 
     def encode_error(self, error: wire.DecodeError) -> wire.RawReply:
@@ -35,7 +35,7 @@
 class Exchange:
     """Track one request from its arrival to the end of its answer."""
 
-    def __init__(self, request: Any, response: Any) -> None:
+    def __init__(self, request: typing.Any, response: typing.Any) -> None:
         self.request = request
         self.response = response
         self.streaming = False
@@ -73,7 +73,9 @@
             ).register(self)
 
     @circuits.handler('request', priority=1)
-    def on_request(self, event: Any, request: Any, response: Any) -> bool:
+    def on_request(
+        self, event: typing.Any, request: typing.Any, response: typing.Any
+    ) -> bool:
         """Report a request."""
         self.request_count += 1
         request_id = f'{self.id_prefix}-{self.request_count}'
@@ -94,11 +96,11 @@
     @circuits.handler('httperror', priority=1)
     def on_http_error(
         self,
-        event: Any,
-        request: Any,
-        response: Any,
+        event: typing.Any,
+        request: typing.Any,
+        response: typing.Any,
         code: int | None = None,
-        **_: Any,
+        **_: typing.Any,
     ) -> None:
         """Answer what circuits.web rejects without its error page."""
         event.stop()
@@ -128,7 +130,7 @@
             exchange.blocked = False
             self.occur(events.CallerCaughtUp, request_id=request_id)
 
-    def reply(self, request_id: str, reply: Any) -> None:
+    def reply(self, request_id: str, reply: typing.Any) -> None:
         """Answer a request whole; a caller that has left is ignored."""
         self.send_raw(request_id, self.codec.encode_reply(reply))
 
@@ -147,13 +149,13 @@
         if exchange is not None:
             self.respond(exchange.response, raw)
 
-    def respond(self, response: Any, raw: wire.RawReply) -> None:
+    def respond(self, response: typing.Any, raw: wire.RawReply) -> None:
         """Send an encoded answer on a response of circuits.web."""
         set_head(response, raw)
         response.body = raw.body
         self.fire(web_events.response(response))
 
-    def stream_part(self, request_id: str, part: Any) -> None:
+    def stream_part(self, request_id: str, part: typing.Any) -> None:
         """Send one part of a streamed answer; report a slow caller."""
         exchange = self.exchanges.get(request_id)
         if exchange is None:
@@ -168,7 +170,7 @@
             exchange.blocked = True
             self.occur(events.CallerBlocked, request_id=request_id)
 
-    def end_stream(self, request_id: str, end: Any) -> None:
+    def end_stream(self, request_id: str, end: typing.Any) -> None:
         """Send the end mark and complete a streamed answer."""
         exchange = self.take(request_id)
         if exchange is None:
@@ -209,7 +211,7 @@
         return not any(self.tcp._buffers.values())
 
 
-def set_head(response: Any, raw: wire.RawReply) -> None:
+def set_head(response: typing.Any, raw: wire.RawReply) -> None:
     """Set the status and headers of a response."""
     response.status = raw.status
     response.headers['Content-Type'] = raw.content_type
@@ -217,7 +219,7 @@
         response.headers[name] = text
 
 
-def to_raw(request: Any) -> wire.RawRequest:
+def to_raw(request: typing.Any) -> wire.RawRequest:
     """Convert a request of circuits.web; HEAD differs only in its answer."""
     return wire.RawRequest(
         method='GET' if request.method == 'HEAD' else request.method,
--- a/src/mustardvale/internal/edge/peer_socket.py
+++ b/src/mustardvale/internal/edge/peer_socket.py
@@ -1,7 +1,7 @@
 """Exchange messages with other entry instances over ZeroMQ."""
 
+import typing
 from collections import abc
-from typing import Any, Protocol
 
 import circuits
 import zmq
@@ -16,13 +16,13 @@
     """Report a frame that is no message of ours."""
 
 
-class PeerCodec(Protocol):
+class PeerCodec(typing.Protocol):
     """Encode and decode messages between entry instances."""
 
-    def encode_message(self, sender: str, message: Any) -> bytes:
+    def encode_message(self, sender: str, message: typing.Any) -> bytes:
         """Encode a message."""
 
-    def decode_message(self, frame: bytes) -> tuple[str, Any]:
+    def decode_message(self, frame: bytes) -> tuple[str, typing.Any]:
         """Decode sender and message, or raise `PeerDecodeError`."""
 
 
@@ -39,7 +39,7 @@
         self,
         address: str,
         codec: PeerCodec,
-        poller: Any,
+        poller: typing.Any,
         occur: abc.Callable[..., None],
         count: abc.Callable[..., None],
     ) -> None:
@@ -58,7 +58,7 @@
         circuits.Timer(0, drain(), self.channel).register(self)
 
     @circuits.handler('_read', 'drain')
-    def on_readable(self, *_: Any) -> None:
+    def on_readable(self, *_: typing.Any) -> None:
         """Drain the socket, because its descriptor is edge-triggered."""
         while int(self.receiver.get(zmq.EVENTS)) & zmq.POLLIN:
             self.receive(self.receiver.recv(zmq.NOBLOCK))
@@ -93,7 +93,7 @@
             self.senders[address] = sender
         return sender
 
-    def send(self, address: str, message: Any) -> None:
+    def send(self, address: str, message: typing.Any) -> None:
         """Send a message, or count it as dropped when the peer is not there."""
         frame = self.codec.encode_message(self.address, message)
         try:
@@ -104,7 +104,7 @@
         self.count('peer_bytes', ('sent',), len(frame))
 
     @circuits.handler('stopped', channel='*')
-    def on_stopped(self, *_: Any) -> None:
+    def on_stopped(self, *_: typing.Any) -> None:
         """Close all sockets."""
         for sender in self.senders.values():
             sender.close(linger=0)
--- a/src/mustardvale/internal/edge/performer.py
+++ b/src/mustardvale/internal/edge/performer.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 import time
-from typing import Any
+import typing
 
 import prometheus_client
 
@@ -60,7 +60,7 @@
 
 
 @functools.singledispatch
-def fill_page(reply: Any, runtime: runtimes.Runtime) -> Any:
+def fill_page(reply: typing.Any, runtime: runtimes.Runtime) -> typing.Any:
     """Return the reply, or the page that only the edge can fill."""
     return reply
 
--- a/src/mustardvale/internal/edge/runtime.py
+++ b/src/mustardvale/internal/edge/runtime.py
@@ -6,8 +6,8 @@
 import logging
 import signal
 import time
+import typing
 from collections import abc
-from typing import Any, Protocol
 
 import circuits
 from circuits.core import pollers
@@ -27,7 +27,9 @@
 
 logger = logging.getLogger('mustardvale')
 
-Reduce = abc.Callable[[events.Event, Any], transitions.Transition[Any]]
+Reduce = abc.Callable[
+    [events.Event, typing.Any], transitions.Transition[typing.Any]
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,7 +44,7 @@
     """Identify the timer that carries a stop signal to the loop."""
 
 
-class Perform(Protocol):
+class Perform(typing.Protocol):
     """Perform one effect."""
 
     def __call__(self, effect: effects.Effect, runtime: 'Runtime') -> None:
@@ -62,7 +64,7 @@
     def __init__(
         self,
         reduce: Reduce,
-        state: Any,
+        state: typing.Any,
         perform: Perform,
         metric_table: metrics.Metrics,
     ) -> None:
@@ -82,7 +84,7 @@
         self.server: http_server.HttpServer | None = None
         self.peers: peer_socket.PeerSocket | None = None
 
-    def occur(self, kind: type[events.Event], **fields: Any) -> None:
+    def occur(self, kind: type[events.Event], **fields: typing.Any) -> None:
         """Stamp an event with the clocks and reduce it in its turn."""
         self.submit(kind(at=time.monotonic(), wall=time.time(), **fields))
 
@@ -131,18 +133,18 @@
         if request_id is not None and self.server is not None:
             self.server.fail_request(request_id)
 
-    def report_timer(self, timer: Any) -> None:
+    def report_timer(self, timer: typing.Any) -> None:
         """Report a timer that is due."""
         elapse(timer, self)
 
     @circuits.handler('started', channel='*')
-    def start_reducing(self, *_: Any) -> None:
+    def start_reducing(self, *_: typing.Any) -> None:
         """Replace the signal handlers of circuits and report the start."""
         signal.signal(signal.SIGTERM, self.receive_signal)
         signal.signal(signal.SIGINT, self.receive_signal)
         self.occur(events.InstanceStarted)
 
-    def receive_signal(self, *_: Any) -> None:
+    def receive_signal(self, *_: typing.Any) -> None:
         """Hand a stop signal to the loop and wake the poller."""
         self.deadlines.set_timer(StopSignal(), 0)
         self.poller.resume()
@@ -164,7 +166,7 @@
 
 
 @functools.singledispatch
-def elapse(timer: Any, runtime: Runtime) -> None:
+def elapse(timer: typing.Any, runtime: Runtime) -> None:
     """Report a timer of the reducer, or act on one of the runtime."""
     runtime.occur(events.TimerFired, timer=timer)
 
--- a/src/mustardvale/internal/edge/tracing.py
+++ b/src/mustardvale/internal/edge/tracing.py
@@ -1,7 +1,7 @@
 """Keep finished spans for export."""
 
 import collections
-from typing import Any
+import typing
 
 from opentelemetry import trace
 from opentelemetry.sdk import resources
@@ -23,11 +23,11 @@
     """
 
     def __init__(self) -> None:
-        self.finished: collections.deque[Any] = collections.deque(
+        self.finished: collections.deque[typing.Any] = collections.deque(
             maxlen=MAXIMUM_SPANS_KEPT,
         )
 
-    def on_end(self, span: Any) -> None:
+    def on_end(self, span: typing.Any) -> None:
         """Keep a finished span."""
         self.finished.append(span)
 
--- a/src/mustardvale/internal/effects.py
+++ b/src/mustardvale/internal/effects.py
@@ -1,7 +1,7 @@
 """Define the effects that a reducer asks the edge to perform."""
 
 import dataclasses
-from typing import Any
+import typing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,7 +13,7 @@
 class Call(Effect):
     """Send a call to `address` (`host:port`) and report its answer or failure."""
 
-    call: Any
+    call: typing.Any
     address: str
     timeout_seconds: float
 
@@ -22,7 +22,7 @@
 class SetTimer(Effect):
     """Report `timer` after a delay; an equal timer that is set is replaced."""
 
-    timer: Any
+    timer: typing.Any
     delay_seconds: float
 
 
@@ -30,7 +30,7 @@
 class CancelTimer(Effect):
     """Forget a timer; one that is not set is ignored."""
 
-    timer: Any
+    timer: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
     """Answer a caller whole."""
 
     request_id: str
-    reply: Any
+    reply: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
     """Send one part of a streamed answer; the first part sends the head."""
 
     request_id: str
-    part: Any
+    part: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +54,7 @@
     """Send the end mark of a streamed answer and complete it."""
 
     request_id: str
-    end: Any
+    end: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
     """Send a message to one peer; it may be lost."""
 
     address: str
-    message: Any
+    message: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +111,7 @@
     """Write a log line for a change of state."""
 
     message: str
-    fields: tuple[tuple[str, Any], ...] = ()
+    fields: tuple[tuple[str, typing.Any], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/entries.py
+++ b/src/mustardvale/internal/entries.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import hashlib
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     effects,
@@ -13,7 +13,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 # A caller that finds none of this many alive asks again.
--- a/src/mustardvale/internal/events.py
+++ b/src/mustardvale/internal/events.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from typing import Any
+import typing
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,7 +31,7 @@
 class TimerFired(Event):
     """Report that the delay of a timer is over."""
 
-    timer: Any
+    timer: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,7 +39,7 @@
     """Report a decoded request of a caller."""
 
     request_id: str
-    wanted: Any
+    wanted: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,9 +67,9 @@
 class CallAnswered(Event):
     """Report the decoded answer to a call, `seconds` after its start."""
 
-    call: Any
+    call: typing.Any
     address: str
-    answer: Any
+    answer: typing.Any
     seconds: float = 0
 
 
@@ -77,9 +77,9 @@
 class CallPartArrived(Event):
     """Report one decoded part of a streamed answer."""
 
-    call: Any
+    call: typing.Any
     address: str
-    part: Any
+    part: typing.Any
 
 
 class FailureKind(enum.Enum):
@@ -109,7 +109,7 @@
 class CallFailed(Event):
     """Report a call that ended without an answer."""
 
-    call: Any
+    call: typing.Any
     address: str
     failure: Failure
 
@@ -119,4 +119,4 @@
     """Report a decoded message of another entry instance."""
 
     sender: str
-    message: Any
+    message: typing.Any
--- a/src/mustardvale/internal/forwards.py
+++ b/src/mustardvale/internal/forwards.py
@@ -1,7 +1,7 @@
 """Forward actions to the instance that tails their partition."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -21,7 +21,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 CHECK_SECONDS = 0.5
--- a/src/mustardvale/internal/lifecycle.py
+++ b/src/mustardvale/internal/lifecycle.py
@@ -1,7 +1,7 @@
 """Start and stop an entry instance."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     configuration,
@@ -14,7 +14,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 STOP_POLL_SECONDS = 0.1
--- a/src/mustardvale/internal/listings.py
+++ b/src/mustardvale/internal/listings.py
@@ -1,8 +1,8 @@
 """Read the instance list and merge it into what is known."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import TYPE_CHECKING
 
 import immutables
 
@@ -18,7 +18,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 LIST_PERIOD_SECONDS = 1.0
--- a/src/mustardvale/internal/load_reports.py
+++ b/src/mustardvale/internal/load_reports.py
@@ -1,7 +1,7 @@
 """Ask upstreams for their load and act on what they report."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     calls,
@@ -16,7 +16,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 LOAD_TIMEOUT_SECONDS = 2.0
--- a/src/mustardvale/internal/log_streams.py
+++ b/src/mustardvale/internal/log_streams.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -17,7 +17,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 READ_LIMIT_RECORDS = 500
--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -21,7 +21,7 @@
     withheld_shares,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 HEARTBEAT_PERIOD_SECONDS = 1.0
--- a/src/mustardvale/internal/operations.py
+++ b/src/mustardvale/internal/operations.py
@@ -1,7 +1,7 @@
 """Run idempotent operations, which may be repeated on other runners."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -19,7 +19,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 MAXIMUM_TRIES = 3
--- a/src/mustardvale/internal/orders.py
+++ b/src/mustardvale/internal/orders.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -30,7 +30,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 CHECK_PERIOD_SECONDS = 2.0
--- a/src/mustardvale/internal/prefixes.py
+++ b/src/mustardvale/internal/prefixes.py
@@ -7,7 +7,7 @@
 import dataclasses
 import functools
 import hashlib
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -22,7 +22,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 SHORTEST_PREFIX_TOKENS = 16
--- a/src/mustardvale/internal/reducer.py
+++ b/src/mustardvale/internal/reducer.py
@@ -4,7 +4,7 @@
 """
 
 import functools
-from typing import TYPE_CHECKING, Any
+import typing
 
 from mustardvale.internal import (
     calls,
@@ -15,7 +15,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 type_error = 'no handler is registered for {0}'
@@ -52,7 +52,7 @@
 
 @functools.singledispatch
 def on_answer(
-    call: Any,
+    call: typing.Any,
     event: events.CallAnswered,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
@@ -62,7 +62,7 @@
 
 @functools.singledispatch
 def on_failure(
-    call: Any,
+    call: typing.Any,
     event: events.CallFailed,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
--- a/src/mustardvale/internal/refusals.py
+++ b/src/mustardvale/internal/refusals.py
@@ -1,11 +1,11 @@
 """Refuse requests of callers."""
 
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale import errors
 from mustardvale.internal import effects, events, replies, transitions
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 RETRY_AFTER_SECONDS = 1.0
--- a/src/mustardvale/internal/retries.py
+++ b/src/mustardvale/internal/retries.py
@@ -1,9 +1,9 @@
 """Bound the attempts that are started again."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 RETRIES_PER_REQUEST = 0.1
--- a/src/mustardvale/internal/routing.py
+++ b/src/mustardvale/internal/routing.py
@@ -3,8 +3,8 @@
 import dataclasses
 import functools
 import types
+import typing
 from collections import abc
-from typing import Protocol
 
 import immutables
 
@@ -51,7 +51,7 @@
         return max(self.queued + since, self.in_flight)
 
 
-class Candidates(Protocol):
+class Candidates(typing.Protocol):
     """Give access to candidates without holding a copy of them."""
 
     def __len__(self) -> int:
--- a/src/mustardvale/internal/sends.py
+++ b/src/mustardvale/internal/sends.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     action_calls,
@@ -20,7 +20,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 # After its deadline a call is still waited for, so that a late answer is
--- a/src/mustardvale/internal/service_runners.py
+++ b/src/mustardvale/internal/service_runners.py
@@ -1,11 +1,11 @@
 """Choose the runner of a plain service for one operation."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import routing, upstreams
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 
--- a/src/mustardvale/internal/setting_rules.py
+++ b/src/mustardvale/internal/setting_rules.py
@@ -3,7 +3,7 @@
 import dataclasses
 import functools
 import re
-from typing import Any
+import typing
 
 from mustardvale.internal import addresses
 
@@ -130,7 +130,7 @@
 
 
 @functools.singledispatch
-def convert(rule: Rule, text: str) -> Any:
+def convert(rule: Rule, text: str) -> typing.Any:
     """Return an allowed value in the type of its field."""
     return text
 
--- a/src/mustardvale/internal/snapshots.py
+++ b/src/mustardvale/internal/snapshots.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import hashlib
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     effects,
@@ -20,7 +20,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 RETENTION_SHARE = 0.25
--- a/src/mustardvale/internal/state.py
+++ b/src/mustardvale/internal/state.py
@@ -4,27 +4,27 @@
 
 import immutables
 
-from mustardvale.internal import action_calls
-from mustardvale.internal import admission as admissions
-from mustardvale.internal import configuration as configurations
-from mustardvale.internal import forwards as forward_tables
-from mustardvale.internal import generations as generation_tables
-from mustardvale.internal import limits as limit_tables
 from mustardvale.internal import (
+    action_calls,
     lifecycle,
     log_streams,
     placements,
     routing,
     step_calls,
 )
+from mustardvale.internal import admission as admissions
+from mustardvale.internal import configuration as configurations
+from mustardvale.internal import forwards as forward_tables
+from mustardvale.internal import generations as generation_tables
+from mustardvale.internal import limits as limit_tables
 from mustardvale.internal import membership as memberships
 from mustardvale.internal import operations as operation_tables
 from mustardvale.internal import orders as order_tables
 from mustardvale.internal import partitions as partition_tables
 from mustardvale.internal import prefixes as prefix_tables
-from mustardvale.internal import timing as timings
 from mustardvale.internal import retries as retry_budgets
 from mustardvale.internal import suspects as suspect_tables
+from mustardvale.internal import timing as timings
 from mustardvale.internal import upstreams as upstream_tables
 
 
--- a/src/mustardvale/internal/statuses.py
+++ b/src/mustardvale/internal/statuses.py
@@ -1,7 +1,7 @@
 """Answer what operators and health checks ask."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     effects,
@@ -15,7 +15,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 SUSPECT = 'suspect'
--- a/src/mustardvale/internal/step_calls.py
+++ b/src/mustardvale/internal/step_calls.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -17,7 +17,7 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 # A second call lets steps join the runner's next iteration while the first
--- a/src/mustardvale/internal/suspects.py
+++ b/src/mustardvale/internal/suspects.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 import hashlib
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -23,7 +23,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 RUNNERS_LOST_AT_MOST = 2
--- a/src/mustardvale/internal/suspicions.py
+++ b/src/mustardvale/internal/suspicions.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import functools
-from typing import TYPE_CHECKING
+import typing
 
 from mustardvale.internal import (
     effects,
@@ -20,7 +20,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 CHECK_PERIOD_SECONDS = 1.0
--- a/src/mustardvale/internal/transitions.py
+++ b/src/mustardvale/internal/transitions.py
@@ -1,16 +1,16 @@
 """Define the result of one reduction."""
 
 import dataclasses
+import typing
 from collections import abc
-from typing import Generic, TypeVar
 
 from mustardvale.internal import effects as effect_types
 
-StateT = TypeVar('StateT')
+StateT = typing.TypeVar('StateT')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Transition(Generic[StateT]):
+class Transition(typing.Generic[StateT]):
     """Pair the next state with the effects that the edge has to perform."""
 
     state: StateT
--- a/src/mustardvale/internal/upstreams.py
+++ b/src/mustardvale/internal/upstreams.py
@@ -1,7 +1,7 @@
 """Keep what is known of the upstreams."""
 
 import dataclasses
-from typing import TYPE_CHECKING
+import typing
 
 import immutables
 
@@ -17,7 +17,7 @@
     transitions,
 )
 
-if TYPE_CHECKING:
+if typing.TYPE_CHECKING:
     from mustardvale.internal import state as states
 
 EJECTION_SECONDS = 5.0
--- a/src/mustardvale/settings.py
+++ b/src/mustardvale/settings.py
@@ -3,8 +3,8 @@
 import argparse
 import dataclasses
 import re
+import typing
 from collections import abc
-from typing import Any
 
 from mustardvale import errors
 from mustardvale.internal import document_checks, routing, setting_rules
@@ -186,7 +186,7 @@
 
 def find_text(
     setting: Setting,
-    given: abc.Mapping[str, Any],
+    given: abc.Mapping[str, typing.Any],
     variables: abc.Mapping[str, str],
 ) -> str | None:
     """Return the text of a setting; an empty variable counts as not set."""
@@ -198,7 +198,7 @@
 
 def find_problems(
     found: abc.Mapping[str, str | None],
-    given: abc.Mapping[str, Any],
+    given: abc.Mapping[str, typing.Any],
 ) -> abc.Iterator[str]:
     """Return every problem with flag or variable, value and what is allowed."""
     for setting in SETTINGS:
--- a/standins/action_service_codec.py
+++ b/standins/action_service_codec.py
@@ -1,6 +1,6 @@
 """Decode requests to the stand-in of a plain service."""
 
-from typing import Any
+import typing
 from urllib import parse
 
 from mustardvale.internal import calls
@@ -14,7 +14,7 @@
 OPERATIONS = '/v1/operations/'
 
 
-def decode_request(raw: wire.RawRequest) -> Any:
+def decode_request(raw: wire.RawRequest) -> typing.Any:
     """Decode a request, or raise `wire.DecodeError`."""
     if raw.method == 'POST' and raw.path.startswith(OPERATIONS):
         return action_service.Operation(
--- a/standins/engine_batches.py
+++ b/standins/engine_batches.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from typing import Any
+import typing
 
 from mustardvale.internal import calls, effects, events, transitions
 from standins import engine, engine_faults, json_codec, prefix_cache
@@ -199,7 +199,7 @@
 
 @functools.singledispatch
 def take_result(
-    target: Any,
+    target: typing.Any,
     outcome: calls.StepResult,
     state: engine.State,
 ) -> engine.Transition:
--- a/standins/engine_codec.py
+++ b/standins/engine_codec.py
@@ -1,7 +1,7 @@
 """Decode requests to the stand-in of a model engine, and encode its calls."""
 
 import types
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -35,7 +35,7 @@
 )
 
 
-def decode_request(raw: wire.RawRequest) -> Any:
+def decode_request(raw: wire.RawRequest) -> typing.Any:
     """Decode a request, or raise `wire.DecodeError`."""
     kind = BODIES.get((raw.method, raw.path))
     if kind is not None:
@@ -47,7 +47,7 @@
     raise json_codec.unknown(raw)
 
 
-def decode_get(raw: wire.RawRequest) -> Any:
+def decode_get(raw: wire.RawRequest) -> typing.Any:
     """Decode a request that reads."""
     query = dict(parse.parse_qsl(raw.query))
     if raw.path == '/v1/load':
@@ -61,7 +61,7 @@
     raise json_codec.unknown(raw)
 
 
-def decode_session(raw: wire.RawRequest) -> Any:
+def decode_session(raw: wire.RawRequest) -> typing.Any:
     """Decode a request about one session."""
     name, _, action = raw.path.removeprefix('/v1/sessions/').partition('/')
     session = parse.unquote(name)
@@ -81,7 +81,7 @@
     return wire.RawCall('POST', '/v1/leases', msgspec.json.encode(asked))
 
 
-def decode_answer(call: Any, raw: wire.RawAnswer) -> Any:
+def decode_answer(call: typing.Any, raw: wire.RawAnswer) -> typing.Any:
     """Decode a lease, or a refusal that says when to ask again."""
     try:
         if raw.status == OK:
@@ -94,6 +94,6 @@
         return weight_store.LeaseRefused(engine_orders.LEASE_RETRY_SECONDS)
 
 
-def decode_part(call: Any, line: bytes) -> Any:
+def decode_part(call: typing.Any, line: bytes) -> typing.Any:
     """Decode a line of a streamed answer; no call of an engine streams."""
     raise TypeError(f'{type(call).__name__} is not streamed')
--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -1,7 +1,7 @@
 """Switch the faults of an engine stand-in and act on them."""
 
 import dataclasses
-from typing import Any
+import typing
 
 import immutables
 
@@ -29,7 +29,7 @@
 
     instance_id: str
     request_id: str
-    reply: Any
+    reply: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,7 +84,7 @@
 
 def deliver(
     request_id: str,
-    reply: Any,
+    reply: typing.Any,
     state: engine.State,
 ) -> engine.Transition:
     """Send an answer, or do what the faults make of it."""
--- a/standins/engine_main.py
+++ b/standins/engine_main.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import pathlib
-from typing import Any
+import typing
 
 import fire
 import msgspec
@@ -59,7 +59,7 @@
     iteration_ms: float = 4,
     input_ms: float = 0.02,
     settings_file: str = '',
-    **further: Any,
+    **further: typing.Any,
 ) -> None:
     """Serve layers `first_layer` up to `end_layer` at `host:port`.
 
--- a/standins/engine_streams.py
+++ b/standins/engine_streams.py
@@ -1,7 +1,7 @@
 """Stream whole generations from an engine that holds all layers."""
 
 import dataclasses
-from typing import Any
+import typing
 
 import immutables
 
@@ -169,7 +169,7 @@
 
 def end(
     stream: engine.Stream,
-    mark: Any,
+    mark: typing.Any,
     parts: tuple[effects.Effect, ...],
     state: engine.State,
 ) -> engine.Transition:
@@ -190,8 +190,8 @@
 
 def without(
     name: str,
-    table: immutables.Map[str, Any],
-) -> immutables.Map[str, Any]:
+    table: immutables.Map[str, typing.Any],
+) -> immutables.Map[str, typing.Any]:
     """Return a table without a name that may not be in it."""
     return table.delete(name) if name in table else table
 
--- a/standins/json_codec.py
+++ b/standins/json_codec.py
@@ -1,7 +1,7 @@
 """Encode what all stand-ins answer (HTTP and JSON)."""
 
 import dataclasses
-from typing import Any
+import typing
 
 import msgspec
 
@@ -24,7 +24,7 @@
     done: bool = True
 
 
-def encode_reply(reply: Any) -> wire.RawReply:
+def encode_reply(reply: typing.Any) -> wire.RawReply:
     """Encode a whole answer."""
     if isinstance(reply, Refused):
         headers = (('Mustardvale-Leaving', 'true'),) if reply.leaving else ()
@@ -33,7 +33,7 @@
     return wire.RawReply(200, msgspec.json.encode(reply))
 
 
-def encode_part(part: Any) -> bytes:
+def encode_part(part: typing.Any) -> bytes:
     """Encode one line of a streamed answer."""
     return msgspec.json.encode(part) + b'\n'
 
@@ -44,7 +44,7 @@
     return wire.RawReply(error.status, body)
 
 
-def decode_body(raw: wire.RawRequest, kind: type[Any]) -> Any:
+def decode_body(raw: wire.RawRequest, kind: type[typing.Any]) -> typing.Any:
     """Decode a JSON body into a type."""
     try:
         return msgspec.json.decode(raw.body, type=kind)
--- a/standins/list_codec.py
+++ b/standins/list_codec.py
@@ -1,7 +1,7 @@
 """Decode requests to the stand-in of the instance list."""
 
 import types
-from typing import Any
+import typing
 
 from mustardvale.internal import calls
 from mustardvale.internal.edge import wire
@@ -21,7 +21,7 @@
 )
 
 
-def decode_request(raw: wire.RawRequest) -> Any:
+def decode_request(raw: wire.RawRequest) -> typing.Any:
     """Decode a request, or raise `wire.DecodeError`."""
     if (raw.method, raw.path) == ('GET', '/v1/instances'):
         return calls.ListInstances()
--- a/standins/log_codec.py
+++ b/standins/log_codec.py
@@ -1,6 +1,6 @@
 """Decode requests to the stand-in of the log service."""
 
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -19,10 +19,10 @@
 class AppendBody(msgspec.Struct, frozen=True):
     """Hold the JSON body of an append."""
 
-    records: tuple[Any, ...]
+    records: tuple[typing.Any, ...]
 
 
-def decode_request(raw: wire.RawRequest) -> Any:
+def decode_request(raw: wire.RawRequest) -> typing.Any:
     """Decode a request, or raise `wire.DecodeError`."""
     if raw.method == 'POST' and raw.path == '/faults':
         return json_codec.decode_body(raw, log_service.Faults)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,7 +1,7 @@
 """Build the process of a stand-in."""
 
 import secrets
-from typing import Any
+import typing
 
 from mustardvale.internal.edge import (
     http_client,
@@ -17,7 +17,7 @@
     name: str,
     address: str,
     reduce: runtime.Reduce,
-    state: Any,
+    state: typing.Any,
     codec: http_server.CallerCodec,
     call_codec: http_client.CallCodec | None = None,
 ) -> None:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -2,8 +2,8 @@
 
 import secrets
 import socket
+import typing
 from collections import abc
-from typing import Any
 
 from mustardvale.internal.edge import http_server, performer, runtime
 from standins import engine_faults, engine_group
@@ -71,7 +71,7 @@
         """Return the server that a request came to."""
         return self.servers[engine_group.find_engine(request_id)]
 
-    def reply(self, request_id: str, reply: Any) -> None:
+    def reply(self, request_id: str, reply: typing.Any) -> None:
         """Answer a request whole."""
         self.server_of(request_id).reply(request_id, reply)
 
@@ -79,11 +79,11 @@
         """Answer a request that failed inside the reducer."""
         self.server_of(request_id).fail_request(request_id)
 
-    def stream_part(self, request_id: str, part: Any) -> None:
+    def stream_part(self, request_id: str, part: typing.Any) -> None:
         """Send one part of a streamed answer."""
         self.server_of(request_id).stream_part(request_id, part)
 
-    def end_stream(self, request_id: str, end: Any) -> None:
+    def end_stream(self, request_id: str, end: typing.Any) -> None:
         """Complete a streamed answer."""
         self.server_of(request_id).end_stream(request_id, end)
 
@@ -99,11 +99,11 @@
 class EngineRuntime(runtime.Runtime):
     """Run a group of engines with one server for each."""
 
-    def __init__(self, *arguments: Any) -> None:
+    def __init__(self, *arguments: typing.Any) -> None:
         super().__init__(*arguments)
         self.group = ServerGroup()
         # The group stands in for the single server that a runtime has.
-        self.server: Any = self.group
+        self.server: typing.Any = self.group
 
 
 @performer.perform.register(engine_faults.CloseServer)
--- a/standins/weight_codec.py
+++ b/standins/weight_codec.py
@@ -1,7 +1,7 @@
 """Decode requests to the stand-in of the weight store."""
 
 import functools
-from typing import Any
+import typing
 from urllib import parse
 
 import msgspec
@@ -14,7 +14,7 @@
 
 
 @functools.singledispatch
-def encode_reply(reply: Any) -> wire.RawReply:
+def encode_reply(reply: typing.Any) -> wire.RawReply:
     """Encode a whole answer."""
     return json_codec.encode_reply(reply)
 
@@ -29,7 +29,7 @@
     )
 
 
-def decode_request(raw: wire.RawRequest) -> Any:
+def decode_request(raw: wire.RawRequest) -> typing.Any:
     """Decode a request, or raise `wire.DecodeError`."""
     if (raw.method, raw.path) == ('POST', '/v1/leases'):
         return json_codec.decode_body(raw, weight_store.AskLease)
--- a/tests/answer_states.py
+++ b/tests/answer_states.py
@@ -3,7 +3,7 @@
 import dataclasses
 import pathlib
 
-from mustardvale import document, settings
+from mustardvale import daemon, document, settings
 from mustardvale.internal import (
     calls,
     configuration,
@@ -11,7 +11,6 @@
     state,
     upstreams,
 )
-from mustardvale import daemon
 from tests import entry_states
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -10,7 +10,6 @@
 from bench import subsets as measured
 from mustardvale.internal import subsets
 
-
 ENTRIES = 410
 
 
