Refuse actions by the limit of their account and during a planned stop

Cause: actions took no part in admission, and a caller could set a deadline beyond the time that a planned stop waits for requests in flight. Change: actions are charged to the requests per second of their account and refused once a stopping instance takes no new requests; they never wait behind answers. Deadlines are at most 600 s, the time that a stop waits by default.

--- a/src/mustardvale/internal/actions.py
+++ b/src/mustardvale/internal/actions.py
@@ -8,6 +8,7 @@
 from mustardvale.internal import (
     action_keys,
     action_requests,
+    admission,
     claims,
     configuration,
     events,
@@ -53,6 +54,10 @@
             f'the body exceeds {MAXIMUM_BODY_BYTES} bytes',
             state,
         )
+    refusal = admission.admit_action(account, event, state)
+    if refusal is not None:
+        return refusal
+    state = admission.charge_action(account, event, state)
     request = build_request(wanted, account, event, state)
     if operation.idempotent:
         return operations.start(event.request_id, request, event, state)
--- a/src/mustardvale/internal/admission.py
+++ b/src/mustardvale/internal/admission.py
@@ -78,6 +78,64 @@
     return queues.RANKS.index(account.priority)
 
 
+def admit_action(
+    account: documents.ClientAccount,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> transitions.Transition['states.State'] | None:
+    """Return the refusal of an action, or nothing when it may run.
+
+    Actions are short and urgent. They do not wait behind answers, so that only
+    a planned stop and the requests per second of the account refuse them.
+    """
+    stopping = state.stopping
+    if stopping is not None and event.at >= stopping.refuse_from:
+        return refuse_stopping(event.request_id, state)
+    asked = limits.ask(account, 0, event.at, state.limits)
+    if asked.wait_seconds:
+        return refuse_limited(account, asked, event.request_id, state)
+    return None
+
+
+def charge_action(
+    account: documents.ClientAccount,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> 'states.State':
+    """Charge an action that runs to its account."""
+    asked = limits.ask(account, 0, event.at, state.limits)
+    return dataclasses.replace(state, limits=asked.limits)
+
+
+def refuse_stopping(
+    request_id: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request because the instance is about to stop."""
+    return refusals.refuse(
+        request_id,
+        errors.STOPPING,
+        'the instance takes no new requests',
+        state,
+    )
+
+
+def refuse_limited(
+    account: documents.ClientAccount,
+    asked: limits.Asked,
+    request_id: str,
+    state: 'states.State',
+) -> transitions.Transition['states.State']:
+    """Refuse a request because its account is at its limit."""
+    return refusals.refuse(
+        request_id,
+        errors.RATE_LIMITED,
+        f'{account.name} is at its limit at this instance',
+        dataclasses.replace(state, limits=asked.limits),
+        max(asked.wait_seconds, SMALLEST_RETRY_SECONDS),
+    )
+
+
 def admit(
     work: Work,
     event: events.CallerRequested,
@@ -86,12 +144,7 @@
     """Start, queue or refuse a checked request."""
     stopping = state.stopping
     if stopping is not None and event.at >= stopping.refuse_from:
-        return refusals.refuse(
-            event.request_id,
-            errors.STOPPING,
-            'the instance takes no new requests',
-            state,
-        )
+        return refuse_stopping(event.request_id, state)
     needed = pacing.needed_seconds(
         work.model,
         work.tokens,
@@ -123,15 +176,9 @@
     if wait and event.at + wait + takes > work.deadline_at:
         return refuse_overloaded(event.request_id, wait, state)
     asked = limits.ask(work.account, work.tokens, event.at, state.limits)
-    state = dataclasses.replace(state, limits=asked.limits)
     if asked.wait_seconds:
-        return refusals.refuse(
-            event.request_id,
-            errors.RATE_LIMITED,
-            f'{work.account.name} is at its limit at this instance',
-            state,
-            max(asked.wait_seconds, SMALLEST_RETRY_SECONDS),
-        )
+        return refuse_limited(work.account, asked, event.request_id, state)
+    state = dataclasses.replace(state, limits=asked.limits)
     ticket = queues.Ticket(
         request_id=event.request_id,
         account=work.account.name,
--- a/src/mustardvale/internal/edge/codec.py
+++ b/src/mustardvale/internal/edge/codec.py
@@ -15,6 +15,9 @@
 BEARER = 'Bearer '
 MAXIMUM_TOKENS = 4096
 MILLISECONDS = 1000
+# Every request has ended by its deadline, so that a planned stop, which waits
+# up to this time by default, cuts none.
+MAXIMUM_DEADLINE_MS = 600 * MILLISECONDS
 
 
 class AnswerBody(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -71,8 +74,11 @@
 def decode_deadline(raw: wire.RawRequest) -> float:
     """Return the time that the caller allows in seconds, 0 if it says none."""
     text = raw.headers.get('mustardvale-deadline-ms', '0')
-    if not text.isdecimal():
-        raise malformed('Mustardvale-Deadline-Ms must be a whole number')
+    if not text.isdecimal() or int(text) > MAXIMUM_DEADLINE_MS:
+        raise malformed(
+            'Mustardvale-Deadline-Ms must be a whole number'
+            f' up to {MAXIMUM_DEADLINE_MS}',
+        )
     return int(text) / MILLISECONDS
 
 
--- /dev/null
+++ b/tests/test_action_admission.py
@@ -0,0 +1,70 @@
+"""Guard the admission of actions and the bound of deadlines."""
+
+import dataclasses
+import unittest
+
+import immutables
+
+from mustardvale import errors
+from mustardvale.internal import lifecycle
+from mustardvale.internal.edge import codec, wire
+from tests import action_model
+
+KEYS = [
+    action_model.make_key(action_model.WALL, number) for number in range(2000)
+]
+
+
+class Admission(unittest.TestCase):
+    """Actions are refused by limits and a planned stop, never by a queue."""
+
+    def setUp(self) -> None:
+        """Build a site of instances that know nothing of each other."""
+        self.site = action_model.Site()
+        self.site.now += 4
+
+    def ask(self, key: str) -> list[object]:
+        """Ask instance 0 for an action and return the replies so far."""
+        self.site.ask(0, key, b'{}', 10)
+        return list(self.site.asked.values())[-1].replies
+
+    def test_account_at_its_limit(self) -> None:
+        """Guard against an account that exceeds its requests per second."""
+        codes = [
+            reply.code
+            for key in KEYS
+            for reply in self.ask(key)
+            if hasattr(reply, 'code')
+        ]
+        self.assertIn(errors.RATE_LIMITED, codes)
+
+    def test_instance_about_to_stop(self) -> None:
+        """Guard against an action that a planned stop would cut."""
+        instance = self.site.instances[0]
+        stopping = lifecycle.Stopping(self.site.now - 1)
+        instance.state = dataclasses.replace(
+            instance.state,
+            stopping=stopping,
+        )
+        (reply,) = self.ask(KEYS[0])
+        self.assertIs(reply.code, errors.STOPPING)
+        self.assertIs(reply.outcome, errors.Outcome.NOT_RUN)
+
+
+class Deadline(unittest.TestCase):
+    """A request ends before a planned stop gives up waiting for it."""
+
+    def decode(self, milliseconds: str) -> object:
+        """Decode a request with a deadline."""
+        headers = immutables.Map({'mustardvale-deadline-ms': milliseconds})
+        raw = wire.RawRequest('GET', '/v1/entries', '', headers, b'')
+        return codec.decode_request(raw)
+
+    def test_longest_deadline(self) -> None:
+        """Guard against refusing a deadline that is allowed."""
+        self.assertEqual(self.decode('600000').deadline_seconds, 600)
+
+    def test_too_long_deadline(self) -> None:
+        """Guard against a request that outlives a planned stop."""
+        with self.assertRaises(wire.DecodeError):
+            self.decode('600001')
