--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,133 @@
+"""Measure what an idle entry instance costs at several sizes of its site.
+
+    PYTHONPATH=src:. python -m bench.control_cost --output docs/measurements
+
+For each size a site runs without load. Processor time and memory come from the
+system, bytes from the counters of the instance.
+"""
+
+import dataclasses
+import hashlib
+import json
+import pathlib
+import re
+import tempfile
+import time
+import typing
+
+import fire
+
+from bench import processes, site_specs, sites
+
+SETTLE_SECONDS = 6.0
+MEASURE_SECONDS = 10.0
+CLOCK_TICKS = 100
+KILOBYTE = 1024
+BYTES = re.compile(
+    r'^mustardvale_(?:call|peer)_bytes_total\{[^}]*\} (\S+)$',
+    re.MULTILINE,
+)
+RUNNER_COUNTS = (12, 60, 120, 240)
+ENTRY_COUNTS = (2, 6, 12, 18)
+ACCOUNT_COUNTS = (10, 170, 350, 690)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Hold what one size cost: per second, and memory in bytes."""
+
+    runners: int
+    entries: int
+    accounts: int
+    core_share: float
+    memory_bytes: int
+    bytes_per_second: float
+
+
+def read_processor_seconds(process_id: int) -> float:
+    """Return the processor time of a process."""
+    stat = pathlib.Path(f'/proc/{process_id}/stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def read_memory_bytes(process_id: int) -> int:
+    """Return the resident memory of a process."""
+    status = pathlib.Path(f'/proc/{process_id}/status').read_text()
+    found = re.search(r'VmRSS:\s+(\d+) kB', status)
+    assert found is not None, 'the system reports resident memory'
+    return int(found.group(1)) * KILOBYTE
+
+
+def read_bytes(address: str) -> float:
+    """Return the bytes of all calls and peer messages so far."""
+    page = processes.request('GET', address, '/metrics').body.decode()
+    return sum(float(count) for count in BYTES.findall(page))
+
+
+def write_document(accounts: int, directory: pathlib.Path) -> pathlib.Path:
+    """Write the example document with more client accounts."""
+    text = (site_specs.EXAMPLES / 'cooperative.toml').read_text()
+    rows = []
+    for number in range(max(accounts - 10, 0)):
+        digest = hashlib.sha256(f'extra-{number}-key'.encode()).hexdigest()
+        rows.append(
+            '\n[[client_accounts]]\n'
+            f'name = "extra-{number}"\nkey_sha256 = "{digest}"\n'
+            'priority = "interactive"\nrequests_per_second = 10.0\n'
+            'tokens_per_second = 500.0\nmodels = ["affinage"]\n'
+            'services = ["cellar-ledger"]\n',
+        )
+    path = directory / f'accounts-{accounts}.toml'
+    path.write_text(text + ''.join(rows))
+    return path
+
+
+def measure(runners: int, entries: int, accounts: int) -> Sample:
+    """Run one size and measure its first entry instance."""
+    directory = pathlib.Path(tempfile.mkdtemp())
+    spec = site_specs.SiteSpec(
+        entries=entries,
+        runners=runners,
+        runners_per_process=30,
+        action_runners=1,
+        document_path=write_document(accounts, directory),
+    )
+    with sites.Site(spec) as site:
+        entry = site.plan.entries[0]
+        process_id = site.process_of(entry.instance_id).process_id
+        time.sleep(SETTLE_SECONDS)
+        before = read_processor_seconds(process_id)
+        bytes_before = read_bytes(entry.address)
+        time.sleep(MEASURE_SECONDS)
+        used = read_processor_seconds(process_id) - before
+        moved = read_bytes(entry.address) - bytes_before
+        memory = read_memory_bytes(process_id)
+    return Sample(
+        runners,
+        entries,
+        accounts,
+        round(used / MEASURE_SECONDS, 4),
+        memory,
+        round(moved / MEASURE_SECONDS, 1),
+    )
+
+
+def main(output: str = 'docs/measurements') -> None:
+    """Measure all sizes and write them."""
+    sizes = [
+        *((runners, 2, 10) for runners in RUNNER_COUNTS),
+        *((12, entries, 10) for entries in ENTRY_COUNTS),
+        *((12, 2, accounts) for accounts in ACCOUNT_COUNTS),
+    ]
+    rows: list[dict[str, typing.Any]] = []
+    for size in sizes:
+        row = dataclasses.asdict(measure(*size))
+        print(json.dumps(row), flush=True)
+        rows.append(row)
+    path = pathlib.Path(output) / 'control_cost.json'
+    path.write_text(json.dumps(rows, indent=1) + '\n')
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
