--- a/src/mustardvale/internal/log_streams.py
+++ b/src/mustardvale/internal/log_streams.py
@@ -45,10 +45,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendQueue:
-    """Hold records to append; at most one append per stream is in flight.
-
-    Records wait while the queue is `paused`, and then go in one group.
-    """
+    """Hold records to append; none is sent while one is in flight or paused."""
 
     in_flight: tuple[records.Record, ...] = ()
     waiting: tuple[records.Record, ...] = ()
--- /dev/null
+++ b/tests/action_effects.py
@@ -0,0 +1,79 @@
+"""Perform the effects of entry instances in the model of a site."""
+
+import functools
+from typing import Any
+
+from mustardvale.internal import action_requests, calls, effects, messages
+
+
+@functools.singledispatch
+def perform(effect: Any, instance: Any, site: Any) -> None:
+    """Ignore effects that only observe."""
+
+
+@perform.register(effects.Call)
+def perform_call(effect: effects.Call, instance: Any, site: Any) -> None:
+    """Keep a call until the test ends it."""
+    instance.calls.append(effect)
+    if isinstance(effect.call, calls.RunAction):
+        site.note_send(instance, effect.call)
+
+
+@perform.register(effects.SetTimer)
+def perform_set_timer(
+    effect: effects.SetTimer,
+    instance: Any,
+    site: Any,
+) -> None:
+    """Set a timer."""
+    instance.timers[effect.timer] = site.now + effect.delay_seconds
+
+
+@perform.register(effects.CancelTimer)
+def perform_cancel_timer(
+    effect: effects.CancelTimer,
+    instance: Any,
+    site: Any,
+) -> None:
+    """Cancel a timer."""
+    instance.timers.pop(effect.timer, None)
+
+
+@perform.register(effects.Reply)
+def perform_reply(
+    effect: effects.Reply,
+    instance: Any,
+    site: Any,
+) -> None:
+    """Check an answer to a caller."""
+    site.note_reply(effect.request_id, effect.reply)
+
+
+@perform.register(effects.SendToPeer)
+def perform_send_to_peer(
+    effect: effects.SendToPeer,
+    instance: Any,
+    site: Any,
+) -> None:
+    """Keep a message until the test delivers or drops it."""
+    if not isinstance(effect.message, messages.Heartbeat):
+        sender = instance.state.identity.peer_address
+        site.messages.append((sender, effect.address, effect.message))
+
+
+@functools.singledispatch
+def origin_id(origin: action_requests.Origin) -> str:
+    """Return the id of the request of the first instance."""
+    raise TypeError(type(origin).__name__)
+
+
+@origin_id.register(action_requests.Caller)
+def caller_id(origin: action_requests.Caller) -> str:
+    """Return the id of a local request."""
+    return origin.request_id
+
+
+@origin_id.register(action_requests.ForwardingPeer)
+def forward_id(origin: action_requests.ForwardingPeer) -> str:
+    """Return the id of a forwarded request."""
+    return origin.forward_id
--- a/tests/action_model.py
+++ b/tests/action_model.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import functools
 import uuid
 from typing import Any
 
@@ -13,7 +12,6 @@
 from mustardvale import document, errors
 from mustardvale.internal import (
     action_keys,
-    action_requests,
     calls,
     configuration,
     effects,
@@ -21,17 +19,15 @@
     handlers,
     log_streams,
     membership,
-    messages,
     records,
     replies,
     state,
     timers,
     upstreams,
 )
-from tests import action_site
+from tests import action_effects, action_site
 
 WALL = 1_800_000_000.0
-WINDOW_SECONDS = 6 * 3600
 INSTANCES = 3
 RUNNERS = 2
 BODIES = (b'"wheel 7"', b'"wheel 8"')
@@ -46,28 +42,28 @@
 # Both belong to one partition; the second expires a minute after the start.
 KEYS = (
     make_key(WALL, 1),
-    make_key(WALL - WINDOW_SECONDS + 60, 23),
+    make_key(WALL - action_keys.WINDOW_SECONDS + 60, 23),
 )
 
 
-@dataclasses.dataclass
 class Instance:
     """Hold one entry instance and what it has asked of the edge."""
 
-    number: int
-    state: state.State
-    timers: dict[Any, float] = dataclasses.field(default_factory=dict)
-    calls: list[effects.Call] = dataclasses.field(default_factory=list)
+    def __init__(self, number: int, fresh: state.State) -> None:
+        self.number = number
+        self.state = fresh
+        self.timers: dict[Any, float] = {}
+        self.calls: list[effects.Call] = []
 
 
-@dataclasses.dataclass
 class Asked:
     """Describe a request and what its caller was told."""
 
-    key: str
-    body: bytes
-    replies: list[Any] = dataclasses.field(default_factory=list)
-    sends: int = 0
+    def __init__(self, key: str, body: bytes) -> None:
+        self.key = key
+        self.body = body
+        self.replies: list[Any] = []
+        self.sends = 0
 
 
 class Site:
@@ -142,7 +138,7 @@
         transition = handlers.reduce(event, instance.state)
         instance.state = transition.state
         for effect in transition.effects:
-            perform(effect, instance, self)
+            action_effects.perform(effect, instance, self)
 
     def count(self, what: str) -> None:
         """Count what a run has reached."""
@@ -265,8 +261,10 @@
         assert self.sends[key] == 1, f'{key} was sent {self.sends[key]} times'
         holder = instance.state.actions.of_attempt(call.attempt_id)
         assert holder is not None, 'a sent attempt belongs to a call'
-        asked = self.asked[origin_id(holder.request.origin)]
-        self.attempts[call.attempt_id] = origin_id(holder.request.origin)
+        asked = self.asked[action_effects.origin_id(holder.request.origin)]
+        self.attempts[call.attempt_id] = action_effects.origin_id(
+            holder.request.origin
+        )
         asked.sends += 1
         told = [reply for reply in asked.replies if is_not_run(reply)]
         assert not told, f'sent after the caller was told {told}'
@@ -399,76 +397,3 @@
         isinstance(reply, replies.RequestError)
         and reply.outcome is errors.Outcome.NOT_RUN
     )
-
-
-@functools.singledispatch
-def origin_id(origin: action_requests.Origin) -> str:
-    """Return the id of the request of the first instance."""
-    raise TypeError(type(origin).__name__)
-
-
-@origin_id.register(action_requests.Caller)
-def caller_id(origin: action_requests.Caller) -> str:
-    """Return the id of a local request."""
-    return origin.request_id
-
-
-@origin_id.register(action_requests.ForwardingPeer)
-def forward_id(origin: action_requests.ForwardingPeer) -> str:
-    """Return the id of a forwarded request."""
-    return origin.forward_id
-
-
-@functools.singledispatch
-def perform(effect: Any, instance: Instance, site: Site) -> None:
-    """Ignore effects that only observe."""
-
-
-@perform.register(effects.Call)
-def perform_call(effect: effects.Call, instance: Instance, site: Site) -> None:
-    """Keep a call until the test ends it."""
-    instance.calls.append(effect)
-    if isinstance(effect.call, calls.RunAction):
-        site.note_send(instance, effect.call)
-
-
-@perform.register(effects.SetTimer)
-def perform_set_timer(
-    effect: effects.SetTimer,
-    instance: Instance,
-    site: Site,
-) -> None:
-    """Set a timer."""
-    instance.timers[effect.timer] = site.now + effect.delay_seconds
-
-
-@perform.register(effects.CancelTimer)
-def perform_cancel_timer(
-    effect: effects.CancelTimer,
-    instance: Instance,
-    site: Site,
-) -> None:
-    """Cancel a timer."""
-    instance.timers.pop(effect.timer, None)
-
-
-@perform.register(effects.Reply)
-def perform_reply(
-    effect: effects.Reply,
-    instance: Instance,
-    site: Site,
-) -> None:
-    """Check an answer to a caller."""
-    site.note_reply(effect.request_id, effect.reply)
-
-
-@perform.register(effects.SendToPeer)
-def perform_send_to_peer(
-    effect: effects.SendToPeer,
-    instance: Instance,
-    site: Site,
-) -> None:
-    """Keep a message until the test delivers or drops it."""
-    if not isinstance(effect.message, messages.Heartbeat):
-        sender = instance.state.identity.peer_address
-        site.messages.append((sender, effect.address, effect.message))
