--- a/tests/action_site.py
+++ b/tests/action_site.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import hashlib
 import http.client
 import itertools
@@ -156,7 +157,10 @@
         for number in range(len(self.services)):
             self.spawn_service(number)
         for address in (self.log, self.list, *self.services):
-            wait_until(lambda at=address: is_open(at), f'{address} is open')
+            wait_until(
+                functools.partial(is_open, address),
+                f'{address} is open',
+            )
         self.publish()
         for number in range(len(self.entries)):
             self.spawn_entry(number)
@@ -265,7 +269,7 @@
         """Repeat an action until all entries give the stored answer."""
         for entry in range(len(self.entries)):
             wait_until(
-                lambda at=entry: self.is_stored(at, key),
+                functools.partial(self.is_stored, entry, key),
                 f'the answer to {key} is stored',
             )
 
