--- a/bench/load_client.py
+++ b/bench/load_client.py
@@ -4,7 +4,7 @@
 
 from bench import load_calls
 from mustardvale.internal import effects, events
-from mustardvale.internal.edge import http_client
+from mustardvale.internal.edge import connections, http_client
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,7 +24,7 @@
             if is_wanted(pending, wanted) and self.end(pending):
                 self.close_abandoned(pending)
 
-    def close_abandoned(self, pending: http_client.PendingCall) -> None:
+    def close_abandoned(self, pending: connections.PendingCall) -> None:
         """Close the connection of a call that has ended, if it has one."""
         connection = pending.connection
         if connection is not None and connection.pending is pending:
@@ -33,7 +33,7 @@
 
 
 def is_wanted(
-    pending: http_client.PendingCall,
+    pending: connections.PendingCall,
     wanted: AbandonCall,
 ) -> bool:
     """Return whether a pending call is the one to give up."""
--- /dev/null
+++ b/src/mustardvale/internal/edge/connections.py
@@ -0,0 +1,50 @@
+"""Hold the connections of the HTTP client and the calls that use them."""
+
+import collections
+import socket
+import time
+import typing
+
+import h11
+import immutables
+
+from mustardvale.internal.edge import wire
+
+
+class PendingCall:
+    """Track one call from its start to its answer or failure."""
+
+    def __init__(
+        self, call: typing.Any, address: str, raw: wire.RawCall
+    ) -> None:
+        self.call = call
+        self.address = address
+        self.raw = raw
+        self.started_at = time.monotonic()
+        self.sent = False
+        self.ended = False
+        self.connection: Connection | None = None
+        self.status = 0
+        self.headers: immutables.Map[str, str] = immutables.Map()
+        self.received = bytearray()
+
+
+class Connection:
+    """Hold one connection and the call that uses it."""
+
+    def __init__(self, address: str, sock: socket.socket) -> None:
+        self.address = address
+        self.sock = sock
+        self.protocol = h11.Connection(h11.CLIENT)
+        self.pending: PendingCall | None = None
+        self.output = b''
+        self.connected = False
+
+
+class AddressPool:
+    """Hold the connections to one address and the calls that wait for one."""
+
+    def __init__(self) -> None:
+        self.idle: list[Connection] = []
+        self.open_count = 0
+        self.waiting: collections.deque[PendingCall] = collections.deque()
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -1,6 +1,5 @@
 """Call other processes over HTTP/1.1 with circuits sockets under h11."""
 
-import collections
 import errno
 import functools
 import socket
@@ -13,7 +12,7 @@
 import immutables
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import deadlines, wire
+from mustardvale.internal.edge import connections, deadlines, wire
 
 MAXIMUM_CONNECTIONS_PER_ADDRESS = 64
 MAXIMUM_WAITING_CALLS_PER_ADDRESS = 4096
@@ -38,45 +37,6 @@
         """Decode one line of a streamed answer."""
 
 
-class PendingCall:
-    """Track one call from its start to its answer or failure."""
-
-    def __init__(
-        self, call: typing.Any, address: str, raw: wire.RawCall
-    ) -> None:
-        self.call = call
-        self.address = address
-        self.raw = raw
-        self.started_at = time.monotonic()
-        self.sent = False
-        self.ended = False
-        self.connection: Connection | None = None
-        self.status = 0
-        self.headers: immutables.Map[str, str] = immutables.Map()
-        self.received = bytearray()
-
-
-class Connection:
-    """Hold one connection and the call that uses it."""
-
-    def __init__(self, address: str, sock: socket.socket) -> None:
-        self.address = address
-        self.sock = sock
-        self.protocol = h11.Connection(h11.CLIENT)
-        self.pending: PendingCall | None = None
-        self.output = b''
-        self.connected = False
-
-
-class AddressPool:
-    """Hold the connections to one address and the calls that wait for one."""
-
-    def __init__(self) -> None:
-        self.idle: list[Connection] = []
-        self.open_count = 0
-        self.waiting: collections.deque[PendingCall] = collections.deque()
-
-
 class CountBytes(typing.Protocol):
     """Count the bytes of calls by the kind of call."""
 
@@ -105,16 +65,18 @@
         self.poller = poller
         self.occur = occur
         self.count_bytes = count_bytes
-        self.pools: dict[str, AddressPool] = {}
-        self.connections: dict[socket.socket, Connection] = {}
+        self.pools: dict[str, connections.AddressPool] = {}
+        self.connections: dict[socket.socket, connections.Connection] = {}
         self.deadlines = deadlines.Deadlines(self.expire).register(self)
 
     def start_call(
         self, call: typing.Any, address: str, timeout: float
     ) -> None:
         """Start a call, or queue it when all connections are in use."""
-        pending = PendingCall(call, address, self.codec.encode_call(call))
-        pool = self.pools.setdefault(address, AddressPool())
+        pending = connections.PendingCall(
+            call, address, self.codec.encode_call(call)
+        )
+        pool = self.pools.setdefault(address, connections.AddressPool())
         self.deadlines.set_timer(pending, timeout)
         if pool.idle and not pending.raw.fresh_connection:
             self.use(pool.idle.pop(), pending)
@@ -128,13 +90,15 @@
         else:
             self.fail(pending, events.FailureKind.OVERLOADED, 'queue is full')
 
-    def connect(self, pool: AddressPool, pending: PendingCall) -> None:
+    def connect(
+        self, pool: connections.AddressPool, pending: connections.PendingCall
+    ) -> None:
         """Open a connection for a call."""
         host, _, port = pending.address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setblocking(False)
-        connection = Connection(pending.address, sock)
+        connection = connections.Connection(pending.address, sock)
         connection.pending = pending
         pending.connection = connection
         pool.open_count += 1
@@ -145,7 +109,11 @@
         else:
             self.close(connection, events.FailureKind.REFUSED, str(code))
 
-    def use(self, connection: Connection, pending: PendingCall) -> None:
+    def use(
+        self,
+        connection: connections.Connection,
+        pending: connections.PendingCall,
+    ) -> None:
         """Send a call on an open connection."""
         connection.pending = pending
         pending.connection = connection
@@ -166,7 +134,7 @@
         connection.output = head + body + end
         self.write_output(connection)
 
-    def write_output(self, connection: Connection) -> None:
+    def write_output(self, connection: connections.Connection) -> None:
         """Write as much of the queued output as the socket takes."""
         pending = connection.pending
         try:
@@ -182,7 +150,7 @@
         connection.output = connection.output[count:]
         self.watch_writable(connection)
 
-    def watch_writable(self, connection: Connection) -> None:
+    def watch_writable(self, connection: connections.Connection) -> None:
         """Watch for a writable socket only while output is queued."""
         writing = self.poller.isWriting(connection.sock)
         if connection.output and not writing:
@@ -240,7 +208,7 @@
             kind = events.FailureKind.REFUSED
         self.close(connection, kind, 'connection broke')
 
-    def feed(self, connection: Connection, received: bytes) -> None:
+    def feed(self, connection: connections.Connection, received: bytes) -> None:
         """Give received bytes to the protocol and handle its events."""
         try:
             connection.protocol.receive_data(received)
@@ -253,7 +221,7 @@
                 kind = events.FailureKind.CLOSED
             self.close(connection, kind, str(error))
 
-    def handle_next(self, connection: Connection) -> bool:
+    def handle_next(self, connection: connections.Connection) -> bool:
         """Handle one protocol event; return whether to ask for another."""
         event = connection.protocol.next_event()
         pending = connection.pending
@@ -264,8 +232,8 @@
 
     def take_body(
         self,
-        connection: Connection,
-        pending: PendingCall,
+        connection: connections.Connection,
+        pending: connections.PendingCall,
         body: bytes,
     ) -> None:
         """Keep a piece of an answer, or report the whole lines of a stream."""
@@ -284,7 +252,9 @@
         for line in lines:
             self.report_part(pending, line)
 
-    def report_part(self, pending: PendingCall, line: bytes) -> None:
+    def report_part(
+        self, pending: connections.PendingCall, line: bytes
+    ) -> None:
         """Report one line of a streamed answer."""
         self.occur(
             events.CallPartArrived,
@@ -293,7 +263,11 @@
             part=self.codec.decode_part(pending.call, line),
         )
 
-    def finish(self, connection: Connection, pending: PendingCall) -> None:
+    def finish(
+        self,
+        connection: connections.Connection,
+        pending: connections.PendingCall,
+    ) -> None:
         """Report an answer and reuse or close its connection."""
         connection.pending = None
         answer = wire.RawAnswer(
@@ -312,7 +286,7 @@
 
     def report_answer(
         self,
-        pending: PendingCall,
+        pending: connections.PendingCall,
         answer: wire.RawAnswer,
     ) -> None:
         """Report a decoded answer, or a failure when it does not decode."""
@@ -335,7 +309,7 @@
             seconds=time.monotonic() - pending.started_at,
         )
 
-    def release(self, connection: Connection) -> None:
+    def release(self, connection: connections.Connection) -> None:
         """Give a connection to the next waiting call or keep it idle."""
         pool = self.pools[connection.address]
         while pool.waiting:
@@ -348,7 +322,7 @@
                 return
         pool.idle.append(connection)
 
-    def discard(self, connection: Connection) -> None:
+    def discard(self, connection: connections.Connection) -> None:
         """Close a connection and open one for the next waiting call."""
         if self.connections.pop(connection.sock, None) is None:
             return
@@ -366,7 +340,7 @@
 
     def close(
         self,
-        connection: Connection,
+        connection: connections.Connection,
         kind: events.FailureKind,
         detail: str,
     ) -> None:
@@ -377,7 +351,7 @@
         if pending is not None:
             self.fail(pending, kind, detail)
 
-    def expire(self, pending: PendingCall) -> None:
+    def expire(self, pending: connections.PendingCall) -> None:
         """Fail a call whose time is over; its connection is not reused."""
         connection = pending.connection
         if connection is None:
@@ -387,7 +361,7 @@
 
     def fail(
         self,
-        pending: PendingCall,
+        pending: connections.PendingCall,
         kind: events.FailureKind,
         detail: str,
     ) -> None:
@@ -397,7 +371,7 @@
 
     def report_failure(
         self,
-        pending: PendingCall,
+        pending: connections.PendingCall,
         kind: events.FailureKind,
         detail: str,
     ) -> None:
@@ -409,7 +383,7 @@
             failure=events.Failure(kind, pending.sent, detail),
         )
 
-    def end(self, pending: PendingCall) -> bool:
+    def end(self, pending: connections.PendingCall) -> bool:
         """Mark a call as ended; return whether it had not ended before."""
         if pending.ended:
             return False
@@ -422,8 +396,8 @@
 def take_event(
     event: typing.Any,
     client: HttpClient,
-    connection: Connection,
-    pending: PendingCall,
+    connection: connections.Connection,
+    pending: connections.PendingCall,
 ) -> None:
     """Take one event of the protocol; others than these have no content."""
 
@@ -432,8 +406,8 @@
 def take_head(
     event: h11.Response,
     client: HttpClient,
-    connection: Connection,
-    pending: PendingCall,
+    connection: connections.Connection,
+    pending: connections.PendingCall,
 ) -> None:
     """Keep the status and headers of an answer."""
     pending.status = event.status_code
@@ -449,8 +423,8 @@
 def take_data(
     event: h11.Data,
     client: HttpClient,
-    connection: Connection,
-    pending: PendingCall,
+    connection: connections.Connection,
+    pending: connections.PendingCall,
 ) -> None:
     """Take a piece of the body of an answer."""
     client.take_body(connection, pending, bytes(event.data))
@@ -460,8 +434,8 @@
 def take_end(
     event: h11.EndOfMessage,
     client: HttpClient,
-    connection: Connection,
-    pending: PendingCall,
+    connection: connections.Connection,
+    pending: connections.PendingCall,
 ) -> None:
     """Finish the call of an answer that is whole."""
     client.finish(connection, pending)
