Speak the protocol of the stand-ins in orders and leases

Cause: orders lacked the number of layers that engines require, and the weight store names its fields differently; orders had never met a stand-in. Change: a lease asks for units on behalf of a holder, and its id goes with the order, which also carries the layers of the whole model. Before, the engine refuses the body (400 by its codec).

--- a/bench/site_specs.py
+++ b/bench/site_specs.py
@@ -373,6 +373,7 @@
             f'--environment={plan.document.environment}',
             f'--log-address={plan.log_address}',
             f'--list-address={plan.list_address}',
+            f'--weight-store-address={plan.weight_address}',
             f'--seed={plan.spec.seed + int(member.instance_id.split("-")[1])}',
             *plan.spec.entry_arguments,
         ),
--- a/src/mustardvale/internal/calls.py
+++ b/src/mustardvale/internal/calls.py
@@ -137,11 +137,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestLease:
-    """Ask the weight store for the right to load weights on a runner."""
+    """Ask the weight store for the right to load weights on a runner.
+
+    A unit is one layer or one adapter.
+    """
 
     instance_id: str
     model: str
     version: str
+    units: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,7 +165,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendOrder:
-    """Order a runner to hold layers `first_layer` up to `end_layer`."""
+    """Order a runner to hold layers `first_layer` up to `end_layer`.
+
+    `layers` is the number of layers of the whole model, `lease_id` that of the
+    weight store, empty when the engine has to ask for one.
+    """
 
     instance_id: str
     fencing_token: int
@@ -170,6 +178,8 @@
     adapters: tuple[str, ...]
     first_layer: int
     end_layer: int
+    layers: int
+    lease_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/edge/codec_upstream.py
+++ b/src/mustardvale/internal/edge/codec_upstream.py
@@ -24,6 +24,13 @@
     record: typing.Any
 
 
+class LeaseBody(msgspec.Struct, frozen=True):
+    """Hold a lease as the weight store grants it, for a time in seconds."""
+
+    lease: str
+    seconds: float
+
+
 class ReadBody(msgspec.Struct, frozen=True):
     """Hold the answer of the log service to a read."""
 
@@ -151,7 +158,8 @@
 @encode_call.register(calls.RequestLease)
 def encode_lease(call: calls.RequestLease) -> wire.RawCall:
     """Encode a question for a lease."""
-    return wire.RawCall('POST', '/v1/leases', msgspec.json.encode(call))
+    body = {'holder': call.instance_id, 'units': call.units}
+    return wire.RawCall('POST', '/v1/leases', msgspec.json.encode(body))
 
 
 @decode_answer.register(calls.RequestLease)
@@ -164,11 +172,8 @@
         return calls.LeaseDenied(read_retry_after(raw))
     if raw.status != OK:
         return refused(raw)
-    granted: calls.LeaseGranted = decode_json(
-        raw.body,
-        calls.LeaseGranted,
-    )
-    return granted
+    granted: LeaseBody = decode_json(raw.body, LeaseBody)
+    return calls.LeaseGranted(granted.lease, granted.seconds)
 
 
 def read_retry_after(raw: wire.RawAnswer) -> float:
@@ -185,6 +190,7 @@
     """Encode an order."""
     body = msgspec.to_builtins(call)
     body.pop('instance_id')
+    body['lease'] = body.pop('lease_id')
     return wire.RawCall('POST', '/v1/orders', msgspec.json.encode(body))
 
 
--- a/src/mustardvale/internal/orders.py
+++ b/src/mustardvale/internal/orders.py
@@ -296,6 +296,7 @@
             assignment.instance_id,
             assignment.model,
             assignment.version,
+            count_units(assignment),
         ),
         state.orders.weight_store_address,
         LEASE_TIMEOUT_SECONDS,
@@ -323,7 +324,7 @@
             state,
             (effects.Count('orders', ('dropped',)),),
         )
-    return send_order(assignment, event, state)
+    return send_order(assignment, event.answer.lease_id, event, state)
 
 
 def may_send(
@@ -383,8 +384,28 @@
     )
 
 
+def count_units(assignment: records.Assignment) -> int:
+    """Return what a load takes from the rate of the weight store."""
+    layers = assignment.end_layer - assignment.first_layer
+    return layers + len(assignment.adapters)
+
+
+def count_layers(
+    assignment: records.Assignment,
+    state: 'states.State',
+) -> int:
+    """Return the number of layers of the model that is assigned."""
+    held = (assignment.model, assignment.version)
+    return max(
+        one.end_layer
+        for one in state.orders.plan.assignments
+        if (one.model, one.version) == held
+    )
+
+
 def send_order(
     assignment: records.Assignment,
+    lease_id: str,
     event: events.Event,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
@@ -398,6 +419,8 @@
         adapters=assignment.adapters,
         first_layer=assignment.first_layer,
         end_layer=assignment.end_layer,
+        layers=count_layers(assignment, state),
+        lease_id=lease_id,
     )
     until = event.at + LOADING_SECONDS
     return transitions.Transition(
