--- /dev/null
+++ b/bench/token_cost.py
@@ -0,0 +1,75 @@
+"""Measure the processor time of an entry instance for each token.
+
+    PYTHONPATH=src:. python -m bench.token_cost --output docs/measurements
+
+One entry instance and six runners in three stages serve model answers at
+several rates. Steps that wait for one runner share a call, so that the cost of
+a token falls while the load rises.
+"""
+
+import json
+import pathlib
+import time
+import typing
+
+import fire
+
+from bench import control_cost, demo, processes, site_specs, sites
+
+WARM_UP_SECONDS = 3.0
+MEASURE_SECONDS = 10.0
+RATES = (2, 5, 10, 20)
+MARGIN_SECONDS = 40.0
+MILLISECONDS = 1000
+
+
+def count_tokens(address: str) -> float:
+    """Return the tokens that an entry instance has delivered."""
+    page = processes.request('GET', address, '/metrics').body.decode()
+    return sum(
+        float(line.rpartition(' ')[2])
+        for line in page.splitlines()
+        if line.startswith('mustardvale_tokens_total{')
+    )
+
+
+def measure(rate: float) -> dict[str, typing.Any]:
+    """Measure one rate of requests."""
+    spec = site_specs.SiteSpec(entries=1, runners=6, action_runners=0)
+    with sites.Site(spec) as site:
+        entry = site.plan.entries[0]
+        process_id = site.process_of(entry.instance_id).process_id
+        seconds = WARM_UP_SECONDS + MEASURE_SECONDS + 2
+        load = demo.build_load(site, seconds, rate, seed=1)
+        load.start()
+        try:
+            time.sleep(WARM_UP_SECONDS)
+            before = control_cost.read_processor_seconds(process_id)
+            tokens_before = count_tokens(entry.address)
+            time.sleep(MEASURE_SECONDS)
+            used = control_cost.read_processor_seconds(process_id) - before
+            tokens = count_tokens(entry.address) - tokens_before
+            load.wait(MARGIN_SECONDS)
+        finally:
+            load.kill()
+    return {
+        'requests_per_second': rate,
+        'tokens_per_second': round(tokens / MEASURE_SECONDS, 1),
+        'core_share': round(used / MEASURE_SECONDS, 3),
+        'milliseconds_per_token': round(used / tokens * MILLISECONDS, 2),
+    }
+
+
+def main(output: str = 'docs/measurements') -> None:
+    """Measure all rates and write them."""
+    rows = []
+    for rate in RATES:
+        row = measure(rate)
+        print(json.dumps(row), flush=True)
+        rows.append(row)
+    path = pathlib.Path(output) / 'token_cost.json'
+    path.write_text(json.dumps(rows, indent=1) + '\n')
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
