Give each request one trace and record a sampled share

Cause: a request without a trace context got a new trace for every span, so that its hops could not be joined, and every stage of every token recorded a span. Change: the edge adopts a valid traceparent or begins a trace; spans are recorded only for sampled traces, those of callers that ask for it and one in a hundred of the others.

--- a/src/mustardvale/internal/edge/codec.py
+++ b/src/mustardvale/internal/edge/codec.py
@@ -10,7 +10,7 @@
 
 from mustardvale import errors
 from mustardvale.internal import replies
-from mustardvale.internal.edge import wire
+from mustardvale.internal.edge import trace_contexts, wire
 
 BEARER = 'Bearer '
 MAXIMUM_TOKENS = 4096
@@ -66,7 +66,9 @@
     return {
         'account_key': authorization.removeprefix(BEARER).strip(),
         'deadline_seconds': decode_deadline(raw),
-        'traceparent': raw.headers.get('traceparent', ''),
+        'traceparent': trace_contexts.adopt(
+            raw.headers.get('traceparent', ''),
+        ),
         'caller_address': raw.peer,
     }
 
--- a/src/mustardvale/internal/edge/performer.py
+++ b/src/mustardvale/internal/edge/performer.py
@@ -10,6 +10,7 @@
 
 from mustardvale.internal import effects, replies
 from mustardvale.internal.edge import runtime as runtimes
+from mustardvale.internal.edge import trace_contexts
 
 logger = logging.getLogger('mustardvale')
 
@@ -177,7 +178,9 @@
     effect: effects.RecordSpan,
     runtime: runtimes.Runtime,
 ) -> None:
-    """Record a span."""
+    """Record a span of a trace that is sampled."""
+    if not trace_contexts.is_sampled(effect.traceparent):
+        return
     runtime.spans.record(effect, time.time() - time.monotonic())
 
 
