--- a/src/mustardvale/internal/membership.py
+++ b/src/mustardvale/internal/membership.py
@@ -278,7 +278,7 @@
         return transitions.Transition(state)
     known = state.membership.peers.get(message.instance_id)
     if known is None:
-        known = welcome(message, state)
+        known = build_unlisted_peer(message, state)
     if not is_newer(message, known):
         return transitions.Transition(state)
     peer = dataclasses.replace(
@@ -305,7 +305,9 @@
     )
 
 
-def welcome(message: messages.Heartbeat, state: 'states.State') -> Peer:
+def build_unlisted_peer(
+    message: messages.Heartbeat, state: 'states.State'
+) -> Peer:
     """Describe a peer that is not listed yet."""
     # Before the first instance list the ring lacks this instance, too.
     joined = {
