--- a/src/mustardvale/internal/edge/http_guard.py
+++ b/src/mustardvale/internal/edge/http_guard.py
@@ -84,6 +84,16 @@
                 return
             self._on_accept_done(accepted)
 
+    @circuits.handler('write', override=True)
+    def write(self, sock: socket.socket, output: bytes) -> None:
+        """Queue output, unless the caller has left.
+
+        Output for a closed socket would stay queued for ever, and epoll
+        refuses to watch it.
+        """
+        if sock.fileno() >= 0:
+            super().write(sock, output)
+
     @circuits.handler('close', override=True)
     def close(self, sock: socket.socket | None = None) -> None:
         """Close a socket, now or when its output has been written.
--- a/tests/test_http_guard.py
+++ b/tests/test_http_guard.py
@@ -5,7 +5,8 @@
 import time
 import unittest
 
-from mustardvale.internal.edge import codec_peer
+from bench import processes
+from mustardvale.internal.edge import codec_peer, http_guard
 from tests import site_processes
 
 REQUEST_SECONDS = 1.0
@@ -456,3 +457,18 @@
     with open(f'/proc/{process_id}/stat') as stat:
         fields = stat.read().rpartition(')')[2].split()
     return (int(fields[11]) + int(fields[12])) / 100
+
+
+class OutputForClosedSocket(unittest.TestCase):
+    """Output for a caller that has left is dropped."""
+
+    def test_write_to_a_closed_socket(self) -> None:
+        """Guard against output that stays queued, or stops the handler."""
+        (address,) = processes.find_addresses(1)
+        host, _, port = address.rpartition(':')
+        server = http_guard.CallerSockets((host, int(port)), channel='web')
+        self.addCleanup(server._sock.close)
+        closed = socket.socket()
+        closed.close()
+        server.write(closed, b'late')
+        self.assertNotIn(closed, server._buffers)
