Ask the limit of an account once for each action

Cause: an action asked the token bucket of its account twice, once to be admitted and once to be charged, and counted twice in the demand that is reported. Change: admission runs the action with the charged state, in one step.

--- a/src/mustardvale/internal/actions.py
+++ b/src/mustardvale/internal/actions.py
@@ -1,6 +1,7 @@
 """Check requests for actions and pass them to the part that runs them."""
 
 import dataclasses
+import functools
 import typing
 
 from mustardvale import document as documents
@@ -54,14 +55,16 @@
             f'the body exceeds {MAXIMUM_BODY_BYTES} bytes',
             state,
         )
-    refusal = admission.admit_action(account, event, state)
-    if refusal is not None:
-        return refusal
-    state = admission.charge_action(account, event, state)
     request = build_request(wanted, account, event, state)
+    run = functools.partial(receive_keyed, wanted, request, event)
     if operation.idempotent:
-        return operations.start(event.request_id, request, event, state)
-    return receive_keyed(wanted, request, event, state)
+        run = functools.partial(
+            operations.start,
+            event.request_id,
+            request,
+            event,
+        )
+    return admission.admit_action(account, event, run, state)
 
 
 def receive_keyed(
--- a/src/mustardvale/internal/admission.py
+++ b/src/mustardvale/internal/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import typing
+from collections import abc
 
 import immutables
 
@@ -81,9 +82,10 @@
 def admit_action(
     account: documents.ClientAccount,
     event: events.CallerRequested,
+    run: abc.Callable[['states.State'], transitions.Transition['states.State']],
     state: 'states.State',
-) -> transitions.Transition['states.State'] | None:
-    """Return the refusal of an action, or nothing when it may run.
+) -> transitions.Transition['states.State']:
+    """Charge an action to its account and run it, or refuse it.
 
     Actions are short and urgent. They do not wait behind answers, so that only
     a planned stop and the requests per second of the account refuse them.
@@ -94,17 +96,7 @@
     asked = limits.ask(account, 0, event.at, state.limits)
     if asked.wait_seconds:
         return refuse_limited(account, asked, event.request_id, state)
-    return None
-
-
-def charge_action(
-    account: documents.ClientAccount,
-    event: events.CallerRequested,
-    state: 'states.State',
-) -> 'states.State':
-    """Charge an action that runs to its account."""
-    asked = limits.ask(account, 0, event.at, state.limits)
-    return dataclasses.replace(state, limits=asked.limits)
+    return run(dataclasses.replace(state, limits=asked.limits))
 
 
 def refuse_stopping(
