Keep chains within a zone and begin ranges where others do

Cause: chains had 13 to 16 parts and crossed zones several times; the links between zones, which all requests share, were full (234 GB moved) and streams starved until they were sent again. Ruled out: compute (passes of the slowest accelerator take 7 ms), memory (one request preempted). Change: ranges begin or end where another one of the zone does; a crossing costs as much as half a request, a part costs a little.

--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -18,8 +18,11 @@
 FULL_SHARE = 0.95
 # A runner with recent failures costs as much as this many sound ones.
 AVOIDED_FACTOR = 20.0
-# Crossing to another zone shares one link with all requests of both zones.
-ZONE_LINK_FACTOR = 3.0
+# All requests share the link between two zones, and a prompt's activations
+# fill it for tens of milliseconds; whole chains elsewhere cost nothing.
+CROSSING_SECONDS = 1.0
+# Each part adds waiting for a pass of its runner.
+PART_SECONDS = 0.02
 # Random differences of cost keep instances from choosing the same runners.
 JITTER = 0.25
 LONGEST_CHAIN = 32
@@ -118,7 +121,7 @@
         engine, candidate.accelerator, layers, work.prompt
     )
     seconds = step * work.output + reading
-    return seconds * candidate.factor / (1 - taken) ** 2
+    return (seconds + PART_SECONDS) * candidate.factor / (1 - taken)
 
 
 def hop_cost(
@@ -129,7 +132,7 @@
         return 0.0
     delays = engines.zone_delay(engine, source, target) * work.output
     crossing = engines.hop_time(engine, source, target, work.prompt)
-    return crossing * ZONE_LINK_FACTOR + delays
+    return CROSSING_SECONDS + crossing + delays
 
 
 def find(
--- a/src/mustardvale/internal/relay/placement.py
+++ b/src/mustardvale/internal/relay/placement.py
@@ -92,10 +92,12 @@
         self.layers = layers
         self.anywhere = [0] * layers
         self.in_zone: dict[str, list[int]] = {}
+        self.cuts: dict[str, set[int]] = {}
 
     def add(self, zone: str, held: runners.LayerRange) -> None:
         """Count a range."""
         counts = self.in_zone.setdefault(zone, [0] * self.layers)
+        self.cuts.setdefault(zone, set()).update((held.first, held.end))
         for layer in range(held.first, min(held.end, self.layers)):
             self.anywhere[layer] += 1
             counts[layer] += 1
@@ -103,6 +105,8 @@
     def least_covered(self, zone: str, count: int) -> runners.LayerRange:
         """Return the first of the least covered ranges of some layers.
 
+        Only ranges that begin or end where another one of the zone does are
+        looked at, so that chains have few parts and parts have substitutes.
         Squares make a layer that nobody holds weigh more than several that
         one more runner would hold.
         """
@@ -112,11 +116,17 @@
             for own, everywhere in zip(counts, self.anywhere, strict=True)
         ]
         best_first, best_need = 0, -1.0
-        window = sum(need[:count])
-        for first in range(self.layers - count + 1):
-            if first:
-                window += need[first + count - 1] - need[first - 1]
+        for first in self.aligned_starts(zone, count):
+            window = sum(need[first : first + count])
             # Differences in the last digits are no differences.
             if window > best_need + 1e-9:
                 best_first, best_need = first, window
         return runners.LayerRange(best_first, best_first + count)
+
+    def aligned_starts(self, zone: str, count: int) -> list[int]:
+        """Return the starts of ranges that fit to those of a zone."""
+        cuts = {0, self.layers, *self.cuts.get(zone, ())}
+        starts = cuts | {cut - count for cut in cuts}
+        return sorted(
+            start for start in starts if 0 <= start <= self.layers - count
+        )
