Move running requests away from chain parts that fail

Cause: a part that does not answer stops every request whose chain has it, and callers leave a silent stream after two seconds. Ruled out: guessing the part from silent streams alone; an instance has about two streams on a chain, so that all its parts are silent together. Change: a silent stream has its first runner asked what it waits for; the part that is named is avoided and all requests on it are ordered onto a substitute.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -1,11 +1,12 @@
 """Move bytes over non-blocking sockets that a poller watches."""
 
 import errno
+import select
 import socket
 import typing
 from collections import abc
 
-import circuits
+from circuits.core import pollers
 
 PENDING_CONNECT = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
 RECEIVE_BYTES = 64 * 1024
@@ -43,23 +44,47 @@
         """Handle that queued output has been written."""
 
 
-class ChannelTable(circuits.Component):
-    """Watch channels and listening sockets with one poller.
+class DirectPoller(pollers.EPoll):
+    """Hand what happens on the sockets of one table to it directly.
 
-    The sockets of circuits pass each read and write through its event queue,
-    at about 20 microseconds each; streams of small parts need a shorter way.
+    Two events in the queue of circuits for each part of a stream would cost
+    more than the part itself.
     """
 
+    table: 'ChannelTable | None' = None
+
+    def _process(self, fileno: int, event: int) -> None:
+        """Handle what the kernel reports for a descriptor."""
+        sock = self._map.get(fileno)
+        if self.table is None or not self.table.owns(sock):
+            super()._process(fileno, event)
+            return
+        if event & select.EPOLLIN:
+            self.table.on_readable(sock)
+        elif event & (select.EPOLLHUP | select.EPOLLERR):
+            self.table.on_disconnected(sock)
+            return
+        if event & select.EPOLLOUT:
+            self.table.on_writable(sock)
+
+
+class ChannelTable:
+    """Watch channels and listening sockets with one poller."""
+
     channel = 'channels'
 
-    def __init__(self, poller: typing.Any) -> None:
-        super().__init__()
+    def __init__(self, poller: DirectPoller) -> None:
         self.poller = poller
+        poller.table = self
         self.channels: dict[socket.socket, Channel] = {}
         self.listeners: dict[
             socket.socket, abc.Callable[[socket.socket], None]
         ] = {}
 
+    def owns(self, sock: typing.Any) -> bool:
+        """Return whether a socket belongs to this table."""
+        return sock in self.channels or sock in self.listeners
+
     def listen(
         self,
         address: tuple[str, int],
@@ -160,7 +185,6 @@
             channel.reading = True
             self.poller.addReader(self, channel.sock)
 
-    @circuits.handler('_read')
     def on_readable(self, sock: socket.socket) -> None:
         """Accept connections, or read input."""
         accept = self.listeners.get(sock)
@@ -179,7 +203,6 @@
             return
         channel.owner.on_received(channel, received)
 
-    @circuits.handler('_write')
     def on_writable(self, sock: socket.socket) -> None:
         """Complete a connect, or write queued output."""
         channel = self.channels.get(sock)
@@ -221,7 +244,6 @@
         else:
             channel.owner.on_drained(channel)
 
-    @circuits.handler('_disconnect')
     def on_disconnected(self, sock: socket.socket) -> None:
         """Break off a channel whose socket reports an error."""
         channel = self.channels.get(sock)
--- a/src/mustardvale/internal/edge/loop.py
+++ b/src/mustardvale/internal/edge/loop.py
@@ -74,6 +74,7 @@
         perform: Perform,
         metric_table: metrics.Metrics,
         clock: abc.Callable[[], float] = time.monotonic,
+        poller: pollers.EPoll | None = None,
     ) -> None:
         super().__init__()
         self.clock = clock
@@ -85,7 +86,7 @@
         self.reducing = False
         self.exit_code = 0
         # `pollers.Poller` is select(2) and drops descriptors from 1024 on.
-        self.poller = pollers.EPoll().register(self)
+        self.poller = (poller or pollers.EPoll()).register(self)
         self.deadlines = deadlines.Deadlines(self.report_timer).register(self)
         self.client: http_client.HttpClient | None = None
         self.server: Server | None = None
--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -10,7 +10,6 @@
 import typing
 from collections import abc
 
-import circuits
 import h11
 
 from mustardvale.internal import events
@@ -60,18 +59,15 @@
         """Ignore that the request has been written."""
 
 
-class RelayClient(circuits.Component):
+class RelayClient:
     """Perform sends and report what comes back."""
 
-    channel = 'relay_client'
-
     def __init__(
         self,
         table: channels.ChannelTable,
         codec: relay_wire.SendCodec,
         occur: abc.Callable[..., None],
     ) -> None:
-        super().__init__()
         self.table = table
         self.codec = codec
         self.occur = occur
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -41,6 +41,11 @@
     """Identify the timer that carries a reload signal to the loop."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SweepDue:
+    """Identify the timer that looks for connections whose time is over."""
+
+
 class Codecs(typing.NamedTuple):
     """Hold the codecs of callers, sends and other calls."""
 
@@ -60,26 +65,34 @@
         metric_table: metrics.Metrics,
         codecs: Codecs,
     ) -> None:
+        poller = channels.DirectPoller()
         super().__init__(
-            reduce, state, perform, metric_table, read_boot_clock
+            reduce, state, perform, metric_table, read_boot_clock, poller
         )
         self.log_budget = log_budget.LogBudget()
         self.output: bounded_output.BoundedOutput | None = None
         self.read_settings: abc.Callable[[], typing.Any] | None = None
         self.settings_path = ''
         self.settings_version: tuple[int, int] | None = None
-        self.table = channels.ChannelTable(self.poller).register(self)
+        self.table = channels.ChannelTable(poller)
         self.callers = relay_server.RelayServer(
             self.table, codecs.callers, self.occur
-        ).register(self)
+        )
         self.upstreams = relay_client.RelayClient(
             self.table, codecs.sends, self.occur
-        ).register(self)
+        )
         self.client = http_client.HttpClient(
             codecs.calls, self.poller, self.occur
         ).register(self)
         self.server = self.callers
 
+        self.deadlines.set_timer(SweepDue(), relay_server.SWEEP_SECONDS)
+
+    def sweep(self) -> None:
+        """End connections of callers whose time is over."""
+        self.callers.sweep()
+        self.deadlines.set_timer(SweepDue(), relay_server.SWEEP_SECONDS)
+
     def watch_settings(
         self, path: str, read_settings: abc.Callable[[], typing.Any]
     ) -> None:
@@ -131,6 +144,12 @@
         self.deadlines.set_timer(SettingsDue(), SETTINGS_PERIOD_SECONDS)
 
 
+@loop.elapse.register(SweepDue)
+def elapse_sweep(timer: SweepDue, runtime: RelayLoop) -> None:
+    """Look at the connections of callers."""
+    runtime.sweep()
+
+
 @loop.elapse.register(SettingsDue)
 def elapse_settings(timer: SettingsDue, runtime: RelayLoop) -> None:
     """Look for changed settings."""
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -20,6 +20,8 @@
     ('relay_refusals', 'Refused requests', ('code',)),
     ('store_failures', 'Calls to the store without an answer', ('what',)),
     ('orders', 'Orders to runners by what became of them', ('end',)),
+    ('probes', 'Reports of runners asked for because of silence', ()),
+    ('moves', 'Moved requests by what became of them', ('verdict',)),
     ('reports_lost', 'Reports of runners without an answer', ()),
     ('stray_answers', 'Answers that belonged to another request', ()),
     ('log_lines_left_out', 'Log lines that were not written', ()),
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -13,11 +13,10 @@
 import typing
 from collections import abc
 
-import circuits
 import h11
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import channels, deadlines, relay_wire, wire
+from mustardvale.internal.edge import channels, relay_wire, wire
 
 BACKLOG = 512
 ACCEPTED_PER_TURN = 64
@@ -43,11 +42,6 @@
     idle_seconds: float = 15.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SweepDue:
-    """Identify the timer that looks for connections whose time is over."""
-
-
 class Phase(enum.Enum):
     """Name what a connection waits for."""
 
@@ -97,18 +91,15 @@
             )
 
 
-class RelayServer(circuits.Component):
+class RelayServer:
     """Report whole requests as events and send the answers of effects."""
 
-    channel = 'relay_server'
-
     def __init__(
         self,
         table: channels.ChannelTable,
         codec: relay_wire.CallerCodec,
         occur: abc.Callable[..., None],
     ) -> None:
-        super().__init__()
         self.table = table
         self.codec = codec
         self.occur = occur
@@ -117,8 +108,6 @@
         self.numbers = itertools.count(1)
         self.connections: set[CallerConnection] = set()
         self.requests: dict[str, CallerConnection] = {}
-        self.deadlines = deadlines.Deadlines(self.sweep).register(self)
-        self.deadlines.set_timer(SweepDue(), SWEEP_SECONDS)
 
     def listen(self, listener: str, address: Address) -> None:
         """Accept callers at an address that requests are reported with."""
@@ -375,13 +364,12 @@
             for connection in self.connections
         )
 
-    def sweep(self, timer: SweepDue) -> None:
+    def sweep(self) -> None:
         """End connections whose time is over."""
         now = time.monotonic()
         for connection in tuple(self.connections):
             if 0 < connection.due_at <= now:
                 self.expire(connection)
-        self.deadlines.set_timer(timer, SWEEP_SECONDS)
 
     def expire(self, connection: CallerConnection) -> None:
         """Refuse an incomplete request, or close a connection."""
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -114,6 +114,13 @@
     runner_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeRunner:
+    """Ask a runner which of its requests wait for a part that fails."""
+
+    runner_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StalledRequest:
     """Name a request whose chain has a part that does not answer."""
@@ -149,7 +156,7 @@
     """Order a runner to go on with a request over another chain."""
 
     runner_id: str
-    request_id: str
+    send_id: str
     attempt_id: str
     chain: requests.Chain
 
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -13,7 +13,8 @@
     """Hold one send of a request.
 
     `sent` tells that the upstream may have received it. `tokens` is what its
-    chain is taken to hold for it. `heard_at` is when anything last came back.
+    chain is taken to hold for it. `heard_at` is when anything last came back,
+    `moving_to` the chain of an order to move that has no answer yet.
     """
 
     send_id: str
@@ -26,7 +27,7 @@
     body: bytes = b''
     heard_at: float = 0.0
     first_heard_at: float | None = None
-    moved_at: float | None = None
+    moving_to: requests.Chain = ()
     moves: int = 0
 
 
--- /dev/null
+++ b/src/mustardvale/internal/relay/moves.py
@@ -0,0 +1,370 @@
+"""Move running model requests away from parts of their chains that fail.
+
+The first runner of a chain reports which requests wait for a part that does
+not answer. A moved request keeps what its other parts hold; only the new part
+reads its tokens again, which a send from the beginning would do everywhere.
+"""
+
+import dataclasses
+import itertools
+import typing
+
+from mustardvale.internal import effects, events, transitions
+from mustardvale.internal.relay import (
+    answers,
+    calls,
+    chains,
+    dispatch,
+    endings,
+    exchanges,
+    loads,
+    reducer,
+    requests,
+    runners,
+)
+from mustardvale.internal.relay import effects as relay_effects
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal.relay import state as states
+
+# A stream that is silent for this long is looked into. It is several times
+# the usual pause between events, and well under what makes an answer late.
+PROBE_SILENCE_SECONDS = 0.12
+# Reports are some hundred milliseconds old, so the first may not show a fault.
+PROBE_PERIOD_SECONDS = 0.12
+PROBE_ANSWER_SECONDS = 0.25
+MOVE_ANSWER_SECONDS = 0.4
+# A runner that was reported as the one that others wait for is left alone for
+# about as long as the platform takes to drop its entry.
+BLAME_SECONDS = 4.0
+MAXIMUM_MOVES = 4
+
+
+def probe(
+    attempt: exchanges.Attempt, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Ask the first runner of a silent stream what it waits for."""
+    if not attempt.sent or now - attempt.heard_at < PROBE_SILENCE_SECONDS:
+        return transitions.Transition(state)
+    asked = state.probes.get(attempt.runner_id, 0.0)
+    runner = state.runners.get(attempt.runner_id)
+    if runner is None or now - asked < PROBE_PERIOD_SECONDS:
+        return transitions.Transition(state)
+    return transitions.Transition(
+        dataclasses.replace(
+            state, probes=state.probes.set(attempt.runner_id, now)
+        ),
+        (
+            effects.Call(
+                calls.ProbeRunner(attempt.runner_id),
+                runner.listed.address,
+                PROBE_ANSWER_SECONDS,
+            ),
+            effects.Count('probes', ()),
+        ),
+    )
+
+
+@reducer.on_answer.register(calls.ProbeRunner)
+def take_probe(
+    call: calls.ProbeRunner, event: events.CallAnswered, state: 'states.State'
+) -> reducer.Transition:
+    """Blame the parts that requests wait for, and move the requests."""
+    report = event.answer
+    if not isinstance(report, calls.RunnerReport):
+        return transitions.Transition(state)
+    at_fault = {
+        runners.find_address(state.runners, stalled.fault_address)
+        for stalled in report.stalled
+    } - {None}
+    if not at_fault:
+        return transitions.Transition(state)
+    blamed = frozenset(runner_id for runner_id in at_fault if runner_id)
+    return blame(blamed, 'stalled', event.at, state).then(
+        lambda next_state: move_all(blamed, event.at, next_state)
+    )
+
+
+@reducer.on_failure.register(calls.ProbeRunner)
+def take_lost_probe(
+    call: calls.ProbeRunner, event: events.CallFailed, state: 'states.State'
+) -> reducer.Transition:
+    """Blame a first runner that does not answer, if it is silent besides."""
+    heard = state.heard.get(call.runner_id, 0.0)
+    if event.at - heard < PROBE_SILENCE_SECONDS:
+        return transitions.Transition(state)
+    blamed = frozenset((call.runner_id,))
+    return blame(blamed, 'unreachable', event.at, state).then(
+        lambda next_state: move_all(blamed, event.at, next_state)
+    )
+
+
+def blame(
+    blamed: frozenset[str], reason: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Let other runners go first for a while."""
+    table = state.runners
+    fresh = []
+    for runner_id in sorted(blamed):
+        known = table[runner_id]
+        if known.avoid_until < now + BLAME_SECONDS / 2:
+            fresh.append(runner_id)
+            table = runners.avoid(table, runner_id, now + BLAME_SECONDS)
+    logged = tuple(
+        relay_effects.LogDecision(
+            'runner_blamed', (('runner', runner_id), ('reason', reason))
+        )
+        for runner_id in fresh
+    )
+    return transitions.Transition(
+        dataclasses.replace(state, runners=table), logged
+    )
+
+
+def move_all(
+    faulty: frozenset[str], now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Move every request whose chain has a faulty part."""
+    moved: reducer.Transition = transitions.Transition(state)
+    for exchange in state.exchanges.values():
+        for attempt in exchange.attempts:
+            if uses(attempt, faulty):
+                moved = moved.then(
+                    lambda next_state, chosen=(exchange, attempt): move(
+                        *chosen, faulty, now, next_state
+                    )
+                )
+    return moved
+
+
+def uses(attempt: exchanges.Attempt, faulty: frozenset[str]) -> bool:
+    """Return whether the chain of an attempt has a faulty part."""
+    return any(part.runner_id in faulty for part in attempt.chain)
+
+
+def move(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    faulty: frozenset[str],
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Order the first runner to go on without the faulty parts.
+
+    A request whose first runner is at fault starts again elsewhere instead.
+    """
+    if attempt.moving_to or not attempt.sent:
+        return transitions.Transition(state)
+    if attempt.runner_id in faulty or attempt.moves >= MAXIMUM_MOVES:
+        return start_again(exchange, attempt, 'first runner fails', now, state)
+    chain = repair(exchange, attempt, faulty, now, state)
+    if chain is None:
+        return start_again(exchange, attempt, 'no substitute', now, state)
+    moving = dataclasses.replace(
+        attempt, moving_to=chain, moves=attempt.moves + 1, heard_at=now
+    )
+    next_state = answers.keep(
+        answers.Open(exchange, attempt), moving, state
+    )
+    call = calls.MoveRequest(
+        attempt.runner_id,
+        attempt.send_id,
+        exchange.request.attempt_id,
+        chain,
+    )
+    return transitions.Transition(
+        next_state,
+        (
+            effects.Call(call, chain[0].address, MOVE_ANSWER_SECONDS),
+            relay_effects.LogDecision(
+                'stream_moving',
+                (
+                    ('request', exchange.request.attempt_id),
+                    ('from', dispatch.describe_chain(attempt.chain)),
+                    ('to', dispatch.describe_chain(chain)),
+                    ('faulty', sorted(faulty)),
+                    ('last_event', exchange.last_event),
+                    ('silent_ms', int((now - attempt.heard_at) * 1000)),
+                ),
+            ),
+        ),
+    )
+
+
+def start_again(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    problem: str,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send a request elsewhere, if it may be sent once more."""
+    rest = answers.note_failure(
+        exchanges.without_attempt(exchange, attempt.send_id),
+        attempt,
+        problem,
+    )
+    if not dispatch.may_repeat(rest, now, state):
+        return transitions.Transition(state)
+    found = answers.Open(exchange, attempt)
+    return answers.replace_failed(found, problem, now, state)
+
+
+def repair(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    faulty: frozenset[str],
+    now: float,
+    state: 'states.State',
+) -> requests.Chain | None:
+    """Return a chain with substitutes for the faulty parts, if there is one."""
+    active = state.configuration.active
+    service = active.services.get(exchange.service) if active else None
+    if service is None or service.engine is None:
+        return None
+    engine = service.engine
+    used = {part.runner_id for part in attempt.chain}
+    candidates = [
+        candidate
+        for candidate in dispatch.describe_candidates(
+            engine, exchange.service, now, state
+        )
+        if candidate.runner_id not in used
+    ]
+    work = dispatch.measure(exchange, engine)
+    repaired: list[requests.ChainPart] = []
+    for broken, parts in itertools.groupby(
+        attempt.chain, key=lambda part: part.runner_id in faulty
+    ):
+        kept = tuple(parts)
+        if not broken:
+            repaired.extend(kept)
+            continue
+        span = chains.Span(
+            kept[0].first_layer,
+            kept[-1].end_layer,
+            zone_of(repaired[-1].runner_id, state),
+        )
+        substitutes = chains.find(engine, candidates, work, span, state.seed)
+        if not substitutes:
+            return None
+        taken = {part.runner_id for part in substitutes}
+        candidates = [
+            candidate
+            for candidate in candidates
+            if candidate.runner_id not in taken
+        ]
+        repaired.extend(substitutes)
+    return tuple(repaired)
+
+
+def zone_of(runner_id: str, state: 'states.State') -> str:
+    """Return the zone of a runner, empty when it is not known."""
+    runner = state.runners.get(runner_id)
+    return runner.listed.availability_zone if runner is not None else ''
+
+
+@reducer.on_answer.register(calls.MoveRequest)
+def take_move(
+    call: calls.MoveRequest, event: events.CallAnswered, state: 'states.State'
+) -> reducer.Transition:
+    """Take over the new chain, or try another way."""
+    found = find_moving(call, state)
+    if found is None:
+        return transitions.Transition(state)
+    answer = event.answer
+    verdict = answer.verdict if isinstance(
+        answer, calls.OrderAnswer
+    ) else calls.OrderVerdict.REFUSED
+    counted = effects.Count('moves', (verdict.value,))
+    if verdict in {calls.OrderVerdict.BEGUN, calls.OrderVerdict.HOLDS}:
+        return adopt_chain(found, call.chain, event.at, state).with_effects(
+            counted
+        )
+    stopped = dataclasses.replace(found.attempt, moving_to=())
+    state = answers.keep(found, stopped, state)
+    if verdict is calls.OrderVerdict.CONFLICT:
+        at_fault = runners.find_address(state.runners, answer.fault_address)
+        if at_fault is not None:
+            state = dataclasses.replace(
+                state,
+                runners=runners.failed(state.runners, at_fault, event.at),
+            )
+        return transitions.Transition(state, (counted,))
+    exchange = state.exchanges[found.exchange.request_id]
+    return start_again(
+        exchange, stopped, f'move {verdict.value}', event.at, state
+    ).with_effects(counted)
+
+
+@reducer.on_failure.register(calls.MoveRequest)
+def take_lost_move(
+    call: calls.MoveRequest, event: events.CallFailed, state: 'states.State'
+) -> reducer.Transition:
+    """Go on watching: the order may have been carried out."""
+    counted = effects.Count('moves', ('unanswered',))
+    found = find_moving(call, state)
+    if found is None:
+        return transitions.Transition(state, (counted,))
+    stopped = dataclasses.replace(found.attempt, moving_to=())
+    return transitions.Transition(
+        answers.keep(found, stopped, state), (counted,)
+    )
+
+
+def find_moving(
+    call: calls.MoveRequest, state: 'states.State'
+) -> answers.Open | None:
+    """Return the attempt that an order was given for, unless it is over."""
+    request_id = state.sends.get(call.send_id)
+    if request_id is None:
+        return None
+    exchange = state.exchanges[request_id]
+    attempt = exchanges.find_attempt(exchange, call.send_id)
+    return None if attempt is None else answers.Open(exchange, attempt)
+
+
+def adopt_chain(
+    found: answers.Open,
+    chain: requests.Chain,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Count an attempt on its new chain."""
+    moved = dataclasses.replace(
+        found.attempt, chain=chain, moving_to=(), heard_at=now
+    )
+    table = endings.release(state.loads, found.attempt)
+    table = loads.add_chain(table, chain, moved.tokens, 1)
+    kept = answers.keep(found, moved, state)
+    return transitions.Transition(
+        dataclasses.replace(kept, loads=table),
+        (
+            relay_effects.LogDecision(
+                'stream_moved',
+                (
+                    ('request', found.exchange.request.attempt_id),
+                    ('chain', dispatch.describe_chain(chain)),
+                ),
+            ),
+        ),
+    )
+
+
+def unusable_parts(
+    attempt: exchanges.Attempt, state: 'states.State'
+) -> frozenset[str]:
+    """Return the parts of a chain, after the first, that leave or are gone."""
+    return frozenset(
+        part.runner_id
+        for part in attempt.chain[1:]
+        if not holds(part, state.runners.get(part.runner_id))
+    )
+
+
+def holds(part: requests.ChainPart, runner: runners.Runner | None) -> bool:
+    """Return whether a runner still holds its part and stays."""
+    if runner is None or not runner.usable or runner.listed.layers is None:
+        return False
+    layers = runner.listed.layers
+    return layers.first <= part.first_layer and part.end_layer <= layers.end
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -141,6 +141,14 @@
     )
 
 
+def avoid(table: RunnerMap, runner_id: str, until: float) -> RunnerMap:
+    """Let other upstreams go first until a moment."""
+    known = table.get(runner_id)
+    if known is None:
+        return table
+    return table.set(runner_id, dataclasses.replace(known, avoid_until=until))
+
+
 def answered(
     table: RunnerMap, runner_id: str, seconds: float, sound: bool
 ) -> RunnerMap:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -31,7 +31,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class State:
-    """Hold everything that an instance knows; `seed` feeds random draws."""
+    """Hold everything that an instance knows; `seed` feeds random draws.
+
+    `probes` has when each runner was last asked what it waits for, `heard`
+    when a stream last brought something through each runner.
+    """
 
     identity: bounds.Identity
     limits: bounds.Bounds
@@ -46,4 +50,6 @@
     sends: immutables.Map[str, str] = immutables.Map()
     repeats: repeat_ledgers.RepeatLedger = repeat_ledgers.RepeatLedger()
     send_count: int = 0
+    probes: immutables.Map[str, float] = immutables.Map()
+    heard: immutables.Map[str, float] = immutables.Map()
     stopping: bounds.Stopping | None = None
--- a/src/mustardvale/internal/relay/watch.py
+++ b/src/mustardvale/internal/relay/watch.py
@@ -7,13 +7,16 @@
 import dataclasses
 import typing
 
+import immutables
+
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
-    answers,
     dispatch,
     endings,
     exchanges,
+    moves,
     reducer,
+    runners,
     timers,
 )
 
@@ -23,6 +26,17 @@
 PERIOD_SECONDS = 0.04
 
 
+# A plain request without an answer after this share of its target time goes
+# to another runner, which can still be on time.
+SILENT_TARGET_SHARE = 0.6
+# A stream that is silent for this many times the pause that makes it late is
+# sent elsewhere when nothing else is known about the cause.
+SILENT_GAP_FACTOR = 2.0
+# Parts of a chain that carried another stream this recently are not suspected.
+HEARD_SECONDS = 0.25
+SUSPECT_SECONDS = 0.5
+
+
 @reducer.on_timer.register(timers.ExchangesDue)
 def look(
     timer: timers.ExchangesDue,
@@ -31,7 +45,8 @@
 ) -> reducer.Transition:
     """Look at every open request."""
     looked: reducer.Transition = transitions.Transition(
-        state, (effects.SetTimer(timer, PERIOD_SECONDS),)
+        dataclasses.replace(state, heard=note_heard(state)),
+        (effects.SetTimer(timer, PERIOD_SECONDS),),
     )
     for request_id in state.exchanges:
         exchange = looked.state.exchanges.get(request_id)
@@ -44,6 +59,20 @@
     return looked
 
 
+def note_heard(state: 'states.State') -> immutables.Map[str, float]:
+    """Return when something last came through each runner."""
+    heard: dict[str, float] = {}
+    for exchange in state.exchanges.values():
+        for attempt in exchange.attempts:
+            if attempt.first_heard_at is None:
+                continue
+            for part in attempt.chain:
+                heard[part.runner_id] = max(
+                    heard.get(part.runner_id, 0.0), attempt.heard_at
+                )
+    return immutables.Map(heard)
+
+
 def look_at(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> reducer.Transition:
@@ -52,53 +81,62 @@
         return endings.fail(exchange, 'no time is left', now, state)
     if not exchange.attempts:
         return dispatch.try_send(exchange, now, state)
-    return look_at_silence(exchange, now, state)
-
-
-def look_at_silence(
-    exchange: exchanges.Exchange, now: float, state: 'states.State'
-) -> reducer.Transition:
-    """Go on elsewhere with a request whose upstream is silent for long."""
     attempt = exchange.attempts[-1]
     if exchange.blocked or not exchange.route.repeatable:
         return transitions.Transition(state)
-    if now - attempt.heard_at < silence_limit(exchange):
-        return transitions.Transition(state)
-    if not may_replace(exchange, now, state):
+    if not attempt.chain:
+        return look_at_plain(exchange, attempt, now, state)
+    return look_at_stream(exchange, attempt, now, state)
+
+
+def look_at_plain(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send a plain request elsewhere whose runner is silent for long."""
+    limit = exchange.route.target_seconds * SILENT_TARGET_SHARE
+    if now - attempt.heard_at < limit:
         return transitions.Transition(state)
-    found = answers.Open(exchange, attempt)
-    return answers.replace_failed(found, 'silent', now, state)
+    return moves.start_again(exchange, attempt, 'silent', now, state)
 
 
-# A request without an answer after this share of its target time goes to
-# another runner, which can still be on time.
-SILENT_TARGET_SHARE = 0.6
-# A stream may pause for longer than an answer is late before it is moved:
-# moving costs another read of the prompt.
-SILENT_GAP_FACTOR = 2.0
+def look_at_stream(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Find out why a stream is silent, and move it in time."""
+    unusable = moves.unusable_parts(attempt, state)
+    if unusable and not attempt.moving_to:
+        return moves.move(exchange, attempt, unusable, now, state)
+    silent = now - attempt.heard_at
+    if silent < moves.PROBE_SILENCE_SECONDS:
+        return transitions.Transition(state)
+    if silent < silence_limit(exchange):
+        return moves.probe(attempt, now, state)
+    return moves.start_again(
+        exchange, attempt, 'silent', now, suspect(attempt, now, state)
+    )
 
 
 def silence_limit(exchange: exchanges.Exchange) -> float:
-    """Return how long an upstream may be silent, in seconds."""
+    """Return how long a stream may be silent, in seconds."""
     if exchange.streaming:
         return exchange.route.gap_seconds * SILENT_GAP_FACTOR
     return exchange.route.target_seconds * SILENT_TARGET_SHARE
 
 
-def may_replace(
-    exchange: exchanges.Exchange, now: float, state: 'states.State'
-) -> bool:
-    """Return whether another send may take the place of a silent one."""
-    attempt = exchange.attempts[-1]
-    rest = answers.note_failure(
-        exchanges.without_attempt(exchange, attempt.send_id),
-        attempt,
-        'silent',
-    )
-    if not dispatch.may_repeat(rest, now, state):
-        return False
-    others = dataclasses.replace(
-        rest,
-        tried=rest.tried | {part.runner_id for part in attempt.chain},
-    )
-    return dispatch.choose(others, now, state) is not None
+def suspect(
+    attempt: exchanges.Attempt, now: float, state: 'states.State'
+) -> 'states.State':
+    """Let others go before the parts that may be the cause of silence."""
+    table = state.runners
+    for part in attempt.chain:
+        if now - state.heard.get(part.runner_id, 0.0) >= HEARD_SECONDS:
+            table = runners.avoid(
+                table, part.runner_id, now + SUSPECT_SECONDS
+            )
+    return dataclasses.replace(state, runners=table)
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -139,7 +139,10 @@
 
 
 @encode_call.register(calls.ReadReport)
-def encode_report_read(call: calls.ReadReport) -> wire.RawCall:
+@encode_call.register(calls.ProbeRunner)
+def encode_report_read(
+    call: calls.ReadReport | calls.ProbeRunner,
+) -> wire.RawCall:
     """Encode a question for the state of a runner."""
     return wire.RawCall(
         'GET',
@@ -277,8 +280,9 @@
 
 
 @decode_success.register(calls.ReadReport)
+@decode_success.register(calls.ProbeRunner)
 def decode_report(
-    call: calls.ReadReport, raw: wire.RawAnswer
+    call: calls.ReadReport | calls.ProbeRunner, raw: wire.RawAnswer
 ) -> calls.RunnerReport:
     """Decode the state of a runner."""
     return runner_codec.decode_report(raw)
