--- a/src/mustardvale/internal/edge/logs.py
+++ b/src/mustardvale/internal/edge/logs.py
@@ -7,9 +7,7 @@
 from pythonjsonlogger import json as json_logger
 
 
-def configure(
-    level: str, instance_id: str, output: typing.Any = None
-) -> None:
+def configure(level: str, instance_id: str, output: typing.Any = None) -> None:
     """Send the package's log lines to standard error as JSON objects.
 
     `output` is a text stream to use instead.
--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -177,9 +177,7 @@
         effect = connection.effect
         if connection.skipping or effect is None:
             return True
-        self.occur(
-            relay_events.PartArrived, send_id=effect.send_id, part=part
-        )
+        self.occur(relay_events.PartArrived, send_id=effect.send_id, part=part)
         return connection.effect is effect
 
     def take_end(self, connection: UpstreamConnection) -> bool:
@@ -216,12 +214,12 @@
         channel = connection.channel
         assert channel is not None, 'an answer needs a channel'
         protocol = connection.protocol
+        complete = (
+            protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+        )
+        unread = channel.output or protocol.trailing_data[0]
         reusable = (
-            protocol.our_state is h11.DONE
-            and protocol.their_state is h11.DONE
-            and not channel.output
-            and not protocol.trailing_data[0]
-            and connection.kept_until > time.monotonic()
+            complete and not unread and connection.kept_until > time.monotonic()
         )
         idle = self.idle.setdefault(connection.address, [])
         if not reusable or len(idle) >= MAXIMUM_IDLE_CONNECTIONS:
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -86,9 +86,7 @@
         """Report that the caller reads again."""
         if self.blocked:
             self.blocked = False
-            self.server.occur(
-                events.CallerCaughtUp, request_id=self.request_id
-            )
+            self.server.occur(events.CallerCaughtUp, request_id=self.request_id)
 
 
 class RelayServer:
@@ -162,12 +160,12 @@
         """Handle the input of a connection that awaits a request."""
         if connection.phase is Phase.IDLE:
             connection.phase = Phase.RECEIVING
-            connection.due_at = (
-                time.monotonic() + self.limits.header_seconds
-            )
+            connection.due_at = time.monotonic() + self.limits.header_seconds
         try:
-            while take(connection.protocol.next_event(), connection, self):
-                pass
+            more = True
+            while more:
+                event = connection.protocol.next_event()
+                more = take(event, connection, self)
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint or 400
             self.refuse(connection, status, 'malformed_request', str(error))
@@ -240,9 +238,7 @@
         if connection is None:
             return
         head, body = self.codec.encode_reply(reply)
-        closing = dataclasses.replace(
-            head, closes=head.closes or self.closing
-        )
+        closing = dataclasses.replace(head, closes=head.closes or self.closing)
         is_head = connection.protocol.their_state is h11.MUST_CLOSE
         protocol = connection.protocol
         encoded = protocol.send(start_of(closing, len(body))) or b''
@@ -285,9 +281,7 @@
         if connection is None:
             return
         self.send(connection, h11.EndOfMessage())
-        self.finish(
-            connection, connection.protocol.our_state is not h11.DONE
-        )
+        self.finish(connection, connection.protocol.our_state is not h11.DONE)
 
     def finish(self, connection: CallerConnection, closes: bool) -> None:
         """Go on with the next request, or close after the answer."""
--- a/src/mustardvale/internal/edge/relay_wire.py
+++ b/src/mustardvale/internal/edge/relay_wire.py
@@ -77,7 +77,9 @@
     def encode_send(self, send: typing.Any) -> EncodedSend:
         """Encode a send."""
 
-    def decode_head(self, send: typing.Any, received: ReceivedHead) -> typing.Any:
+    def decode_head(
+        self, send: typing.Any, received: ReceivedHead
+    ) -> typing.Any:
         """Decode the head of an answer."""
 
     def answers(self, send: typing.Any, received: ReceivedHead) -> bool:
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -10,6 +10,7 @@
     dispatch,
     endings,
     exchanges,
+    members,
     reducer,
     repeats,
     requests,
@@ -21,7 +22,8 @@
 # Knowledge of this age is too old to tell a caller that a route or key does
 # not exist.
 DENIAL_AGE_SECONDS = 4.0
-NOT_READY_RETRY_SECONDS = 0.5
+# Other instances usually can serve what this one cannot yet or any more.
+NOT_READY_RETRY_SECONDS = 0.05
 HIGHEST_URGENCY = 9
 # While an instance stops it takes requests of callers that have not asked for
 # new addresses yet; after that it refuses them as not run.
@@ -62,12 +64,12 @@
     state = dataclasses.replace(state, seed=drawn.seed)
     service = configuration.pick_service(admitted.route, drawn.unit)
     exchange = build(event, request, admitted, service)
-    ledger = repeats.count(
+    ledger = repeats.earn(
         state.repeats,
         service,
         event.at,
-        state.limits.retry_window_seconds,
-        repeated=False,
+        state.limits,
+        members.count(state),
     )
     state = dataclasses.replace(
         state,
@@ -82,11 +84,11 @@
 ) -> Admitted:
     """Return route and tenant of a request, or raise `Denied`."""
     active = state.configuration.active
-    if active is None:
-        raise unavailable(request, 'no configuration is known yet')
     stopping = state.stopping
     if stopping is not None and now - stopping.since > STOP_ACCEPT_SECONDS:
         raise unavailable(request, 'this instance stops')
+    if active is None:
+        raise unavailable(request, 'no configuration is known yet')
     if not request.attempt_id:
         raise Denied(
             requests.Refusal(400, 'attempt_id_required'), 'no attempt id'
@@ -96,12 +98,22 @@
         raise deny(request, 404, 'not_found', now, state)
     if route.public or not active.keyed:
         return Admitted(route, None)
+    return Admitted(route, check_key(request, active, now, state))
+
+
+def check_key(
+    request: requests.ClientRequest,
+    active: configuration.Configuration,
+    now: float,
+    state: 'states.State',
+) -> configuration.Tenant:
+    """Return the tenant that a key belongs to, or raise `Denied`."""
     if not configuration_feed.is_confirmed(state, now):
         raise unavailable(request, 'the configuration is too old for keys')
     tenant = active.tenants.get(request.key)
     if tenant is None:
         raise deny(request, 401, 'unauthorized', now, state)
-    return Admitted(route, tenant)
+    return tenant
 
 
 def unavailable(request: requests.ClientRequest, reason: str) -> Denied:
@@ -149,7 +161,7 @@
         service,
         event.at,
         event.at + allowed,
-        tenant=tenant.name if tenant is not None else None,
+        tenant=None if tenant is None else tenant.name,
         urgency=max(0, min(priority, HIGHEST_URGENCY)),
         last_event=request.last_event,
     )
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -7,7 +7,7 @@
 import dataclasses
 import typing
 
-from mustardvale.internal import effects, events, transitions
+from mustardvale.internal import effects, transitions
 from mustardvale.internal.relay import (
     dispatch,
     endings,
@@ -39,9 +39,7 @@
     attempt: exchanges.Attempt
 
 
-def find(
-    event: relay_events.SendEvent, state: 'states.State'
-) -> Open | None:
+def find(event: relay_events.SendEvent, state: 'states.State') -> Open | None:
     """Return what an event belongs to, unless it is over."""
     request_id = state.sends.get(event.send_id)
     if request_id is None:
@@ -130,9 +128,7 @@
     body = found.attempt.body + event.part
     if len(body) > LARGEST_ANSWER_BYTES:
         return replace_failed(found, 'answer too large', event.at, state)
-    grown = dataclasses.replace(
-        found.attempt, body=body, heard_at=event.at
-    )
+    grown = dataclasses.replace(found.attempt, body=body, heard_at=event.at)
     return transitions.Transition(keep(found, grown, state))
 
 
@@ -285,9 +281,7 @@
     problem = f'status {head.status}'
     if head.status // 100 == 2:
         return replace_failed(found, 'answer without proof', now, state)
-    rest, next_state = endings.end_attempt(
-        found.exchange, found.attempt, state
-    )
+    rest, next_state = endings.end_attempt(found.exchange, found.attempt, state)
     rest = note_failure(rest, found.attempt, problem)
     repeats = head.status >= FIRST_ERROR_STATUS and dispatch.may_repeat(
         rest, now, next_state
@@ -299,9 +293,7 @@
     return answer(found, head, now, state)
 
 
-def put(
-    exchange: exchanges.Exchange, state: 'states.State'
-) -> 'states.State':
+def put(exchange: exchanges.Exchange, state: 'states.State') -> 'states.State':
     """Keep a changed request."""
     return dataclasses.replace(
         state, exchanges=state.exchanges.set(exchange.request_id, exchange)
--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -104,13 +104,12 @@
     first: int,
     end: int,
     work: Work,
-    enters: bool,
 ) -> float | None:
     """Return the cost of a part in seconds, or nothing where it is full."""
     layers = end - first
     tokens = (work.prompt + work.output) * layers
     taken = candidate.share_taken + tokens / max(candidate.capacity, 1.0)
-    if enters:
+    if first == 0:
         taken = max(taken, candidate.places_taken + 1 / engine.slots)
     if taken >= FULL_SHARE:
         return None
@@ -135,6 +134,17 @@
     return CROSSING_SECONDS + crossing + delays
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Reached:
+    """Hold a chain up to a layer; cheaper ones come first, then older ones."""
+
+    cost: float
+    number: int
+    layer: int
+    zone: str
+    chain: requests.Chain = dataclasses.field(compare=False)
+
+
 def find(
     engine: engines.Engine,
     candidates: abc.Sequence[Candidate],
@@ -143,47 +153,74 @@
     seed: int,
 ) -> requests.Chain | None:
     """Return the cheapest chain over a span of layers, if there is one."""
-    order = itertools.count()
-    heap: list[tuple[float, int, int, str, requests.Chain]] = [
-        (0.0, next(order), span.first, span.zone, ())
-    ]
-    settled: set[tuple[int, str]] = set()
-    jitter = draw_jitter(candidates, seed)
-    while heap:
-        cost, _, layer, zone, chain = heapq.heappop(heap)
-        if layer >= span.end:
-            return chain
-        if (layer, zone) in settled or len(chain) >= LONGEST_CHAIN:
-            continue
-        settled.add((layer, zone))
-        for candidate in candidates:
-            if not candidate.layers.first <= layer < candidate.layers.end:
-                continue
-            end = min(candidate.layers.end, span.end)
-            part = part_cost(
-                engine, candidate, layer, end, work, enters=layer == 0
-            )
-            if part is None:
-                continue
-            hop = hop_cost(engine, zone, candidate.zone, work)
-            total = cost + part * jitter[candidate.runner_id] + hop
-            if (end, candidate.zone) not in settled:
-                link = requests.ChainPart(
-                    candidate.runner_id, candidate.address, layer, end
-                )
-                heapq.heappush(
-                    heap,
-                    (
-                        total,
-                        next(order),
-                        end,
-                        candidate.zone,
-                        (*chain, link),
-                    ),
-                )
+    search = Search(engine, work, span, draw_jitter(candidates, seed))
+    search.reach(0.0, span.first, span.zone, ())
+    while search.heap:
+        reached = heapq.heappop(search.heap)
+        if reached.layer >= span.end:
+            return reached.chain
+        if search.settle(reached):
+            for candidate in candidates:
+                search.extend(reached, candidate)
     return None
 
 
+class Search:
+    """Hold the chains that a search has reached and not settled yet."""
+
+    def __init__(
+        self,
+        engine: engines.Engine,
+        work: Work,
+        span: Span,
+        jitter: dict[str, float],
+    ) -> None:
+        self.engine = engine
+        self.work = work
+        self.span = span
+        self.jitter = jitter
+        self.heap: list[Reached] = []
+        self.numbers = itertools.count()
+        self.settled: set[tuple[int, str]] = set()
+
+    def reach(
+        self, cost: float, layer: int, zone: str, chain: requests.Chain
+    ) -> None:
+        """Note a chain that has reached a layer."""
+        reached = Reached(cost, next(self.numbers), layer, zone, chain)
+        heapq.heappush(self.heap, reached)
+
+    def settle(self, reached: Reached) -> bool:
+        """Return whether this is the cheapest way to its layer and zone."""
+        place = (reached.layer, reached.zone)
+        if place in self.settled or len(reached.chain) >= LONGEST_CHAIN:
+            return False
+        self.settled.add(place)
+        return True
+
+    def extend(self, reached: Reached, candidate: Candidate) -> None:
+        """Go on with a runner that holds the next layer and has room."""
+        layers = candidate.layers
+        if not layers.first <= reached.layer < layers.end:
+            return
+        end = min(layers.end, self.span.end)
+        if (end, candidate.zone) in self.settled:
+            return
+        cost = part_cost(self.engine, candidate, reached.layer, end, self.work)
+        if cost is None:
+            return
+        hop = hop_cost(self.engine, reached.zone, candidate.zone, self.work)
+        part = requests.ChainPart(
+            candidate.runner_id, candidate.address, reached.layer, end
+        )
+        self.reach(
+            reached.cost + cost * self.jitter[candidate.runner_id] + hop,
+            end,
+            candidate.zone,
+            (*reached.chain, part),
+        )
+
+
 def draw_jitter(
     candidates: abc.Sequence[Candidate], seed: int
 ) -> dict[str, float]:
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -89,9 +89,7 @@
         return adopt(event.answer, event.at, state)
     if isinstance(event.answer, calls.HistoryForgotten):
         known = dataclasses.replace(state.configuration, position=None)
-        return follow(
-            dataclasses.replace(state, configuration=known), event.at
-        )
+        return follow(dataclasses.replace(state, configuration=known), event.at)
     return fail(f'status {event.answer.status}', event.at, state)
 
 
@@ -106,8 +104,10 @@
         logged += (
             relay_effects.LogDecision(
                 'store_regained',
-                (('what', 'configuration'),
-                 ('seconds', round(now - known.failing_since, 3))),
+                (
+                    ('what', 'configuration'),
+                    ('seconds', round(now - known.failing_since, 3)),
+                ),
             ),
         )
     newest = read.configuration
@@ -168,9 +168,7 @@
     return fail(event.failure.kind.value, event.at, state)
 
 
-def fail(
-    problem: str, now: float, state: 'states.State'
-) -> reducer.Transition:
+def fail(problem: str, now: float, state: 'states.State') -> reducer.Transition:
     """Keep the version in force and read again soon."""
     known = state.configuration
     logged: tuple[effects.Effect, ...] = (
@@ -190,7 +188,8 @@
         )
     failing = dataclasses.replace(
         known,
-        failing_since=now if known.failing_since is None
+        failing_since=now
+        if known.failing_since is None
         else known.failing_since,
     )
     return transitions.Transition(
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -62,7 +62,33 @@
     waited = now - exchange.arrived_at
     if waited < exchange.route.target_seconds * WAIT_SHARE:
         return transitions.Transition(state)
-    return endings.fail(exchange, 'no upstream is free', now, state)
+    return endings.fail(
+        exchange, explain_no_target(exchange, now, state), now, state
+    )
+
+
+def explain_no_target(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> str:
+    """Return why no upstream can take a request."""
+    active = state.configuration.active
+    service = active.services.get(exchange.service) if active else None
+    if service is None:
+        return f'service {exchange.service} is not configured'
+    if service.engine is None:
+        return 'no runner is usable'
+    held: set[int] = set()
+    for candidate in describe_candidates(
+        service.engine, exchange.service, now, state
+    ):
+        if candidate.runner_id not in exchange.tried:
+            held.update(range(candidate.layers.first, candidate.layers.end))
+    missing = [
+        layer for layer in range(service.engine.layers) if layer not in held
+    ]
+    if missing:
+        return f'no runner holds layers {missing[0]} to {missing[-1]}'
+    return 'all runners are full'
 
 
 def choose(
@@ -183,12 +209,12 @@
     send_id = f's{number}'
     ledger = state.repeats
     if exchange.sends:
-        ledger = repeats.count(
+        ledger = repeats.spend(
             ledger,
             exchange.service,
             now,
-            state.limits.retry_window_seconds,
-            repeated=True,
+            state.limits,
+            members.count(state),
         )
     attempt = exchanges.Attempt(
         send_id,
--- a/src/mustardvale/internal/relay/endings.py
+++ b/src/mustardvale/internal/relay/endings.py
@@ -57,21 +57,7 @@
     """
     if exchange.streaming:
         return cut(exchange, problem, now, state)
-    if not exchange.may_have_run:
-        refusal = requests.Refusal(
-            UNAVAILABLE,
-            'not_run',
-            exchange.request.attempt_id,
-            RETRY_AFTER_SECONDS,
-        )
-    elif now >= exchange.due_at:
-        refusal = requests.Refusal(
-            GATEWAY_TIMEOUT, 'timed_out', exchange.request.attempt_id
-        )
-    else:
-        refusal = requests.Refusal(
-            GATEWAY_ERROR, 'upstream_failed', exchange.request.attempt_id
-        )
+    refusal = describe_failure(exchange, now)
     return finish(
         exchange,
         'request_failed',
@@ -84,6 +70,20 @@
     )
 
 
+def describe_failure(
+    exchange: exchanges.Exchange, now: float
+) -> requests.Refusal:
+    """Return the final answer to a request that cannot be served."""
+    attempt_id = exchange.request.attempt_id
+    if not exchange.may_have_run:
+        return requests.Refusal(
+            UNAVAILABLE, 'not_run', attempt_id, RETRY_AFTER_SECONDS
+        )
+    if now >= exchange.due_at:
+        return requests.Refusal(GATEWAY_TIMEOUT, 'timed_out', attempt_id)
+    return requests.Refusal(GATEWAY_ERROR, 'upstream_failed', attempt_id)
+
+
 def cut(
     exchange: exchanges.Exchange,
     problem: str,
@@ -159,9 +159,7 @@
     )
 
 
-def release(
-    table: loads.LoadMap, attempt: exchanges.Attempt
-) -> loads.LoadMap:
+def release(table: loads.LoadMap, attempt: exchanges.Attempt) -> loads.LoadMap:
     """Take an attempt away from the load of its upstreams."""
     if attempt.chain:
         return loads.add_chain(table, attempt.chain, attempt.tokens, -1)
--- a/src/mustardvale/internal/relay/engines.py
+++ b/src/mustardvale/internal/relay/engines.py
@@ -71,8 +71,10 @@
     """Return how many layers leave room for a number of tokens."""
     kind = engine.accelerators[accelerator]
     per_layer = cache_bytes_per_token_layer(engine) * tokens
-    layers = kind.memory_mb * BYTES_PER_MB / (
-        engine.layer_mb * BYTES_PER_MB + per_layer
+    layers = (
+        kind.memory_mb
+        * BYTES_PER_MB
+        / (engine.layer_mb * BYTES_PER_MB + per_layer)
     )
     return min(int(layers), engine.layers)
 
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -67,9 +67,7 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether any send may have run or may still run."""
-        return self.runs > 0 or any(
-            attempt.sent for attempt in self.attempts
-        )
+        return self.runs > 0 or any(attempt.sent for attempt in self.attempts)
 
 
 ExchangeMap: typing.TypeAlias = 'immutables.Map[str, Exchange]'
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -23,8 +23,10 @@
 
 # Callers ask again after this time; a longer one keeps them at instances that
 # have gone, a shorter one makes them ask more.
-VALIDITY_SECONDS = 2.0
+VALIDITY_SECONDS = 1.0
 LARGEST_DIRECTORY = 64
+# A store that answers neither a poll nor its repeats for this long is lost.
+STORE_LOST_SECONDS = 0.5
 STOP_PERIOD_SECONDS = 0.1
 LEAVE_SECONDS = 1.0
 # Part of the time to stop after which requests are broken off, so that their
@@ -56,9 +58,9 @@
                 effects.SetTimer(timers.OrdersDue(), 0),
             ),
         )
-        .then(lambda next_state: configuration_feed.follow(
-            next_state, event.at
-        ))
+        .then(
+            lambda next_state: configuration_feed.follow(next_state, event.at)
+        )
         .then(runner_list.read)
         .then(lambda next_state: members.join(next_state, event.at))
     )
@@ -101,17 +103,18 @@
 def choose_addresses(now: float, state: 'states.State') -> tuple[str, ...]:
     """Return the addresses of the instances that take requests.
 
-    An instance that stops, or whose configuration is too old to serve keys,
-    leaves itself out while it knows of others.
+    An instance that stops, or has lost the store, so that it soon cannot
+    serve keys, leaves itself out while it knows of others.
     """
     own = state.identity.addresses.front
     others = tuple(
-        member.front
-        for member in state.members.listed
-        if member.front != own
+        member.front for member in state.members.listed if member.front != own
     )
-    serving = state.stopping is None and (
-        configuration_feed.is_confirmed(state, now)
+    failing = state.configuration.failing_since
+    serving = (
+        state.stopping is None
+        and state.configuration.active is not None
+        and (failing is None or now - failing < STORE_LOST_SECONDS)
     )
     if serving or not others:
         others = (own, *others)
@@ -137,9 +140,7 @@
     """Leave the members and finish the requests that are here."""
     if state.stopping is not None:
         return transitions.Transition(state)
-    stopping = dataclasses.replace(
-        state, stopping=bounds.Stopping(event.at)
-    )
+    stopping = dataclasses.replace(state, stopping=bounds.Stopping(event.at))
     leave = calls.LeaveMembers(members.encode(state.identity))
     return transitions.Transition(
         stopping,
@@ -147,9 +148,7 @@
             relay_effects.LogDecision(
                 'stop_requested', (('open', len(state.exchanges)),)
             ),
-            effects.Call(
-                leave, state.identity.addresses.store, LEAVE_SECONDS
-            ),
+            effects.Call(leave, state.identity.addresses.store, LEAVE_SECONDS),
             relay_effects.CloseIdleCallers(),
             effects.SetTimer(timers.StopDue(), STOP_PERIOD_SECONDS),
         ),
@@ -168,13 +167,12 @@
         return transitions.Transition(
             state, (effects.SetTimer(timer, STOP_PERIOD_SECONDS),)
         )
-    ended: reducer.Transition = transitions.Transition(state)
-    for exchange in state.exchanges.values():
-        ended = ended.then(
-            lambda next_state, chosen=exchange: endings.fail(
-                chosen, 'instance stops', event.at, next_state
-            )
-        )
+    ended: reducer.Transition = transitions.Transition(state).then_each(
+        state.exchanges.values(),
+        lambda exchange, next_state: endings.fail(
+            exchange, 'instance stops', event.at, next_state
+        ),
+    )
     return ended.with_effects(
         relay_effects.LogDecision(
             'instance_stopped',
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -15,12 +15,15 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-JOIN_PERIOD_SECONDS = 1.0
-LIFETIME_SECONDS = 3.0
+JOIN_PERIOD_SECONDS = 0.7
+LIFETIME_SECONDS = 2.1
 ANSWER_SECONDS = 1.0
 # Changes come in groups, such as when all instances start.
 LIST_DELAY_SECONDS = 0.3
 SEPARATOR = '|'
+# What is taken for the number of instances until they are listed; a share of
+# a limit that is too small for a moment does less harm than one too large.
+UNLISTED_MEMBERS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,10 +72,10 @@
 
 def count(state: 'states.State') -> int:
     """Return how many instances are taken to live, at least this one."""
+    if state.members.listed_generation < 0:
+        return UNLISTED_MEMBERS
     own = state.identity.instance_id
-    others = sum(
-        member.instance_id != own for member in state.members.listed
-    )
+    others = sum(member.instance_id != own for member in state.members.listed)
     return others + 1
 
 
@@ -90,9 +93,7 @@
     return transitions.Transition(
         dataclasses.replace(state, members=asked),
         (
-            effects.Call(
-                call, state.identity.addresses.store, ANSWER_SECONDS
-            ),
+            effects.Call(call, state.identity.addresses.store, ANSWER_SECONDS),
             effects.SetTimer(timers.MembershipDue(), JOIN_PERIOD_SECONDS),
         ),
     )
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import itertools
 import typing
 
 from mustardvale.internal import effects, events, transitions
@@ -125,16 +124,22 @@
     faulty: frozenset[str], now: float, state: 'states.State'
 ) -> reducer.Transition:
     """Move every request whose chain has a faulty part."""
-    moved: reducer.Transition = transitions.Transition(state)
-    for exchange in state.exchanges.values():
-        for attempt in exchange.attempts:
-            if uses(attempt, faulty):
-                moved = moved.then(
-                    lambda next_state, chosen=(exchange, attempt): move(
-                        *chosen, faulty, now, next_state
-                    )
-                )
-    return moved
+    affected = [
+        answers.Open(exchange, attempt)
+        for exchange in state.exchanges.values()
+        for attempt in exchange.attempts
+        if uses(attempt, faulty)
+    ]
+    return transitions.Transition(state).then_each(
+        affected,
+        lambda found, next_state: move(
+            next_state.exchanges[found.exchange.request_id],
+            found.attempt,
+            faulty,
+            now,
+            next_state,
+        ),
+    )
 
 
 def uses(attempt: exchanges.Attempt, faulty: frozenset[str]) -> bool:
@@ -163,9 +168,7 @@
     moving = dataclasses.replace(
         attempt, moving_to=chain, moves=attempt.moves + 1, heard_at=now
     )
-    next_state = answers.keep(
-        answers.Open(exchange, attempt), moving, state
-    )
+    next_state = answers.keep(answers.Open(exchange, attempt), moving, state)
     call = calls.MoveRequest(
         attempt.runner_id,
         attempt.send_id,
@@ -198,13 +201,18 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Send a request elsewhere, if it may be sent once more."""
+    """Send a request elsewhere, if it may be and anything can take it.
+
+    Otherwise it stays where it is: silence alone is no reason to end it.
+    """
     rest = answers.note_failure(
         exchanges.without_attempt(exchange, attempt.send_id),
         attempt,
         problem,
     )
-    if not dispatch.may_repeat(rest, now, state):
+    if not dispatch.may_repeat(rest, now, state) or (
+        dispatch.choose(rest, now, state) is None
+    ):
         return transitions.Transition(state)
     found = answers.Open(exchange, attempt)
     return answers.replace_failed(found, problem, now, state)
@@ -222,46 +230,73 @@
     service = active.services.get(exchange.service) if active else None
     if service is None or service.engine is None:
         return None
-    engine = service.engine
     used = {part.runner_id for part in attempt.chain}
-    candidates = [
+    candidates = tuple(
         candidate
         for candidate in dispatch.describe_candidates(
-            engine, exchange.service, now, state
+            service.engine, exchange.service, now, state
         )
         if candidate.runner_id not in used
-    ]
-    work = dispatch.measure(exchange, engine)
-    repaired: list[requests.ChainPart] = []
-    for broken, parts in itertools.groupby(
-        attempt.chain, key=lambda part: part.runner_id in faulty
-    ):
-        kept = tuple(parts)
-        if not broken:
-            repaired.extend(kept)
+    )
+    work = dispatch.measure(exchange, service.engine)
+    repaired: tuple[requests.ChainPart, ...] = ()
+    for span in spans(attempt.chain, faulty):
+        if span[0].runner_id not in faulty:
+            repaired += span
             continue
-        span = chains.Span(
-            kept[0].first_layer,
-            kept[-1].end_layer,
+        missing = chains.Span(
+            span[0].first_layer,
+            span[-1].end_layer,
             zone_of(repaired[-1].runner_id, state),
         )
-        substitutes = chains.find(engine, candidates, work, span, state.seed)
+        substitutes = chains.find(
+            service.engine, candidates, work, missing, state.seed
+        )
         if not substitutes:
             return None
-        taken = {part.runner_id for part in substitutes}
-        candidates = [
-            candidate
-            for candidate in candidates
-            if candidate.runner_id not in taken
-        ]
-        repaired.extend(substitutes)
-    return tuple(repaired)
+        candidates = without(candidates, substitutes)
+        repaired += substitutes
+    return repaired
+
+
+def spans(
+    chain: requests.Chain, faulty: frozenset[str]
+) -> list[requests.Chain]:
+    """Split a chain where faulty parts begin or end."""
+    split: list[requests.Chain] = []
+    for part in chain:
+        if split and is_alike(split[-1][-1], part, faulty):
+            split[-1] = (*split[-1], part)
+        else:
+            split.append((part,))
+    return split
+
+
+def is_alike(
+    one: requests.ChainPart,
+    other: requests.ChainPart,
+    faulty: frozenset[str],
+) -> bool:
+    """Return whether both parts are faulty, or none of them."""
+    return (one.runner_id in faulty) == (other.runner_id in faulty)
+
+
+def without(
+    candidates: tuple[chains.Candidate, ...], chain: requests.Chain
+) -> tuple[chains.Candidate, ...]:
+    """Leave out the runners of a chain."""
+    taken = {part.runner_id for part in chain}
+    return tuple(
+        candidate
+        for candidate in candidates
+        if candidate.runner_id not in taken
+    )
 
 
 def zone_of(runner_id: str, state: 'states.State') -> str:
     """Return the zone of a runner, empty when it is not known."""
     runner = state.runners.get(runner_id)
-    return runner.listed.availability_zone if runner is not None else ''
+    return '' if runner is None else runner.listed.availability_zone
 
 
 @reducer.on_answer.register(calls.MoveRequest)
@@ -273,9 +308,11 @@
     if found is None:
         return transitions.Transition(state)
     answer = event.answer
-    verdict = answer.verdict if isinstance(
-        answer, calls.OrderAnswer
-    ) else calls.OrderVerdict.REFUSED
+    verdict = (
+        answer.verdict
+        if isinstance(answer, calls.OrderAnswer)
+        else calls.OrderVerdict.REFUSED
+    )
     counted = effects.Count('moves', (verdict.value,))
     if verdict in {calls.OrderVerdict.BEGUN, calls.OrderVerdict.HOLDS}:
         return adopt_chain(found, call.chain, event.at, state).with_effects(
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -64,14 +64,12 @@
     active = state.configuration.active
     if active is None or not members.may_order(state, event.at):
         return transitions.Transition(state, (again,))
-    checked = transitions.Transition(drop_settled(state, event.at), (again,))
-    for service in configuration.engine_services(active):
-        checked = checked.then(
-            lambda next_state, chosen=service: place(
-                chosen, event.at, next_state
-            )
-        )
-    return checked
+    return transitions.Transition(
+        drop_settled(state, event.at), (again,)
+    ).then_each(
+        configuration.engine_services(active),
+        lambda service, next_state: place(service, event.at, next_state),
+    )
 
 
 def drop_settled(state: 'states.State', now: float) -> 'states.State':
@@ -104,9 +102,7 @@
     ids = frozenset(runner.runner_id for runner in pool)
     if ids != state.orders.seen:
         # Wait for the others when several appear, as at the first start.
-        seen = dataclasses.replace(
-            state.orders, seen=ids, changed_at=now
-        )
+        seen = dataclasses.replace(state.orders, seen=ids, changed_at=now)
         state = dataclasses.replace(state, orders=seen)
     held = {
         runner.runner_id: runner.layers
@@ -141,9 +137,7 @@
             GivenOrder(
                 assignment.layers,
                 runner.listed.started_at_ms,
-                now
-                + usual * max(loading, 1.0) * LOAD_FACTOR
-                + LISTING_SECONDS,
+                now + usual * max(loading, 1.0) * LOAD_FACTOR + LISTING_SECONDS,
             ),
         )
         ordered.extend(order(assignment, runner, state))
@@ -249,6 +243,4 @@
     call: calls.ReadReport, event: events.CallFailed, state: 'states.State'
 ) -> reducer.Transition:
     """Go on without the report; the order is given again when it is due."""
-    return transitions.Transition(
-        state, (effects.Count('reports_lost', ()),)
-    )
+    return transitions.Transition(state, (effects.Count('reports_lost', ()),))
--- a/src/mustardvale/internal/relay/placement.py
+++ b/src/mustardvale/internal/relay/placement.py
@@ -90,13 +90,17 @@
 
     def __init__(self, layers: int) -> None:
         self.layers = layers
-        self.anywhere = [0] * layers
+        self.anywhere = self.empty()
         self.in_zone: dict[str, list[int]] = {}
         self.cuts: dict[str, set[int]] = {}
 
+    def empty(self) -> list[int]:
+        """Return a count of nothing for each layer."""
+        return [0 for _ in range(self.layers)]
+
     def add(self, zone: str, held: runners.LayerRange) -> None:
         """Count a range."""
-        counts = self.in_zone.setdefault(zone, [0] * self.layers)
+        counts = self.in_zone.setdefault(zone, self.empty())
         self.cuts.setdefault(zone, set()).update((held.first, held.end))
         for layer in range(held.first, min(held.end, self.layers)):
             self.anywhere[layer] += 1
@@ -110,7 +114,7 @@
         Squares make a layer that nobody holds weigh more than several that
         one more runner would hold.
         """
-        counts = self.in_zone.setdefault(zone, [0] * self.layers)
+        counts = self.in_zone.setdefault(zone, self.empty())
         need = [
             OWN_ZONE_WEIGHT / (1 + own) ** 2 + 1 / (1 + everywhere) ** 2
             for own, everywhere in zip(counts, self.anywhere, strict=True)
--- a/src/mustardvale/internal/relay/reducer.py
+++ b/src/mustardvale/internal/relay/reducer.py
@@ -55,9 +55,7 @@
 
 
 @reduce.register(events.TimerFired)
-def reduce_timer(
-    event: events.TimerFired, state: 'states.State'
-) -> Transition:
+def reduce_timer(event: events.TimerFired, state: 'states.State') -> Transition:
     """Dispatch on the timer."""
     return on_timer(event.timer, event, state)
 
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -116,11 +116,11 @@
     table = state.runners
     dropped = known.dropped
     for change in changes:
-        if change.entry is not None:
+        if change.entry is None:
+            dropped = dropped | {change.runner_id}
+        else:
             table = runners.listed(table, change.entry, now)
             dropped = dropped - {change.runner_id}
-        else:
-            dropped = dropped | {change.runner_id}
     if not doubtful:
         for runner_id in dropped:
             table = runners.unlisted(table, runner_id, now)
@@ -194,9 +194,7 @@
     return fail(event.failure.kind.value, event.at, state)
 
 
-def fail(
-    problem: str, now: float, state: 'states.State'
-) -> reducer.Transition:
+def fail(problem: str, now: float, state: 'states.State') -> reducer.Transition:
     """Keep what is known and read again soon."""
     known = state.runner_list
     logged: tuple[effects.Effect, ...] = (
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -83,9 +83,7 @@
 MEAN_WEIGHT = 0.2
 
 
-def listed(
-    table: RunnerMap, entry: ListedRunner, now: float
-) -> RunnerMap:
+def listed(table: RunnerMap, entry: ListedRunner, now: float) -> RunnerMap:
     """Take an entry of the list; a new start begins without a past."""
     known = table.get(entry.runner_id)
     if known is None or is_other_start(known.listed, entry):
@@ -114,9 +112,7 @@
     known = table.get(runner_id)
     if known is None or known.missing_since is not None:
         return table
-    return table.set(
-        runner_id, dataclasses.replace(known, missing_since=now)
-    )
+    return table.set(runner_id, dataclasses.replace(known, missing_since=now))
 
 
 def failed(table: RunnerMap, runner_id: str, now: float) -> RunnerMap:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -48,7 +48,7 @@
     loads: load_tables.LoadMap = immutables.Map()
     exchanges: exchange_tables.ExchangeMap = immutables.Map()
     sends: immutables.Map[str, str] = immutables.Map()
-    repeats: repeat_ledgers.RepeatLedger = repeat_ledgers.RepeatLedger()
+    repeats: repeat_ledgers.Ledger = immutables.Map()
     send_count: int = 0
     probes: immutables.Map[str, float] = immutables.Map()
     heard: immutables.Map[str, float] = immutables.Map()
--- a/src/mustardvale/internal/relay/watch.py
+++ b/src/mustardvale/internal/relay/watch.py
@@ -44,19 +44,15 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Look at every open request."""
-    looked: reducer.Transition = transitions.Transition(
+    return transitions.Transition(
         dataclasses.replace(state, heard=note_heard(state)),
         (effects.SetTimer(timer, PERIOD_SECONDS),),
+    ).then_each(
+        state.exchanges,
+        lambda request_id, next_state: look_at(
+            request_id, event.at, next_state
+        ),
     )
-    for request_id in state.exchanges:
-        exchange = looked.state.exchanges.get(request_id)
-        if exchange is not None:
-            looked = looked.then(
-                lambda next_state, chosen=exchange: look_at(
-                    chosen, event.at, next_state
-                )
-            )
-    return looked
 
 
 def note_heard(state: 'states.State') -> immutables.Map[str, float]:
@@ -74,9 +70,12 @@
 
 
 def look_at(
-    exchange: exchanges.Exchange, now: float, state: 'states.State'
+    request_id: str, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Look at one request."""
+    """Look at one request, unless it has just ended with another."""
+    exchange = state.exchanges.get(request_id)
+    if exchange is None:
+        return transitions.Transition(state)
     if now >= exchange.due_at:
         return endings.fail(exchange, 'no time is left', now, state)
     if not exchange.attempts:
@@ -136,7 +135,5 @@
     table = state.runners
     for part in attempt.chain:
         if now - state.heard.get(part.runner_id, 0.0) >= HEARD_SECONDS:
-            table = runners.avoid(
-                table, part.runner_id, now + SUSPECT_SECONDS
-            )
+            table = runners.avoid(table, part.runner_id, now + SUSPECT_SECONDS)
     return dataclasses.replace(state, runners=table)
--- a/src/mustardvale/internal/transitions.py
+++ b/src/mustardvale/internal/transitions.py
@@ -7,6 +7,7 @@
 from mustardvale.internal import effects as effect_types
 
 StateT = typing.TypeVar('StateT')
+ItemT = typing.TypeVar('ItemT')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +25,20 @@
         following = step(self.state)
         return Transition(following.state, self.effects + following.effects)
 
+    def then_each(
+        self,
+        found: abc.Iterable[ItemT],
+        step: abc.Callable[[ItemT, StateT], 'Transition[StateT]'],
+    ) -> 'Transition[StateT]':
+        """Apply a further step to the state for each of some items."""
+        state = self.state
+        collected = list(self.effects)
+        for each in found:
+            following = step(each, state)
+            state = following.state
+            collected.extend(following.effects)
+        return Transition(state, tuple(collected))
+
     def with_effects(
         self,
         *further: effect_types.Effect,
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -26,6 +26,8 @@
 OK = 200
 GONE = 410
 LENGTH = struct.Struct('>I')
+# What reading an answer of another form raises.
+UNREADABLE = (*runner_codec.UNREADABLE, binascii.Error, struct.error)
 # The end of the partition and its first retained offset.
 READ_HEAD = struct.Struct('>QQ')
 
@@ -52,15 +54,7 @@
         return calls.CallRefused(raw.status)
     try:
         return decode_success(call, raw)
-    except (
-        msgspec.DecodeError,
-        binascii.Error,
-        struct.error,
-        KeyError,
-        TypeError,
-        ValueError,
-        IndexError,
-    ) as error:
+    except UNREADABLE as error:
         raise wire.DecodeError(
             0, 'answer', f'answer does not decode: {error!r}'
         ) from error
@@ -74,9 +68,7 @@
 @encode_call.register(calls.ReadConfiguration)
 def encode_configuration_read(call: calls.ReadConfiguration) -> wire.RawCall:
     """Encode a read of the newest records of the operator."""
-    return wire.RawCall(
-        'GET', f'/api/log-newest?topic={OPERATOR_TOPIC}&part=0'
-    )
+    return wire.RawCall('GET', f'/api/log-newest?topic={OPERATOR_TOPIC}&part=0')
 
 
 @encode_call.register(calls.FollowConfiguration)
@@ -169,9 +161,7 @@
     found = None
     for item in table['items']:
         if item['key'] == CONFIGURATION_KEY and item.get('value'):
-            found = configuration_codec.decode(
-                base64.b64decode(item['value'])
-            )
+            found = configuration_codec.decode(base64.b64decode(item['value']))
     return calls.ConfigurationRead(table['end'], found)
 
 
@@ -184,9 +174,9 @@
     count = 0
     for record in split_records(raw.body):
         count += 1
-        key, content = split_key(record)
-        if key == CONFIGURATION_KEY and content:
-            found = configuration_codec.decode(content)
+        key, value = split_key(record)
+        if key == CONFIGURATION_KEY and value:
+            found = configuration_codec.decode(value)
     return calls.ConfigurationRead(call.position + count, found)
 
 
@@ -218,12 +208,12 @@
     count = 0
     for record in split_records(raw.body):
         count += 1
-        key, content = split_key(record)
+        key, value = split_key(record)
         newest.pop(key, None)
-        newest[key] = content
+        newest[key] = value
     changes = tuple(
-        calls.RunnerChange(key, runner_codec.decode_entry(key, content))
-        for key, content in newest.items()
+        calls.RunnerChange(key, runner_codec.decode_entry(key, value))
+        for key, value in newest.items()
     )
     return calls.RunnersRead(call.position + count, changes)
 
@@ -233,7 +223,7 @@
     READ_HEAD.unpack_from(body)
     at = READ_HEAD.size
     while at < len(body):
-        (length,) = LENGTH.unpack_from(body, at)
+        length = LENGTH.unpack_from(body, at)[0]
         at += LENGTH.size
         record = body[at : at + length]
         if len(record) < length:
@@ -273,8 +263,10 @@
 ) -> calls.MembersListed:
     """Decode the members; rows hold topic, partition, member and offset."""
     table = msgspec.json.decode(raw.body)
-    rows = table if isinstance(table, list) else next(
-        rows for rows in table.values() if isinstance(rows, list)
+    rows = (
+        table
+        if isinstance(table, list)
+        else next(rows for rows in table.values() if isinstance(rows, list))
     )
     return calls.MembersListed(tuple(sorted({row[2] for row in rows})))
 
--- a/src/mustardvale/platform/configuration_codec.py
+++ b/src/mustardvale/platform/configuration_codec.py
@@ -8,6 +8,14 @@
 from mustardvale.internal.edge import wire
 from mustardvale.internal.relay import configuration, engines
 
+# What reading a table of another form raises.
+UNREADABLE = (
+    msgspec.DecodeError,
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+)
 MILLISECONDS = 1000
 KINDS = immutables.Map(
     {
@@ -23,13 +31,7 @@
     """Decode a configuration, or raise `wire.DecodeError`."""
     try:
         return decode_table(msgspec.json.decode(encoded))
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
+    except UNREADABLE as error:
         raise wire.DecodeError(
             0, 'configuration', f'configuration does not decode: {error!r}'
         ) from error
@@ -80,8 +82,7 @@
         shares=tuple(share for share in shares if share.weight > 0)
         or tuple(shares),
         timeout_seconds=timeout,
-        target_seconds=float(row.get('target-latency-ms') or 0)
-        / MILLISECONDS
+        target_seconds=float(row.get('target-latency-ms') or 0) / MILLISECONDS
         or timeout,
         maximum_attempts=int(row.get('max-attempts') or 1),
         priority=int(row.get('priority') or 0),
@@ -108,24 +109,14 @@
     and for each 1,000 tokens of its context; `pipe-mbps` is the link between
     two zones that all chains share.
     """
-    usual = row.get('usual') or {}
-    models = row.get('models') or ({},)
+    usual: Table = row.get('usual') or {}
+    models: list[Table] = row.get('models') or [{}]
     return engines.Engine(
         layers=int(row['layers']),
         layer_mb=float(row['layer-mb']),
         cache_bytes_per_token=float(row['kv-token-bytes']),
         slots=int(row['slots']),
-        accelerators=immutables.Map(
-            {
-                kind['name']: engines.Accelerator(
-                    kind['name'],
-                    float(kind['size-mb']),
-                    float(kind.get('pace') or 1),
-                    float(kind.get('read-factor') or 1),
-                )
-                for kind in row['kinds']
-            }
-        ),
+        accelerators=decode_accelerators(row['kinds']),
         step_seconds=float(row['step_ms']) / MILLISECONDS,
         step_seconds_per_sequence=float(row.get('per_seq_ms') or 0)
         / MILLISECONDS,
@@ -135,13 +126,7 @@
         activation_bytes=float(row.get('activation-bytes') or 0),
         link_mbps=float(row.get('link-mbps') or 0),
         zone_link_mbps=float(row.get('pipe-mbps') or 0),
-        zone_delays=immutables.Map(
-            {
-                (delay['source'], delay['target']): float(delay['delay_ms'])
-                / MILLISECONDS
-                for delay in row.get('delays') or ()
-            }
-        ),
+        zone_delays=decode_delays(row.get('delays') or ()),
         usual_prompt=int(usual.get('prompt') or 800),
         usual_output=int(usual.get('answer') or 200),
         load_seconds=float(models[0].get('load-s') or 10),
@@ -149,6 +134,36 @@
     )
 
 
+def decode_accelerators(
+    rows: typing.Iterable[Table],
+) -> immutables.Map[str, engines.Accelerator]:
+    """Decode the kinds of accelerators by name."""
+    return immutables.Map(
+        {
+            row['name']: engines.Accelerator(
+                row['name'],
+                float(row['size-mb']),
+                float(row.get('pace') or 1),
+                float(row.get('read-factor') or 1),
+            )
+            for row in rows
+        }
+    )
+
+
+def decode_delays(
+    rows: typing.Iterable[Table],
+) -> immutables.Map[tuple[str, str], float]:
+    """Decode the one-way delays between zones, in seconds."""
+    return immutables.Map(
+        {
+            (row['source'], row['target']): float(row['delay_ms'])
+            / MILLISECONDS
+            for row in rows
+        }
+    )
+
+
 def decode_tenants(
     rows: typing.Iterable[Table],
 ) -> immutables.Map[str, configuration.Tenant]:
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -1,11 +1,12 @@
 """Translate requests of callers, what they are answered, and what is sent on."""
 
 import functools
+import types
 import typing
-import urllib.parse
+from collections import abc
+from urllib import parse
 
 import msgspec
-import prometheus_client
 
 from mustardvale.internal import replies
 from mustardvale.internal.edge import relay_wire, wire
@@ -132,7 +133,7 @@
 ) -> requests.DirectoryWanted:
     """Decode a question for entry addresses."""
     check_path(received, '/api/resolve')
-    query = dict(urllib.parse.parse_qsl(received.target.partition('?')[2]))
+    query = dict(parse.parse_qsl(received.target.partition('?')[2]))
     return requests.DirectoryWanted(
         query.get('name', ''), query.get('region', ''), query.get('zone', '')
     )
@@ -152,12 +153,16 @@
         raise wire.DecodeError(404, 'not_found', 'there is no such path')
 
 
-DECODERS = {
-    FRONT: decode_client_request,
-    READINESS: decode_readiness,
-    DIRECTORY: decode_directory,
-    METRICS: decode_metrics,
-}
+DECODERS: types.MappingProxyType[
+    str, abc.Callable[[relay_wire.ReceivedRequest], typing.Any]
+] = types.MappingProxyType(
+    {
+        FRONT: decode_client_request,
+        READINESS: decode_readiness,
+        DIRECTORY: decode_directory,
+        METRICS: decode_metrics,
+    }
+)
 
 JSON = ('Content-Type', 'application/json')
 
@@ -212,8 +217,8 @@
 @encode_reply.register(replies.Text)
 def encode_text(reply: replies.Text) -> tuple[relay_wire.ReplyHead, bytes]:
     """Encode a page of text."""
-    kind = (('Content-Type', prometheus_client.CONTENT_TYPE_LATEST),)
-    return relay_wire.ReplyHead(200, kind), reply.body
+    kind = (('Content-Type', reply.content_type),)
+    return relay_wire.ReplyHead(200, kind), reply.text
 
 
 def encode_head(head: requests.AnswerHead) -> relay_wire.ReplyHead:
@@ -254,8 +259,7 @@
 def encode_chain(chain: requests.Chain) -> str:
     """Encode the runners of a chain with their layers."""
     return ','.join(
-        f'{part.address}={part.first_layer}-{part.end_layer}'
-        for part in chain
+        f'{part.address}={part.first_layer}-{part.end_layer}' for part in chain
     )
 
 
--- a/src/mustardvale/platform/runner_codec.py
+++ b/src/mustardvale/platform/runner_codec.py
@@ -6,29 +6,24 @@
 
 from mustardvale.internal.edge import wire
 from mustardvale.internal.relay import calls, runners
-from mustardvale.platform import front_codec
+from mustardvale.platform import configuration_codec, front_codec
 
 Table: typing.TypeAlias = 'dict[str, typing.Any]'
 
+# What reading a table of another form raises.
+UNREADABLE = configuration_codec.UNREADABLE
+
 ACCEPTED = 202
 DONE = 200
 CONFLICT = 409
 NOT_FOUND = 404
 
 
-def decode_entry(
-    runner_id: str, encoded: bytes
-) -> runners.ListedRunner | None:
+def decode_entry(runner_id: str, encoded: bytes) -> runners.ListedRunner | None:
     """Decode an entry of the list; one that makes no sense names no runner."""
     try:
         return decode_entry_table(runner_id, msgspec.json.decode(encoded))
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ):
+    except UNREADABLE:
         return None
 
 
@@ -100,13 +95,7 @@
                 for row in table.get('stalled') or ()
             ),
         )
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
+    except UNREADABLE as error:
         raise wire.DecodeError(
             0, 'report', f'report does not decode: {error!r}'
         ) from error
--- /dev/null
+++ b/tests/relay_site.py
@@ -0,0 +1,394 @@
+"""Start one relaying instance as a process, with fakes of its platform.
+
+The store and the runners are small servers on threads of the test process;
+they answer what a test puts into them.
+"""
+
+import base64
+import http.client
+import json
+import pathlib
+import socket
+import socketserver
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing
+import urllib.parse
+
+from bench import processes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+START_SECONDS = 20.0
+HOST = 'site.example'
+KEY = 'key-of-ann'
+STAMP = 'stamp-of-the-runner'
+
+CONFIGURATION = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'read',
+            'host': HOST,
+            'path-prefix': '/read/',
+            'kind': 'idempotent',
+            'timeout-ms': 3000,
+            'target-latency-ms': 500,
+            'max-attempts': 2,
+            'service': 'plain',
+        },
+        {
+            'name': 'write',
+            'host': HOST,
+            'path-prefix': '/write/',
+            'kind': 'non_idempotent',
+            'timeout-ms': 3000,
+            'target-latency-ms': 500,
+            'max-attempts': 1,
+            'service': 'plain',
+        },
+        {
+            'name': 'stream',
+            'host': HOST,
+            'path-prefix': '/stream/',
+            'kind': 'streaming',
+            'timeout-ms': 5000,
+            'target-latency-ms': 1000,
+            'gap-target-ms': 500,
+            'max-attempts': 2,
+            'resumable': True,
+            'service': 'plain',
+        },
+    ],
+    'services': [{'name': 'plain'}],
+    'limits': {
+        'max-header-bytes': 4096,
+        'max-body-bytes': 100_000,
+        'header-timeout-ms': 1000,
+        'idle-timeout-ms': 3000,
+    },
+    'tenants': [{'name': 'ann', 'api-keys': [KEY]}],
+}
+
+
+class Server(socketserver.ThreadingTCPServer):
+    """Serve on a free address until it is closed."""
+
+    allow_reuse_address = True
+    daemon_threads = True
+
+    def __init__(self, handler: type[socketserver.BaseRequestHandler]) -> None:
+        host, _, port = processes.find_addresses(1)[0].rpartition(':')
+        super().__init__((host, int(port)), handler)
+        self.address = f'{host}:{port}'
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class Received(typing.NamedTuple):
+    """Hold a request as it came."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def read_request(stream: typing.Any) -> Received | None:
+    """Read one request, or nothing at the end of the input."""
+    line = stream.readline().decode()
+    if not line.strip():
+        return None
+    method, target, _ = line.split(' ', 2)
+    headers = {}
+    while head := stream.readline().decode().strip():
+        name, _, text = head.partition(':')
+        headers[name.lower()] = text.strip()
+    body = stream.read(int(headers.get('content-length', 0)))
+    return Received(method, target, headers, body)
+
+
+class FakeStore:
+    """Hold the configuration and the entries of runners."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, list[tuple[str, bytes]]] = {
+            'keyed.op': [],
+            'keyed.servers': [],
+        }
+        self.changed = threading.Condition()
+        self.mute = False
+        self.members: dict[str, float] = {}
+        store = self
+
+        class Handler(socketserver.StreamRequestHandler):
+            """Answer calls until the caller closes."""
+
+            def handle(self) -> None:
+                """Answer one call after another."""
+                while (received := read_request(self.rfile)) is not None:
+                    status, body = store.answer(received)
+                    if store.mute:
+                        time.sleep(30)
+                        return
+                    self.wfile.write(
+                        b'HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n'
+                        % (status, len(body))
+                        + body
+                    )
+
+        self.server = Server(Handler)
+
+    def put(self, topic: str, key: str, table: typing.Any) -> None:
+        """Append a record."""
+        content = b'' if table is None else json.dumps(table).encode()
+        with self.changed:
+            self.records[topic].append((key, content))
+            self.changed.notify_all()
+
+    def answer(self, received: Received) -> tuple[int, bytes]:
+        """Answer one call."""
+        path, _, text = received.target.partition('?')
+        query = dict(urllib.parse.parse_qsl(text))
+        if path == '/api/log-newest':
+            return 200, self.newest(query['topic'])
+        if path == '/api/log-read':
+            return 200, self.read(query)
+        if path == '/api/log-join':
+            member = json.loads(received.body)['member']
+            self.members[member] = time.monotonic()
+            parts = [['mustardvale.members.0', 0, 0]]
+            return 200, json.dumps(
+                {'generation': 1, 'ttl-ms': 3000, 'parts': parts}
+            ).encode()
+        if path == '/api/log-owners':
+            rows = [['t', 0, member, 0] for member in self.members]
+            return 200, json.dumps({'parts': rows}).encode()
+        return 200, b'{}'
+
+    def newest(self, topic: str) -> bytes:
+        """Return the newest record of each key."""
+        records = self.records[topic]
+        latest = dict(records)
+        items = [
+            {'key': key, 'value': base64.b64encode(content).decode()}
+            for key, content in latest.items()
+        ]
+        return json.dumps(
+            {'items': items, 'has-more': False, 'end': len(records)}
+        ).encode()
+
+    def read(self, query: dict[str, str]) -> bytes:
+        """Return records from an offset on, waiting for the first."""
+        records = self.records[query['topic']]
+        source = int(query['source'])
+        with self.changed:
+            self.changed.wait_for(
+                lambda: len(records) > source,
+                int(query.get('wait-ms', 0)) / 1000,
+            )
+            found = records[source:]
+        body = struct.pack('>QQ', len(records), 0)
+        for key, content in found:
+            record = bytes((len(key),)) + key.encode() + content
+            body += struct.pack('>I', len(record)) + record
+        return body
+
+
+class FakeRunner:
+    """Answer requests as the function that a test sets says.
+
+    The function writes to the socket itself and returns whether to go on.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.received: list[Received] = []
+        self.behave: typing.Callable[[Received, socket.socket], bool] = (
+            answer_whole
+        )
+        runner = self
+
+        class Handler(socketserver.StreamRequestHandler):
+            """Serve one connection."""
+
+            def handle(self) -> None:
+                """Answer one request after another."""
+                while (received := read_request(self.rfile)) is not None:
+                    runner.received.append(received)
+                    if not runner.behave(received, self.connection):
+                        return
+
+        self.server = Server(Handler)
+
+    def entry(self, **fields: typing.Any) -> dict[str, typing.Any]:
+        """Return the entry of the runner."""
+        return {
+            'service': 'plain',
+            'address': self.server.address,
+            'zone': 'zone-a',
+            'version': 'v1',
+            'slots': 6,
+            'state': 'ready',
+            'born': 1,
+            'seq': 1,
+            **fields,
+        }
+
+
+def encode_answer(
+    received: Received,
+    body: bytes,
+    status: int = 200,
+    headers: bytes = b'',
+) -> bytes:
+    """Return a whole answer with its proof."""
+    return (
+        b'HTTP/1.1 %d OK\r\nAttempt-Id: %s\r\nServer-Stamp: %s\r\n%s'
+        b'Keep-Alive: timeout=9\r\nContent-Length: %d\r\n\r\n'
+        % (
+            status,
+            received.headers['attempt-id'].encode(),
+            STAMP.encode(),
+            headers,
+            len(body),
+        )
+    ) + body
+
+
+def answer_whole(received: Received, sock: socket.socket) -> bool:
+    """Answer with the body that was sent."""
+    sock.sendall(encode_answer(received, received.body or b'read'))
+    return True
+
+
+class RelaySite:
+    """Hold one instance, its store and its runners."""
+
+    def __init__(self, runner_count: int = 2) -> None:
+        self.store = FakeStore()
+        self.runners = [
+            FakeRunner(f'i-{number}') for number in range(runner_count)
+        ]
+        self.addresses = processes.find_addresses(4)
+        self.directory = tempfile.TemporaryDirectory()
+        self.log_path = pathlib.Path(self.directory.name) / 'log'
+        self.settings_path = pathlib.Path(self.directory.name) / 'settings'
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def front(self) -> str:
+        """Return the address for callers."""
+        return self.addresses[0]
+
+    def start(self, **fields: typing.Any) -> None:
+        """Start the instance and wait until it is ready."""
+        for runner in self.runners:
+            self.store.put('keyed.servers', runner.name, runner.entry())
+        self.store.put('keyed.op', 'config', CONFIGURATION)
+        self.write_settings(**fields)
+        with self.log_path.open('wb') as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'mustardvale.relay_daemon',
+                    str(self.settings_path),
+                ],
+                cwd=ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={'PYTHONPATH': str(ROOT / 'src')},
+            )
+        self.await_readiness(200)
+
+    def write_settings(self, **fields: typing.Any) -> None:
+        """Write the settings file."""
+        table = {
+            'instance-id': 'entry-1',
+            'availability-zone': 'zone-a',
+            'region': 'region',
+            'front-address': self.addresses[0],
+            'readiness-address': self.addresses[1],
+            'directory-address': self.addresses[2],
+            'metrics-port': self.addresses[3].rpartition(':')[2],
+            'store-address': self.store.server.address,
+            'strict-revocation': True,
+            'stop-seconds': 4,
+            'retry-slack': 100,
+            **fields,
+        }
+        self.settings_path.write_text(
+            ''.join(
+                f'{name} = {json.dumps(item)}\n' for name, item in table.items()
+            )
+        )
+
+    def await_readiness(self, status: int) -> None:
+        """Wait until the readiness answer has a status."""
+        until = time.monotonic() + START_SECONDS
+        while time.monotonic() < until:
+            try:
+                if self.ask(self.addresses[1], '/api/readiness')[0] == status:
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise AssertionError(f'not {status}: {self.log()}')
+
+    def log(self) -> str:
+        """Return what the instance has written."""
+        return self.log_path.read_text()
+
+    def lines(self) -> list[dict[str, typing.Any]]:
+        """Return the log lines of the instance."""
+        return [json.loads(line) for line in self.log().splitlines()]
+
+    def ask(self, address: str, path: str) -> tuple[int, bytes]:
+        """Send a plain question to one of the instance's addresses."""
+        host, _, port = address.rpartition(':')
+        connection = http.client.HTTPConnection(host, int(port), timeout=5)
+        try:
+            connection.request('GET', path)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        finally:
+            connection.close()
+
+    def connect(self) -> socket.socket:
+        """Open a connection to the front."""
+        host, _, port = self.front.rpartition(':')
+        return socket.create_connection((host, int(port)), timeout=5)
+
+    def stop(self) -> None:
+        """End the instance and the fakes."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+        for server in (
+            self.store.server,
+            *(runner.server for runner in self.runners),
+        ):
+            server.shutdown()
+            server.server_close()
+        self.directory.cleanup()
+
+
+def encode_request(
+    path: str, attempt_id: str, body: bytes = b'', headers: str = ''
+) -> bytes:
+    """Return a request of a caller."""
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt_id}\r\n'
+        f'Api-Key: {KEY}\r\nDeadline-Ms: 3000\r\n{headers}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+def read_answer(sock: socket.socket) -> http.client.HTTPResponse:
+    """Read the head of an answer; its body can be read from it."""
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    return answer
--- /dev/null
+++ b/tests/relay_states.py
@@ -0,0 +1,313 @@
+"""Build states and requests of an instance that relays requests."""
+
+import dataclasses
+import typing
+
+import immutables
+
+from mustardvale.internal import effects, events
+from mustardvale.internal.relay import (
+    bounds,
+    calls,
+    configuration,
+    engines,
+    handlers,
+    members,
+    repeats,
+    requests,
+    runners,
+    state,
+    timers,
+)
+from mustardvale.internal.relay import effects as relay_effects
+from mustardvale.internal.relay import events as relay_events
+from tests import reducer_driver
+
+HOST = 'site.example'
+KEY = 'key-of-ann'
+LAYERS = 80
+
+ENGINE = engines.Engine(
+    layers=LAYERS,
+    layer_mb=1750,
+    cache_bytes_per_token=1_180_000,
+    slots=96,
+    accelerators=immutables.Map(
+        {
+            'large': engines.Accelerator('large', 72_000, 2.4, 3.2),
+            'small': engines.Accelerator('small', 14_400, 5.3, 7.9),
+            'wide': engines.Accelerator('wide', 21_600, 16.0, 8.2),
+        }
+    ),
+    step_seconds=0.00102,
+    step_seconds_per_sequence=0.00000918,
+    step_seconds_per_thousand_tokens=0.0000123,
+    read_tokens_per_second=164_000,
+    activation_bytes=59_000,
+    link_mbps=400_000,
+    zone_link_mbps=16_000,
+    usual_prompt=775,
+    usual_output=220,
+    load_seconds=14,
+    loads_at_once=6,
+)
+
+IDENTITY = bounds.Identity(
+    'entry-1',
+    'zone-a',
+    'region',
+    bounds.Addresses(
+        front='10.0.0.1:80',
+        readiness='10.0.0.1:81',
+        directory='10.0.0.1:82',
+        metrics='10.0.0.1:83',
+        store='10.9.0.1:90',
+    ),
+)
+
+
+def route(
+    name: str, kind: configuration.RequestKind, **fields: typing.Any
+) -> configuration.Route:
+    """Return a route to the service of its name."""
+    given = {
+        'timeout_seconds': 20.0,
+        'target_seconds': 0.5,
+        'maximum_attempts': 2,
+        'gap_seconds': 0.25,
+        **fields,
+    }
+    return configuration.Route(
+        name,
+        HOST,
+        f'/{name}/',
+        kind,
+        (configuration.ServiceShare(given.pop('service', name), 1),),
+        **given,
+    )
+
+
+ROUTES = (
+    route(
+        'model',
+        configuration.RequestKind.STREAMING,
+        resumable=True,
+    ),
+    route('read', configuration.RequestKind.IDEMPOTENT, service='plain'),
+    route(
+        'write',
+        configuration.RequestKind.NON_IDEMPOTENT,
+        service='plain',
+        maximum_attempts=1,
+        timeout_seconds=1.0,
+    ),
+    route(
+        'open',
+        configuration.RequestKind.IDEMPOTENT,
+        service='plain',
+        public=True,
+    ),
+)
+
+CONFIGURATION = configuration.Configuration(
+    version=7,
+    routes=immutables.Map({HOST: ROUTES}),
+    services=immutables.Map(
+        {
+            'model': configuration.Service('model', 1000, ENGINE),
+            'plain': configuration.Service('plain', 100),
+        }
+    ),
+    tenants=immutables.Map({KEY: configuration.Tenant('ann', 1)}),
+    keyed=True,
+)
+
+
+def model_runner(
+    name: str, first: int, end: int, **fields: typing.Any
+) -> runners.ListedRunner:
+    """Return the entry of a runner that holds layers."""
+    given = {
+        'accelerator': 'large',
+        'availability_zone': 'zone-a',
+        **fields,
+    }
+    return runners.ListedRunner(
+        name,
+        'model',
+        f'10.1.0.{int(name[1:])}:8000',
+        slots=96,
+        started_at_ms=1,
+        layers=runners.LayerRange(first, end) if end else None,
+        **given,
+    )
+
+
+def plain_runner(name: str) -> runners.ListedRunner:
+    """Return the entry of a plain service's runner."""
+    return runners.ListedRunner(
+        name,
+        'plain',
+        f'10.2.0.{int(name[1:])}:8000',
+        'zone-a',
+        slots=6,
+        started_at_ms=1,
+    )
+
+
+TWO_CHAINS = (
+    model_runner('m1', 0, 40),
+    model_runner('m2', 40, 80),
+    model_runner('m3', 0, 40),
+    model_runner('m4', 40, 80),
+    plain_runner('p1'),
+    plain_runner('p2'),
+)
+
+
+def client_request(
+    path: str, attempt_id: str = 'a1', **fields: typing.Any
+) -> requests.ClientRequest:
+    """Return a request of a client with a key."""
+    given: dict[str, typing.Any] = {
+        'method': 'POST',
+        'host': HOST,
+        'headers': (),
+        'body': b'',
+        'key': KEY,
+        'deadline_seconds': 20.0,
+        **fields,
+    }
+    if path.startswith('/model/') and 'prompt' not in given:
+        given['prompt'] = requests.Prompt('m', 800, 400, 200)
+    return requests.ClientRequest(attempt_id=attempt_id, target=path, **given)
+
+
+def head(status: int = 200, **fields: typing.Any) -> requests.AnswerHead:
+    """Return the head of a runner's answer."""
+    given: dict[str, typing.Any] = {
+        'headers': (('server-stamp', 'stamp'),),
+        'proven': True,
+        **fields,
+    }
+    return requests.AnswerHead(status, **given)
+
+
+UNRUN = head(503, not_run=True, proven=False, headers=())
+
+
+def full_buckets(now: float, limits: bounds.Bounds) -> repeats.Ledger:
+    """Return the budgets of an instance that has run for long."""
+    balance = limits.retry_slack / 2
+    return immutables.Map(
+        {
+            service: repeats.Bucket(balance, now)
+            for service in CONFIGURATION.services
+        }
+    )
+
+
+class Instance(reducer_driver.Driver):
+    """Drive one instance that knows its configuration and upstreams."""
+
+    def __init__(
+        self,
+        listed: tuple[runners.ListedRunner, ...] = TWO_CHAINS,
+        limits: bounds.Bounds = bounds.Bounds(),
+    ) -> None:
+        super().__init__(
+            handlers.reduce,
+            state.State(identity=IDENTITY, limits=limits, seed=1),
+        )
+        self.sends: list[relay_effects.StartSend] = []
+        self.aborted: list[str] = []
+        self.heads: dict[str, typing.Any] = {}
+        self.lines: list[relay_effects.LogDecision] = []
+        self.configure(CONFIGURATION)
+        self.list_runners(listed)
+        self.state = dataclasses.replace(
+            self.state,
+            members=members.MemberState(listed_generation=1),
+            repeats=full_buckets(self.now, limits),
+        )
+        self.occur(events.TimerFired, timer=timers.ExchangesDue())
+
+    def keep(self, effect: effects.Effect) -> None:
+        """Keep what an effect asks for."""
+        match effect:
+            case relay_effects.StartSend():
+                self.sends.append(effect)
+            case relay_effects.AbortSend(send_id):
+                self.aborted.append(send_id)
+            case relay_effects.StartStream(request_id, stream_head):
+                assert request_id not in self.heads, 'a second head'
+                self.heads[request_id] = stream_head
+            case relay_effects.LogDecision():
+                self.lines.append(effect)
+            case _:
+                super().keep(effect)
+
+    def configure(self, active: configuration.Configuration | None) -> None:
+        """Let the store answer a read of the configuration now."""
+        known = dataclasses.replace(self.state.configuration, asked_at=self.now)
+        self.state = dataclasses.replace(self.state, configuration=known)
+        self.occur(
+            events.CallAnswered,
+            call=calls.ReadConfiguration(),
+            address='',
+            answer=calls.ConfigurationRead(1, active),
+        )
+
+    def list_runners(self, listed: tuple[runners.ListedRunner, ...]) -> None:
+        """Let the store answer a read of all upstreams."""
+        changes = tuple(
+            calls.RunnerChange(entry.runner_id, entry) for entry in listed
+        )
+        self.occur(
+            events.CallAnswered,
+            call=calls.ReadRunners(),
+            address='',
+            answer=calls.RunnersRead(1, changes),
+        )
+
+    def relay(self, request_id: str, path: str, **fields: typing.Any) -> None:
+        """Receive a request of a client."""
+        wanted = client_request(path, f'a-{request_id}', **fields)
+        self.occur(events.CallerRequested, request_id=request_id, wanted=wanted)
+
+    def start(self, number: int = -1) -> str:
+        """Let the request of a send be written; return its id."""
+        send_id = self.sends[number].send_id
+        self.occur(relay_events.SendStarted, send_id=send_id)
+        return send_id
+
+    def answer(
+        self, send_id: str, answer_head: requests.AnswerHead, *parts: bytes
+    ) -> None:
+        """Let a head and parts of an answer arrive."""
+        self.occur(relay_events.HeadArrived, send_id=send_id, head=answer_head)
+        self.bring(send_id, *parts)
+
+    def bring(self, send_id: str, *parts: bytes) -> None:
+        """Let parts of an answer arrive."""
+        for part in parts:
+            self.occur(relay_events.PartArrived, send_id=send_id, part=part)
+
+    def end(self, send_id: str) -> None:
+        """Let an answer end completely."""
+        self.occur(relay_events.SendEnded, send_id=send_id)
+
+    def break_send(self, send_id: str, sent: bool = True) -> None:
+        """Let the connection of a send break."""
+        kind = (
+            events.FailureKind.CLOSED if sent else (events.FailureKind.REFUSED)
+        )
+        self.occur(
+            relay_events.SendFailed,
+            send_id=send_id,
+            failure=events.Failure(kind, sent),
+        )
+
+    def calls_of(self, kind: type[typing.Any]) -> list[effects.Call]:
+        """Return the calls of a kind so far."""
+        return [call for call in self.calls if isinstance(call.call, kind)]
--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,409 @@
+"""Guard the translation of the platform's messages."""
+
+import base64
+import json
+import struct
+import unittest
+
+import hypothesis
+import immutables
+from hypothesis import strategies
+
+from mustardvale.internal.edge import relay_wire, wire
+from mustardvale.internal.relay import calls, configuration, requests, runners
+from mustardvale.platform import (
+    call_codec,
+    configuration_codec,
+    front_codec,
+    runner_codec,
+)
+
+ROUTE = {
+    'name': 'r-1',
+    'host': 'Site.example',
+    'path-prefix': '/a/',
+    'kind': 'streaming',
+    'timeout-ms': 20000,
+    'target-latency-ms': 500,
+    'priority': 1,
+    'traffic-split': [
+        {'service': 's1', 'weight': 90},
+        {'service': 's2', 'weight': 10},
+    ],
+    'max-attempts': 2,
+    'public': False,
+    'resumable': True,
+    'gap-target-ms': 250,
+}
+ENGINE = {
+    'slots': 96,
+    'kv-token-bytes': 1180000,
+    'link-mbps': 400000.0,
+    'models': [{'name': 'm', 'load-s': 14.0}],
+    'step_ms': 1.02,
+    'per_seq_ms': 0.00918,
+    'context_per_k': 0.0123,
+    'read_per_s': 164000.0,
+    'loads_at_once': 6,
+    'delays': [{'source': 'a', 'target': 'b', 'delay_ms': 0.3}],
+    'usual': {'prompt': 775, 'answer': 220},
+    'layers': 80,
+    'layer-mb': 1750.0,
+    'activation-bytes': 59000,
+    'pipe-mbps': 16000.0,
+    'kinds': [
+        {'name': 'x', 'size-mb': 72000.0, 'pace': 2.4, 'read-factor': 3.2}
+    ],
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {'name': 's1', 'max-conns': 1128, 'engine': ENGINE},
+        {'name': 's2', 'max-conns': 100},
+    ],
+    'limits': {
+        'max-header-bytes': 16384,
+        'max-body-bytes': 4194304,
+        'header-timeout-ms': 3000,
+        'idle-timeout-ms': 15000,
+    },
+    'tenants': [{'name': 't', 'api-keys': ['k1', 'k2'], 'priority': 1}],
+}
+ENTRY = {
+    'service': 's1',
+    'address': '10.1.2.3:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 96,
+    'state': 'ready',
+    'kind': 'x',
+    'born': 1700000000000,
+    'layers': [{'source': 0, 'target': 30, 'version': 1}],
+    'seq': 4,
+}
+
+
+def encode(table: object) -> bytes:
+    """Encode as the store does."""
+    return json.dumps(table).encode()
+
+
+def keyed(key: str, content: bytes) -> bytes:
+    """Encode a record of a keyed topic."""
+    record = bytes((len(key),)) + key.encode() + content
+    return struct.pack('>I', len(record)) + record
+
+
+def answer(body: bytes, status: int = 200) -> wire.RawAnswer:
+    """Return an answer of the store."""
+    return wire.RawAnswer(status, immutables.Map(), body)
+
+
+class Configurations(unittest.TestCase):
+    """Each field arrives in the unit that its type says."""
+
+    def setUp(self) -> None:
+        self.decoded = configuration_codec.decode(encode(CONFIGURATION))
+
+    def test_route(self) -> None:
+        """Guard against milliseconds that are taken as seconds."""
+        route = self.decoded.routes['site.example'][0]
+        self.assertEqual(20.0, route.timeout_seconds)
+        self.assertEqual(0.5, route.target_seconds)
+        self.assertEqual(0.25, route.gap_seconds)
+        self.assertTrue(route.repeatable)
+        self.assertEqual(
+            (90, 10), tuple(share.weight for share in route.shares)
+        )
+
+    def test_engine(self) -> None:
+        """Guard against times of an engine in the wrong unit."""
+        engine = self.decoded.services['s1'].engine
+        self.assertAlmostEqual(0.00102, engine.step_seconds)
+        self.assertAlmostEqual(0.0003, engine.zone_delays['a', 'b'])
+        self.assertEqual(72000, engine.accelerators['x'].memory_mb)
+        self.assertEqual(14, engine.load_seconds)
+
+    def test_keys_lead_to_their_tenant(self) -> None:
+        """Guard against a key of another tenant."""
+        self.assertEqual('t', self.decoded.tenants['k2'].name)
+        self.assertTrue(self.decoded.keyed)
+
+    def test_without_tenants_no_key_is_asked_for(self) -> None:
+        """Guard against refusing everyone on a site without keys."""
+        table = {
+            name: item
+            for name, item in CONFIGURATION.items()
+            if name != 'tenants'
+        }
+        self.assertFalse(configuration_codec.decode(encode(table)).keyed)
+
+    def test_unreadable_is_an_error_of_this_layer(self) -> None:
+        """Guard against a traceback for what an operator wrote."""
+        for body in (b'', b'[]', b'{"routes":[{}]}', b'{"version":1}'):
+            with self.assertRaises(wire.DecodeError):
+                configuration_codec.decode(body)
+
+
+class Entries(unittest.TestCase):
+    """An entry that makes no sense names no runner."""
+
+    def test_entry(self) -> None:
+        """Guard against fields that are mixed up."""
+        entry = runner_codec.decode_entry('i-1', encode(ENTRY))
+        self.assertEqual(runners.LayerRange(0, 30), entry.layers)
+        self.assertEqual(1700000000000, entry.started_at_ms)
+        self.assertEqual('x', entry.accelerator)
+
+    def test_empty_runner_holds_nothing(self) -> None:
+        """Guard against a runner without layers that gets requests."""
+        entry = runner_codec.decode_entry(
+            'i-1', encode({**ENTRY, 'layers': []})
+        )
+        self.assertIsNone(entry.layers)
+
+    def test_strange_entries(self) -> None:
+        """Guard against entries that another program has written."""
+        for change in (
+            {'state': 'resting'},
+            {'address': 'host:80'},
+            {'address': '10.1.2.3:0'},
+            {'address': 7},
+            {'service': ''},
+            {'slots': 'many'},
+            {'born': 1.5},
+            {'layers': [{}]},
+        ):
+            with self.subTest(change=change):
+                self.assertIsNone(
+                    runner_codec.decode_entry(
+                        'i-1', encode({**ENTRY, **change})
+                    )
+                )
+
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes(self, content: bytes) -> None:
+        """Guard against bytes that stop the list from being read."""
+        runner_codec.decode_entry('i-1', content)
+
+
+class StoreReads(unittest.TestCase):
+    """Positions and records come out of the store's framing."""
+
+    def test_followed_records_move_the_position(self) -> None:
+        """Guard against reading a record twice or never."""
+        body = struct.pack('>QQ', 14, 0) + keyed('i-1', encode(ENTRY))
+        body += keyed('i-2', b'') + keyed('i-1', encode(ENTRY))
+        read = call_codec.decode_answer(calls.FollowRunners(11), answer(body))
+        self.assertEqual(14, read.position)
+        self.assertEqual(
+            {'i-1': True, 'i-2': False},
+            {
+                change.runner_id: change.entry is not None
+                for change in read.changes
+            },
+        )
+
+    def test_nothing_new_confirms(self) -> None:
+        """Guard against a poll without news that counts as a failure."""
+        read = call_codec.decode_answer(
+            calls.FollowConfiguration(3, 2.0),
+            answer(struct.pack('>QQ', 3, 0)),
+        )
+        self.assertEqual(calls.ConfigurationRead(3, None), read)
+
+    def test_newest_of_each_key(self) -> None:
+        """Guard against another record of the operator."""
+        items = [
+            {'key': 'other', 'value': '', 'offset': 1},
+            {
+                'key': 'config',
+                'value': base64.b64encode(encode(CONFIGURATION)).decode(),
+                'offset': 4,
+            },
+        ]
+        body = encode({'items': items, 'has-more': False, 'end': 6})
+        read = call_codec.decode_answer(calls.ReadConfiguration(), answer(body))
+        self.assertEqual(6, read.position)
+        self.assertEqual(7, read.configuration.version)
+
+    def test_forgotten_history(self) -> None:
+        """Guard against an outage that is none."""
+        read = call_codec.decode_answer(
+            calls.FollowRunners(3), answer(b'{"first":9}', 410)
+        )
+        self.assertEqual(calls.HistoryForgotten(), read)
+
+    def test_refusal_is_no_answer(self) -> None:
+        """Guard against reading an error as an empty list."""
+        for status in (429, 500, 503):
+            read = call_codec.decode_answer(
+                calls.ReadRunners(), answer(b'', status)
+            )
+            self.assertEqual(calls.CallRefused(status), read)
+
+    def test_cut_record_is_an_error_of_this_layer(self) -> None:
+        """Guard against half a record that looks whole."""
+        body = struct.pack('>QQ', 14, 0) + keyed('i-1', encode(ENTRY))[:-4]
+        with self.assertRaises(wire.DecodeError):
+            call_codec.decode_answer(calls.FollowRunners(11), answer(body))
+
+    def test_order_right_comes_with_one_partition(self) -> None:
+        """Guard against two members that both may order."""
+        topic, part = call_codec.ORDER_PARTITION
+        for row, expected in (([topic, part, 0], True), ([topic, 1, 0], False)):
+            body = encode({'generation': 3, 'ttl-ms': 3000, 'parts': [row]})
+            joined = call_codec.decode_answer(
+                calls.JoinMembers('m', 3.0, 0), answer(body)
+            )
+            self.assertEqual(expected, joined.gives_orders)
+
+
+def received(*headers: tuple[str, str]) -> relay_wire.ReceivedRequest:
+    """Return a request at the front."""
+    return relay_wire.ReceivedRequest(
+        front_codec.FRONT,
+        'POST',
+        '/a/b?c=%20d',
+        (('host', 'site.example:80'), ('attempt-id', 'a1'), *headers),
+        b'body',
+    )
+
+
+class Requests(unittest.TestCase):
+    """What a caller sent goes on unchanged but for what the system sets."""
+
+    def send(self, *headers: tuple[str, str], **fields: object):
+        """Return the headers that an upstream gets."""
+        request = front_codec.decode_request(received(*headers))
+        send = requests.Send(request, 'i-1', 1.5, **fields)
+        encoded = front_codec.encode_send(send)
+        self.assertEqual('/a/b?c=%20d', encoded.target)
+        self.assertEqual(b'body', encoded.body)
+        return [(name.lower(), text) for name, text in encoded.headers]
+
+    def test_key_and_forged_headers_stay_here(self) -> None:
+        """Guard against a key, tenant or chain that a caller passes on."""
+        headers = self.send(
+            ('api-key', 'k'),
+            ('tenant', 'forged'),
+            ('expect-instance', 'i-9'),
+            ('hop-count', '10.0.0.1:1=0-80'),
+            ('request-urgency', '0'),
+            tenant='t',
+        )
+        self.assertNotIn('api-key', dict(headers))
+        self.assertNotIn('hop-count', dict(headers))
+        self.assertEqual(1, sum(name == 'tenant' for name, _ in headers))
+        self.assertEqual('t', dict(headers)['tenant'])
+        self.assertEqual('i-1', dict(headers)['expect-instance'])
+
+    def test_other_headers_go_on(self) -> None:
+        """Guard against headers that are lost on the way."""
+        headers = self.send(
+            ('x-other', '1'), ('model', 'm'), ('token-count', '10,20')
+        )
+        for line in (('x-other', '1'), ('model', 'm')):
+            self.assertIn(line, headers)
+
+    def test_connection_headers_stay_here(self) -> None:
+        """Guard against headers that concern the caller's connection."""
+        headers = dict(
+            self.send(('connection', 'close, x-hop'), ('x-hop', '1'))
+        )
+        self.assertNotIn('x-hop', headers)
+        self.assertNotIn('connection', headers)
+
+    def test_time_that_is_left(self) -> None:
+        """Guard against a runner that gets the caller's whole time."""
+        headers = self.send(('deadline-ms', '9000'))
+        self.assertIn(('deadline-ms', '1500'), headers)
+
+    def test_chain(self) -> None:
+        """Guard against a chain in another order."""
+        chain = (
+            requests.ChainPart('i-1', '10.0.0.1:1', 0, 20),
+            requests.ChainPart('i-2', '10.0.0.2:1', 20, 80),
+        )
+        headers = dict(self.send(chain=chain, urgency=1))
+        self.assertEqual(
+            '10.0.0.1:1=0-20,10.0.0.2:1=20-80', headers['hop-count']
+        )
+
+    def test_work_of_a_model_request(self) -> None:
+        """Guard against a hint that is taken for the limit."""
+        request = front_codec.decode_request(
+            received(('token-count', '760,400'), ('length-hint', '90'))
+        )
+        self.assertEqual(requests.Prompt('', 760, 400, 90), request.prompt)
+        self.assertEqual(90, request.prompt.expected_output)
+
+    def test_bad_numbers(self) -> None:
+        """Guard against a deadline that is no number."""
+        with self.assertRaises(wire.DecodeError):
+            front_codec.decode_request(received(('deadline-ms', 'soon')))
+
+
+class Answers(unittest.TestCase):
+    """An answer belongs to a request and is vouched for, or it does not count."""
+
+    def setUp(self) -> None:
+        request = front_codec.decode_request(received())
+        self.send = requests.Send(request, 'i-1', 1.0)
+
+    def head(self, status: int, *headers: tuple[str, str]):
+        """Decode a head."""
+        return front_codec.decode_head(
+            self.send, relay_wire.ReceivedHead(status, headers)
+        )
+
+    def test_answer_to_another_request(self) -> None:
+        """Guard against a late answer on a kept connection."""
+        other = relay_wire.ReceivedHead(200, (('attempt-id', 'a0'),))
+        self.assertFalse(front_codec.answers(self.send, other))
+
+    def test_proof_needs_both_headers(self) -> None:
+        """Guard against an answer that nobody vouches for."""
+        full = (('attempt-id', 'a1'), ('server-stamp', 's'))
+        self.assertTrue(self.head(200, *full).proven)
+        self.assertFalse(self.head(200, full[0]).proven)
+        self.assertFalse(self.head(200, full[1]).proven)
+
+    def test_unrun(self) -> None:
+        """Guard against a refusal that is taken for a failure."""
+        self.assertTrue(self.head(503, ('not-executed', '1')).not_run)
+        self.assertTrue(self.head(421).not_run)
+        self.assertFalse(self.head(503).not_run)
+
+    def test_lengths_are_not_passed_on(self) -> None:
+        """Guard against two lengths of one answer."""
+        headers = self.head(
+            200, ('content-length', '3'), ('x-other', '1')
+        ).headers
+        self.assertEqual((('x-other', '1'),), headers)
+
+    def test_refusal_tells_when_to_come_back(self) -> None:
+        """Guard against callers that come back at once."""
+        head, _ = front_codec.encode_reply(
+            requests.Refusal(503, 'not_run', 'a1', 0.4)
+        )
+        self.assertIn(('Retry-After', '0.400'), head.headers)
+        self.assertIn(('Attempt-Id', 'a1'), head.headers)
+
+
+class Kinds(unittest.TestCase):
+    """The kind of a route decides what may be repeated."""
+
+    def test_repeatable(self) -> None:
+        """Guard against repeating a stream that cannot be resumed."""
+        for kind, resumable, expected in (
+            ('streaming', False, False),
+            ('streaming', True, True),
+            ('idempotent', False, True),
+            ('non_idempotent', True, False),
+        ):
+            row = {**ROUTE, 'kind': kind, 'resumable': resumable}
+            route = configuration_codec.decode_route(row)
+            self.assertIsInstance(route.kind, configuration.RequestKind)
+            self.assertEqual(expected, route.repeatable)
--- /dev/null
+++ b/tests/test_relay_admission.py
@@ -0,0 +1,271 @@
+"""Guard which requests may be relayed, and to whom."""
+
+import dataclasses
+import unittest
+
+import immutables
+
+from mustardvale.internal import events
+from mustardvale.internal.relay import (
+    bounds,
+    calls,
+    configuration,
+    repeats,
+    requests,
+    runners,
+)
+from tests import relay_states
+
+
+class Keys(unittest.TestCase):
+    """Keys count only while the configuration is known to hold them."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+
+    def status(self, request_id: str) -> int | None:
+        """Return the status of an answer, none while there is none."""
+        reply = self.instance.replies.get(request_id)
+        return reply.status if reply is not None else None
+
+    def test_unknown_key_is_refused(self) -> None:
+        """Guard against a request whose key no configuration held."""
+        self.instance.relay('r1', '/read/x', key='other')
+        self.assertEqual(401, self.status('r1'))
+        self.assertFalse(self.instance.sends)
+
+    def test_old_configuration_refuses_keys_as_not_run(self) -> None:
+        """Guard against a key that was taken away while the store was lost."""
+        self.instance.now += 4.8
+        self.instance.relay('r1', '/read/x')
+        self.assertEqual(503, self.status('r1'))
+        self.assertFalse(self.instance.sends)
+
+    def test_age_counts_from_when_the_poll_was_sent(self) -> None:
+        """Guard against an answer that was on its way for seconds."""
+        asked = self.instance.now
+        self.instance.now = asked + 4
+        self.instance.occur(
+            events.CallAnswered,
+            call=calls.FollowConfiguration(1, 2.0),
+            address='',
+            answer=calls.ConfigurationRead(1, None),
+        )
+        self.instance.now = asked + 4.9
+        self.instance.relay('r1', '/read/x')
+        self.assertEqual(503, self.status('r1'))
+
+    def test_public_route_needs_no_key(self) -> None:
+        """Guard against refusing what needs no fresh configuration."""
+        self.instance.now += 60
+        self.instance.relay('r1', '/open/x', key='')
+        self.assertEqual(1, len(self.instance.sends))
+
+    def test_removed_key_is_refused_at_once(self) -> None:
+        """Guard against a key that outlives its configuration."""
+        newer = dataclasses.replace(
+            relay_states.CONFIGURATION, version=9, tenants=immutables.Map()
+        )
+        self.instance.configure(newer)
+        self.instance.relay('r1', '/read/x')
+        self.assertEqual(401, self.status('r1'))
+
+    def test_upstream_hears_the_tenant_only(self) -> None:
+        """Guard against a tenant that the caller made up."""
+        self.instance.relay('r1', '/read/x')
+        self.assertEqual('ann', self.instance.sends[0].send.tenant)
+
+
+class Configurations(unittest.TestCase):
+    """The version in force only rises."""
+
+    def test_older_version_is_ignored(self) -> None:
+        """Guard against a store read that brings back an old version."""
+        instance = relay_states.Instance()
+        older = dataclasses.replace(
+            relay_states.CONFIGURATION, version=3, routes=immutables.Map()
+        )
+        instance.configure(older)
+        self.assertEqual(7, instance.state.configuration.active.version)
+
+    def test_unknown_route_by_an_old_configuration_is_unavailable(self) -> None:
+        """Guard against a 404 for a route that was just added."""
+        instance = relay_states.Instance()
+        instance.now += 4.5
+        instance.relay('r1', '/new/x')
+        self.assertEqual(503, instance.replies['r1'].status)
+
+    def test_unknown_route_is_not_found(self) -> None:
+        """Guard against sending requests without a route anywhere."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/new/x')
+        self.assertEqual(404, instance.replies['r1'].status)
+
+    def test_longest_prefix_wins(self) -> None:
+        """Guard against a request that a shorter prefix takes."""
+        route = relay_states.route(
+            'model/deep', configuration.RequestKind.STREAMING
+        )
+        routes = (route, *relay_states.ROUTES)
+        active = dataclasses.replace(
+            relay_states.CONFIGURATION,
+            routes=immutables.Map({relay_states.HOST: routes}),
+        )
+        found = configuration.find_route(
+            active, relay_states.HOST, '/model/deep/x'
+        )
+        self.assertEqual('model/deep', found.name)
+
+
+class Deadlines(unittest.TestCase):
+    """Upstreams get no more time than is left."""
+
+    def test_shorter_of_route_and_caller(self) -> None:
+        """Guard against work that goes on after the caller has left."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/read/x', deadline_seconds=0.7)
+        self.assertAlmostEqual(0.7, instance.sends[0].send.deadline_seconds)
+
+    def test_repeat_gets_what_is_left(self) -> None:
+        """Guard against a repeat with the whole time once more."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/read/x', deadline_seconds=1.0)
+        send_id = instance.start()
+        instance.now += 0.25
+        instance.break_send(send_id)
+        self.assertAlmostEqual(0.75, instance.sends[1].send.deadline_seconds)
+
+
+class Repeats(unittest.TestCase):
+    """Repeats of all instances together stay within the shared budget."""
+
+    def sent_within(self, seconds: int, instances: int, per_second: int) -> int:
+        """Return how many repeats an instance sends that wants as many."""
+        limits = bounds.Bounds(retry_ratio=0.2, retry_slack=100)
+        ledger: repeats.Ledger = immutables.Map()
+        sent = 0
+        for tick in range(seconds * 10):
+            now = 50 + tick / 10
+            for _ in range(per_second // 10):
+                ledger = repeats.earn(ledger, 's', now, limits, instances)
+            while repeats.left(ledger, 's', now, limits, instances) >= 1:
+                ledger = repeats.spend(ledger, 's', now, limits, instances)
+                sent += 1
+        return sent
+
+    def test_sum_over_instances(self) -> None:
+        """Guard against each instance spending the whole budget."""
+        for instances in (1, 2, 7, 50):
+            with self.subTest(instances=instances):
+                total = instances * self.sent_within(10, instances, 10)
+                bound = 0.2 * 100 * instances + 100
+                self.assertLessEqual(total, bound)
+                self.assertGreater(total, bound / 4)
+
+    def test_restarts_do_not_renew_the_budget(self) -> None:
+        """Guard against a site whose processes all start again and again."""
+        total = sum(self.sent_within(1, 1, 0) for _ in range(10))
+        self.assertLessEqual(total, 100)
+
+    def test_saved_budget_and_new_budget_together(self) -> None:
+        """Guard against a burst that follows a long quiet time."""
+        limits = bounds.Bounds(retry_ratio=0.2, retry_slack=100)
+        ledger = repeats.earn(immutables.Map(), 's', 0.0, limits, 1)
+        sent = 0
+        for tick in range(100):
+            now = 1000 + tick / 10
+            while repeats.left(ledger, 's', now, limits, 1) >= 1:
+                ledger = repeats.spend(ledger, 's', now, limits, 1)
+                sent += 1
+        self.assertLessEqual(sent, 100)
+
+    def test_budget_returns(self) -> None:
+        """Guard against a budget that is spent for ever."""
+        limits = bounds.Bounds(retry_ratio=0.2, retry_slack=100)
+        ledger = repeats.spend(immutables.Map(), 's', 0.0, limits, 1)
+        self.assertLess(repeats.left(ledger, 's', 0.1, limits, 1), 1)
+        self.assertGreater(repeats.left(ledger, 's', 10.0, limits, 1), 1)
+
+    def test_spent_budget_ends_the_request(self) -> None:
+        """Guard against a herd of repeats when every runner fails."""
+        instance = relay_states.Instance(
+            limits=bounds.Bounds(retry_ratio=0, retry_slack=0)
+        )
+        instance.relay('r1', '/read/x')
+        instance.break_send(instance.start())
+        self.assertEqual(1, len(instance.sends))
+        self.assertEqual(502, instance.replies['r1'].status)
+
+
+class Upstreams(unittest.TestCase):
+    """Nothing new goes to upstreams that leave or are gone."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+
+    def test_draining_runner(self) -> None:
+        """Guard against work for a runner that is about to exit."""
+        draining = dataclasses.replace(
+            relay_states.plain_runner('p1'),
+            state=runners.ListedState.DRAINING,
+        )
+        self.instance.list_runners((draining, relay_states.plain_runner('p2')))
+        for number in range(8):
+            self.instance.relay(f'r{number}', '/read/x')
+        used = {sent.send.runner_id for sent in self.instance.sends}
+        self.assertEqual({'p2'}, used)
+
+    def test_runner_that_says_so_with_an_answer(self) -> None:
+        """Guard against a list that lags behind the runner."""
+        self.instance.relay('r1', '/read/x')
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.head(leaving=True))
+        left = self.instance.sends[0].send.runner_id
+        for number in range(8):
+            self.instance.relay(f'n{number}', '/read/x')
+        used = {sent.send.runner_id for sent in self.instance.sends[1:]}
+        self.assertNotIn(left, used)
+
+    def test_nothing_free_is_refused_soon(self) -> None:
+        """Guard against holding what could be served elsewhere."""
+        self.instance.list_runners(())
+        self.instance.relay('r1', '/read/x')
+        self.instance.pass_time(0.1)
+        self.assertEqual(503, self.instance.replies['r1'].status)
+
+    def test_request_names_the_runner(self) -> None:
+        """Guard against an address that another service has by now."""
+        self.instance.relay('r1', '/read/x')
+        self.assertIn(self.instance.sends[0].send.runner_id, {'p1', 'p2'})
+
+
+class Stopping(unittest.TestCase):
+    """A planned stop cuts no request and takes no new one for long."""
+
+    def test_open_request_is_finished(self) -> None:
+        """Guard against a stop that cuts a request in flight."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/read/x')
+        send_id = instance.start()
+        instance.occur(events.StopRequested)
+        instance.pass_time(0.1)
+        instance.answer(send_id, relay_states.head(), b'yes')
+        instance.end(send_id)
+        self.assertEqual(200, instance.replies['r1'].status)
+
+    def test_readiness_and_directory_change_at_once(self) -> None:
+        """Guard against callers that are sent to a stopping instance."""
+        instance = relay_states.Instance()
+        instance.occur(events.StopRequested)
+        ready = instance.ask('q1', requests.ReadinessWanted())
+        self.assertFalse(ready.ready)
+
+    def test_late_request_is_refused_as_not_run(self) -> None:
+        """Guard against a request that the end of the stop would cut."""
+        instance = relay_states.Instance()
+        instance.relay('r0', '/model/x')
+        instance.start()
+        instance.occur(events.StopRequested)
+        instance.now += 3.5
+        instance.relay('r1', '/read/x')
+        self.assertEqual(503, instance.replies['r1'].status)
--- /dev/null
+++ b/tests/test_relay_answers.py
@@ -0,0 +1,275 @@
+"""Guard what callers get for what upstreams do."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from mustardvale.internal import events
+from mustardvale.internal.relay import event_stream, requests
+from mustardvale.internal.relay import events as relay_events
+from tests import relay_states
+
+EVENTS = tuple(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
+
+
+class NonIdempotentRequests(unittest.TestCase):
+    """A request that may run once is never sent again after it may have run."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.relay('r1', '/write/x', deadline_seconds=1.0)
+
+    def test_lost_answer_is_a_gateway_error(self) -> None:
+        """Guard against a second run, and against a false promise of none."""
+        self.instance.break_send(self.instance.start())
+        self.assertEqual(1, len(self.instance.sends))
+        reply = self.instance.replies['r1']
+        self.assertEqual(502, reply.status)
+        self.assertIsNone(reply.retry_after_seconds)
+
+    def test_silence_ends_with_a_timeout(self) -> None:
+        """Guard against a 503 for a request that may still run."""
+        self.instance.start()
+        self.instance.pass_time(1.1)
+        self.assertEqual(504, self.instance.replies['r1'].status)
+        self.assertEqual(1, len(self.instance.sends))
+
+    def test_refused_connection_goes_elsewhere(self) -> None:
+        """Guard against giving up a request that no runner has seen."""
+        first = self.instance.sends[0]
+        self.instance.break_send(first.send_id, sent=False)
+        self.assertEqual(2, len(self.instance.sends))
+        self.assertNotEqual(first.address, self.instance.sends[1].address)
+
+    def test_refusal_goes_elsewhere(self) -> None:
+        """Guard against giving up a request that a runner refused unrun."""
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.UNRUN)
+        self.instance.end(send_id)
+        self.assertEqual(2, len(self.instance.sends))
+
+    def test_unproven_promise_is_not_passed_on(self) -> None:
+        """Guard against a runner's 503 that does not say it was not run."""
+        send_id = self.instance.start()
+        self.instance.answer(
+            send_id, relay_states.head(503, proven=False, headers=())
+        )
+        self.instance.end(send_id)
+        self.assertEqual(502, self.instance.replies['r1'].status)
+
+    def test_own_connection_for_each(self) -> None:
+        """Guard against the close of a kept connection crossing a request."""
+        self.assertTrue(self.instance.sends[0].fresh)
+
+    def test_error_is_passed_on_unchanged(self) -> None:
+        """Guard against hiding a runner's own error."""
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.head(500), b'no')
+        self.instance.end(send_id)
+        reply = self.instance.replies['r1']
+        self.assertEqual((500, b'no'), (reply.status, reply.body))
+
+
+class IdempotentRequests(unittest.TestCase):
+    """A request that may run again is sent elsewhere while that helps."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.relay('r1', '/read/x')
+
+    def test_error_goes_to_another_runner(self) -> None:
+        """Guard against an error that another runner would not give."""
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.head(500))
+        self.instance.end(send_id)
+        second = self.instance.start()
+        self.instance.answer(second, relay_states.head(), b'yes')
+        self.instance.end(second)
+        self.assertEqual(200, self.instance.replies['r1'].status)
+
+    def test_never_more_runs_than_the_route_allows(self) -> None:
+        """Guard against more runs than `maximum_attempts`."""
+        for _ in range(2):
+            self.instance.break_send(self.instance.start())
+        self.assertEqual(2, len(self.instance.sends))
+        self.assertEqual(502, self.instance.replies['r1'].status)
+
+    def test_silent_runner_is_replaced_in_time(self) -> None:
+        """Guard against a late answer when one runner hangs."""
+        first = self.instance.start()
+        self.instance.pass_time(0.4)
+        self.assertEqual(2, len(self.instance.sends))
+        self.assertIn(first, self.instance.aborted)
+
+    def test_cut_answer_is_replaced(self) -> None:
+        """Guard against a part of an answer that looks whole."""
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.head(), b'half')
+        self.instance.break_send(send_id)
+        self.assertNotIn('r1', self.instance.replies)
+        self.assertEqual(2, len(self.instance.sends))
+
+    def test_answer_without_proof_is_replaced(self) -> None:
+        """Guard against bytes that no runner vouches for."""
+        send_id = self.instance.start()
+        self.instance.answer(
+            send_id, relay_states.head(proven=False), b'forged'
+        )
+        self.instance.end(send_id)
+        self.assertEqual(2, len(self.instance.sends))
+
+    def test_compressed_answer_is_replaced(self) -> None:
+        """Guard against a body that is not the runner's."""
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.head(encoded=True), b'z')
+        self.instance.end(send_id)
+        self.assertEqual(2, len(self.instance.sends))
+
+
+class Streams(unittest.TestCase):
+    """Events arrive whole, in order, once, and from one run after another."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.relay('r1', '/model/x')
+
+    def parts(self) -> bytes:
+        """Return what the caller has received."""
+        return b''.join(self.instance.parts.get('r1', []))
+
+    def test_half_event_waits_for_its_end(self) -> None:
+        """Guard against half an event before a cut."""
+        send_id = self.instance.start()
+        self.instance.answer(
+            send_id, relay_states.head(), EVENTS[0] + EVENTS[1][:5]
+        )
+        self.assertEqual(EVENTS[0], self.parts())
+
+    def test_cut_stream_goes_on_after_the_last_whole_event(self) -> None:
+        """Guard against events that are lost or doubled by a resume."""
+        send_id = self.instance.start()
+        self.instance.answer(
+            send_id, relay_states.head(), EVENTS[0], EVENTS[1] + EVENTS[2][:4]
+        )
+        self.instance.break_send(send_id)
+        self.assertEqual(2, self.instance.sends[1].send.last_event)
+        second = self.instance.start()
+        self.instance.answer(
+            second, relay_states.head(), EVENTS[1], *EVENTS[2:]
+        )
+        self.instance.end(second)
+        self.assertEqual(b''.join(EVENTS), self.parts())
+        self.assertIn('r1', self.instance.ends)
+
+    def test_end_within_an_event_is_no_end(self) -> None:
+        """Guard against a stream that ends early and looks complete."""
+        send_id = self.instance.start()
+        self.instance.answer(
+            send_id, relay_states.head(), EVENTS[0], EVENTS[1][:6]
+        )
+        self.instance.end(send_id)
+        self.assertNotIn('r1', self.instance.ends)
+        self.assertEqual(2, len(self.instance.sends))
+
+    def test_stream_that_cannot_go_on_is_cut(self) -> None:
+        """Guard against a broken stream that looks complete."""
+        for _ in range(2):
+            send_id = self.instance.start()
+            self.instance.answer(send_id, relay_states.head(), EVENTS[0])
+            self.instance.break_send(send_id)
+        self.assertNotIn('r1', self.instance.ends)
+        self.assertIn('r1', self.instance.closed)
+
+    def test_late_parts_of_an_abandoned_run_are_dropped(self) -> None:
+        """Guard against joining pieces of two runs."""
+        first = self.instance.start()
+        self.instance.answer(first, relay_states.head(), EVENTS[0])
+        self.instance.break_send(first)
+        self.instance.bring(first, EVENTS[4])
+        self.assertEqual(EVENTS[0], self.parts())
+
+    def test_head_waits_for_the_first_event(self) -> None:
+        """Guard against promising a stream that another run has to give."""
+        send_id = self.instance.start()
+        self.instance.answer(send_id, relay_states.head())
+        self.assertNotIn('r1', self.instance.heads)
+
+    def test_caller_that_leaves_stops_the_run(self) -> None:
+        """Guard against work for nobody."""
+        send_id = self.instance.start()
+        self.instance.occur(events.CallerLeft, request_id='r1')
+        self.assertIn(send_id, self.instance.aborted)
+        self.assertFalse(self.instance.state.loads)
+        self.assertFalse(self.instance.state.sends)
+
+    def test_refused_everywhere_is_not_run(self) -> None:
+        """Guard against holding a request that no chain can take."""
+        for _ in range(4):
+            if 'r1' in self.instance.replies:
+                break
+            send_id = self.instance.start()
+            self.instance.answer(send_id, relay_states.UNRUN)
+            self.instance.end(send_id)
+            self.instance.pass_time(0.06)
+        self.assertEqual(503, self.instance.replies['r1'].status)
+        self.assertIsNotNone(self.instance.replies['r1'].retry_after_seconds)
+
+
+class StrayAnswers(unittest.TestCase):
+    """Answers that belong to another request change nothing."""
+
+    def test_only_counted(self) -> None:
+        """Guard against an answer given to the wrong caller."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/read/x')
+        send_id = instance.start()
+        before = instance.state
+        instance.occur(
+            relay_events.StrayAnswerArrived, send_id=send_id, status=200
+        )
+        self.assertEqual(before, instance.state)
+
+
+class EventSplitting(unittest.TestCase):
+    """Whole events come out however the bytes are cut."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, 60), max_size=8),
+        strategies.integers(0, 5),
+    )
+    def test_any_cut_gives_the_same_events(
+        self, cuts: list[int], after: int
+    ) -> None:
+        """Guard against events that depend on how packets were cut."""
+        whole = b''.join(EVENTS)
+        edges = sorted({0, *cuts, len(whole)})
+        rest, given, last = b'', b'', after
+        for begin, end in zip(edges, edges[1:], strict=False):
+            split = event_stream.split(rest, whole[begin:end], last)
+            rest = split.rest
+            given += split.whole
+            last = last if split.last_event is None else split.last_event
+        self.assertEqual(b''.join(EVENTS[after:]), given)
+        self.assertEqual(b'', rest)
+
+    def test_line_ends_of_every_form(self) -> None:
+        """Guard against events that end with carriage returns."""
+        for end in (b'\r\n\r\n', b'\n\n', b'\r\r'):
+            split = event_stream.split(b'', b'id: 3' + end, None)
+            self.assertEqual(3, split.last_event)
+
+
+class Replies(unittest.TestCase):
+    """Answers that are not the upstream's own say so."""
+
+    def test_no_configuration_is_unavailable(self) -> None:
+        """Guard against a 404 by an instance that knows no routes yet."""
+        instance = relay_states.Instance()
+        instance.state = relay_states.dataclasses.replace(
+            instance.state,
+            configuration=relay_states.state.ConfigurationState(),
+        )
+        instance.relay('r1', '/read/x')
+        self.assertIsInstance(instance.replies['r1'], requests.Refusal)
+        self.assertEqual(503, instance.replies['r1'].status)
--- /dev/null
+++ b/tests/test_relay_moves.py
@@ -0,0 +1,165 @@
+"""Guard how running model requests leave parts of chains that fail."""
+
+import unittest
+
+from mustardvale.internal import events
+from mustardvale.internal.relay import calls
+from tests import relay_states
+
+EVENT = b'id: 1\ndata: x\n\n'
+
+
+class SilentStreams(unittest.TestCase):
+    """The part that a stream waits for is found and replaced."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.relay('r1', '/model/x')
+        self.send_id = self.instance.start()
+        self.instance.answer(self.send_id, relay_states.head(), EVENT)
+        chain = self.instance.sends[0].send.chain
+        self.first, self.second = chain
+
+    def report(self, address: str) -> None:
+        """Let the first runner report what the request waits for."""
+        self.instance.occur(
+            events.CallAnswered,
+            call=calls.ProbeRunner(self.first.runner_id),
+            address=self.first.address,
+            answer=calls.RunnerReport(
+                1, False, stalled=(calls.StalledRequest('a-r1', address),)
+            ),
+        )
+
+    def moves(self) -> list[calls.MoveRequest]:
+        """Return the orders to move so far."""
+        return [call.call for call in self.instance.calls_of(calls.MoveRequest)]
+
+    def test_first_runner_is_asked(self) -> None:
+        """Guard against waiting until the caller leaves."""
+        self.instance.pass_time(0.2)
+        self.assertTrue(self.instance.calls_of(calls.ProbeRunner))
+
+    def test_flowing_stream_asks_nobody(self) -> None:
+        """Guard against probes that cost more than they find."""
+        for number in range(2, 12):
+            self.instance.pass_time(0.08)
+            self.instance.bring(self.send_id, b'id: %d\n\n' % number)
+        self.assertFalse(self.instance.calls_of(calls.ProbeRunner))
+
+    def test_only_the_faulty_part_is_replaced(self) -> None:
+        """Guard against reading the prompt again at sound parts."""
+        self.report(self.second.address)
+        chain = self.moves()[0].chain
+        self.assertEqual(self.first, chain[0])
+        self.assertNotEqual(self.second.runner_id, chain[1].runner_id)
+        self.assertEqual((40, 80), (chain[1].first_layer, chain[1].end_layer))
+
+    def test_load_follows_the_move(self) -> None:
+        """Guard against a runner that looks loaded by what has left it."""
+        self.report(self.second.address)
+        self.answer_move(calls.OrderVerdict.BEGUN)
+        moved = self.moves()[0].chain[1].runner_id
+        self.assertIn(moved, self.instance.state.loads)
+        self.assertNotIn(self.second.runner_id, self.instance.state.loads)
+
+    def answer_move(self, verdict: calls.OrderVerdict) -> None:
+        """Let the first runner answer the order to move."""
+        self.instance.occur(
+            events.CallAnswered,
+            call=self.moves()[0],
+            address=self.first.address,
+            answer=calls.OrderAnswer(verdict),
+        )
+
+    def test_unknown_request_starts_again(self) -> None:
+        """Guard against waiting for a run that its runner has lost."""
+        self.report(self.second.address)
+        self.answer_move(calls.OrderVerdict.UNKNOWN_REQUEST)
+        self.assertEqual(2, len(self.instance.sends))
+        self.assertEqual(1, self.instance.sends[1].send.last_event)
+
+    def test_blamed_runner_gets_no_new_requests(self) -> None:
+        """Guard against sending more requests into the same fault."""
+        self.report(self.second.address)
+        for number in range(2):
+            self.instance.relay(f'n{number}', '/model/x')
+        for sent in self.instance.sends[1:]:
+            self.assertNotIn(
+                self.second.runner_id,
+                [part.runner_id for part in sent.send.chain],
+            )
+
+    def test_lost_answer_to_a_move_does_not_end_the_stream(self) -> None:
+        """Guard against giving up a stream whose move was carried out."""
+        self.report(self.second.address)
+        self.instance.occur(
+            events.CallFailed,
+            call=self.moves()[0],
+            address=self.first.address,
+            failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+        )
+        self.instance.bring(self.send_id, b'id: 2\n\n')
+        self.assertIn('r1', self.instance.state.exchanges)
+        self.assertEqual(1, len(self.instance.sends))
+
+    def test_unanswered_probe_blames_the_first_runner(self) -> None:
+        """Guard against a dead first runner that cannot name itself."""
+        self.instance.pass_time(0.2)
+        self.instance.occur(
+            events.CallFailed,
+            call=calls.ProbeRunner(self.first.runner_id),
+            address=self.first.address,
+            failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+        )
+        self.assertEqual(2, len(self.instance.sends))
+        self.assertNotEqual(
+            self.first.runner_id, self.instance.sends[1].send.runner_id
+        )
+
+
+class NowhereToGo(unittest.TestCase):
+    """A request stays where it is while nothing else can take it."""
+
+    def test_silent_stream_without_another_chain_stays_open(self) -> None:
+        """Guard against cutting a stream because its runner is silent."""
+        instance = relay_states.Instance(relay_states.TWO_CHAINS[:2])
+        instance.relay('r1', '/model/x')
+        send_id = instance.start()
+        instance.answer(send_id, relay_states.head(), EVENT)
+        instance.pass_time(3)
+        self.assertNotIn('r1', instance.closed)
+        instance.bring(send_id, b'id: 2\n\n')
+        instance.end(send_id)
+        self.assertIn('r1', instance.ends)
+
+    def test_silent_plain_request_without_another_runner_waits(self) -> None:
+        """Guard against failing a request whose answer may still come."""
+        instance = relay_states.Instance((relay_states.plain_runner('p1'),))
+        instance.relay('r1', '/read/x')
+        send_id = instance.start()
+        instance.pass_time(3)
+        instance.answer(send_id, relay_states.head(), b'yes')
+        instance.end(send_id)
+        self.assertEqual(200, instance.replies['r1'].status)
+
+
+class LeavingParts(unittest.TestCase):
+    """Streams leave parts that drain or are gone before these end."""
+
+    def test_dropped_entry_moves_the_stream(self) -> None:
+        """Guard against streams that are cut when a draining part exits."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/model/x')
+        send_id = instance.start()
+        instance.answer(send_id, relay_states.head(), EVENT)
+        second = instance.sends[0].send.chain[1].runner_id
+        instance.list_runners(
+            tuple(
+                entry
+                for entry in relay_states.TWO_CHAINS
+                if entry.runner_id != second
+            )
+        )
+        instance.pass_time(0.05)
+        self.assertEqual(1, len(instance.calls_of(calls.MoveRequest)))
--- /dev/null
+++ b/tests/test_relay_placement.py
@@ -0,0 +1,264 @@
+"""Guard where layers are placed and which chains requests take."""
+
+import dataclasses
+import itertools
+import unittest
+
+import hypothesis
+import immutables
+from hypothesis import strategies
+
+from mustardvale.internal.relay import (
+    chains,
+    engines,
+    loads,
+    placement,
+    runners,
+)
+from tests import relay_states
+
+ENGINE = relay_states.ENGINE
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+# Accelerators of the cooperative's site by zone.
+SITE = {
+    'zone-a': {'large': 2, 'small': 4, 'wide': 4},
+    'zone-b': {'large': 1, 'small': 6, 'wide': 6},
+    'zone-c': {'large': 1, 'small': 10, 'wide': 4},
+}
+
+
+def build_pool(
+    site: dict[str, dict[str, int]],
+) -> tuple[runners.ListedRunner, ...]:
+    """Return empty runners."""
+    numbers = itertools.count(1)
+    return tuple(
+        relay_states.model_runner(
+            f'm{next(numbers)}',
+            0,
+            0,
+            accelerator=kind,
+            availability_zone=zone,
+        )
+        for zone, kinds in site.items()
+        for kind, count in kinds.items()
+        for _ in range(count)
+    )
+
+
+def place(
+    pool: tuple[runners.ListedRunner, ...], held: placement.Held
+) -> dict[str, runners.LayerRange]:
+    """Return what each runner holds after a plan."""
+    assigned = placement.plan(ENGINE, pool, held)
+    return {
+        **held,
+        **{item.runner_id: item.layers for item in assigned},
+    }
+
+
+def count_holders(
+    pool: tuple[runners.ListedRunner, ...],
+    held: dict[str, runners.LayerRange],
+    zone: str = '',
+) -> list[int]:
+    """Return how many runners hold each layer, of one zone or anywhere."""
+    counts = [0] * ENGINE.layers
+    for runner in pool:
+        if zone in {'', runner.availability_zone}:
+            layers = held[runner.runner_id]
+            for layer in range(layers.first, layers.end):
+                counts[layer] += 1
+    return counts
+
+
+class Placement(unittest.TestCase):
+    """Each zone holds the model, and the loss of one runner no layer."""
+
+    def setUp(self) -> None:
+        self.pool = build_pool(SITE)
+        self.held = place(self.pool, immutables.Map())
+
+    def test_every_zone_holds_every_layer(self) -> None:
+        """Guard against chains that have to leave their zone."""
+        for zone in ZONES:
+            counts = count_holders(self.pool, self.held, zone)
+            self.assertGreaterEqual(min(counts), 1, zone)
+
+    def test_every_layer_has_three_holders(self) -> None:
+        """Guard against a layer that two losses take away."""
+        self.assertGreaterEqual(min(count_holders(self.pool, self.held)), 3)
+
+    def test_layers_leave_room_for_requests(self) -> None:
+        """Guard against a runner that crashes, or holds no request."""
+        for runner in self.pool:
+            layers = self.held[runner.runner_id]
+            room = engines.token_capacity(
+                ENGINE, runner.accelerator, layers.count
+            )
+            self.assertGreater(room, 10_000)
+
+    def test_nothing_moves_that_holds_layers(self) -> None:
+        """Guard against loads when a plan is made again."""
+        self.assertFalse(
+            placement.plan(ENGINE, self.pool, immutables.Map(self.held))
+        )
+
+    def test_replacement_takes_what_was_lost(self) -> None:
+        """Guard against a hole that stays after a runner was replaced."""
+        for lost in self.pool:
+            with self.subTest(lost=lost.runner_id):
+                rest = dict(self.held)
+                before = rest.pop(lost.runner_id)
+                again = placement.plan(ENGINE, self.pool, immutables.Map(rest))
+                counts = count_holders(
+                    self.pool,
+                    {**rest, lost.runner_id: again[0].layers},
+                    lost.availability_zone,
+                )
+                self.assertGreaterEqual(min(counts), 1)
+                self.assertEqual(before.count, again[0].layers.count)
+
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(ZONES),
+            strategies.dictionaries(
+                strategies.sampled_from(('large', 'small', 'wide')),
+                strategies.integers(0, 12),
+            ),
+        ),
+        strategies.randoms(use_true_random=False),
+    )
+    def test_any_pool(
+        self, site: dict[str, dict[str, int]], random: strategies.DataObject
+    ) -> None:
+        """Guard against ranges outside of the model or of the memory."""
+        pool = build_pool(site)
+        held = place(pool, immutables.Map())
+        for runner in pool:
+            layers = held[runner.runner_id]
+            kind = ENGINE.accelerators[runner.accelerator]
+            self.assertGreaterEqual(layers.first, 0)
+            self.assertLessEqual(layers.end, ENGINE.layers)
+            self.assertLess(layers.count * ENGINE.layer_mb, kind.memory_mb)
+
+
+class Chains(unittest.TestCase):
+    """A chain runs every layer once and in order on runners with room."""
+
+    def setUp(self) -> None:
+        pool = build_pool(SITE)
+        held = place(pool, immutables.Map())
+        self.runners = {
+            entry.runner_id: runners.Runner(
+                dataclasses.replace(entry, layers=held[entry.runner_id]), 0
+            )
+            for entry in pool
+        }
+
+    def candidates(
+        self, load: loads.Load = loads.NO_LOAD, instances: int = 1
+    ) -> list[chains.Candidate]:
+        """Describe all runners under one load."""
+        found = (
+            chains.describe(ENGINE, runner, load, instances, 1.0)
+            for runner in self.runners.values()
+        )
+        return [candidate for candidate in found if candidate is not None]
+
+    def find(self, candidates: list[chains.Candidate], seed: int = 1):
+        """Return a chain for a usual request over all layers."""
+        work = chains.Work(800, 200)
+        span = chains.Span(0, ENGINE.layers, '')
+        return chains.find(ENGINE, candidates, work, span, seed)
+
+    @hypothesis.given(
+        strategies.sets(strategies.integers(0, 37), max_size=20),
+        strategies.integers(0, 1000),
+    )
+    def test_every_layer_once_and_in_order(
+        self, lost: set[int], seed: int
+    ) -> None:
+        """Guard against a token that misses a layer or runs one twice."""
+        candidates = [
+            candidate
+            for number, candidate in enumerate(self.candidates())
+            if number not in lost
+        ]
+        chain = self.find(candidates, seed)
+        if chain is None:
+            held = {
+                layer
+                for candidate in candidates
+                for layer in range(candidate.layers.first, candidate.layers.end)
+            }
+            self.assertNotEqual(ENGINE.layers, len(held))
+            return
+        layer = 0
+        for part in chain:
+            holder = self.runners[part.runner_id].listed.layers
+            self.assertEqual(layer, part.first_layer)
+            self.assertLess(part.first_layer, part.end_layer)
+            self.assertLessEqual(holder.first, part.first_layer)
+            self.assertGreaterEqual(holder.end, part.end_layer)
+            layer = part.end_layer
+        self.assertEqual(ENGINE.layers, layer)
+        names = [part.runner_id for part in chain]
+        self.assertEqual(len(names), len(set(names)))
+
+    def test_idle_site_stays_within_one_zone(self) -> None:
+        """Guard against chains that fill the links between zones."""
+        for seed in range(20):
+            chain = self.find(self.candidates(), seed)
+            zones = {
+                self.runners[part.runner_id].listed.availability_zone
+                for part in chain
+            }
+            self.assertEqual(1, len(zones))
+
+    def test_full_runners_are_left_out(self) -> None:
+        """Guard against requests that push others out of memory."""
+        full = loads.Load(requests=90, token_layers=1e9)
+        self.assertIsNone(self.find(self.candidates(full)))
+
+    def test_load_of_the_other_instances_counts(self) -> None:
+        """Guard against instances that fill the same runners together."""
+        some = loads.Load(requests=5, token_layers=60_000)
+        self.assertIsNotNone(self.find(self.candidates(some, 1)))
+        self.assertIsNone(self.find(self.candidates(some, 1000)))
+
+    def test_slow_runner_goes_last(self) -> None:
+        """Guard against a runner that reports it is slow."""
+        chain = self.find(self.candidates())
+        slow = chain[0].runner_id
+        self.runners[slow] = dataclasses.replace(self.runners[slow], pace=8.0)
+        again = self.find(self.candidates())
+        self.assertNotIn(slow, [part.runner_id for part in again])
+
+
+class Loads(unittest.TestCase):
+    """What is added to a load is taken away whole."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(1, 5), strategies.floats(1, 5000)
+            ),
+            max_size=20,
+        )
+    )
+    def test_nothing_is_left(self, work: list[tuple[int, float]]) -> None:
+        """Guard against load that stays for ever."""
+        table: loads.LoadMap = immutables.Map()
+        chain = [
+            (
+                relay_states.requests.ChainPart(f'm{number}', '', 0, 40),
+                relay_states.requests.ChainPart('last', '', 40, 80),
+            )
+            for number, _ in work
+        ]
+        for parts, (_, tokens) in zip(chain, work, strict=True):
+            table = loads.add_chain(table, parts, tokens, 1)
+        for parts, (_, tokens) in zip(chain, work, strict=True):
+            table = loads.add_chain(table, parts, tokens, -1)
+        self.assertFalse(table)
--- /dev/null
+++ b/tests/test_relay_processes.py
@@ -0,0 +1,340 @@
+"""Guard a relaying instance as a process, from what its callers see."""
+
+import http.client
+import json
+import signal
+import socket
+import time
+import typing
+import unittest
+
+from tests import relay_site
+
+
+class RelayCase(unittest.TestCase):
+    """Give each test an instance with two runners."""
+
+    def setUp(self) -> None:
+        self.site = relay_site.RelaySite()
+        self.addCleanup(self.site.stop)
+        self.site.start()
+
+    def behave(self, behaviour: typing.Any) -> None:
+        """Let all runners behave in one way."""
+        for runner in self.site.runners:
+            runner.behave = behaviour
+
+    def received(self) -> list[relay_site.Received]:
+        """Return what all runners have received."""
+        return [
+            received
+            for runner in self.site.runners
+            for received in runner.received
+        ]
+
+    def exchange(
+        self, sock: socket.socket, request: bytes
+    ) -> tuple[int, bytes]:
+        """Send a request and return status and body of its answer."""
+        sock.sendall(request)
+        answer = relay_site.read_answer(sock)
+        return answer.status, answer.read()
+
+
+class WholeAnswers(RelayCase):
+    """Requests and answers pass unchanged on kept connections."""
+
+    def test_body_and_proof_pass_unchanged(self) -> None:
+        """Guard against an answer that differs from the runner's."""
+        with self.site.connect() as sock:
+            sock.sendall(
+                relay_site.encode_request('/write/x?a=%20b', 'a1', b'\0body')
+            )
+            answer = relay_site.read_answer(sock)
+            self.assertEqual(200, answer.status)
+            self.assertEqual(relay_site.STAMP, answer.headers['server-stamp'])
+            self.assertEqual(b'\0body', answer.read())
+        received = self.received()[0]
+        self.assertEqual('/write/x?a=%20b', received.target)
+        self.assertEqual('ann', received.headers['tenant'])
+        self.assertNotIn('api-key', received.headers)
+
+    def test_pipelined_and_chunked_requests(self) -> None:
+        """Guard against a second request that is lost, or joined."""
+        chunked = relay_site.encode_request('/write/x', 'a2').replace(
+            b'Content-Length: 0\r\n\r\n',
+            b'Transfer-Encoding: chunked\r\n\r\n2\r\nse\r\n4\r\ncond\r\n0\r\n\r\n',
+        )
+        with self.site.connect() as sock:
+            sock.sendall(
+                relay_site.encode_request('/write/x', 'a1', b'first') + chunked
+            )
+            for body in (b'first', b'second'):
+                answer = relay_site.read_answer(sock)
+                self.assertEqual(body, answer.read())
+
+    def test_late_extra_answer_is_skipped(self) -> None:
+        """Guard against the answer of one request given to another."""
+
+        def answer_twice(
+            received: relay_site.Received, sock: socket.socket
+        ) -> bool:
+            answer = relay_site.encode_answer(
+                received, received.headers['attempt-id'].encode()
+            )
+            sock.sendall(answer)
+            time.sleep(0.1)
+            sock.sendall(answer)
+            return True
+
+        self.behave(answer_twice)
+        with self.site.connect() as sock:
+            for number in range(6):
+                name = f'a{number}'
+                status, body = self.exchange(
+                    sock, relay_site.encode_request('/read/x', name)
+                )
+                self.assertEqual((200, name.encode()), (status, body))
+                time.sleep(0.02)
+
+    def test_lost_answer_is_sent_once(self) -> None:
+        """Guard against a second run of a request that may run once."""
+        self.behave(lambda received, sock: False)
+        with self.site.connect() as sock:
+            status, _ = self.exchange(
+                sock, relay_site.encode_request('/write/x', 'a1', b'once')
+            )
+        self.assertEqual(502, status)
+        self.assertEqual(1, len(self.received()))
+
+    def test_early_answer_does_not_mix_with_the_body(self) -> None:
+        """Guard against the rest of a body taken for the next request."""
+
+        def answer_early(
+            received: relay_site.Received, sock: socket.socket
+        ) -> bool:
+            return relay_site.answer_whole(received, sock)
+
+        self.behave(answer_early)
+        with self.site.connect() as sock:
+            for name in ('a1', 'a2'):
+                status, body = self.exchange(
+                    sock,
+                    relay_site.encode_request('/write/x', name, b'z' * 90_000),
+                )
+                self.assertEqual((200, 90_000), (status, len(body)))
+
+
+class BadInput(RelayCase):
+    """What is malformed or too large gets a clear error."""
+
+    def status_of(self, request: bytes) -> int:
+        """Return the status of the answer to some bytes."""
+        with self.site.connect() as sock:
+            sock.sendall(request)
+            return relay_site.read_answer(sock).status
+
+    def test_malformed_and_too_large(self) -> None:
+        """Guard against a closed connection without a reason."""
+        fine = relay_site.encode_request('/read/x', 'a1')
+        for expected, request in (
+            (400, b'nonsense\r\n\r\n'),
+            (431, fine.replace(b'\r\n\r\n', b'\r\nX: ' + b'y' * 9000)),
+            (
+                413,
+                fine.replace(b'Content-Length: 0', b'Content-Length: 100001'),
+            ),
+            (400, fine.replace(b'Deadline-Ms: 3000', b'Deadline-Ms: x')),
+            (400, fine.replace(b'Attempt-Id: a1\r\n', b'')),
+            (401, fine.replace(relay_site.KEY.encode(), b'other')),
+            (404, fine.replace(b'/read/x', b'/none/x')),
+            (408, fine[:-2]),
+        ):
+            with self.subTest(expected=expected):
+                self.assertEqual(expected, self.status_of(request))
+        self.assertFalse(self.received())
+
+
+class Streams(RelayCase):
+    """Events pass as they come, and a cut stream goes on elsewhere."""
+
+    def test_events_are_passed_at_once(self) -> None:
+        """Guard against events that wait for the end of their stream."""
+
+        def stream(received: relay_site.Received, sock: socket.socket) -> bool:
+            sock.sendall(stream_head(received))
+            for number in (1, 2):
+                sock.sendall(chunk(b'id: %d\n\n' % number))
+                time.sleep(0.3)
+            sock.sendall(b'0\r\n\r\n')
+            return True
+
+        self.behave(stream)
+        with self.site.connect() as sock:
+            sock.sendall(relay_site.encode_request('/stream/x', 'a1'))
+            answer = relay_site.read_answer(sock)
+            begun = time.monotonic()
+            first = answer.read1()
+            self.assertLess(time.monotonic() - begun, 0.25)
+            self.assertEqual(b'id: 1\n\n', first)
+            self.assertEqual(b'id: 2\n\n', answer.read())
+
+    def test_cut_stream_goes_on(self) -> None:
+        """Guard against events lost or doubled when a runner breaks off."""
+
+        def stream(received: relay_site.Received, sock: socket.socket) -> bool:
+            after = int(received.headers.get('last-event-id', 0))
+            sock.sendall(stream_head(received))
+            for number in range(after + 1, 7):
+                sock.sendall(chunk(b'id: %d\n\n' % number))
+                if not after and number == 3:
+                    sock.sendall(b'7\r\nid: 4')
+                    return False
+            sock.sendall(b'0\r\n\r\n')
+            return True
+
+        self.behave(stream)
+        with self.site.connect() as sock:
+            status, body = self.exchange(
+                sock, relay_site.encode_request('/stream/x', 'a1')
+            )
+        expected = b''.join(b'id: %d\n\n' % number for number in range(1, 7))
+        self.assertEqual((200, expected), (status, body))
+
+    def test_stream_that_cannot_go_on_does_not_look_whole(self) -> None:
+        """Guard against a broken stream with a proper end."""
+
+        def stream(received: relay_site.Received, sock: socket.socket) -> bool:
+            after = int(received.headers.get('last-event-id', 0))
+            sock.sendall(stream_head(received))
+            sock.sendall(chunk(b'id: %d\n\n' % (after + 1)))
+            return False
+
+        self.behave(stream)
+        with self.site.connect() as sock:
+            sock.sendall(relay_site.encode_request('/stream/x', 'a1'))
+            answer = relay_site.read_answer(sock)
+            with self.assertRaises(http.client.IncompleteRead):
+                answer.read()
+
+    def test_caller_that_leaves_ends_the_run(self) -> None:
+        """Guard against a runner that works for nobody."""
+        ended: list[float] = []
+
+        def stream(received: relay_site.Received, sock: socket.socket) -> bool:
+            sock.sendall(stream_head(received) + chunk(b'id: 1\n\n'))
+            sock.settimeout(5)
+            ended.append(len(sock.recv(10)))
+            return False
+
+        self.behave(stream)
+        with self.site.connect() as sock:
+            sock.sendall(relay_site.encode_request('/stream/x', 'a1'))
+            relay_site.read_answer(sock).read1()
+        until = time.monotonic() + 3
+        while not ended and time.monotonic() < until:
+            time.sleep(0.02)
+        self.assertEqual([0], ended)
+
+
+def stream_head(received: relay_site.Received) -> bytes:
+    """Return the head of a streamed answer."""
+    return (
+        f'HTTP/1.1 200 OK\r\nAttempt-Id: {received.headers["attempt-id"]}\r\n'
+        f'Server-Stamp: {relay_site.STAMP}\r\n'
+        'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(content: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return b'%x\r\n%s\r\n' % (len(content), content)
+
+
+class Platform(RelayCase):
+    """The store's changes take effect, and its loss is survived."""
+
+    def test_new_configuration_and_removed_key(self) -> None:
+        """Guard against a key that still works after it was taken away."""
+        changed = {**relay_site.CONFIGURATION, 'version': 2, 'tenants': []}
+        self.site.store.put('keyed.op', 'config', changed)
+        time.sleep(0.5)
+        with self.site.connect() as sock:
+            status, _ = self.exchange(
+                sock, relay_site.encode_request('/read/x', 'a1')
+            )
+        self.assertEqual(401, status)
+
+    def test_lost_store_refuses_keys_as_not_run(self) -> None:
+        """Guard against keys that are served by knowledge that is too old."""
+        self.site.store.mute = True
+        time.sleep(5.5)
+        with self.site.connect() as sock:
+            status, _ = self.exchange(
+                sock, relay_site.encode_request('/read/x', 'a1')
+            )
+        self.assertEqual(503, status)
+        self.assertFalse(self.received())
+
+    def test_directory_and_metrics(self) -> None:
+        """Guard against addresses or counters that nobody can read."""
+        _, body = self.site.ask(
+            self.site.addresses[2], '/api/resolve?name=site.example'
+        )
+        self.assertEqual([self.site.front], json.loads(body)['addrs'])
+        _, page = self.site.ask(self.site.addresses[3], '/metrics')
+        self.assertIn(b'mustardvale_configuration_version 1.0', page)
+
+    def test_reload_of_settings(self) -> None:
+        """Guard against a bad file that ends or changes the instance."""
+        assert self.site.process is not None
+        self.site.settings_path.write_text('instance-id = 7 7')
+        self.site.process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        self.site.write_settings(**{'retry-slack': 7})
+        time.sleep(1.5)
+        events = [line['message'] for line in self.site.lines()]
+        self.assertIn('settings_rejected', events)
+        self.assertIn('settings_reloaded', events)
+        self.assertIsNone(self.site.process.poll())
+
+
+class PlannedStop(RelayCase):
+    """A stop finishes what is here and then ends the process."""
+
+    def test_open_request_is_finished(self) -> None:
+        """Guard against a planned stop that cuts a request."""
+
+        def answer_slowly(
+            received: relay_site.Received, sock: socket.socket
+        ) -> bool:
+            time.sleep(0.8)
+            return relay_site.answer_whole(received, sock)
+
+        self.behave(answer_slowly)
+        assert self.site.process is not None
+        with self.site.connect() as sock:
+            sock.sendall(relay_site.encode_request('/write/x', 'a1', b'stop'))
+            time.sleep(0.2)
+            self.site.process.send_signal(signal.SIGTERM)
+            self.site.await_readiness(503)
+            answer = relay_site.read_answer(sock)
+            self.assertEqual(b'stop', answer.read())
+        self.assertEqual(0, self.site.process.wait(timeout=10))
+
+
+class BadSettings(unittest.TestCase):
+    """A bad settings file stops the start with every problem."""
+
+    def test_problems_are_named(self) -> None:
+        """Guard against a start with settings that nobody meant."""
+        site = relay_site.RelaySite(0)
+        self.addCleanup(site.stop)
+        with self.assertRaises(AssertionError):
+            relay_site.START_SECONDS = 1.0
+            self.addCleanup(setattr, relay_site, 'START_SECONDS', 20.0)
+            site.start(**{'front-address': 'here', 'retry-ratio': -1})
+        self.assertIn('front-address', site.log())
+        self.assertIn('retry-ratio', site.log())
+        assert site.process is not None
+        self.assertEqual(2, site.process.wait(timeout=5))
