--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -141,28 +141,7 @@
     """Pass on the events that are whole now."""
     exchange = found.exchange
     split = event_stream.split(exchange.rest, event.part, exchange.last_event)
-    heard = found.attempt
-    if split.whole and heard.first_heard_at is None:
-        heard = dataclasses.replace(heard, first_heard_at=event.at)
-    heard = dataclasses.replace(heard, heard_at=event.at)
-    changed = dataclasses.replace(
-        exchanges.replace_attempt(exchange, heard),
-        rest=split.rest,
-        streaming=exchange.streaming or bool(split.whole),
-    )
-    if split.whole:
-        changed = dataclasses.replace(
-            changed,
-            events_at=event.at,
-            last_event=(
-                exchange.last_event
-                if split.last_event is None
-                else split.last_event
-            ),
-        )
-    next_state = dataclasses.replace(
-        state, exchanges=state.exchanges.set(exchange.request_id, changed)
-    )
+    next_state = note_events(found, split, event.at, state)
     if not split.whole:
         return transitions.Transition(next_state)
     asked: tuple[effects.Effect, ...] = ()
@@ -178,6 +157,36 @@
     return transitions.Transition(next_state, (*asked, part))
 
 
+def note_events(
+    found: Open,
+    split: event_stream.Split,
+    now: float,
+    state: 'states.State',
+) -> 'states.State':
+    """Keep what has arrived of a stream, in as few copies as possible."""
+    exchange, attempt = found.exchange, found.attempt
+    if not split.whole:
+        heard = dataclasses.replace(attempt, heard_at=now)
+        return put(
+            dataclasses.replace(
+                exchanges.replace_attempt(exchange, heard), rest=split.rest
+            ),
+            state,
+        )
+    first = now if attempt.first_heard_at is None else attempt.first_heard_at
+    heard = dataclasses.replace(attempt, heard_at=now, first_heard_at=first)
+    last = exchange.last_event
+    changed = dataclasses.replace(
+        exchange,
+        attempts=(heard,),
+        rest=split.rest,
+        streaming=True,
+        events_at=now,
+        last_event=last if split.last_event is None else split.last_event,
+    )
+    return put(changed, state)
+
+
 def begin_stream(
     exchange: exchanges.Exchange, head: requests.AnswerHead, now: float
 ) -> tuple[effects.Effect, ...]:
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -34,6 +34,7 @@
 # times the usual time to load them, and this long besides.
 LOAD_FACTOR = 3.0
 LISTING_SECONDS = 4.0
+GAP_SECONDS = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,9 +115,31 @@
     for runner_id, order in state.orders.given.items():
         held.setdefault(runner_id, order.layers)
     assigned = placement.plan(service.engine, pool, immutables.Map(held))
+    if not assigned and not state.orders.given:
+        assigned = close_gap(
+            service.engine, pool, immutables.Map(held), now, state
+        )
     return give(service.engine, assigned, now, state)
 
 
+def close_gap(
+    engine: engines.Engine,
+    pool: tuple[runners.ListedRunner, ...],
+    held: placement.Held,
+    now: float,
+    state: 'states.State',
+) -> tuple[placement.Assignment, ...]:
+    """Return how one runner closes a gap that has been there for a while.
+
+    Runners that restart come back empty, and replacements of runners that
+    drain start first, so that most gaps close without it.
+    """
+    if now - state.orders.changed_at < GAP_SECONDS:
+        return ()
+    change = placement.repair(engine, pool, held)
+    return () if change is None else (change,)
+
+
 def give(
     engine: engines.Engine,
     assigned: tuple[placement.Assignment, ...],
--- a/src/mustardvale/internal/relay/placement.py
+++ b/src/mustardvale/internal/relay/placement.py
@@ -85,6 +85,59 @@
     return tuple(assignments)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Pair an assignment of a runner that holds layers with its gain."""
+
+    assignment: Assignment
+    gain: float
+
+
+def repair(
+    engine: engines.Engine,
+    pool: abc.Sequence[runners.ListedRunner],
+    held: Held,
+) -> Assignment | None:
+    """Return how one runner closes a gap of its zone, if any can.
+
+    A runner may give up its layers only where others of its zone hold all of
+    them, so that closing one gap does not open another.
+    """
+    coverage = Coverage(engine.layers)
+    for runner in pool:
+        layers = held.get(runner.runner_id)
+        if layers is not None:
+            coverage.add(runner.availability_zone, layers)
+    found = (
+        find_change(coverage, runner, held[runner.runner_id])
+        for runner in pool
+        if runner.runner_id in held
+    )
+    changes = [change for change in found if change is not None]
+    best = max(changes, key=lambda change: change.gain, default=None)
+    return None if best is None else best.assignment
+
+
+def find_change(
+    coverage: 'Coverage',
+    runner: runners.ListedRunner,
+    layers: runners.LayerRange,
+) -> Change | None:
+    """Return how a runner closes a gap of its zone, if it can."""
+    zone = runner.availability_zone
+    if not coverage.gaps(zone):
+        return None
+    coverage.add(zone, layers, -1)
+    changed = None
+    if not coverage.gaps(zone) & set(range(layers.first, layers.end)):
+        target = coverage.least_covered(zone, layers.count)
+        closed = coverage.gaps(zone) & set(range(target.first, target.end))
+        if closed:
+            changed = Change(Assignment(runner.runner_id, target), len(closed))
+    coverage.add(zone, layers, 1)
+    return changed
+
+
 class Coverage:
     """Count how many runners hold each layer, in each zone and anywhere."""
 
@@ -98,13 +151,18 @@
         """Return a count of nothing for each layer."""
         return [0 for _ in range(self.layers)]
 
-    def add(self, zone: str, held: runners.LayerRange) -> None:
-        """Count a range."""
+    def gaps(self, zone: str) -> set[int]:
+        """Return the layers that no runner of a zone holds."""
+        counts = self.in_zone.get(zone, [])
+        return {layer for layer, own in enumerate(counts) if not own}
+
+    def add(self, zone: str, held: runners.LayerRange, change: int = 1) -> None:
+        """Count a range, or take it away with a change of -1."""
         counts = self.in_zone.setdefault(zone, self.empty())
         self.cuts.setdefault(zone, set()).update((held.first, held.end))
         for layer in range(held.first, min(held.end, self.layers)):
-            self.anywhere[layer] += 1
-            counts[layer] += 1
+            self.anywhere[layer] += change
+            counts[layer] += change
 
     def least_covered(self, zone: str, count: int) -> runners.LayerRange:
         """Return the first of the least covered ranges of some layers.
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -143,6 +143,40 @@
             self.assertLess(layers.count * ENGINE.layer_mb, kind.memory_mb)
 
 
+class Repair(unittest.TestCase):
+    """A gap that no empty runner closes is closed by a spare one."""
+
+    def setUp(self) -> None:
+        self.pool = build_pool(SITE)
+        self.held = place(self.pool, immutables.Map())
+
+    def test_whole_zones_need_none(self) -> None:
+        """Guard against loads that close nothing."""
+        self.assertIsNone(
+            placement.repair(ENGINE, self.pool, immutables.Map(self.held))
+        )
+
+    def test_gap_is_closed_without_another(self) -> None:
+        """Guard against a zone that stays incomplete after a loss."""
+        closed = 0
+        for lost in self.pool:
+            pool = tuple(runner for runner in self.pool if runner != lost)
+            held = {
+                runner.runner_id: self.held[runner.runner_id] for runner in pool
+            }
+            zone = lost.availability_zone
+            before = count_holders(pool, held, zone).count(0)
+            for _ in range(4):
+                change = placement.repair(ENGINE, pool, immutables.Map(held))
+                if change is None:
+                    break
+                held[change.runner_id] = change.layers
+            after = count_holders(pool, held, zone).count(0)
+            self.assertLessEqual(after, before)
+            closed += before > 0 and after == 0
+        self.assertGreater(closed, 0)
+
+
 class Chains(unittest.TestCase):
     """A chain runs every layer once and in order on runners with room."""
 
