Leave streams on parts that drain, and start slow streams again later

Each stream on a draining part was moved at once, which read its tokens again, often in another zone, and streams that were slow for half a second were sent once more. Ruled out: lost runners; a draining runner serves what it has for seconds. Change: only a part that is reported as stalled is left; a stream starts again after 1.2 s of silence.

--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -386,22 +386,3 @@
             ),
         ),
     )
-
-
-def unusable_parts(
-    attempt: exchanges.Attempt, state: 'states.State'
-) -> frozenset[str]:
-    """Return the parts of a chain, after the first, that leave or are gone."""
-    return frozenset(
-        part.runner_id
-        for part in attempt.chain[1:]
-        if not holds(part, state.runners.get(part.runner_id))
-    )
-
-
-def holds(part: requests.ChainPart, runner: runners.Runner | None) -> bool:
-    """Return whether a runner still holds its part and stays."""
-    if runner is None or not runner.usable or runner.listed.layers is None:
-        return False
-    layers = runner.listed.layers
-    return layers.first <= part.first_layer and part.end_layer <= layers.end
--- a/src/mustardvale/internal/relay/watch.py
+++ b/src/mustardvale/internal/relay/watch.py
@@ -29,9 +29,10 @@
 # A plain request without an answer after this share of its target time goes
 # to another runner, which can still be on time.
 SILENT_TARGET_SHARE = 0.6
-# A stream that is silent for this many times the pause that makes it late is
-# sent elsewhere when nothing else is known about the cause.
-SILENT_GAP_FACTOR = 2.0
+# A stream that is silent for this long starts again elsewhere, even when its
+# first runner reports no fault; callers leave after two seconds. A fault is
+# reported earlier, and starting again costs time at every part.
+SILENT_STREAM_SECONDS = 1.2
 # Parts of a chain that carried another stream this recently are not suspected.
 HEARD_SECONDS = 0.25
 SUSPECT_SECONDS = 0.5
@@ -108,26 +109,16 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Find out why a stream is silent, and move it in time."""
-    unusable = moves.unusable_parts(attempt, state)
-    if unusable and not attempt.moving_to:
-        return moves.move(exchange, attempt, unusable, now, state)
     silent = now - attempt.heard_at
     if silent < moves.PROBE_SILENCE_SECONDS:
         return transitions.Transition(state)
-    if silent < silence_limit(exchange):
+    if silent < SILENT_STREAM_SECONDS:
         return moves.probe(attempt, now, state)
     return moves.start_again(
         exchange, attempt, 'silent', now, suspect(attempt, now, state)
     )
 
 
-def silence_limit(exchange: exchanges.Exchange) -> float:
-    """Return how long a stream may be silent, in seconds."""
-    if exchange.streaming:
-        return exchange.route.gap_seconds * SILENT_GAP_FACTOR
-    return exchange.route.target_seconds * SILENT_TARGET_SHARE
-
-
 def suspect(
     attempt: exchanges.Attempt, now: float, state: 'states.State'
 ) -> 'states.State':
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,80 @@
+"""Guard how a failed request is explained from log lines."""
+
+import json
+import typing
+import unittest
+
+from mustardvale.internal.commands import explaining, reports, wanted
+from tests import runs
+
+
+def line(second: int, event: str, instance: str, **fields: typing.Any) -> str:
+    """Return a log line."""
+    return json.dumps(
+        {
+            'asctime': f'2026-01-01 10:00:{second:02},000',
+            'levelname': 'INFO',
+            'message': event,
+            'instance_id': instance,
+            **fields,
+        }
+    )
+
+
+LINES = (
+    line(3, 'runner_blamed', 'e1', runner='m2', reason='stalled'),
+    line(3, 'runner_blamed', 'e2', runner='m2', reason='stalled'),
+    line(
+        1,
+        'request_sent',
+        'e1',
+        request='a1',
+        runner='m1',
+        chain=['m1:0-40', 'm2:40-80'],
+    ),
+    line(4, 'send_failed', 'e1', request='a1', runner='m1', problem='silent'),
+    line(5, 'stream_cut', 'e1', request='a1', problem='refused'),
+    line(2, 'request_sent', 'e1', request='other', runner='m7'),
+    line(2, 'layers_ordered', 'e3', runner='m1', first=0, end=40),
+    line(2, 'layers_ordered', 'e3', runner='m9', first=0, end=40),
+)
+
+
+class Explanations(unittest.TestCase):
+    """A request's lines come in order, with what ended it last."""
+
+    def explain(self, request_id: str, text: str) -> reports.Report:
+        """Run the command on some text."""
+        run = runs.Run(wanted.Explain(request_id, text))
+        return run.shown[0]
+
+    def test_history_of_all_instances_in_order(self) -> None:
+        """Guard against a history that misses a line or mixes requests."""
+        report = self.explain('a1', '\n'.join(LINES))
+        self.assertEqual(
+            [
+                ('request_sent', 'e1'),
+                ('layers_ordered', 'e3'),
+                ('runner_blamed', 'e1'),
+                ('send_failed', 'e1'),
+                ('stream_cut', 'e1'),
+            ],
+            [(item.event, item.instance_id) for item in report.history],
+        )
+
+    def test_cause_comes_last(self) -> None:
+        """Guard against an explanation without a cause."""
+        report = self.explain('a1', '\n'.join(LINES))
+        self.assertEqual(
+            'stream_cut: refused (after 1 failed: silent)', report.cause
+        )
+
+    def test_unknown_request(self) -> None:
+        """Guard against an empty history that looks like a good end."""
+        report = self.explain('none', '\n'.join(LINES))
+        self.assertIsInstance(report, reports.Failed)
+
+    def test_other_text_is_skipped(self) -> None:
+        """Guard against a cut line that stops the command."""
+        text = '\n'.join(('noise', LINES[2][:-9], f'  1.0 e1 {LINES[2]}'))
+        self.assertEqual(1, len(explaining.read_lines(text)))
