--- a/src/mustardvale/command.py
+++ b/src/mustardvale/command.py
@@ -47,6 +47,7 @@
     wanted.Show,
     wanted.History,
 )
+READS_FILES = (wanted.Validate, wanted.Explain)
 
 CalledT = typing.TypeVar('CalledT')
 
@@ -105,6 +106,15 @@
             self, wanted.Validate(path, command_values.read_file(path))
         )
 
+    @keep_text
+    def explain(self, request_id: str, *paths: str) -> Invocation:
+        """Tell the history of a request from log files of all instances.
+
+        Without a file, or for -, the lines are read from standard input.
+        """
+        texts = [command_values.read_file(path) for path in paths or ('-',)]
+        return invoke(self, wanted.Explain(request_id, '\n'.join(texts)))
+
     @keep_text
     def diff(self, path: str, environment: str = '') -> Invocation:
         """Show what a document would change in its environment."""
@@ -315,7 +325,7 @@
     )
     if isinstance(invocation.command, READS_LOG):
         command_values.check_address('log-address', invocation.log_address)
-    elif not isinstance(invocation.command, wanted.Validate):
+    elif not isinstance(invocation.command, READS_FILES):
         for address in entry_addresses or ('',):
             command_values.check_address('entry-address', address)
     return states.State(
--- a/src/mustardvale/internal/commands/handlers.py
+++ b/src/mustardvale/internal/commands/handlers.py
@@ -3,10 +3,11 @@
 from mustardvale.internal.commands import (
     entries,
     environments,
+    explaining,
     promoting,
     reducer,
 )
 
-REGISTERED = (entries, environments, promoting)
+REGISTERED = (entries, environments, explaining, promoting)
 
 reduce = reducer.reduce
--- a/src/mustardvale/internal/commands/reports.py
+++ b/src/mustardvale/internal/commands/reports.py
@@ -1,6 +1,8 @@
 """Define what the command-line tool reports."""
 
 import dataclasses
+import datetime
+import typing
 
 from mustardvale.internal import document_changes, effects, replies
 
@@ -27,6 +29,25 @@
     remedy: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogLine:
+    """Hold one log line of an instance."""
+
+    at: datetime.datetime
+    instance_id: str
+    event: str
+    fields: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestExplained(Report):
+    """Report the history of a request and what ended it."""
+
+    id: str
+    history: tuple[LogLine, ...]
+    cause: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentInvalid(Report):
     """Report all problems of a document."""
--- a/src/mustardvale/internal/commands/wanted.py
+++ b/src/mustardvale/internal/commands/wanted.py
@@ -16,6 +16,14 @@
     text: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explain(Command):
+    """Tell the history of a request from log lines."""
+
+    id: str
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Diff(Command):
     """Compare a document with the active one of an environment."""
--- a/src/mustardvale/internal/edge/codec_reports.py
+++ b/src/mustardvale/internal/edge/codec_reports.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from mustardvale.internal import document_changes
-from mustardvale.internal.commands import reports
+from mustardvale.internal.commands import explaining, reports
 from mustardvale.internal.edge import performer
 from mustardvale.internal.edge import runtime as runtimes
 
@@ -105,6 +105,23 @@
     return f'{text.rstrip()}\n'
 
 
+@to_text.register(reports.RequestExplained)
+def explained_to_text(report: reports.RequestExplained) -> str:
+    """Encode one line for each line of the history, and the cause last."""
+    lines = [
+        COLUMN_GAP.join(
+            (
+                line.at.strftime('%H:%M:%S.%f')[:-3],
+                line.instance_id,
+                line.event,
+                explaining.show_fields(line),
+            )
+        ).rstrip()
+        for line in report.history
+    ]
+    return '\n'.join((*lines, f'cause: {report.cause}', ''))
+
+
 @to_text.register(reports.DocumentInvalid)
 def invalid_to_text(report: reports.DocumentInvalid) -> str:
     """Encode one line for each problem."""
