Estimate the load of other instances by means, and bound the requests on a link

Cause: the load of a runner was taken as this instance's own load of the moment times the number of instances. Change: the others are taken to have this instance's mean load of 4 s; requests on each link between zones are counted the same way and raise the cost of one more; the search indexes runners by layer; streams that pause are looked into after 0.3 s. Conclusion: means and links together are kept, and runners that look a third over full still get requests.

--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -13,14 +13,22 @@
 from mustardvale.internal import draws
 from mustardvale.internal.relay import engines, loads, requests, runners
 
-# Requests do not run on a runner whose memory is taken to this share: what it
-# cannot hold is read again later, which stops other requests too.
-FULL_SHARE = 0.95
+# The load is an estimate, so that a runner that looks full still may have room;
+# one that looks this full surely has none. What a runner cannot hold it
+# refuses unrun, or reads again later, which stops other requests too.
+FULL_SHARE = 1.3
+# Taken memory raises the cost of a part up to this share.
+CROWDED_SHARE = 0.9
+OVERFULL_FACTOR = 10.0
 # A runner with recent failures costs as much as this many sound ones.
 AVOIDED_FACTOR = 20.0
 # All requests share the link between two zones, and a prompt's activations
 # fill it for tens of milliseconds; whole chains elsewhere cost nothing.
-CROSSING_SECONDS = 1.0
+CROSSING_SECONDS = 2.0
+# Requests on a link at which one more costs twice as much, and the most that
+# it can carry without making all of them late.
+BUSY_LINK_REQUESTS = 8.0
+FULL_LINK_REQUESTS = 32.0
 # Each part adds waiting for a pass of its runner.
 PART_SECONDS = 0.02
 # Random differences of cost keep instances from choosing the same runners.
@@ -65,11 +73,18 @@
     zone: str
 
 
+Links = abc.Callable[[str, str], float]
+
+
+def idle_links(one: str, other: str) -> float:
+    """Return the requests on the link between two zones when there are none."""
+    return 0.0
+
+
 def describe(
     engine: engines.Engine,
     runner: runners.Runner,
     load: loads.Load,
-    instances: int,
     now: float,
 ) -> Candidate | None:
     """Describe a runner, or return nothing where it cannot carry a part."""
@@ -91,9 +106,9 @@
         listed.accelerator,
         layers,
         capacity,
-        load.token_layers * instances / capacity if capacity else 1.0,
-        load.entered * instances / engine.slots,
-        load.requests * instances,
+        load.token_layers / capacity if capacity else 1.0,
+        load.entered / engine.slots,
+        load.requests,
         factor * max(runner.pace, 1.0),
     )
 
@@ -120,29 +135,49 @@
         engine, candidate.accelerator, layers, work.prompt
     )
     seconds = step * work.output + reading
-    return (seconds + PART_SECONDS) * candidate.factor / (1 - taken)
+    crowding = 1 / (1 - min(taken, CROWDED_SHARE))
+    if taken > CROWDED_SHARE:
+        crowding *= 1 + (taken - CROWDED_SHARE) * OVERFULL_FACTOR
+    return (seconds + PART_SECONDS) * candidate.factor * crowding
 
 
 def hop_cost(
-    engine: engines.Engine, source: str, target: str, work: Work
-) -> float:
-    """Return the cost of going on in another zone in seconds."""
+    engine: engines.Engine,
+    source: str,
+    target: str,
+    work: Work,
+    link_requests: float,
+) -> float | None:
+    """Return the cost of going on in another zone in seconds.
+
+    There is none where the link has as many requests as it can carry.
+    """
     if not source or source == target:
         return 0.0
+    if link_requests >= FULL_LINK_REQUESTS:
+        return None
     delays = engines.zone_delay(engine, source, target) * work.output
     crossing = engines.hop_time(engine, source, target, work.prompt)
-    return CROSSING_SECONDS + crossing + delays
+    busy = 1 + link_requests / BUSY_LINK_REQUESTS
+    return (CROSSING_SECONDS + crossing) * busy + delays
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Reached:
-    """Hold a chain up to a layer; cheaper ones come first, then older ones."""
+    """Hold a chain up to a layer and what it costs."""
 
     cost: float
-    number: int
     layer: int
     zone: str
-    chain: requests.Chain = dataclasses.field(compare=False)
+    chain: requests.Chain
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Extension:
+    """Hold a part that a chain may go on with."""
+
+    part: requests.ChainPart
+    cost: float
 
 
 def find(
@@ -151,17 +186,20 @@
     work: Work,
     span: Span,
     seed: int,
+    links: Links = idle_links,
 ) -> requests.Chain | None:
-    """Return the cheapest chain over a span of layers, if there is one."""
-    search = Search(engine, work, span, draw_jitter(candidates, seed))
-    search.reach(0.0, span.first, span.zone, ())
+    """Return the cheapest chain over a span of layers, if there is one.
+
+    `links` gives the requests on the link between two zones.
+    """
+    search = Search(engine, candidates, work, span, seed)
+    search.reach(Reached(0.0, span.first, span.zone, ()))
     while search.heap:
-        reached = heapq.heappop(search.heap)
+        reached = heapq.heappop(search.heap)[-1]
         if reached.layer >= span.end:
             return reached.chain
         if search.settle(reached):
-            for candidate in candidates:
-                search.extend(reached, candidate)
+            search.extend(reached, links)
     return None
 
 
@@ -171,24 +209,26 @@
     def __init__(
         self,
         engine: engines.Engine,
+        candidates: abc.Sequence[Candidate],
         work: Work,
         span: Span,
-        jitter: dict[str, float],
+        seed: int,
     ) -> None:
         self.engine = engine
+        self.candidates = candidates
         self.work = work
         self.span = span
-        self.jitter = jitter
-        self.heap: list[Reached] = []
+        self.jitter = draw_jitter(candidates, seed)
+        self.heap: list[tuple[float, int, Reached]] = []
         self.numbers = itertools.count()
         self.settled: set[tuple[int, str]] = set()
+        self.known: dict[int, list[Extension]] = {}
+        self.hops: dict[tuple[str, str], float | None] = {}
 
-    def reach(
-        self, cost: float, layer: int, zone: str, chain: requests.Chain
-    ) -> None:
-        """Note a chain that has reached a layer."""
-        reached = Reached(cost, next(self.numbers), layer, zone, chain)
-        heapq.heappush(self.heap, reached)
+    def reach(self, reached: Reached) -> None:
+        """Note a chain; of equal costs the older one goes first."""
+        number = next(self.numbers)
+        heapq.heappush(self.heap, (reached.cost, number, reached))
 
     def settle(self, reached: Reached) -> bool:
         """Return whether this is the cheapest way to its layer and zone."""
@@ -198,28 +238,57 @@
         self.settled.add(place)
         return True
 
-    def extend(self, reached: Reached, candidate: Candidate) -> None:
-        """Go on with a runner that holds the next layer and has room."""
-        layers = candidate.layers
-        if not layers.first <= reached.layer < layers.end:
-            return
-        end = min(layers.end, self.span.end)
-        if (end, candidate.zone) in self.settled:
-            return
-        cost = part_cost(self.engine, candidate, reached.layer, end, self.work)
+    def extend(self, reached: Reached, links: Links) -> None:
+        """Go on with each runner that holds the next layer and has room."""
+        for extension in self.extensions(reached.layer):
+            part = extension.part
+            if (part.end_layer, part.zone) in self.settled:
+                continue
+            hop = self.hop(reached.zone, part.zone, links)
+            if hop is not None:
+                cost = reached.cost + extension.cost + hop
+                chain = (*reached.chain, part)
+                self.reach(Reached(cost, part.end_layer, part.zone, chain))
+
+    def extensions(self, layer: int) -> list[Extension]:
+        """Return the parts that can follow at a layer."""
+        found = self.known.get(layer)
+        if found is None:
+            found = [
+                extension
+                for candidate in self.candidates
+                if candidate.layers.first <= layer < candidate.layers.end
+                and (extension := self.build(candidate, layer)) is not None
+            ]
+            self.known[layer] = found
+        return found
+
+    def build(self, candidate: Candidate, layer: int) -> Extension | None:
+        """Return the part of a runner from a layer on, if it has room."""
+        end = min(candidate.layers.end, self.span.end)
+        cost = part_cost(self.engine, candidate, layer, end, self.work)
         if cost is None:
-            return
-        hop = hop_cost(self.engine, reached.zone, candidate.zone, self.work)
-        part = requests.ChainPart(
-            candidate.runner_id, candidate.address, reached.layer, end
-        )
-        self.reach(
-            reached.cost + cost * self.jitter[candidate.runner_id] + hop,
-            end,
-            candidate.zone,
-            (*reached.chain, part),
+            return None
+        return Extension(
+            requests.ChainPart(
+                candidate.runner_id,
+                candidate.address,
+                layer,
+                end,
+                candidate.zone,
+            ),
+            cost * self.jitter[candidate.runner_id],
         )
 
+    def hop(self, source: str, target: str, links: Links) -> float | None:
+        """Return the cost of going from a zone to another, if it can be."""
+        pair = (source, target)
+        if pair not in self.hops:
+            self.hops[pair] = hop_cost(
+                self.engine, source, target, self.work, links(source, target)
+            )
+        return self.hops[pair]
+
 
 def draw_jitter(
     candidates: abc.Sequence[Candidate], seed: int
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -117,8 +117,10 @@
         seed = drawn.seed
         if not runner.usable or runner.listed.runner_id in exchange.tried:
             continue
-        load = state.loads.get(runner.listed.runner_id, loads.NO_LOAD)
-        cost = runner_cost(runner, load, instances, now, drawn.unit)
+        load = loads.estimate(
+            runner.listed.runner_id, state.loads, state.mean_loads, instances
+        )
+        cost = runner_cost(runner, load, now, drawn.unit)
         if best is None or cost < best[0]:
             best = (cost, runner)
     if best is None:
@@ -135,14 +137,13 @@
 def runner_cost(
     runner: runners.Runner,
     load: loads.Load,
-    instances: int,
     now: float,
     unit: float,
 ) -> float:
     """Return the expected time of a request at a plain service's runner."""
     latency = runner.latency or UNKNOWN_LATENCY_SECONDS
     slots = max(runner.listed.slots, 1)
-    queueing = 1 + load.requests * instances / slots
+    queueing = 1 + load.requests / slots
     cost = latency * queueing * (1 + FAILING_FACTOR * runner.failing)
     if runner.avoid_until > now:
         cost *= chains.AVOIDED_FACTOR
@@ -158,8 +159,10 @@
     for runner in runners.of_service(state.runners, service):
         if not runner.usable:
             continue
-        load = state.loads.get(runner.listed.runner_id, loads.NO_LOAD)
-        candidate = chains.describe(engine, runner, load, instances, now)
+        load = loads.estimate(
+            runner.listed.runner_id, state.loads, state.mean_loads, instances
+        )
+        candidate = chains.describe(engine, runner, load, now)
         if candidate is not None:
             found.append(candidate)
     return found
@@ -181,13 +184,28 @@
     ]
     work = measure(exchange, engine)
     span = chains.Span(0, engine.layers, '')
-    chain = chains.find(engine, candidates, work, span, state.seed)
+    chain = chains.find(
+        engine, candidates, work, span, state.seed, link_loads(state)
+    )
     if not chain:
         return None
     tokens = work.prompt + work.output * OUTPUT_SHARE
     return Target(chain[0].runner_id, chain[0].address, chain, tokens)
 
 
+def link_loads(state: 'states.State') -> chains.Links:
+    """Return the requests of all instances on the link between two zones."""
+    instances = members.count(state)
+
+    def requests_on(one: str, other: str) -> float:
+        link = loads.link_name(one, other)
+        return loads.estimate(
+            link, state.loads, state.mean_loads, instances
+        ).requests
+
+    return requests_on
+
+
 def measure(
     exchange: exchanges.Exchange, engine: engines.Engine
 ) -> chains.Work:
--- a/src/mustardvale/internal/relay/loads.py
+++ b/src/mustardvale/internal/relay/loads.py
@@ -1,10 +1,13 @@
 """Count the work that this instance has at each upstream.
 
 Load reports of upstreams lag, and asking for them is dear, so each instance
-counts what it sent itself and takes the other instances to do the same.
+counts what it sent itself and takes the other instances to send what it sent
+itself on average. The count of the moment times the number of instances would
+differ by several times: an instance has a few requests at a runner.
 """
 
 import dataclasses
+import itertools
 import typing
 
 import immutables
@@ -12,16 +15,23 @@
 from mustardvale.internal.relay import requests
 
 
+# The mean over this time has some tens of requests in it.
+MEAN_SECONDS = 4.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """Hold requests in flight, those begun there, and tokens times layers."""
 
-    requests: int = 0
-    entered: int = 0
+    requests: float = 0
+    entered: float = 0
     token_layers: float = 0.0
 
 
 NO_LOAD = Load()
+FORGOTTEN_REQUESTS = 0.001
+# Links between zones are counted beside runners; no id has this mark.
+LINK_MARK = '<>'
 LoadMap: typing.TypeAlias = 'immutables.Map[str, Load]'
 
 
@@ -41,9 +51,26 @@
                 max(load.token_layers + sign * tokens * layers, 0.0),
             ),
         )
+    for link in crossings(chain):
+        known = table.get(link, NO_LOAD).requests
+        table = set_load(table, link, Load(known + sign))
     return table
 
 
+def crossings(chain: requests.Chain) -> list[str]:
+    """Name the links between zones that a chain uses, once for each use."""
+    return [
+        link_name(before.zone, after.zone)
+        for before, after in itertools.pairwise(chain)
+        if before.zone != after.zone
+    ]
+
+
+def link_name(one: str, other: str) -> str:
+    """Return the name under which the load of a link is counted."""
+    return LINK_MARK.join(sorted((one, other)))
+
+
 def add_request(table: LoadMap, runner_id: str, sign: int) -> LoadMap:
     """Add a request to a plain service, or take it away."""
     load = table.get(runner_id, NO_LOAD)
@@ -54,6 +81,49 @@
     )
 
 
+def estimate(
+    runner_id: str, table: LoadMap, means: LoadMap, instances: int
+) -> Load:
+    """Return the load that all instances together probably have at a runner."""
+    own = table.get(runner_id, NO_LOAD)
+    mean = means.get(runner_id, NO_LOAD)
+    others = instances - 1
+    return Load(
+        own.requests + others * mean.requests,
+        own.entered + others * mean.entered,
+        own.token_layers + others * mean.token_layers,
+    )
+
+
+def average(table: LoadMap, means: LoadMap, seconds: float) -> LoadMap:
+    """Move the means towards the loads of the moment."""
+    weight = min(seconds / MEAN_SECONDS, 1.0)
+    moved = {
+        runner_id: blend(
+            table.get(runner_id, NO_LOAD),
+            means.get(runner_id, NO_LOAD),
+            weight,
+        )
+        for runner_id in sorted({*table, *means})
+    }
+    return immutables.Map(
+        {
+            runner_id: load
+            for runner_id, load in moved.items()
+            if load.requests > FORGOTTEN_REQUESTS
+        }
+    )
+
+
+def blend(own: Load, mean: Load, weight: float) -> Load:
+    """Return a mean that has moved by a weight towards a load."""
+    return Load(
+        mean.requests + weight * (own.requests - mean.requests),
+        mean.entered + weight * (own.entered - mean.entered),
+        mean.token_layers + weight * (own.token_layers - mean.token_layers),
+    )
+
+
 def set_load(table: LoadMap, runner_id: str, load: Load) -> LoadMap:
     """Keep a load, or forget it when nothing is left."""
     if load.requests > 0:
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -26,11 +26,13 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-# A stream that is silent for this long is looked into. It is several times
-# the usual pause between events, and well under what makes an answer late.
-PROBE_SILENCE_SECONDS = 0.12
+# A request without its first event is looked into after this time, early
+# enough to be on time elsewhere. A stream that pauses is late before a report
+# can tell why, so that it has more time to go on by itself.
+PROBE_FIRST_SECONDS = 0.15
+PROBE_PAUSE_SECONDS = 0.3
 # Reports are some hundred milliseconds old, so the first may not show a fault.
-PROBE_PERIOD_SECONDS = 0.12
+PROBE_PERIOD_SECONDS = 0.2
 PROBE_ANSWER_SECONDS = 0.25
 MOVE_ANSWER_SECONDS = 0.4
 # A runner that was reported as the one that others wait for is left alone for
@@ -43,7 +45,7 @@
     attempt: exchanges.Attempt, now: float, state: 'states.State'
 ) -> reducer.Transition:
     """Ask the first runner of a silent stream what it waits for."""
-    if not attempt.sent or now - attempt.heard_at < PROBE_SILENCE_SECONDS:
+    if not attempt.sent or not is_silent(attempt, now):
         return transitions.Transition(state)
     asked = state.probes.get(attempt.runner_id, 0.0)
     runner = state.runners.get(attempt.runner_id)
@@ -64,6 +66,14 @@
     )
 
 
+def is_silent(attempt: exchanges.Attempt, now: float) -> bool:
+    """Return whether nothing has come for longer than usual."""
+    limit = PROBE_PAUSE_SECONDS
+    if attempt.first_heard_at is None:
+        limit = PROBE_FIRST_SECONDS
+    return now - attempt.heard_at >= limit
+
+
 @reducer.on_answer.register(calls.ProbeRunner)
 def take_probe(
     call: calls.ProbeRunner, event: events.CallAnswered, state: 'states.State'
@@ -90,7 +100,7 @@
 ) -> reducer.Transition:
     """Blame a first runner that does not answer, if it is silent besides."""
     heard = state.heard.get(call.runner_id, 0.0)
-    if event.at - heard < PROBE_SILENCE_SECONDS:
+    if event.at - heard < PROBE_FIRST_SECONDS:
         return transitions.Transition(state)
     blamed = frozenset((call.runner_id,))
     return blame(blamed, 'unreachable', event.at, state).then(
@@ -247,10 +257,15 @@
         missing = chains.Span(
             span[0].first_layer,
             span[-1].end_layer,
-            zone_of(repaired[-1].runner_id, state),
+            repaired[-1].zone,
         )
         substitutes = chains.find(
-            service.engine, candidates, work, missing, state.seed
+            service.engine,
+            candidates,
+            work,
+            missing,
+            state.seed,
+            dispatch.link_loads(state),
         )
         if not substitutes:
             return None
@@ -293,12 +308,6 @@
     )
 
 
-def zone_of(runner_id: str, state: 'states.State') -> str:
-    """Return the zone of a runner, empty when it is not known."""
-    runner = state.runners.get(runner_id)
-    return '' if runner is None else runner.listed.availability_zone
-
-
 @reducer.on_answer.register(calls.MoveRequest)
 def take_move(
     call: calls.MoveRequest, event: events.CallAnswered, state: 'states.State'
--- a/src/mustardvale/internal/relay/requests.py
+++ b/src/mustardvale/internal/relay/requests.py
@@ -112,6 +112,7 @@
     address: str
     first_layer: int
     end_layer: int
+    zone: str = ''
 
 
 Chain = tuple[ChainPart, ...]
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -46,6 +46,7 @@
     members: member_tables.MemberState = member_tables.MemberState()
     orders: order_tables.OrderState = order_tables.OrderState()
     loads: load_tables.LoadMap = immutables.Map()
+    mean_loads: load_tables.LoadMap = immutables.Map()
     exchanges: exchange_tables.ExchangeMap = immutables.Map()
     sends: immutables.Map[str, str] = immutables.Map()
     repeats: repeat_ledgers.Ledger = immutables.Map()
--- a/src/mustardvale/internal/relay/watch.py
+++ b/src/mustardvale/internal/relay/watch.py
@@ -14,6 +14,7 @@
     dispatch,
     endings,
     exchanges,
+    loads,
     moves,
     reducer,
     runners,
@@ -46,7 +47,13 @@
 ) -> reducer.Transition:
     """Look at every open request."""
     return transitions.Transition(
-        dataclasses.replace(state, heard=note_heard(state)),
+        dataclasses.replace(
+            state,
+            heard=note_heard(state),
+            mean_loads=loads.average(
+                state.loads, state.mean_loads, PERIOD_SECONDS
+            ),
+        ),
         (effects.SetTimer(timer, PERIOD_SECONDS),),
     ).then_each(
         state.exchanges,
@@ -110,8 +117,6 @@
 ) -> reducer.Transition:
     """Find out why a stream is silent, and move it in time."""
     silent = now - attempt.heard_at
-    if silent < moves.PROBE_SILENCE_SECONDS:
-        return transitions.Transition(state)
     if silent < SILENT_STREAM_SECONDS:
         return moves.probe(attempt, now, state)
     return moves.start_again(
