--- a/src/mustardvale/internal/relay/placement.py
+++ b/src/mustardvale/internal/relay/placement.py
@@ -16,7 +16,7 @@
 
 # Each zone should hold the model and half of it again, so that a lost part
 # has a substitute in the zone or next to it.
-COPIES_PER_ZONE = 1.5
+COPIES_PER_ZONE = 1.3
 # Tokens that fit beside the layers of a runner, the best case first. Memory
 # for requests goes before more copies while each zone holds enough of them.
 TOKEN_TARGETS = (64_000, 48_000, 40_000, 32_000, 24_000, 16_000, 10_000, 5_000)
