Leave out runners that refuse, and build incomplete zones anew

Ruled out: too little memory alone; between seconds 8 and 13 one zone of three was whole. Change: a runner that refuses a part gets nothing for 0.3 s while streams flow through it, 1.5 s otherwise, 5 s when it does not hold its layers, until its entry changes; a zone that no single runner can make whole is planned anew with more layers on each runner; refusals are logged with the runner at fault.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -29,6 +29,14 @@
 # own word for it they must not reach the caller.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 LARGEST_ANSWER_BYTES = 8 * 1024 * 1024
+# A runner that does not hold what its entry says has started again; the next
+# entry tells what it holds.
+MISDIRECTED_SECONDS = 5.0
+# Requests end in some hundred milliseconds at a runner that is full.
+FULL_SECONDS = 0.3
+# The platform drops the entry of a crashed runner after three to four seconds.
+GONE_SECONDS = 1.5
+FLOWING_SECONDS = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,9 +235,11 @@
     table = state.runners
     runner_id = found.attempt.runner_id
     if head.not_run:
-        at_fault = runners.find_address(table, head.fault_address)
-        if head.fault_address or head.status == MISDIRECTED:
-            table = runners.failed(table, at_fault or runner_id, now)
+        named = runners.find_address(table, head.fault_address)
+        at_fault = named or runner_id
+        if found.attempt.chain or head.status == MISDIRECTED:
+            until = now + shun_seconds(at_fault, head.status, now, state)
+            table = runners.shun(table, at_fault, until)
     elif not found.exchange.is_stream:
         sound = head.status < FIRST_ERROR_STATUS
         seconds = now - found.attempt.started_at
@@ -237,6 +247,21 @@
     return dataclasses.replace(state, runners=table)
 
 
+def shun_seconds(
+    at_fault: str, status: int, now: float, state: 'states.State'
+) -> float:
+    """Return how long nothing new goes to a runner that has refused.
+
+    A refusal says neither whether the runner is full or gone; one through
+    which a stream flows is full.
+    """
+    if status == MISDIRECTED:
+        return MISDIRECTED_SECONDS
+    if now - state.heard.get(at_fault, 0.0) < FLOWING_SECONDS:
+        return FULL_SECONDS
+    return GONE_SECONDS
+
+
 def end_stream(
     found: Open, now: float, state: 'states.State'
 ) -> reducer.Transition:
@@ -337,7 +362,19 @@
         rest=b'',
         problem=f'refused unrun with {head.status}',
     )
-    return go_on(refused, now, put(refused, state))
+    following = go_on(refused, now, put(refused, state))
+    logged = relay_effects.LogDecision(
+        'send_refused',
+        (
+            ('request', refused.request.attempt_id),
+            ('runner', found.attempt.runner_id),
+            ('chain', dispatch.describe_chain(found.attempt.chain)),
+            ('status', head.status),
+            ('at_fault', at_fault or head.fault_address),
+            ('ms', int((now - found.attempt.started_at) * 1000)),
+        ),
+    )
+    return transitions.Transition(following.state, (logged, *following.effects))
 
 
 @reducer.reduce.register(relay_events.SendFailed)
--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -94,6 +94,8 @@
         return None
     if listed.accelerator not in engine.accelerators:
         return None
+    if runner.shunned_until > now:
+        return None
     capacity = (
         engines.token_capacity(engine, listed.accelerator, layers.count)
         * layers.count
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -38,6 +38,9 @@
 # A runner that was reported as the one that others wait for is left alone for
 # about as long as the platform takes to drop its entry.
 BLAME_SECONDS = 4.0
+# Nothing at all goes there for a part of that time, after which it may be
+# tried where nothing else is left.
+SHUN_SECONDS = 2.0
 MAXIMUM_MOVES = 4
 
 
@@ -119,6 +122,7 @@
         if known.avoid_until < now + BLAME_SECONDS / 2:
             fresh.append(runner_id)
             table = runners.avoid(table, runner_id, now + BLAME_SECONDS)
+            table = runners.shun(table, runner_id, now + SHUN_SECONDS)
     logged = tuple(
         relay_effects.LogDecision(
             'runner_blamed', (('runner', runner_id), ('reason', reason))
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -35,6 +35,9 @@
 LOAD_FACTOR = 3.0
 LISTING_SECONDS = 4.0
 GAP_SECONDS = 1.5
+# Building a zone anew loads layers on all of its runners, which takes seconds,
+# while most crashed runners are back after a few.
+REBUILD_SECONDS = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,15 +132,20 @@
     now: float,
     state: 'states.State',
 ) -> tuple[placement.Assignment, ...]:
-    """Return how one runner closes a gap that has been there for a while.
+    """Return what closes a gap that has been there for a while.
 
     Runners that restart come back empty, and replacements of runners that
-    drain start first, so that most gaps close without it.
+    drain start first, so that most gaps close without it. One runner that
+    others can stand in for comes next, a zone built anew last.
     """
     if now - state.orders.changed_at < GAP_SECONDS:
         return ()
     change = placement.repair(engine, pool, held)
-    return () if change is None else (change,)
+    if change is not None:
+        return (change,)
+    if now - state.orders.changed_at < REBUILD_SECONDS:
+        return ()
+    return placement.rebuild(engine, pool, held)
 
 
 def give(
--- a/src/mustardvale/internal/relay/placement.py
+++ b/src/mustardvale/internal/relay/placement.py
@@ -17,6 +17,9 @@
 # Each zone should hold the model and half of it again, so that a lost part
 # has a substitute in the zone or next to it.
 COPIES_PER_ZONE = 1.3
+# A zone that lost runners is built anew with this much of the model; ranges do
+# not fit together exactly.
+LEAST_COPIES = 1.08
 # Tokens that fit beside the layers of a runner, the best case first. Memory
 # for requests goes before more copies while each zone holds enough of them.
 TOKEN_TARGETS = (64_000, 48_000, 40_000, 32_000, 24_000, 16_000, 10_000, 5_000)
@@ -66,17 +69,31 @@
         layers = held.get(runner.runner_id)
         if layers is not None:
             coverage.add(runner.availability_zone, layers)
-    empty = sorted(
+    empty = tuple(
+        runner
+        for runner in pool
+        if runner.runner_id not in held
+        and runner.accelerator in engine.accelerators
+    )
+    return plan_ranges(engine, empty, coverage, target)
+
+
+def plan_ranges(
+    engine: engines.Engine,
+    empty: abc.Sequence[runners.ListedRunner],
+    coverage: 'Coverage',
+    target: float,
+) -> tuple[Assignment, ...]:
+    """Return ranges that leave room for some tokens, the largest first."""
+    sized = sorted(
         (
             (engines.largest_range(engine, runner.accelerator, target), runner)
-            for runner in pool
-            if runner.runner_id not in held
-            and runner.accelerator in engine.accelerators
+            for runner in empty
         ),
         key=lambda pair: (-pair[0], pair[1].runner_id),
     )
     assignments = []
-    for count, runner in empty:
+    for count, runner in sized:
         if count < 1:
             continue
         layers = coverage.least_covered(runner.availability_zone, count)
@@ -118,6 +135,65 @@
     return None if best is None else best.assignment
 
 
+def rebuild(
+    engine: engines.Engine,
+    pool: abc.Sequence[runners.ListedRunner],
+    held: Held,
+) -> tuple[Assignment, ...]:
+    """Return new ranges for a zone whose gaps no single runner can close.
+
+    The runners of the zone hold more layers each and have room for fewer
+    requests. A zone too small for the model stays as it is.
+    """
+    for zone in sorted({runner.availability_zone for runner in pool}):
+        local = tuple(
+            runner
+            for runner in pool
+            if runner.availability_zone == zone
+            and runner.accelerator in engine.accelerators
+        )
+        if not holds_gap(engine, local, held):
+            continue
+        target = zone_target(engine, local)
+        if target is None:
+            continue
+        planned = plan_ranges(engine, local, Coverage(engine.layers), target)
+        return tuple(
+            assignment
+            for assignment in planned
+            if held.get(assignment.runner_id) != assignment.layers
+        )
+    return ()
+
+
+def holds_gap(
+    engine: engines.Engine,
+    local: abc.Sequence[runners.ListedRunner],
+    held: Held,
+) -> bool:
+    """Return whether some layers are held by none of the runners of a zone."""
+    found: set[int] = set()
+    for runner in local:
+        layers = held.get(runner.runner_id)
+        if layers is not None:
+            found.update(range(layers.first, layers.end))
+    return len(found) < engine.layers
+
+
+def zone_target(
+    engine: engines.Engine, local: abc.Sequence[runners.ListedRunner]
+) -> float | None:
+    """Return how many tokens to leave room for when a zone holds the model."""
+    for target in TOKEN_TARGETS:
+        layers = sum(
+            engines.largest_range(engine, runner.accelerator, target)
+            for runner in local
+        )
+        if layers >= LEAST_COPIES * engine.layers:
+            return target
+    return None
+
+
 def find_change(
     coverage: 'Coverage',
     runner: runners.ListedRunner,
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -52,7 +52,8 @@
     """Pair an entry with what this instance has seen of the upstream.
 
     `seen_at` is when the entry last changed, `missing_since` when it was
-    dropped, `avoid_until` how long other upstreams go first after failures.
+    dropped, `avoid_until` how long other upstreams go first after failures,
+    `shunned_until` how long nothing new goes there at all.
     `latency` is a moving mean in seconds, `failing` one of the failed share.
     """
 
@@ -61,6 +62,7 @@
     missing_since: float | None = None
     leaving: bool = False
     avoid_until: float = 0.0
+    shunned_until: float = 0.0
     failures: int = 0
     latency: float = 0.0
     failing: float = 0.0
@@ -93,7 +95,11 @@
     return table.set(
         entry.runner_id,
         dataclasses.replace(
-            known, listed=entry, seen_at=now, missing_since=None
+            known,
+            listed=entry,
+            seen_at=now,
+            missing_since=None,
+            shunned_until=0.0,
         ),
     )
 
@@ -145,6 +151,14 @@
     return table.set(runner_id, dataclasses.replace(known, avoid_until=until))
 
 
+def shun(table: RunnerMap, runner_id: str, until: float) -> RunnerMap:
+    """Send nothing new to an upstream until a moment, or a new entry."""
+    known = table.get(runner_id)
+    if known is None or known.shunned_until >= until:
+        return table
+    return table.set(runner_id, dataclasses.replace(known, shunned_until=until))
+
+
 def answered(
     table: RunnerMap, runner_id: str, seconds: float, sound: bool
 ) -> RunnerMap:
--- a/tests/test_relay_moves.py
+++ b/tests/test_relay_moves.py
@@ -118,6 +118,71 @@
         )
 
 
+class RefusedRequests(unittest.TestCase):
+    """A part that refuses gets nothing new for as long as that may last."""
+
+    def refuse(self, instance: relay_states.Instance, status: int) -> str:
+        """Let the second part of a new request's chain refuse it."""
+        instance.relay('r1', '/model/x')
+        send_id = instance.start()
+        part = instance.sends[0].send.chain[1]
+        instance.answer(
+            send_id,
+            relay_states.head(
+                status,
+                not_run=True,
+                proven=False,
+                headers=(),
+                fault_address=part.address,
+            ),
+        )
+        instance.end(send_id)
+        return part.runner_id
+
+    def uses(self, instance: relay_states.Instance, runner_id: str) -> bool:
+        """Return whether one of several new requests goes to a runner."""
+        known = len(instance.sends)
+        for number in range(3):
+            instance.relay(f'n{instance.now}{number}', '/model/x')
+        return any(
+            part.runner_id == runner_id
+            for sent in instance.sends[known:]
+            for part in sent.send.chain
+        )
+
+    def test_runner_that_may_be_gone(self) -> None:
+        """Guard against sending everything to a crashed runner's entry."""
+        instance = relay_states.Instance()
+        refused = self.refuse(instance, 503)
+        instance.now += 1.0
+        self.assertFalse(self.uses(instance, refused))
+
+    def test_runner_that_does_not_hold_its_part(self) -> None:
+        """Guard against an entry that was written before a restart."""
+        instance = relay_states.Instance()
+        refused = self.refuse(instance, 421)
+        instance.now += 4.0
+        instance.configure(relay_states.CONFIGURATION)
+        self.assertFalse(self.uses(instance, refused))
+
+    def test_new_entry_ends_it(self) -> None:
+        """Guard against leaving out a runner that has loaded its layers."""
+        instance = relay_states.Instance()
+        refused = self.refuse(instance, 421)
+        entry = instance.state.runners[refused].listed
+        instance.list_runners(
+            tuple(
+                relay_states.dataclasses.replace(known, slots=97)
+                if known.runner_id == refused
+                else known
+                for known in relay_states.TWO_CHAINS
+            )
+        )
+        self.assertEqual(96, entry.slots)
+        runner = instance.state.runners[refused]
+        self.assertEqual(0, runner.shunned_until)
+
+
 class NowhereToGo(unittest.TestCase):
     """A request stays where it is while nothing else can take it."""
 
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -177,6 +177,52 @@
         self.assertGreater(closed, 0)
 
 
+class Rebuilding(unittest.TestCase):
+    """A zone that lost too much for its spare runners is built anew."""
+
+    def lose(self, zone: str, kind: str) -> tuple[object, dict]:
+        """Return pool and ranges without the first runner of a kind."""
+        pool = build_pool(SITE)
+        held = place(pool, immutables.Map())
+        lost = next(
+            runner
+            for runner in pool
+            if (runner.availability_zone, runner.accelerator) == (zone, kind)
+        )
+        rest = tuple(runner for runner in pool if runner != lost)
+        return rest, {item.runner_id: held[item.runner_id] for item in rest}
+
+    def test_zone_holds_every_layer_again(self) -> None:
+        """Guard against a zone whose other runners serve nobody."""
+        for zone in ZONES:
+            pool, held = self.lose(zone, 'large')
+            changed = placement.rebuild(ENGINE, pool, immutables.Map(held))
+            after = {
+                **held,
+                **{item.runner_id: item.layers for item in changed},
+            }
+            self.assertGreaterEqual(
+                min(count_holders(pool, after, zone)), 1, zone
+            )
+
+    def test_other_zones_keep_their_ranges(self) -> None:
+        """Guard against loads in zones that are whole."""
+        pool, held = self.lose('zone-a', 'large')
+        changed = placement.rebuild(ENGINE, pool, immutables.Map(held))
+        zones = {
+            runner.availability_zone
+            for runner in pool
+            if runner.runner_id in {item.runner_id for item in changed}
+        }
+        self.assertEqual({'zone-a'}, zones)
+
+    def test_zone_too_small_stays_as_it_is(self) -> None:
+        """Guard against loads that cannot make a zone whole."""
+        pool = build_pool({'zone-a': {'small': 3}})
+        held = place(pool, immutables.Map())
+        self.assertFalse(placement.rebuild(ENGINE, pool, immutables.Map(held)))
+
+
 class Chains(unittest.TestCase):
     """A chain runs every layer once and in order on runners with room."""
 
