Stop sooner, blame nobody while held up, and send last answers whole

By reading the code: an answer that closes its connection was cut one second after it had been written to the socket's queue, however slowly its caller reads. Change: a stopping instance takes new requests for one second instead of three; an instance that looks at its requests over 0.15 s late, suspended or busy, judges no silence until it has read what came; output that is queued is written before its connection closes. A caller that reads 6 MB after 2.5 s gets them whole; before, the connection was reset.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -83,7 +83,9 @@
         self.server.forget(self)
 
     def on_drained(self, channel: channels.Channel) -> None:
-        """Report that the caller reads again."""
+        """Report that the caller reads again, or end the output."""
+        if self.phase is Phase.DISCARDING:
+            self.server.end_output(self)
         if self.blocked:
             self.blocked = False
             self.server.occur(events.CallerCaughtUp, request_id=self.request_id)
@@ -374,6 +376,10 @@
                 'request_timeout',
                 f'no whole request after {self.limits.header_seconds} s',
             )
+        elif connection.channel is not None and connection.channel.output:
+            # A caller that stops reading for long is cut by the kernel's limit
+            # on unacknowledged output.
+            connection.due_at = time.monotonic() + LINGER_SECONDS
         else:
             self.drop(connection)
 
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -25,9 +25,10 @@
 # Other instances usually can serve what this one cannot yet or any more.
 NOT_READY_RETRY_SECONDS = 0.05
 HIGHEST_URGENCY = 9
-# While an instance stops it takes requests of callers that have not asked for
-# new addresses yet; after that it refuses them as not run.
-STOP_ACCEPT_SECONDS = 3.0
+# An instance that stops takes requests of callers that have not asked for new
+# addresses yet. Streams that begin later would hold the stop up for seconds,
+# while the other instances carry the load of those that stop.
+STOP_ACCEPT_SECONDS = 1.0
 
 
 class Denied(Exception):
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -103,7 +103,8 @@
 ) -> reducer.Transition:
     """Blame a first runner that does not answer, if it is silent besides."""
     heard = state.heard.get(call.runner_id, 0.0)
-    if event.at - heard < PROBE_FIRST_SECONDS:
+    flowing = event.at - heard < PROBE_FIRST_SECONDS
+    if flowing or event.at < state.held_up_until:
         return transitions.Transition(state)
     blamed = frozenset((call.runner_id,))
     return blame(blamed, 'unreachable', event.at, state).then(
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -34,7 +34,8 @@
     """Hold everything that an instance knows; `seed` feeds random draws.
 
     `probes` has when each runner was last asked what it waits for, `heard`
-    when a stream last brought something through each runner.
+    when a stream last brought something through each runner. Until
+    `held_up_until` silence says nothing: this instance was held up itself.
     """
 
     identity: bounds.Identity
@@ -53,4 +54,6 @@
     send_count: int = 0
     probes: immutables.Map[str, float] = immutables.Map()
     heard: immutables.Map[str, float] = immutables.Map()
+    looked_at: float = 0.0
+    held_up_until: float = 0.0
     stopping: bounds.Stopping | None = None
--- a/src/mustardvale/internal/relay/watch.py
+++ b/src/mustardvale/internal/relay/watch.py
@@ -36,6 +36,10 @@
 SILENT_STREAM_SECONDS = 1.2
 # Parts of a chain that carried another stream this recently are not suspected.
 HEARD_SECONDS = 0.25
+# An instance that looks this late was suspended or had no processor time, and
+# has yet to read what came meanwhile.
+HELD_UP_SECONDS = 0.15
+LONGEST_CALM_SECONDS = 0.5
 SUSPECT_SECONDS = 0.5
 
 
@@ -46,9 +50,15 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Look at every open request."""
+    held_up_until = state.held_up_until
+    gap = event.at - (state.looked_at or event.at)
+    if gap > HELD_UP_SECONDS:
+        held_up_until = event.at + min(gap, LONGEST_CALM_SECONDS)
     return transitions.Transition(
         dataclasses.replace(
             state,
+            looked_at=event.at,
+            held_up_until=held_up_until,
             heard=note_heard(state),
             mean_loads=loads.average(
                 state.loads, state.mean_loads, PERIOD_SECONDS
@@ -89,11 +99,11 @@
     if not exchange.attempts:
         return dispatch.try_send(exchange, now, state)
     attempt = exchange.attempts[-1]
-    if exchange.blocked or not exchange.route.repeatable:
+    waits = exchange.blocked or not exchange.route.repeatable
+    if waits or now < state.held_up_until:
         return transitions.Transition(state)
-    if not attempt.chain:
-        return look_at_plain(exchange, attempt, now, state)
-    return look_at_stream(exchange, attempt, now, state)
+    look_further = look_at_stream if attempt.chain else look_at_plain
+    return look_further(exchange, attempt, now, state)
 
 
 def look_at_plain(
--- a/tests/test_relay_moves.py
+++ b/tests/test_relay_moves.py
@@ -183,6 +183,45 @@
         self.assertEqual(0, runner.shunned_until)
 
 
+class HeldUpInstance(unittest.TestCase):
+    """An instance that was suspended blames nobody for its own silence."""
+
+    def test_suspended_instance_reads_first(self) -> None:
+        """Guard against starting every stream again after a suspension."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/model/x')
+        send_id = instance.start()
+        instance.answer(send_id, relay_states.head(), EVENT)
+        instance.pass_time(0.1)
+        instance.now += 1.9
+        instance.configure(relay_states.CONFIGURATION)
+        instance.pass_time(0.2)
+        self.assertEqual(1, len(instance.sends))
+        self.assertFalse(instance.calls_of(calls.ProbeRunner))
+        instance.bring(send_id, b'id: 2\n\n')
+        instance.pass_time(0.2)
+        self.assertEqual(1, len(instance.sends))
+
+    def test_unanswered_probe_of_a_busy_instance(self) -> None:
+        """Guard against blaming runners while this instance is too slow."""
+        instance = relay_states.Instance()
+        instance.relay('r1', '/model/x')
+        instance.start()
+        instance.pass_time(0.2)
+        instance.now += 0.4
+        instance.occur(
+            events.TimerFired, timer=relay_states.timers.ExchangesDue()
+        )
+        runner = instance.sends[0].send.runner_id
+        instance.occur(
+            events.CallFailed,
+            call=calls.ProbeRunner(runner),
+            address='',
+            failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+        )
+        self.assertEqual(0, instance.state.runners[runner].shunned_until)
+
+
 class NowhereToGo(unittest.TestCase):
     """A request stays where it is while nothing else can take it."""
 
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -97,6 +97,27 @@
                 self.assertEqual((200, name.encode()), (status, body))
                 time.sleep(0.02)
 
+    def test_slow_reader_gets_the_whole_answer(self) -> None:
+        """Guard against a last answer that is cut while it is read slowly."""
+        body = b'z' * 6_000_000
+
+        def answer_much(
+            received: relay_site.Received, sock: socket.socket
+        ) -> bool:
+            sock.sendall(relay_site.encode_answer(received, body))
+            return True
+
+        self.behave(answer_much)
+        with self.site.connect() as sock:
+            sock.sendall(
+                relay_site.encode_request(
+                    '/write/x', 'a1', headers='Connection: close\r\n'
+                )
+            )
+            time.sleep(2.5)
+            answer = relay_site.read_answer(sock)
+            self.assertEqual(len(body), len(answer.read()))
+
     def test_lost_answer_is_sent_once(self) -> None:
         """Guard against a second run of a request that may run once."""
         self.behave(lambda received, sock: False)
