--- /dev/null
+++ b/tests/test_relay_layers.py
@@ -0,0 +1,96 @@
+"""Guard the layers of the relay, as docs/design.md lists them."""
+
+import ast
+import pathlib
+import re
+import unittest
+
+SOURCE = pathlib.Path(__file__).resolve().parent.parent / 'src'
+RELAY = SOURCE / 'mustardvale' / 'internal' / 'relay'
+PLATFORM = SOURCE / 'mustardvale' / 'platform'
+LAYERS = (
+    'bounds engines requests runners events effects timers',
+    'configuration calls loads repeats exchanges event_stream placement chains',
+    'reducer',
+    'configuration_feed runner_list members orders',
+    'endings dispatch admission answers moves watch lifecycle',
+    'state handlers',
+)
+RELAY_PACKAGE = 'mustardvale.internal.relay'
+# Names that only the platform's pages use.
+WIRE_NAMES = re.compile(
+    'attempt-id|server-stamp|hop-count|token-count|expect-instance'
+    '|not-executed|log-append|log-newest|keyed[.](op|servers|status)'
+    '|kv-token-bytes',
+    re.IGNORECASE,
+)
+
+
+def find_layer(module: str) -> int:
+    """Return the number of the layer that a module is in."""
+    for number, modules in enumerate(LAYERS):
+        if module in modules.split():
+            return number
+    raise AssertionError(f'{module} is in no layer')
+
+
+def imported(path: pathlib.Path) -> set[str]:
+    """Return the modules that a file imports when it runs."""
+    tree = ast.parse(path.read_text())
+    skipped = {
+        id(inner)
+        for node in ast.walk(tree)
+        if isinstance(node, ast.If)
+        and 'TYPE_CHECKING' in ast.unparse(node.test)
+        for inner in ast.walk(node)
+    }
+    found = set()
+    for node in ast.walk(tree):
+        if id(node) in skipped:
+            continue
+        if isinstance(node, ast.ImportFrom):
+            found.update(f'{node.module}.{item.name}' for item in node.names)
+        elif isinstance(node, ast.Import):
+            found.update(item.name for item in node.names)
+    return found
+
+
+class Layers(unittest.TestCase):
+    """Modules import only what their layer may."""
+
+    def test_no_module_imports_a_higher_layer(self) -> None:
+        """Guard against circles between the parts of the relay."""
+        for path in RELAY.glob('[a-z]*.py'):
+            own = find_layer(path.stem)
+            for name in imported(path):
+                package, _, module = name.rpartition('.')
+                if package == RELAY_PACKAGE:
+                    with self.subTest(module=path.stem, imports=module):
+                        self.assertLessEqual(find_layer(module), own)
+
+    def test_decisions_import_neither_edge_nor_adapter(self) -> None:
+        """Guard against decisions that depend on sockets or wire formats."""
+        for path in RELAY.glob('*.py'):
+            for name in imported(path):
+                self.assertNotIn('.edge', name, path.stem)
+                self.assertNotIn('mustardvale.platform', name, path.stem)
+
+    def test_only_the_adapter_knows_names_of_the_wire(self) -> None:
+        """Guard against the platform's names spreading into the product."""
+        for path in (SOURCE / 'mustardvale').rglob('*.py'):
+            if PLATFORM not in path.parents:
+                self.assertIsNone(
+                    WIRE_NAMES.search(path.read_text()), str(path)
+                )
+
+
+class Adapter(unittest.TestCase):
+    """The adapter translates and decides nothing."""
+
+    def test_it_has_no_state_and_no_handlers(self) -> None:
+        """Guard against decisions that move into the adapter."""
+        for path in PLATFORM.glob('*.py'):
+            for name in imported(path):
+                self.assertNotIn('relay.reducer', name, path.stem)
+                self.assertNotIn('relay.state', name, path.stem)
+                self.assertNotIn('relay.effects', name, path.stem)
