Let the budget of repeats flow in from when the services are known

Ruled out: load; the test fails alone as well. Change: budgets begin when a configuration is adopted. Measured: the new test fails before and passes after.

--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -14,6 +14,7 @@
     calls,
     configuration,
     reducer,
+    repeats,
     timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -123,9 +124,15 @@
         confirmed_at=known.asked_at,
         failing_since=None,
     )
-    return transitions.Transition(
-        dataclasses.replace(state, configuration=following), logged
-    ).then(lambda next_state: follow(next_state, now))
+    services = () if active is None else active.services
+    next_state = dataclasses.replace(
+        state,
+        configuration=following,
+        repeats=repeats.begin(state.repeats, services, now),
+    )
+    return transitions.Transition(next_state, logged).then(
+        lambda adopted: follow(adopted, now)
+    )
 
 
 def describe_change(
--- a/src/mustardvale/internal/relay/repeats.py
+++ b/src/mustardvale/internal/relay/repeats.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+from collections import abc
 
 import immutables
 
@@ -48,6 +49,14 @@
     return Bucket(balance, now)
 
 
+def begin(ledger: Ledger, services: abc.Iterable[str], now: float) -> Ledger:
+    """Let the budgets of new services flow in from now on."""
+    for service in services:
+        if service not in ledger:
+            ledger = ledger.set(service, Bucket(0.0, now))
+    return ledger
+
+
 def earn(
     ledger: Ledger,
     service: str,
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -179,6 +179,21 @@
                 sent += 1
         self.assertLessEqual(sent, 100)
 
+    def test_budget_flows_in_before_the_first_request(self) -> None:
+        """Guard against a first request that no runner may take over."""
+        instance = relay_states.Instance()
+        instance.state = dataclasses.replace(
+            instance.state,
+            configuration=relay_states.state.ConfigurationState(),
+            repeats=immutables.Map(),
+        )
+        instance.configure(relay_states.CONFIGURATION)
+        instance.pass_time(1.0)
+        instance.configure(None)
+        instance.relay('r1', '/read/x')
+        instance.break_send(instance.start())
+        self.assertEqual(2, len(instance.sends))
+
     def test_budget_returns(self) -> None:
         """Guard against a budget that is spent for ever."""
         limits = bounds.Bounds(retry_ratio=0.2, retry_slack=100)
