Remove fields, settings and constants that nothing uses

Cause: reading the relay as a newcomer: a reported load that nobody looks at, two settings, four fields and a constant without a reader. Change: they are gone; behaviour is the same. Measured: 144 tests of the relay pass.

--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -38,7 +38,6 @@
         self.skipping = False
         self.skipped = 0
         self.kept_until = 0.0
-        self.paused = False
 
     def on_connected(self, channel: channels.Channel) -> None:
         """Send the request that the connection was opened for."""
@@ -86,7 +85,6 @@
         connection.effect = effect
         connection.encoded = encoded
         connection.sent = False
-        connection.paused = False
         self.sends[effect.send_id] = connection
         if opened:
             connection.channel = self.table.connect(effect.address, connection)
--- a/src/mustardvale/internal/relay/bounds.py
+++ b/src/mustardvale/internal/relay/bounds.py
@@ -27,9 +27,7 @@
     retry_ratio: float = 0.2
     retry_window_seconds: float = 10.0
     retry_slack: float = 100.0
-    contact_seconds: float = 3.0
     longest_validity_seconds: float = 5.0
-    stall_seconds: float = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/engines.py
+++ b/src/mustardvale/internal/relay/engines.py
@@ -39,14 +39,12 @@
     step_seconds_per_thousand_tokens: float = 0.0
     read_tokens_per_second: float = 100_000.0
     activation_bytes: float = 0.0
-    link_mbps: float = 0.0
     zone_link_mbps: float = 0.0
     zone_delays: immutables.Map[tuple[str, str], float] = immutables.Map()
     usual_prompt: int = 800
     usual_output: int = 200
     load_seconds: float = 10.0
     loads_at_once: int = 1
-    stall_seconds: float = 2.5
 
 
 def layer_share(engine: Engine, layers: int) -> float:
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -18,8 +18,6 @@
 JOIN_PERIOD_SECONDS = 0.7
 LIFETIME_SECONDS = 2.1
 ANSWER_SECONDS = 1.0
-# Changes come in groups, such as when all instances start.
-LIST_DELAY_SECONDS = 0.3
 SEPARATOR = '|'
 # What is taken for the number of instances until they are listed; a share of
 # a limit that is too small for a moment does less harm than one too large.
--- a/src/mustardvale/internal/relay/requests.py
+++ b/src/mustardvale/internal/relay/requests.py
@@ -92,7 +92,6 @@
     code: str
     attempt_id: str = ''
     retry_after_seconds: float | None = None
-    closes: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,15 +134,6 @@
     last_event: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """Hold what an upstream tells of its load with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Describe the start of an upstream's answer.
@@ -159,5 +149,4 @@
     not_run: bool = False
     encoded: bool = False
     leaving: bool = False
-    load: ReportedLoad | None = None
     fault_address: str = ''
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -44,7 +44,6 @@
     slots: int = 0
     accelerator: str = ''
     layers: LayerRange | None = None
-    model: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/platform/configuration_codec.py
+++ b/src/mustardvale/platform/configuration_codec.py
@@ -124,7 +124,6 @@
         / MILLISECONDS,
         read_tokens_per_second=float(row['read_per_s']),
         activation_bytes=float(row.get('activation-bytes') or 0),
-        link_mbps=float(row.get('link-mbps') or 0),
         zone_link_mbps=float(row.get('pipe-mbps') or 0),
         zone_delays=decode_delays(row.get('delays') or ()),
         usual_prompt=int(usual.get('prompt') or 800),
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -32,7 +32,6 @@
 # The proof that a runner made the answer.
 PROOF = 'server-stamp'
 NOT_RUN = 'not-executed'
-LOAD = 'instance-load'
 FAULT_ADDRESS = 'at-server'
 CONNECTION = 'connection'
 
@@ -184,7 +183,7 @@
     if reply.retry_after_seconds is not None:
         headers += (('Retry-After', f'{reply.retry_after_seconds:.3f}'),)
     body = msgspec.json.encode({'error': reply.code})
-    return relay_wire.ReplyHead(reply.status, headers, reply.closes), body
+    return relay_wire.ReplyHead(reply.status, headers), body
 
 
 @encode_reply.register(requests.RelayedAnswer)
@@ -284,17 +283,5 @@
         proven=PROOF in found and found.get(ATTEMPT_ID) is not None,
         not_run=NOT_RUN in found or received.status == MISDIRECTED,
         encoded='content-encoding' in found,
-        load=decode_load(found.get(LOAD)),
         fault_address=found.get(FAULT_ADDRESS, ''),
     )
-
-
-def decode_load(text: str | None) -> requests.ReportedLoad | None:
-    """Decode the running, waiting and possible requests of an upstream."""
-    numbers = (text or '').split(',')
-    if len(numbers) != 3 or not all(
-        number.strip().isdecimal() for number in numbers
-    ):
-        return None
-    running, waiting, slots = map(int, numbers)
-    return requests.ReportedLoad(running, waiting, slots)
--- a/src/mustardvale/relay_settings.py
+++ b/src/mustardvale/relay_settings.py
@@ -50,9 +50,7 @@
     Field('retry-ratio', setting_rules.Amount(0, 10), '0.1'),
     Field('retry-window-seconds', setting_rules.Seconds(1, 600), '10'),
     Field('retry-slack', setting_rules.Amount(0, 1_000_000), '0'),
-    Field('contact-ms', TIME_MS, '3000'),
     Field('longest-validity-seconds', setting_rules.Seconds(0.1, 600), '5'),
-    Field('stall-ms', TIME_MS, '2500'),
 )
 
 
@@ -133,8 +131,6 @@
             retry_ratio=found['retry-ratio'],
             retry_window_seconds=found['retry-window-seconds'],
             retry_slack=found['retry-slack'],
-            contact_seconds=found['contact-ms'] / MILLISECONDS,
             longest_validity_seconds=found['longest-validity-seconds'],
-            stall_seconds=found['stall-ms'] / MILLISECONDS,
         ),
     )
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -44,7 +44,6 @@
     step_seconds_per_thousand_tokens=0.0000123,
     read_tokens_per_second=164_000,
     activation_bytes=59_000,
-    link_mbps=400_000,
     zone_link_mbps=16_000,
     usual_prompt=775,
     usual_output=220,
