Let a stream that broke off wait for a chain

Cause: a stream whose runner failed while no other chain had room was cut at once, because the wait for an upstream ends a tenth of the target time after the arrival of the request, which is long past for a stream that flows.

Change: such a stream looks for a chain for 1.5 s after its last event, five times a second; callers leave after two seconds. Each search also asks whether the budget of repeats allows it, which only the first one did.

Ruled out: searching at every look (25 times a second), which takes half a core when fifty streams wait at once.

Before: the new tests fail, the stream ends at once. After: they pass.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -25,6 +25,13 @@
 # A request may wait this share of its target time for a free upstream; what
 # is refused later than that could have come back to another instance.
 WAIT_SHARE = 0.1
+# A stream that broke off waits this long after its last event: a runner that
+# is full has room again, callers leave after two seconds, and a stream that is
+# cut is lost for good.
+STREAM_WAIT_SECONDS = 1.5
+# Many streams may wait at once after runners were lost, and each search takes
+# processor time.
+STREAM_SEARCH_SECONDS = 0.2
 # Sends of one request, those included that an upstream refused unrun.
 MAXIMUM_SENDS = 4
 # Less time than this is not worth a send.
@@ -56,17 +63,37 @@
     """Send a request, let it wait for an upstream for a while, or end it."""
     if exchange.due_at - now < SHORTEST_SECONDS:
         return endings.fail(exchange, 'no time is left', now, state)
+    if exchange.sends and not may_repeat(exchange, now, state):
+        return endings.fail(exchange, exchange.problem, now, state)
     target = choose(exchange, now, state)
     if target is not None:
         return send(exchange, target, now, state)
-    waited = now - exchange.arrived_at
-    if waited < exchange.route.target_seconds * WAIT_SHARE:
-        return transitions.Transition(state)
+    if now < waits_until(exchange):
+        waiting = dataclasses.replace(exchange, searched_at=now)
+        table = state.exchanges.set(exchange.request_id, waiting)
+        return transitions.Transition(
+            dataclasses.replace(state, exchanges=table)
+        )
     return endings.fail(
         exchange, explain_no_target(exchange, now, state), now, state
     )
 
 
+def waits_until(exchange: exchanges.Exchange) -> float:
+    """Return until when a request waits for an upstream that has room."""
+    if exchange.events_at is not None:
+        return exchange.events_at + STREAM_WAIT_SECONDS
+    return exchange.arrived_at + exchange.route.target_seconds * WAIT_SHARE
+
+
+def is_searching_again(exchange: exchanges.Exchange, now: float) -> bool:
+    """Return whether it is time to look for an upstream again."""
+    searched = exchange.searched_at
+    if searched is None or exchange.events_at is None:
+        return True
+    return now - searched >= STREAM_SEARCH_SECONDS
+
+
 def explain_no_target(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> str:
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -37,7 +37,8 @@
 
     `runs` counts the sends that may have run and are over, `sends` all of
     them. `tried` names upstreams that refused or failed it. `rest` is the
-    beginning of an event whose end has not arrived.
+    beginning of an event whose end has not arrived. `searched_at` is when an
+    upstream was last looked for in vain.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     rest: bytes = b''
     events_at: float | None = None
     blocked: bool = False
+    searched_at: float | None = None
     problem: str = ''
 
     @property
--- a/src/mustardvale/internal/relay/watch.py
+++ b/src/mustardvale/internal/relay/watch.py
@@ -97,6 +97,8 @@
     if now >= exchange.due_at:
         return endings.fail(exchange, 'no time is left', now, state)
     if not exchange.attempts:
+        if not dispatch.is_searching_again(exchange, now):
+            return transitions.Transition(state)
         return dispatch.try_send(exchange, now, state)
     attempt = exchange.attempts[-1]
     waits = exchange.blocked or not exchange.route.repeatable
--- a/tests/test_relay_moves.py
+++ b/tests/test_relay_moves.py
@@ -248,6 +248,40 @@
         self.assertEqual(200, instance.replies['r1'].status)
 
 
+class BrokenStreams(unittest.TestCase):
+    """A stream that broke off waits for a chain, as long as callers stay."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance(relay_states.TWO_CHAINS[:2])
+        self.instance.relay('r1', '/model/x')
+        self.send_id = self.instance.start()
+        self.instance.answer(self.send_id, relay_states.head(), EVENT)
+        self.instance.break_send(self.send_id)
+
+    def test_goes_on_when_a_chain_appears(self) -> None:
+        """Guard against a cut while another runner becomes free."""
+        self.instance.pass_time(0.5)
+        self.assertNotIn('r1', self.instance.closed)
+        self.instance.list_runners(relay_states.TWO_CHAINS)
+        self.instance.pass_time(0.3)
+        self.assertEqual(1, self.instance.sends[-1].send.last_event)
+        second = self.instance.start()
+        self.instance.answer(second, relay_states.head(), b'id: 2\n\n')
+        self.instance.end(second)
+        self.assertIn('r1', self.instance.ends)
+
+    def test_ends_before_the_caller_leaves(self) -> None:
+        """Guard against a stream that is neither served nor ended."""
+        self.instance.pass_time(1.9)
+        self.assertIn('r1', self.instance.closed)
+
+    def test_waiting_searches_are_few(self) -> None:
+        """Guard against searches that take the processor from others."""
+        first = self.instance.state.exchanges['r1'].searched_at
+        self.instance.pass_time(0.12)
+        self.assertEqual(first, self.instance.state.exchanges['r1'].searched_at)
+
+
 class LeavingParts(unittest.TestCase):
     """Streams stay on parts that drain: these serve what they have."""
 
