Use what runners tell of themselves

Cause: the pace in a report was read by the choice of chains but never set, and a close of the connection told by an answer was never decoded, so that two tested mechanisms did nothing on the platform.

Change: a probed runner's pace holds for 5 s; an upstream that closes its connection goes last for 1 s, until the list tells whether it leaves. That close also comes at other times, so it is no longer taken as proof. A shorter avoidance no longer replaces a longer one. Fields that nothing read are gone (first seen, the service's limit of connections).

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -37,6 +37,8 @@
 # The platform drops the entry of a crashed runner after three to four seconds.
 GONE_SECONDS = 1.5
 FLOWING_SECONDS = 0.3
+# The next read of the list tells whether an upstream leaves.
+LEAVING_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +113,8 @@
     )
     kept = keep(found, headed, state)
     if event.head.leaving:
-        table = runners.left(kept.runners, found.attempt.runner_id)
+        until = event.at + LEAVING_SECONDS
+        table = runners.avoid(kept.runners, found.attempt.runner_id, until)
         kept = dataclasses.replace(kept, runners=table)
     return transitions.Transition(kept)
 
--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -101,6 +101,8 @@
         * layers.count
     )
     factor = AVOIDED_FACTOR if runner.avoid_until > now else 1.0
+    if runner.paced_until > now:
+        factor *= max(runner.pace, 1.0)
     return Candidate(
         listed.runner_id,
         listed.address,
@@ -111,7 +113,7 @@
         load.token_layers / capacity if capacity else 1.0,
         load.entered / engine.slots,
         load.requests,
-        factor * max(runner.pace, 1.0),
+        factor,
     )
 
 
--- a/src/mustardvale/internal/relay/configuration.py
+++ b/src/mustardvale/internal/relay/configuration.py
@@ -58,7 +58,6 @@
     """Describe a service; one without an engine answers whole requests."""
 
     name: str
-    maximum_connections: int = 0
     engine: engines.Engine | None = None
 
 
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -85,6 +85,8 @@
     report = event.answer
     if not isinstance(report, calls.RunnerReport):
         return transitions.Transition(state)
+    table = runners.paced(state.runners, call.runner_id, report.pace, event.at)
+    state = dataclasses.replace(state, runners=table)
     at_fault = {
         runners.find_address(state.runners, stalled.fault_address)
         for stalled in report.stalled
--- a/src/mustardvale/internal/relay/requests.py
+++ b/src/mustardvale/internal/relay/requests.py
@@ -138,7 +138,8 @@
 class AnswerHead:
     """Describe the start of an upstream's answer.
 
-    `headers` go on unchanged. `not_run` is the upstream's word that the
+    `headers` go on unchanged. `leaving` tells that the upstream closes the
+    connection, which one that is about to exit does, and others at times. `not_run` is the upstream's word that the
     request did not run; `proven` tells that it vouches for the answer;
     `fault_address` names the runner of a chain that was at fault.
     """
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -119,7 +119,7 @@
         if change.entry is None:
             dropped = dropped | {change.runner_id}
         else:
-            table = runners.listed(table, change.entry, now)
+            table = runners.listed(table, change.entry)
             dropped = dropped - {change.runner_id}
     if not doubtful:
         for runner_id in dropped:
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -50,29 +50,28 @@
 class Runner:
     """Pair an entry with what this instance has seen of the upstream.
 
-    `seen_at` is when the entry last changed, `missing_since` when it was
-    dropped, `avoid_until` how long other upstreams go first after failures,
-    `shunned_until` how long nothing new goes there at all.
-    `latency` is a moving mean in seconds, `failing` one of the failed share.
+    `missing_since` is when the entry was dropped, `avoid_until` how long other
+    upstreams go first after failures, `shunned_until` how long nothing new
+    goes there at all. `latency` is a moving mean in seconds, `failing` one of
+    the failed share. `pace` is how many times longer than usual the runner
+    needs, by its own report, which holds until `paced_until`.
     """
 
     listed: ListedRunner
-    seen_at: float
     missing_since: float | None = None
-    leaving: bool = False
     avoid_until: float = 0.0
     shunned_until: float = 0.0
     failures: int = 0
     latency: float = 0.0
     failing: float = 0.0
     pace: float = 1.0
+    paced_until: float = 0.0
 
     @property
     def usable(self) -> bool:
         """Return whether new work may go there."""
         return (
-            not self.leaving
-            and self.missing_since is None
+            self.missing_since is None
             and self.listed.state is ListedState.READY
         )
 
@@ -82,13 +81,16 @@
 FIRST_AVOID_SECONDS = 0.5
 LONGEST_AVOID_SECONDS = 8.0
 MEAN_WEIGHT = 0.2
+# Only runners that are silent are asked for their pace, so that one which has
+# recovered is not asked again.
+PACE_SECONDS = 5.0
 
 
-def listed(table: RunnerMap, entry: ListedRunner, now: float) -> RunnerMap:
+def listed(table: RunnerMap, entry: ListedRunner) -> RunnerMap:
     """Take an entry of the list; a new start begins without a past."""
     known = table.get(entry.runner_id)
     if known is None or is_other_start(known.listed, entry):
-        return table.set(entry.runner_id, Runner(entry, now))
+        return table.set(entry.runner_id, Runner(entry))
     if known.listed == entry and known.missing_since is None:
         return table
     return table.set(
@@ -96,7 +98,6 @@
         dataclasses.replace(
             known,
             listed=entry,
-            seen_at=now,
             missing_since=None,
             shunned_until=0.0,
         ),
@@ -143,9 +144,9 @@
 
 
 def avoid(table: RunnerMap, runner_id: str, until: float) -> RunnerMap:
-    """Let other upstreams go first until a moment."""
+    """Let other upstreams go first until a moment, or longer."""
     known = table.get(runner_id)
-    if known is None:
+    if known is None or known.avoid_until >= until:
         return table
     return table.set(runner_id, dataclasses.replace(known, avoid_until=until))
 
@@ -180,12 +181,17 @@
     )
 
 
-def left(table: RunnerMap, runner_id: str) -> RunnerMap:
-    """Mark an upstream that said with an answer that it leaves."""
+def paced(
+    table: RunnerMap, runner_id: str, pace: float, now: float
+) -> RunnerMap:
+    """Take how slow a runner says that it is; 1 is its usual pace."""
     known = table.get(runner_id)
-    if known is None or known.leaving:
+    if known is None:
         return table
-    return table.set(runner_id, dataclasses.replace(known, leaving=True))
+    return table.set(
+        runner_id,
+        dataclasses.replace(known, pace=pace, paced_until=now + PACE_SECONDS),
+    )
 
 
 def of_service(table: RunnerMap, service: str) -> tuple[Runner, ...]:
--- a/src/mustardvale/platform/configuration_codec.py
+++ b/src/mustardvale/platform/configuration_codec.py
@@ -97,7 +97,6 @@
     engine = row.get('engine')
     return configuration.Service(
         row['name'],
-        int(row.get('max-conns') or 0),
         decode_engine(engine) if engine and engine.get('layers') else None,
     )
 
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -283,5 +283,6 @@
         proven=PROOF in found and found.get(ATTEMPT_ID) is not None,
         not_run=NOT_RUN in found or received.status == MISDIRECTED,
         encoded='content-encoding' in found,
+        leaving=found.get(CONNECTION, '').lower() == 'close',
         fault_address=found.get(FAULT_ADDRESS, ''),
     )
--- a/tests/test_relay_moves.py
+++ b/tests/test_relay_moves.py
@@ -282,6 +282,35 @@
         self.assertEqual(first, self.instance.state.exchanges['r1'].searched_at)
 
 
+class ReportedPaces(unittest.TestCase):
+    """A runner that says it is slow gets less new work for a while."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.occur(
+            events.CallAnswered,
+            call=calls.ProbeRunner('m1'),
+            address='',
+            answer=calls.RunnerReport(1, False, pace=6.0),
+        )
+
+    def first_runners(self, count: int) -> set[str]:
+        """Return where some new requests begin."""
+        for number in range(count):
+            self.instance.relay(f'n{number}', '/model/x')
+        return {sent.send.runner_id for sent in self.instance.sends[-count:]}
+
+    def test_others_go_first(self) -> None:
+        """Guard against choosing by usual times alone."""
+        self.assertEqual({'m3'}, self.first_runners(2))
+
+    def test_report_holds_for_a_while(self) -> None:
+        """Guard against leaving out a runner that has recovered."""
+        self.instance.pass_time(6)
+        self.instance.configure(relay_states.CONFIGURATION)
+        self.assertEqual({'m1', 'm3'}, self.first_runners(12))
+
+
 class LeavingParts(unittest.TestCase):
     """Streams stay on parts that drain: these serve what they have."""
 
