List the members again after partitions have been handed over

Cause: the members were asked for once when the group's generation changed. At that moment the partitions of a new member are still with others, who give them up at their next joins, so that the list does not name it, and the generation does not change again when it gets them. Seen in a demo on the new stand-ins: after six starts each instance knew one member until the end, so that the directory named one address and the retry budget was not shared.

Ruled out: asking at each join, which costs 1.4 calls a second for each instance; leaving out members without partitions on purpose.

Change: the members are asked for once more 2.4 s after a change.

Before: the new test fails with one question in place of two.

--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -19,6 +19,10 @@
 LIFETIME_SECONDS = 2.1
 ANSWER_SECONDS = 1.0
 SEPARATOR = '|'
+MEMBER_FIELDS = 4
+# Partitions go to a new member after their holder has joined twice more and
+# the new one once; until then the list does not name it.
+SETTLE_SECONDS = 2.4
 # What is taken for the number of instances until they are listed; a share of
 # a limit that is too small for a moment does less harm than one too large.
 UNLISTED_MEMBERS = 8
@@ -38,13 +42,16 @@
 class MemberState:
     """Hold the members as last listed.
 
-    `order_until` is when the right to give orders ends unless it is renewed,
+    `changed_at` is when the generation last changed, `listed_at` when the
+    members were last asked for. `order_until` is when the right to give orders ends unless it is renewed,
     counted from the moment at which the renewal was sent.
     """
 
     generation: int = 0
     listed_generation: int = -1
     listed: tuple[Member, ...] = ()
+    changed_at: float = 0.0
+    listed_at: float = 0.0
     asked_at: float = 0.0
     order_until: float = 0.0
     failing: bool = False
@@ -65,7 +72,7 @@
 def decode(name: str) -> Member | None:
     """Return the member that a name describes, if it is one of ours."""
     fields = name.split(SEPARATOR)
-    return Member(*fields) if len(fields) == 4 else None
+    return Member(*fields) if len(fields) == MEMBER_FIELDS else None
 
 
 def count(state: 'states.State') -> int:
@@ -113,7 +120,7 @@
 def take_join(
     call: calls.JoinMembers, event: events.CallAnswered, state: 'states.State'
 ) -> reducer.Transition:
-    """Take the generation and, where it changed, ask who the members are."""
+    """Take the generation and ask who the members are where that is due."""
     if not isinstance(event.answer, calls.MembersJoined):
         return fail(f'status {event.answer.status}', state)
     known = state.members
@@ -131,21 +138,38 @@
                 ),
             ),
         )
+    changed = event.answer.generation != known.generation
     joined = dataclasses.replace(
         known,
         generation=event.answer.generation,
+        changed_at=event.at if changed else known.changed_at,
         order_until=until,
         failing=False,
     )
-    next_state = dataclasses.replace(state, members=joined)
-    if known.listed_generation == event.answer.generation:
-        return transitions.Transition(next_state, logged)
+    if not is_list_due(joined, event.at):
+        return transitions.Transition(
+            dataclasses.replace(state, members=joined), logged
+        )
+    asking = dataclasses.replace(joined, listed_at=event.at)
+    next_state = dataclasses.replace(state, members=asking)
     ask = effects.Call(
         calls.ListMembers(), state.identity.addresses.store, ANSWER_SECONDS
     )
     return transitions.Transition(next_state, (*logged, ask))
 
 
+def is_list_due(known: MemberState, now: float) -> bool:
+    """Return whether the members may differ from those that are known.
+
+    They are asked for when the generation changes, and once more when all
+    partitions have been handed over.
+    """
+    if known.listed_generation != known.generation:
+        return True
+    settled_at = known.changed_at + SETTLE_SECONDS
+    return known.listed_at < settled_at <= now
+
+
 @reducer.on_answer.register(calls.ListMembers)
 def take_list(
     call: calls.ListMembers, event: events.CallAnswered, state: 'states.State'
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -158,6 +158,18 @@
         self.join(4)
         self.assertEqual(1, len(self.instance.calls_of(calls.ListMembers)))
 
+    def test_members_are_listed_again_when_partitions_have_moved(self) -> None:
+        """Guard against a new member that nobody ever sends callers to.
+
+        Its partitions are still with others when the generation changes.
+        """
+        self.join(4)
+        self.list_members()
+        for _ in range(8):
+            self.instance.now += 0.7
+            self.join(4)
+        self.assertEqual(2, len(self.instance.calls_of(calls.ListMembers)))
+
     def test_directory_has_all_members(self) -> None:
         """Guard against sending all callers to one instance."""
         self.join(4)
