Limit how long kept connections rest, by what resets teach

Cause: a runner may drop an idle connection without a word and sooner than it says. The request that is sent next is reset, counts as a run, and takes one of two attempts and a part of the retry budget.

Ruled out: a fixed short rest, which opens a new connection for most requests of a site with many instances; asking before each use, which costs a round trip and proves nothing.

Change: a kept connection that breaks before any answer halves the time for which connections may rest; the limit doubles every ten seconds without such a reset. The reducer decides, the client obeys.

Before: the new tests fail (no such limit). After: they pass.

--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 import time
 import typing
 from collections import abc
@@ -38,6 +39,8 @@
         self.skipping = False
         self.skipped = 0
         self.kept_until = 0.0
+        self.kept_since = 0.0
+        self.rested_seconds = 0.0
 
     def on_connected(self, channel: channels.Channel) -> None:
         """Send the request that the connection was opened for."""
@@ -72,6 +75,7 @@
         self.occur = occur
         self.idle: dict[str, list[UpstreamConnection]] = {}
         self.sends: dict[str, UpstreamConnection] = {}
+        self.longest_rest = math.inf
 
     def start(self, effect: relay_effects.StartSend) -> None:
         """Start a send on a kept connection or a new one."""
@@ -100,7 +104,9 @@
             assert connection.channel is not None, 'idle means connected'
             if connection.channel.closed:
                 continue
-            if connection.kept_until > now:
+            connection.rested_seconds = now - connection.kept_since
+            rested = connection.rested_seconds > self.longest_rest
+            if connection.kept_until > now and not rested:
                 return connection
             self.table.close(connection.channel)
         return None
@@ -225,6 +231,7 @@
             return
         protocol.start_next_cycle()
         connection.skipped = 0
+        connection.kept_since = time.monotonic()
         self.table.resume_reading(channel)
         idle.append(connection)
 
@@ -246,6 +253,7 @@
             relay_events.SendFailed,
             send_id=effect.send_id,
             failure=events.Failure(kind, connection.sent, detail),
+            rested_seconds=connection.rested_seconds,
         )
 
     def abort(self, send_id: str) -> None:
--- a/src/mustardvale/internal/edge/relay_performer.py
+++ b/src/mustardvale/internal/edge/relay_performer.py
@@ -46,6 +46,14 @@
     runtime.upstreams.resume(effect.send_id)
 
 
+@perform.register(effects.LimitRest)
+def perform_limit_rest(
+    effect: effects.LimitRest, runtime: 'relay_loop.RelayLoop'
+) -> None:
+    """Bound how long kept connections may rest."""
+    runtime.upstreams.longest_rest = effect.seconds
+
+
 @perform.register(effects.StartStream)
 def perform_start_stream(
     effect: effects.StartStream, runtime: 'relay_loop.RelayLoop'
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -13,6 +13,7 @@
     endings,
     event_stream,
     exchanges,
+    idle_connections,
     reducer,
     requests,
     runners,
@@ -389,7 +390,12 @@
     if found is None:
         return transitions.Transition(state)
     problem = event.failure.kind.value
-    return replace_failed(found, problem, event.at, state)
+    learned: reducer.Transition = transitions.Transition(state)
+    if found.attempt.head is None:
+        learned = idle_connections.note_reset(event.rested_seconds, state)
+    return learned.then(
+        lambda limited: replace_failed(found, problem, event.at, limited)
+    )
 
 
 def replace_failed(
--- a/src/mustardvale/internal/relay/effects.py
+++ b/src/mustardvale/internal/relay/effects.py
@@ -41,6 +41,13 @@
     send_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitRest(effects.Effect):
+    """Use no kept connection again that has rested for longer."""
+
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartStream(effects.Effect):
     """Send the head of an answer that follows in parts."""
--- a/src/mustardvale/internal/relay/events.py
+++ b/src/mustardvale/internal/relay/events.py
@@ -39,9 +39,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendFailed(SendEvent):
-    """Report that a send ended without a complete answer."""
+    """Report that a send ended without a complete answer.
+
+    `rested_seconds` is how long its connection had been idle before; 0 for a
+    new one.
+    """
 
     failure: events.Failure
+    rested_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -4,7 +4,11 @@
 
 import immutables
 
-from mustardvale.internal.relay import bounds, configuration
+from mustardvale.internal.relay import (
+    bounds,
+    configuration,
+    idle_connections,
+)
 from mustardvale.internal.relay import exchanges as exchange_tables
 from mustardvale.internal.relay import loads as load_tables
 from mustardvale.internal.relay import members as member_tables
@@ -33,6 +37,7 @@
 class State:
     """Hold everything that an instance knows; `seed` feeds random draws.
 
+    `longest_rest` is how many seconds a kept connection may be idle.
     `probes` has when each runner was last asked what it waits for, `heard`
     when a stream last brought something through each runner. Until
     `held_up_until` silence says nothing: this instance was held up itself.
@@ -52,6 +57,7 @@
     sends: immutables.Map[str, str] = immutables.Map()
     repeats: repeat_ledgers.Ledger = immutables.Map()
     send_count: int = 0
+    longest_rest: float = idle_connections.LONGEST_REST_SECONDS
     probes: immutables.Map[str, float] = immutables.Map()
     heard: immutables.Map[str, float] = immutables.Map()
     looked_at: float = 0.0
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -30,6 +30,11 @@
     """Look for requests that wait, are silent or have no time left."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestDue(timers.Timer):
+    """Let connections rest for longer again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopDue(timers.Timer):
     """Go on with a planned stop."""
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from mustardvale.internal import events
+from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import event_stream, requests
 from mustardvale.internal.relay import events as relay_events
 from tests import relay_states
@@ -216,6 +217,55 @@
         self.assertIsNotNone(self.instance.replies['r1'].retry_after_seconds)
 
 
+class RestedConnections(unittest.TestCase):
+    """Resets of kept connections teach how long these may rest."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+
+    def break_rested(self, seconds: float, headed: bool = False) -> None:
+        """Let a kept connection break under a request."""
+        self.instance.relay('r1', '/model/x')
+        send_id = self.instance.start()
+        if headed:
+            self.instance.answer(send_id, relay_states.head())
+        self.instance.occur(
+            relay_events.SendFailed,
+            send_id=send_id,
+            failure=events.Failure(events.FailureKind.CLOSED, True),
+            rested_seconds=seconds,
+        )
+
+    def limits(self) -> list[float]:
+        """Return the limits that were put in force."""
+        return [
+            effect.seconds
+            for effect in self.instance.others
+            if isinstance(effect, relay_effects.LimitRest)
+        ]
+
+    def test_reset_after_a_rest_limits_it(self) -> None:
+        """Guard against losing request after request in the same way."""
+        self.break_rested(0.8)
+        self.assertEqual([0.4], self.limits())
+
+    def test_new_connection_teaches_nothing(self) -> None:
+        """Guard against giving up kept connections for another fault."""
+        self.break_rested(0.0)
+        self.assertEqual([], self.limits())
+
+    def test_answer_that_had_begun_teaches_nothing(self) -> None:
+        """Guard against taking a crash of the runner for a dropped rest."""
+        self.break_rested(0.8, headed=True)
+        self.assertEqual([], self.limits())
+
+    def test_limit_is_raised_again(self) -> None:
+        """Guard against opening connections for ever after one reset."""
+        self.break_rested(0.8)
+        self.instance.pass_time(80)
+        self.assertEqual(16.0, self.limits()[-1])
+
+
 class StrayAnswers(unittest.TestCase):
     """Answers that belong to another request change nothing."""
 
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -12,7 +12,7 @@
     'bounds engines requests runners events effects timers',
     'configuration calls loads repeats exchanges event_stream placement chains',
     'reducer',
-    'configuration_feed runner_list members orders',
+    'configuration_feed runner_list members orders idle_connections',
     'endings dispatch admission answers moves watch lifecycle',
     'state handlers',
 )
