Share reads of the store between the instances of a zone

Cause: every instance polled the store for itself.

Ruled out: slower reads, which notice leaving runners too late; sending configurations between instances, which links of 10 Mbit/s cannot carry in time; one reader for the site, whose loss all would notice.

Change: two instances of each zone read; the others wait for their news, which hold what changed in the list, how far the configuration's log was read and how old that confirmation is. A newer configuration is read from the store. A follower counts the age of a confirmation from when it asked, and reads for itself when no reader answers within 1.2 s. Readers that are followed poll the configuration each second, so that the age stays under its bound.

--- /dev/null
+++ b/src/mustardvale/internal/edge/peer_feed_codec.py
@@ -0,0 +1,50 @@
+"""Translate what instances of a zone tell each other, as JSON."""
+
+import typing
+
+import msgspec
+
+from mustardvale.internal.edge import relay_wire, wire
+from mustardvale.internal.relay import calls, requests
+
+TARGET = '/v1/news'
+OK = 200
+
+
+def encode_call(call: calls.FollowPeer) -> wire.RawCall:
+    """Encode a question for news."""
+    return wire.RawCall('POST', TARGET, msgspec.json.encode(call))
+
+
+def decode_answer(raw: wire.RawAnswer) -> calls.PeerNews:
+    """Decode news, or raise an error of `msgspec`."""
+    return msgspec.json.decode(raw.body, type=calls.PeerNews)
+
+
+def decode_request(received: relay_wire.ReceivedRequest) -> calls.FollowPeer:
+    """Decode a question for news, or raise `wire.DecodeError`."""
+    if received.target != TARGET:
+        raise wire.DecodeError(404, 'not_found', 'there is no such path')
+    try:
+        return msgspec.json.decode(received.body, type=calls.FollowPeer)
+    except msgspec.DecodeError as error:
+        raise wire.DecodeError(400, 'malformed', str(error)) from error
+
+
+def encode_reply(reply: typing.Any) -> tuple[relay_wire.ReplyHead, bytes]:
+    """Encode news, or a refusal."""
+    status = reply.status if isinstance(reply, requests.Refusal) else OK
+    return relay_wire.ReplyHead(status), msgspec.json.encode(reply)
+
+
+def encode_head(head: typing.Any) -> relay_wire.ReplyHead:
+    """Refuse streams: instances tell each other nothing in parts."""
+    raise TypeError(f'no encoding for {type(head).__name__}')
+
+
+def encode_error(
+    status: int, code: str, message: str
+) -> tuple[relay_wire.ReplyHead, bytes]:
+    """Encode the answer to a request that did not decode."""
+    body = msgspec.json.encode({'error': code, 'message': message})
+    return relay_wire.ReplyHead(status), body
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -54,9 +54,15 @@
 class CallerConnection:
     """Track one connection of a caller; `due_at` is monotonic, 0 for none."""
 
-    def __init__(self, server: 'RelayServer', listener: str) -> None:
+    def __init__(
+        self,
+        server: 'RelayServer',
+        listener: str,
+        codec: relay_wire.CallerCodec,
+    ) -> None:
         self.server = server
         self.listener = listener
+        self.codec = codec
         self.channel: channels.Channel | None = None
         self.protocol = h11.Connection(
             h11.SERVER,
@@ -109,12 +115,25 @@
         self.connections: set[CallerConnection] = set()
         self.requests: dict[str, CallerConnection] = {}
 
-    def listen(self, listener: str, address: Address) -> None:
-        """Accept callers at an address that requests are reported with."""
-        accept = functools.partial(self.accept, listener)
+    def listen(
+        self,
+        listener: str,
+        address: Address,
+        codec: relay_wire.CallerCodec | None = None,
+    ) -> None:
+        """Accept callers at an address that requests are reported with.
+
+        `codec` is for callers that speak otherwise than the others.
+        """
+        accept = functools.partial(self.accept, listener, codec or self.codec)
         self.table.listen(address, BACKLOG, accept)
 
-    def accept(self, listener: str, sock: socket.socket) -> None:
+    def accept(
+        self,
+        listener: str,
+        codec: relay_wire.CallerCodec,
+        sock: socket.socket,
+    ) -> None:
         """Accept the callers that wait to connect."""
         for _ in range(ACCEPTED_PER_TURN):
             try:
@@ -122,7 +141,7 @@
             except OSError:
                 # No caller is left, or one has reset its connection.
                 return
-            connection = CallerConnection(self, listener)
+            connection = CallerConnection(self, listener, codec)
             self.connections.add(connection)
             connection.channel = self.table.adopt(accepted, connection)
 
@@ -198,7 +217,7 @@
         )
         connection.head = None
         connection.body.clear()
-        wanted = self.codec.decode_request(received)
+        wanted = connection.codec.decode_request(received)
         connection.phase = Phase.ANSWERING
         connection.due_at = 0
         connection.held_bytes = 0
@@ -219,7 +238,7 @@
         message: str,
     ) -> None:
         """Answer a request that did not decode and discard what follows."""
-        head, body = self.codec.encode_error(status, code, message)
+        head, body = connection.codec.encode_error(status, code, message)
         connection.phase = Phase.DISCARDING
         connection.due_at = time.monotonic() + LINGER_SECONDS
         if connection.protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -239,7 +258,7 @@
         connection = self.requests.get(request_id)
         if connection is None:
             return
-        head, body = self.codec.encode_reply(reply)
+        head, body = connection.codec.encode_reply(reply)
         closing = dataclasses.replace(head, closes=head.closes or self.closing)
         is_head = connection.protocol.their_state is h11.MUST_CLOSE
         protocol = connection.protocol
@@ -256,7 +275,7 @@
         connection = self.requests.get(request_id)
         if connection is None:
             return
-        encoded = self.codec.encode_head(head)
+        encoded = connection.codec.encode_head(head)
         closing = dataclasses.replace(
             encoded, closes=encoded.closes or self.closing
         )
@@ -335,7 +354,7 @@
         if connection.head_sent:
             self.close_caller(request_id)
             return
-        head, body = self.codec.encode_error(
+        head, body = connection.codec.encode_error(
             500, 'internal_error', 'the instance failed'
         )
         protocol = connection.protocol
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -11,6 +11,7 @@
     endings,
     exchanges,
     members,
+    peer_feed,
     reducer,
     repeats,
     requests,
@@ -172,10 +173,12 @@
 def abandon(
     event: events.CallerLeft, state: 'states.State'
 ) -> reducer.Transition:
-    """Stop the work for a caller that has left."""
+    """Stop the work for a caller, or an instance, that has left."""
     exchange = state.exchanges.get(event.request_id)
     if exchange is None:
-        return transitions.Transition(state)
+        return transitions.Transition(
+            peer_feed.forget_follower(event.request_id, state)
+        )
     return endings.close(exchange, 'caller_left', event.at, state)
 
 
--- a/src/mustardvale/internal/relay/bounds.py
+++ b/src/mustardvale/internal/relay/bounds.py
@@ -5,13 +5,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Addresses:
-    """Hold the `IP:port` addresses of an instance."""
+    """Hold the `IP:port` addresses of an instance; `peers` is for others."""
 
     front: str
     readiness: str
     directory: str
     metrics: str
     store: str
+    peers: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -58,6 +58,31 @@
     next_page: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowPeer:
+    """Wait for what another instance reads from the store.
+
+    The positions are those that this instance has reached.
+    """
+
+    list_position: int
+    configuration_position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerNews:
+    """Hold what another instance has read since.
+
+    The configuration at its position was in force `confirmed_seconds` before
+    this was sent. A newer one is read from the store, which has it whole.
+    """
+
+    list_position: int
+    changes: tuple[RunnerChange, ...]
+    configuration_position: int
+    confirmed_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryForgotten:
     """Report that records after a position were dropped."""
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -10,9 +10,9 @@
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
-    bounds,
     calls,
     configuration,
+    peer_feed,
     reducer,
     repeats,
     timers,
@@ -25,6 +25,9 @@
 # A poll that waits for this share of the time for which a configuration may
 # be used leaves room for a second poll when the first gets no answer.
 POLL_SHARE = 0.4
+# Instances that follow this one hear of a confirmation up to two of its reads
+# of the list later, and have to find out in time when it fails.
+FOLLOWED_POLL_SHARE = 0.2
 LONGEST_POLL_SECONDS = 10.0
 ANSWER_SECONDS = 1.0
 RETRY_SECONDS = 0.25
@@ -33,11 +36,15 @@
 REVOCATION_MARGIN_SECONDS = 0.3
 
 
-def poll_seconds(limits: bounds.Bounds) -> float:
+def poll_seconds(state: 'states.State') -> float:
     """Return how long a poll waits for a new version."""
-    if limits.revocation_seconds is None:
+    limit = state.limits.revocation_seconds
+    if limit is None:
         return LONGEST_POLL_SECONDS
-    return min(limits.revocation_seconds * POLL_SHARE, LONGEST_POLL_SECONDS)
+    share = POLL_SHARE
+    if peer_feed.may_be_followed(state):
+        share = FOLLOWED_POLL_SHARE
+    return min(limit * share, LONGEST_POLL_SECONDS)
 
 
 def age(state: 'states.State', now: float) -> float | None:
@@ -56,17 +63,31 @@
 
 
 def follow(state: 'states.State', now: float) -> reducer.Transition:
-    """Ask for what follows the known position, or for the newest version."""
+    """Ask for what follows the known position, or for the newest version.
+
+    Nothing is asked while another instance confirms the configuration.
+    """
     known = state.configuration
-    asked = dataclasses.replace(known, asked_at=now)
+    if known.failing_since is None and peer_feed.is_following(state):
+        idle = dataclasses.replace(known, reading=False)
+        return transitions.Transition(
+            dataclasses.replace(state, configuration=idle)
+        )
+    # After a failure a quick answer matters more than a cheap poll.
+    failing = known.failing_since is not None
+    wait = 0.0 if failing else poll_seconds(state)
+    return ask(wait, now, state)
+
+
+def ask(wait: float, now: float, state: 'states.State') -> reducer.Transition:
+    """Ask the store, which waits that long for a new version."""
+    known = state.configuration
+    asked = dataclasses.replace(known, asked_at=now, reading=True)
     next_state = dataclasses.replace(state, configuration=asked)
     if known.position is None:
         call: typing.Any = calls.ReadConfiguration()
         wait = 0.0
     else:
-        # After a failure a quick answer matters more than a cheap poll.
-        failing = known.failing_since is not None
-        wait = 0.0 if failing else poll_seconds(state.limits)
         call = calls.FollowConfiguration(known.position, wait)
     return transitions.Transition(
         next_state,
@@ -80,6 +101,48 @@
     )
 
 
+def resume(now: float, state: 'states.State') -> reducer.Transition:
+    """Begin to follow the store again, unless this goes on."""
+    if state.configuration.reading:
+        return transitions.Transition(state)
+    return follow(state, now)
+
+
+def fetch(now: float, state: 'states.State') -> reducer.Transition:
+    """Read a newer version that another instance knows of."""
+    if state.configuration.reading:
+        return transitions.Transition(state)
+    return ask(0.0, now, state)
+
+
+def note_confirmed(
+    confirmed: 'states.ConfigurationState', now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Keep a configuration that another instance has confirmed."""
+    logged = describe_return(state.configuration, now)
+    kept = dataclasses.replace(confirmed, failing_since=None)
+    return transitions.Transition(
+        dataclasses.replace(state, configuration=kept), logged
+    )
+
+
+def describe_return(
+    known: 'states.ConfigurationState', now: float
+) -> tuple[effects.Effect, ...]:
+    """Return the log line of a source that is back."""
+    if known.failing_since is None:
+        return ()
+    return (
+        relay_effects.LogDecision(
+            'store_regained',
+            (
+                ('what', 'configuration'),
+                ('seconds', round(now - known.failing_since, 3)),
+            ),
+        ),
+    )
+
+
 @reducer.on_answer.register(calls.ReadConfiguration)
 @reducer.on_answer.register(calls.FollowConfiguration)
 def take_answer(
@@ -100,17 +163,7 @@
     """Put a newer version in force and go on following."""
     known = state.configuration
     active = known.active
-    logged: tuple[effects.Effect, ...] = ()
-    if known.failing_since is not None:
-        logged += (
-            relay_effects.LogDecision(
-                'store_regained',
-                (
-                    ('what', 'configuration'),
-                    ('seconds', round(now - known.failing_since, 3)),
-                ),
-            ),
-        )
+    logged = describe_return(known, now)
     newest = read.configuration
     if newest is not None and (
         active is None or newest.version > active.version
@@ -130,9 +183,12 @@
         configuration=following,
         repeats=repeats.begin(state.repeats, services, now),
     )
-    return transitions.Transition(next_state, logged).then(
-        lambda adopted: follow(adopted, now)
-    )
+    adopted: reducer.Transition = transitions.Transition(next_state, logged)
+    if active is not known.active:
+        adopted = adopted.then(
+            lambda changed: peer_feed.answer_followers(now, changed)
+        )
+    return adopted.then(lambda following: follow(following, now))
 
 
 def describe_change(
--- a/src/mustardvale/internal/relay/handlers.py
+++ b/src/mustardvale/internal/relay/handlers.py
@@ -9,6 +9,8 @@
     members,
     moves,
     orders,
+    peer_feed,
+    peer_news,
     reducer,
     runner_list,
     watch,
@@ -23,6 +25,8 @@
     members,
     moves,
     orders,
+    peer_feed,
+    peer_news,
     runner_list,
     watch,
 )
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -61,7 +61,7 @@
         .then(
             lambda next_state: configuration_feed.follow(next_state, event.at)
         )
-        .then(runner_list.read)
+        .then(lambda next_state: runner_list.read(event.at, next_state))
         .then(lambda next_state: members.join(next_state, event.at))
     )
 
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -19,7 +19,7 @@
 LIFETIME_SECONDS = 2.1
 ANSWER_SECONDS = 1.0
 SEPARATOR = '|'
-MEMBER_FIELDS = 4
+MEMBER_FIELDS = 5
 # Partitions go to a new member after their holder has joined twice more and
 # the new one once; until then the list does not name it.
 SETTLE_SECONDS = 2.4
@@ -30,12 +30,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """Name an entry instance and where callers reach it."""
+    """Name an entry instance and where callers and other instances reach it."""
 
     instance_id: str
     front: str
     availability_zone: str
     region: str
+    peers: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +66,7 @@
             identity.addresses.front,
             identity.availability_zone,
             identity.region,
+            identity.addresses.peers,
         )
     )
 
--- /dev/null
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -0,0 +1,182 @@
+"""Share what is read from the store between the instances of a zone.
+
+Two instances of each zone read the list of upstreams and the log of the
+configuration; the others wait for news of one of them. The calls to the store
+therefore grow with the zones and not with the instances. An instance whose
+reader does not answer reads for itself.
+"""
+
+import dataclasses
+import typing
+
+import immutables
+
+from mustardvale.internal import effects, events, transitions
+from mustardvale.internal.relay import calls, members, reducer, requests
+from mustardvale.internal.relay import effects as relay_effects
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal.relay import state as states
+
+# One may be lost without any other instance noticing for long.
+READERS_PER_ZONE = 2
+# Readers answer after each of their reads of the list, which are 0.7 s apart.
+ANSWER_SECONDS = 1.2
+FAILED_SECONDS = 5.0
+MAXIMUM_FOLLOWERS = 256
+UNAVAILABLE = 503
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FeedState:
+    """Hold who waits for news here, and whose news this instance follows.
+
+    `failed` has readers that did not answer and until when others go first.
+    """
+
+    followers: immutables.Map[str, calls.FollowPeer] = immutables.Map()
+    reader: str = ''
+    asked_at: float = 0.0
+    failed: immutables.Map[str, float] = immutables.Map()
+
+
+def choose_reader(now: float, state: 'states.State') -> members.Member | None:
+    """Return the instance to follow, or none where this one reads itself."""
+    known = state.configuration.position, state.runner_list.position
+    unlisted = state.members.listed_generation < 0
+    if None in known or unlisted or state.stopping is not None:
+        return None
+    own = state.identity
+    readers = zone_members(state)[:READERS_PER_ZONE]
+    if any(member.instance_id == own.instance_id for member in readers):
+        return None
+    # Followers spread over the readers by where they listen.
+    turn = sum(own.addresses.peers.encode()) % max(len(readers), 1)
+    for member in (*readers[turn:], *readers[:turn]):
+        if state.feed.failed.get(member.instance_id, 0.0) <= now:
+            return member
+    return None
+
+
+def zone_members(state: 'states.State') -> tuple[members.Member, ...]:
+    """Return the instances of the own zone in the order of their ids."""
+    return tuple(
+        member
+        for member in state.members.listed
+        if member.availability_zone == state.identity.availability_zone
+    )
+
+
+def may_be_followed(state: 'states.State') -> bool:
+    """Return whether the own zone has instances that do not read."""
+    return len(zone_members(state)) > READERS_PER_ZONE
+
+
+def is_following(state: 'states.State') -> bool:
+    """Return whether another instance reads for this one now."""
+    return bool(state.feed.reader)
+
+
+def ask(
+    reader: members.Member, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Wait for news of a reader."""
+    listed_to = state.runner_list.position
+    configured_to = state.configuration.position
+    assert listed_to is not None, 'followers have read the list'
+    assert configured_to is not None, 'followers have read the configuration'
+    call = calls.FollowPeer(listed_to, configured_to)
+    return change_reader(reader.instance_id, now, state).with_effects(
+        effects.Call(call, reader.peers, ANSWER_SECONDS)
+    )
+
+
+def change_reader(
+    reader: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Note whose news this instance follows; none if it reads itself."""
+    feed = dataclasses.replace(state.feed, reader=reader, asked_at=now)
+    next_state = dataclasses.replace(state, feed=feed)
+    if reader == state.feed.reader:
+        return transitions.Transition(next_state)
+    logged = relay_effects.LogDecision(
+        'reader_changed',
+        (
+            ('reader', reader or None),
+            ('before', state.feed.reader or None),
+            ('generation', state.members.generation),
+        ),
+    )
+    return transitions.Transition(next_state, (logged,))
+
+
+def fail_reader(now: float, state: 'states.State') -> 'states.State':
+    """Let other readers go first for a while."""
+    failed = state.feed.failed.set(state.feed.reader, now + FAILED_SECONDS)
+    return dataclasses.replace(
+        state, feed=dataclasses.replace(state.feed, failed=failed)
+    )
+
+
+@reducer.on_request.register(calls.FollowPeer)
+def keep_follower(
+    wanted: calls.FollowPeer,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Let an instance wait for the next read, if this one reads."""
+    crowded = len(state.feed.followers) >= MAXIMUM_FOLLOWERS
+    if crowded or is_following(state) or state.stopping is not None:
+        refusal = requests.Refusal(UNAVAILABLE, 'not_reading')
+        return transitions.Transition(
+            state, (effects.Reply(event.request_id, refusal),)
+        )
+    followers = state.feed.followers.set(event.request_id, wanted)
+    feed = dataclasses.replace(state.feed, followers=followers)
+    return transitions.Transition(dataclasses.replace(state, feed=feed))
+
+
+def forget_follower(request_id: str, state: 'states.State') -> 'states.State':
+    """Forget an instance that does not wait any more."""
+    if request_id not in state.feed.followers:
+        return state
+    followers = state.feed.followers.delete(request_id)
+    return dataclasses.replace(
+        state, feed=dataclasses.replace(state.feed, followers=followers)
+    )
+
+
+def answer_followers(now: float, state: 'states.State') -> reducer.Transition:
+    """Tell all instances that wait what has been read."""
+    confirmed = state.configuration.confirmed_at
+    if not state.feed.followers or confirmed is None:
+        return transitions.Transition(state)
+    told = tuple(
+        effects.Reply(request_id, build_news(wanted, now - confirmed, state))
+        for request_id, wanted in state.feed.followers.items()
+    )
+    feed = dataclasses.replace(state.feed, followers=immutables.Map())
+    return transitions.Transition(dataclasses.replace(state, feed=feed), told)
+
+
+def build_news(
+    wanted: calls.FollowPeer, confirmed_seconds: float, state: 'states.State'
+) -> calls.PeerNews:
+    """Return what has changed from a position on.
+
+    A drop that was held back may be noted at a position that the follower
+    has reached already, so that changes at that position are sent as well.
+    """
+    changes = tuple(
+        calls.RunnerChange(
+            runner_id, runner.listed if runner.missing_since is None else None
+        )
+        for runner_id, runner in state.runners.items()
+        if runner.position >= wanted.list_position
+    )
+    return calls.PeerNews(
+        state.runner_list.position or 0,
+        changes,
+        state.configuration.position or 0,
+        confirmed_seconds,
+    )
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -11,7 +11,14 @@
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from mustardvale.internal.relay import calls, reducer, runners, timers
+from mustardvale.internal.relay import (
+    calls,
+    configuration_feed,
+    peer_feed,
+    reducer,
+    runners,
+    timers,
+)
 from mustardvale.internal.relay import effects as relay_effects
 
 if typing.TYPE_CHECKING:
@@ -43,13 +50,23 @@
     failing: bool = False
 
 
-def read(state: 'states.State') -> reducer.Transition:
-    """Ask for changes, or for all entries where no position is known."""
+def read(now: float, state: 'states.State') -> reducer.Transition:
+    """Ask for changes, or for all entries where no position is known.
+
+    Another instance of the zone is asked where one reads for this one.
+    """
+    reader = peer_feed.choose_reader(now, state)
+    if reader is not None:
+        return peer_feed.ask(reader, now, state)
     position = state.runner_list.position
     call: typing.Any = calls.ReadRunners()
     if position is not None:
         call = calls.FollowRunners(position)
-    return transitions.Transition(state, (send(call, state),))
+    return (
+        peer_feed.change_reader('', now, state)
+        .then(lambda reading: configuration_feed.resume(now, reading))
+        .with_effects(send(call, state))
+    )
 
 
 def send(call: typing.Any, state: 'states.State') -> effects.Call:
@@ -99,7 +116,7 @@
         )
     if isinstance(event.answer, calls.HistoryForgotten):
         unknown = dataclasses.replace(state.runner_list, position=None)
-        return read(dataclasses.replace(state, runner_list=unknown))
+        return read(event.at, dataclasses.replace(state, runner_list=unknown))
     return fail(f'status {event.answer.status}', event.at, state)
 
 
@@ -119,32 +136,40 @@
         if change.entry is None:
             dropped = dropped | {change.runner_id}
         else:
-            table = runners.listed(table, change.entry)
+            table = runners.listed(table, change.entry, position)
             dropped = dropped - {change.runner_id}
     if not doubtful:
         for runner_id in dropped:
-            table = runners.unlisted(table, runner_id, now)
+            table = runners.unlisted(table, runner_id, position, now)
         dropped = frozenset()
-    table = forget_old(table, now)
-    logged = describe_changes(state.runners, table, position)
-    if known.failing:
-        logged += (
-            relay_effects.LogDecision(
-                'store_regained', (('what', 'upstream list'),)
-            ),
-        )
     following = ListState(
         position=position,
         dropped=dropped,
         read_at=now,
         failed_at=failed_at,
     )
+    due = effects.SetTimer(timers.RunnersDue(), READ_PERIOD_SECONDS)
+    return (
+        adopt(forget_old(table, now), following, state)
+        .with_effects(due)
+        .then(lambda adopted: peer_feed.answer_followers(now, adopted))
+    )
+
+
+def adopt(
+    table: runners.RunnerMap, following: ListState, state: 'states.State'
+) -> reducer.Transition:
+    """Keep a changed list and write what has changed."""
+    logged = describe_changes(state.runners, table, following.position)
+    if state.runner_list.failing:
+        logged += (
+            relay_effects.LogDecision(
+                'store_regained', (('what', 'upstream list'),)
+            ),
+        )
     return transitions.Transition(
         dataclasses.replace(state, runner_list=following, runners=table),
-        (
-            *logged,
-            effects.SetTimer(timers.RunnersDue(), READ_PERIOD_SECONDS),
-        ),
+        logged,
     )
 
 
@@ -158,7 +183,9 @@
 
 
 def describe_changes(
-    before: runners.RunnerMap, after: runners.RunnerMap, position: int
+    before: runners.RunnerMap,
+    after: runners.RunnerMap,
+    position: int | None,
 ) -> tuple[effects.Effect, ...]:
     """Return a log line for each upstream whose state changed."""
     if before is after:
@@ -219,4 +246,4 @@
     timer: timers.RunnersDue, event: events.TimerFired, state: 'states.State'
 ) -> reducer.Transition:
     """Read the changes since the last read."""
-    return read(state)
+    return read(event.at, state)
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -50,7 +50,8 @@
 class Runner:
     """Pair an entry with what this instance has seen of the upstream.
 
-    `missing_since` is when the entry was dropped, `avoid_until` how long other
+    `position` is that of the list when the entry last changed or was dropped,
+    `missing_since` when it was dropped, `avoid_until` how long other
     upstreams go first after failures, `shunned_until` how long nothing new
     goes there at all. `latency` is a moving mean in seconds, `failing` one of
     the failed share. `pace` is how many times longer than usual the runner
@@ -58,6 +59,7 @@
     """
 
     listed: ListedRunner
+    position: int = 0
     missing_since: float | None = None
     avoid_until: float = 0.0
     shunned_until: float = 0.0
@@ -86,11 +88,11 @@
 PACE_SECONDS = 5.0
 
 
-def listed(table: RunnerMap, entry: ListedRunner) -> RunnerMap:
+def listed(table: RunnerMap, entry: ListedRunner, position: int) -> RunnerMap:
     """Take an entry of the list; a new start begins without a past."""
     known = table.get(entry.runner_id)
     if known is None or is_other_start(known.listed, entry):
-        return table.set(entry.runner_id, Runner(entry))
+        return table.set(entry.runner_id, Runner(entry, position))
     if known.listed == entry and known.missing_since is None:
         return table
     return table.set(
@@ -98,6 +100,7 @@
         dataclasses.replace(
             known,
             listed=entry,
+            position=position,
             missing_since=None,
             shunned_until=0.0,
         ),
@@ -113,12 +116,17 @@
     )
 
 
-def unlisted(table: RunnerMap, runner_id: str, now: float) -> RunnerMap:
+def unlisted(
+    table: RunnerMap, runner_id: str, position: int, now: float
+) -> RunnerMap:
     """Mark an upstream whose entry was dropped."""
     known = table.get(runner_id)
     if known is None or known.missing_since is not None:
         return table
-    return table.set(runner_id, dataclasses.replace(known, missing_since=now))
+    return table.set(
+        runner_id,
+        dataclasses.replace(known, position=position, missing_since=now),
+    )
 
 
 def failed(table: RunnerMap, runner_id: str, now: float) -> RunnerMap:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -13,6 +13,7 @@
 from mustardvale.internal.relay import loads as load_tables
 from mustardvale.internal.relay import members as member_tables
 from mustardvale.internal.relay import orders as order_tables
+from mustardvale.internal.relay import peer_feed as peer_feeds
 from mustardvale.internal.relay import repeats as repeat_ledgers
 from mustardvale.internal.relay import runner_list as runner_lists
 from mustardvale.internal.relay import runners as runner_tables
@@ -23,13 +24,15 @@
     """Hold the configuration in force and how old that knowledge is.
 
     `position` is where the log goes on, `confirmed_at` when the read that
-    last confirmed the configuration was sent.
+    last confirmed the configuration was sent. `reading` tells that a read is
+    under way or due.
     """
 
     active: configuration.Configuration | None = None
     position: int | None = None
     confirmed_at: float | None = None
     asked_at: float = 0.0
+    reading: bool = False
     failing_since: float | None = None
 
 
@@ -54,6 +57,7 @@
     loads: load_tables.LoadMap = immutables.Map()
     mean_loads: load_tables.LoadMap = immutables.Map()
     exchanges: exchange_tables.ExchangeMap = immutables.Map()
+    feed: peer_feeds.FeedState = peer_feeds.FeedState()
     sends: immutables.Map[str, str] = immutables.Map()
     repeats: repeat_ledgers.Ledger = immutables.Map()
     send_count: int = 0
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from mustardvale.internal.edge import wire
+from mustardvale.internal.edge import peer_feed_codec, wire
 from mustardvale.internal.relay import calls
 from mustardvale.platform import configuration_codec, runner_codec
 
@@ -143,6 +143,7 @@
     )
 
 
+encode_call.register(calls.FollowPeer)(peer_feed_codec.encode_call)
 encode_call.register(calls.PlaceLayers)(runner_codec.encode_placement)
 encode_call.register(calls.MoveRequest)(runner_codec.encode_move)
 
@@ -271,6 +272,12 @@
     return calls.MembersListed(tuple(sorted({row[2] for row in rows})))
 
 
+@decode_success.register(calls.FollowPeer)
+def decode_news(call: calls.FollowPeer, raw: wire.RawAnswer) -> calls.PeerNews:
+    """Decode what another instance has read."""
+    return peer_feed_codec.decode_answer(raw)
+
+
 @decode_success.register(calls.ReadReport)
 @decode_success.register(calls.ProbeRunner)
 def decode_report(
--- a/src/mustardvale/relay_daemon.py
+++ b/src/mustardvale/relay_daemon.py
@@ -10,6 +10,7 @@
 from mustardvale.internal.edge import (
     bounded_output,
     logs,
+    peer_feed_codec,
     relay_loop,
     relay_metrics,
     relay_performer,
@@ -20,6 +21,7 @@
 
 PATH_VARIABLE = 'MUSTARDVALE_NODE_FILE'
 EXIT_BAD_SETTINGS = 2
+PEERS = 'peers'
 SEED_BITS = 63
 
 
@@ -38,14 +40,15 @@
     )
     addresses = settings.identity.addresses
     listeners = (
-        (front_codec.FRONT, addresses.front),
-        (front_codec.READINESS, addresses.readiness),
-        (front_codec.DIRECTORY, addresses.directory),
-        (front_codec.METRICS, addresses.metrics),
+        (front_codec.FRONT, addresses.front, front_codec),
+        (front_codec.READINESS, addresses.readiness, front_codec),
+        (front_codec.DIRECTORY, addresses.directory, front_codec),
+        (front_codec.METRICS, addresses.metrics, front_codec),
+        (PEERS, addresses.peers, peer_feed_codec),
     )
-    for name, address in listeners:
+    for name, address, codec in listeners:
         host, _, port = address.rpartition(':')
-        loop.callers.listen(name, (host, int(port)))
+        loop.callers.listen(name, (host, int(port)), codec)
     return loop
 
 
--- a/src/mustardvale/relay_settings.py
+++ b/src/mustardvale/relay_settings.py
@@ -43,6 +43,7 @@
     Field('readiness-address', ADDRESS),
     Field('directory-address', ADDRESS),
     Field('metrics-port', PORT),
+    Field('peer-port', PORT),
     Field('store-address', ADDRESS),
     Field('strict-revocation', FLAG, 'false'),
     Field('revocation-ms', TIME_MS, '5000'),
@@ -123,6 +124,7 @@
                 directory=found['directory-address'],
                 metrics=f'{host}:{found["metrics-port"]}',
                 store=found['store-address'],
+                peers=f'{host}:{found["peer-port"]}',
             ),
         ),
         bounds.Bounds(
--- a/tests/relay_site.py
+++ b/tests/relay_site.py
@@ -272,7 +272,7 @@
         self.runners = [
             FakeRunner(f'i-{number}') for number in range(runner_count)
         ]
-        self.addresses = processes.find_addresses(4)
+        self.addresses = processes.find_addresses(5)
         self.directory = tempfile.TemporaryDirectory()
         self.log_path = pathlib.Path(self.directory.name) / 'log'
         self.settings_path = pathlib.Path(self.directory.name) / 'settings'
@@ -314,6 +314,7 @@
             'readiness-address': self.addresses[1],
             'directory-address': self.addresses[2],
             'metrics-port': self.addresses[3].rpartition(':')[2],
+            'peer-port': self.addresses[4].rpartition(':')[2],
             'store-address': self.store.server.address,
             'strict-revocation': True,
             'stop-seconds': 4,
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -61,6 +61,7 @@
         directory='10.0.0.1:82',
         metrics='10.0.0.1:83',
         store='10.9.0.1:90',
+        peers='10.0.0.1:84',
     ),
 )
 
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -154,7 +154,7 @@
     def test_members_are_listed_when_the_generation_changes(self) -> None:
         """Guard against paying for the same list again and again."""
         self.join(4)
-        self.list_members('entry-2|10.0.0.2:80|zone-b|region')
+        self.list_members('entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84')
         self.join(4)
         self.assertEqual(1, len(self.instance.calls_of(calls.ListMembers)))
 
@@ -173,13 +173,13 @@
     def test_directory_has_all_members(self) -> None:
         """Guard against sending all callers to one instance."""
         self.join(4)
-        self.list_members('entry-2|10.0.0.2:80|zone-b|region')
+        self.list_members('entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84')
         self.assertEqual({'10.0.0.1:80', '10.0.0.2:80'}, set(self.directory()))
 
     def test_instance_without_the_store_leaves_itself_out(self) -> None:
         """Guard against callers at an instance that soon refuses keys."""
         self.join(4)
-        self.list_members('entry-2|10.0.0.2:80|zone-b|region')
+        self.list_members('entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84')
         self.instance.occur(
             events.CallFailed,
             call=calls.FollowConfiguration(1, 2.0),
@@ -210,7 +210,9 @@
 
     def test_foreign_member_names_are_ignored(self) -> None:
         """Guard against a name that another program has put there."""
-        self.list_members('something', 'entry-2|10.0.0.2:80|zone-b|region')
+        self.list_members(
+            'something', 'entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84'
+        )
         self.assertEqual(1, len(self.instance.state.members.listed))
 
 
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -12,7 +12,10 @@
     'bounds engines requests runners events effects timers',
     'configuration calls loads repeats exchanges event_stream placement chains',
     'reducer',
-    'configuration_feed runner_list members orders idle_connections',
+    'members peer_feed idle_connections',
+    'configuration_feed',
+    'runner_list orders',
+    'peer_news',
     'endings dispatch admission answers moves watch lifecycle',
     'state handlers',
 )
