--- /dev/null
+++ b/tests/test_standins_platform.py
@@ -0,0 +1,284 @@
+"""Guard the stand-ins of the platform: what they promise holds for tests too."""
+
+import typing
+import unittest
+
+import immutables
+
+from mustardvale.internal import events
+from standins import (
+    json_codec,
+    layered_runners,
+    loopback_proxy,
+    platform_store,
+    store_groups,
+)
+from tests import reducer_driver
+
+TOPIC = 'keyed.servers'
+
+
+class Records(unittest.TestCase):
+    """Records are kept in order, the newest of each key for ever."""
+
+    def setUp(self) -> None:
+        self.store = reducer_driver.Driver(
+            platform_store.reduce, platform_store.State()
+        )
+        self.store.occur(events.InstanceStarted)
+        self.append('a', b'1')
+        self.append('a', b'2')
+
+    def append(self, key: str, record: bytes) -> None:
+        """Append one record."""
+        number = len(self.store.replies)
+        self.store.ask(
+            f'append-{number}', platform_store.Append(TOPIC, ((key, record),))
+        )
+
+    def test_newest_record_of_a_key(self) -> None:
+        """Guard against an older record that comes back."""
+        answer = self.store.ask('n', platform_store.ReadNewest(TOPIC))
+        self.assertEqual((('a', b'2'),), answer.records)
+        self.assertEqual(2, answer.end)
+
+    def test_read_waits_for_a_record(self) -> None:
+        """Guard against a poll that misses what comes while it waits."""
+        self.assertIsNone(
+            self.store.ask('r', platform_store.ReadLog(TOPIC, 2, 2.0))
+        )
+        self.append('b', b'3')
+        self.assertEqual((('b', b'3'),), self.store.replies['r'].records)
+
+    def test_read_ends_without_a_record(self) -> None:
+        """Guard against a poll that waits for ever."""
+        self.store.ask('r', platform_store.ReadLog(TOPIC, 2, 1.0))
+        self.store.pass_time(1.4)
+        self.assertEqual((), self.store.replies['r'].records)
+
+    def test_forgotten_records(self) -> None:
+        """Guard against a gap that a reader cannot see."""
+        self.store.ask('f', platform_store.Faults(forget=True))
+        answer = self.store.ask('r', platform_store.ReadLog(TOPIC, 0, 0))
+        self.assertEqual(410, answer.status)
+        newest = self.store.ask('n', platform_store.ReadNewest(TOPIC))
+        self.assertEqual((('a', b'2'),), newest.records)
+
+    def test_entry_of_a_silent_runner_lapses(self) -> None:
+        """Guard against runners that are listed for ever."""
+        self.store.pass_time(platform_store.LAPSE_SECONDS + 1)
+        answer = self.store.ask('n', platform_store.ReadNewest(TOPIC))
+        self.assertEqual((), answer.records)
+
+    def test_lost_answer_takes_effect(self) -> None:
+        """Guard against losing the change together with its answer."""
+        self.store.ask('f', platform_store.Faults(lose_answers=1))
+        self.append('c', b'4')
+        answer = self.store.ask('r', platform_store.ReadLog(TOPIC, 2, 0))
+        self.assertEqual((('c', b'4'),), answer.records)
+
+    def test_down(self) -> None:
+        """Guard against an outage that answers."""
+        self.store.ask('f', platform_store.Faults(down=True))
+        answer = self.store.ask('r', platform_store.ReadNewest(TOPIC))
+        self.assertEqual(503, answer.status)
+
+
+class Groups(unittest.TestCase):
+    """No partition has two holders, however members come and go."""
+
+    def join(
+        self, group: store_groups.Group, member: str, at: float = 0.0
+    ) -> store_groups.Group:
+        """Let a member join with the generation that it knows."""
+        wanted = store_groups.Join(
+            'g', member, ('t',), 2.0, self.generations.get(member, 0)
+        )
+        joined = store_groups.join(group, wanted, at)
+        self.generations[member] = joined.generation
+        return joined
+
+    def setUp(self) -> None:
+        self.generations: dict[str, int] = {}
+        self.group = self.join(store_groups.Group(), 'a')
+
+    def test_only_member_holds_all(self) -> None:
+        """Guard against partitions that nobody holds."""
+        held = store_groups.held_by(self.group, 'a')
+        self.assertEqual(store_groups.PARTITIONS, len(held))
+
+    def test_holder_gives_up_before_another_gets(self) -> None:
+        """Guard against two members that both give orders."""
+        group = self.join(self.group, 'b')
+        self.assertEqual((), store_groups.held_by(group, 'b'))
+        group = self.join(self.join(group, 'a'), 'b')
+        self.assertEqual((), store_groups.held_by(group, 'b'))
+        group = self.join(self.join(group, 'a'), 'b')
+        half = store_groups.PARTITIONS // 2
+        self.assertEqual(half, len(store_groups.held_by(group, 'b')))
+
+    def test_silent_member_loses_its_partitions(self) -> None:
+        """Guard against partitions of a member that is gone."""
+        group = self.join(self.group, 'b', 3.0)
+        held = store_groups.held_by(group, 'b')
+        self.assertEqual(store_groups.PARTITIONS, len(held))
+
+
+def build_runner(
+    name: str, layers: tuple[int, int] | None, **fields: typing.Any
+) -> layered_runners.Runner:
+    """Return a runner of the model."""
+    return layered_runners.Runner(
+        name,
+        'model',
+        f'{name}:1',
+        'zone-a',
+        8,
+        'large',
+        layers=layers,
+        **fields,
+    )
+
+
+class Chains(unittest.TestCase):
+    """Runners check their chains as the platform's do."""
+
+    def setUp(self) -> None:
+        table = {
+            'm0': build_runner('m0', (0, 4)),
+            'm1': build_runner('m1', (4, 8)),
+            'm2': build_runner('m2', None),
+        }
+        self.runners = reducer_driver.Driver(
+            layered_runners.reduce,
+            layered_runners.State('store:1', 8, immutables.Map(table)),
+        )
+
+    def run_chain(self, *parts: tuple[str, int, int]) -> typing.Any:
+        """Send a request along a chain; return its answer if there is one."""
+        chain = tuple(
+            layered_runners.ChainPart(f'{name}:1', first, end)
+            for name, first, end in parts
+        )
+        wanted = layered_runners.Run(
+            'm0', 'a1', 'POST', '/x', b'', 'ann', False, 'm0', 100, chain
+        )
+        return self.runners.ask('r1', wanted)
+
+    def disturb(self, name: str, **faults: typing.Any) -> None:
+        """Switch faults of a runner."""
+        self.runners.ask(f'f-{name}', layered_runners.Faults(name, **faults))
+
+    def test_whole_chain_streams_to_its_end(self) -> None:
+        """Guard against a stand-in that serves nothing."""
+        self.assertIsNone(self.run_chain(('m0', 0, 4), ('m1', 4, 8)))
+        self.runners.pass_time(5)
+        self.assertIn('r1', self.runners.ends)
+
+    def test_layers_that_are_not_held(self) -> None:
+        """Guard against a part that runs what it does not hold."""
+        refused = self.run_chain(('m0', 0, 4), ('m2', 4, 8))
+        self.assertEqual((421, 'm2:1'), (refused.status, refused.at_fault))
+
+    def test_part_that_is_down(self) -> None:
+        """Guard against a chain through a runner that is gone."""
+        self.disturb('m1', down=True)
+        refused = self.run_chain(('m0', 0, 4), ('m1', 4, 8))
+        self.assertEqual((503, 'm1:1'), (refused.status, refused.at_fault))
+
+    def test_dark_part_stalls_and_ends_the_stream(self) -> None:
+        """Guard against a stall that no report shows."""
+        self.run_chain(('m0', 0, 4), ('m1', 4, 8))
+        self.runners.pass_time(0.1)
+        self.disturb('m1', dark=True)
+        self.runners.pass_time(0.5)
+        report = self.runners.ask('p', layered_runners.ReadReport('m0', ''))
+        self.assertEqual((('a1', 'm1:1'),), report.stalled)
+        self.runners.pass_time(3)
+        self.assertIn('r1', self.runners.closed)
+
+    def test_order_names_the_accepted_ones(self) -> None:
+        """Guard against an order that is carried out late."""
+        first = layered_runners.Place('m2', 'm2', 4, 8, 0)
+        self.assertEqual(202, self.runners.ask('o1', first).status)
+        self.runners.pass_time(2)
+        self.assertEqual((4, 8), self.runners.state.runners['m2'].layers)
+        late = layered_runners.Place('m2', 'm2', 0, 4, 0)
+        self.assertEqual(409, self.runners.ask('o2', late).status)
+
+    def test_other_runner_is_misdirected(self) -> None:
+        """Guard against an address that another runner has by now."""
+        wanted = layered_runners.ReadReport('m0', 'm9')
+        self.assertEqual(421, self.runners.ask('p', wanted).status)
+
+
+class Proxies(unittest.TestCase):
+    """Links disturb what passes, and nothing else."""
+
+    def setUp(self) -> None:
+        self.proxy = reducer_driver.Driver(
+            loopback_proxy.reduce,
+            loopback_proxy.State(immutables.Map({'l': 'target:1'})),
+        )
+        self.proxy.occur(loopback_proxy.Accepted, link='l', connection=1)
+
+    def disturb(self, **faults: typing.Any) -> None:
+        """Switch faults of the link."""
+        number = len(self.proxy.replies)
+        done = self.proxy.ask(
+            f'f{number}', loopback_proxy.Faults('l', **faults)
+        )
+        self.assertEqual(json_codec.Done(), done)
+
+    def receive(self, side: loopback_proxy.Side, received: bytes) -> None:
+        """Let one side send something."""
+        self.proxy.occur(
+            loopback_proxy.Received,
+            connection=1,
+            side=side,
+            received=received,
+        )
+
+    def forwarded(self) -> list[bytes]:
+        """Return what was passed on."""
+        return [
+            effect.forwarded
+            for effect in self.proxy.others
+            if isinstance(effect, loopback_proxy.Forward)
+        ]
+
+    def test_bytes_pass(self) -> None:
+        """Guard against a proxy that changes what it carries."""
+        self.receive(loopback_proxy.Side.CALLER, b'x')
+        self.assertEqual([b'x'], self.forwarded())
+
+    def test_cut_one_way(self) -> None:
+        """Guard against a cut that also stops the other direction."""
+        self.disturb(silent=(loopback_proxy.Side.TARGET,))
+        self.receive(loopback_proxy.Side.TARGET, b'lost')
+        self.receive(loopback_proxy.Side.CALLER, b'passed')
+        self.assertEqual([b'passed'], self.forwarded())
+
+    def test_silent_connection_stays_silent(self) -> None:
+        """Guard against a stream that goes on with a gap in it."""
+        self.disturb(silent=(loopback_proxy.Side.TARGET,))
+        self.receive(loopback_proxy.Side.TARGET, b'lost')
+        self.disturb()
+        self.receive(loopback_proxy.Side.TARGET, b'after')
+        self.assertEqual([], self.forwarded())
+
+    def test_delayed_bytes_keep_their_order(self) -> None:
+        """Guard against bytes that overtake others when a delay ends."""
+        self.disturb(delay_seconds=0.5)
+        self.receive(loopback_proxy.Side.CALLER, b'1')
+        self.disturb()
+        self.receive(loopback_proxy.Side.CALLER, b'2')
+        self.proxy.pass_time(1)
+        self.assertEqual([b'1', b'2'], self.forwarded())
+
+    def test_reset(self) -> None:
+        """Guard against a reset that leaves connections open."""
+        self.disturb(reset=True)
+        self.assertIn(loopback_proxy.Drop(1, reset=True), self.proxy.others)
+        self.receive(loopback_proxy.Side.CALLER, b'late')
+        self.assertEqual([], self.forwarded())
