Share the dispatch of stand-ins, and split messages from decisions

Change: standins.reducers builds the dispatch; runner_messages and relay_asks hold what is sent. No behaviour changes.

--- a/bench/relay_load.py
+++ b/bench/relay_load.py
@@ -12,11 +12,11 @@
 
 import immutables
 
+from bench import relay_asks
 from mustardvale.internal import draws, effects, events, transitions
 from mustardvale.internal.relay import effects as relay_effects
-from mustardvale.internal.relay import event_stream
 from mustardvale.internal.relay import events as relay_events
-from standins import reference_text
+from standins import reducers
 
 DIRECTORY_SECONDS = 1.0
 DIRECTORY_PERIOD_SECONDS = 1.0
@@ -34,24 +34,6 @@
 HOST = 'site.example'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
-    """Describe a kind of request and its share of the load."""
-
-    name: str
-    method: str
-    share: float
-    repeatable: bool
-    streamed: bool = False
-
-
-KINDS = (
-    Kind('generate', 'POST', 0.6, repeatable=True, streamed=True),
-    Kind('read', 'GET', 0.2, repeatable=True),
-    Kind('write', 'POST', 0.2, repeatable=False),
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadPlan:
     """Say what to send; `keys` pairs the keys of callers with their tenants."""
@@ -76,33 +58,6 @@
     addresses: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
-    """Hold one attempt of a request that is under way."""
-
-    attempt_id: str
-    kind: Kind
-    target: str
-    body: bytes
-    key: str
-    tenant: str
-    entry: str
-    started_at: float
-    leaves_at: float
-    tries: int = 1
-    after_event: int | None = None
-    status: int = 0
-    stamp: str = ''
-    retry_after: float | None = None
-    received: bytes = b''
-    heard_at: float = 0.0
-
-    @property
-    def digest(self) -> str:
-        """Return the digest that the right answer depends on."""
-        return reference_text.digest(self.kind.method, self.target, self.body)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """Hold the head of an answer."""
@@ -140,7 +95,7 @@
     """Send a request again; attempts are told apart by their id."""
 
     attempt_id: str
-    ask: Ask = dataclasses.field(compare=False)
+    ask: relay_asks.Ask = dataclasses.field(compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,22 +105,18 @@
     plan: LoadPlan
     seed: int
     entries: tuple[str, ...] = ()
-    asks: immutables.Map[str, Ask] = immutables.Map()
+    asks: immutables.Map[str, relay_asks.Ask] = immutables.Map()
     count: int = 0
     asked: int = 0
     ends_at: float = math.inf
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no request."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.InstanceStarted)
+@dispatch.reduce.register(events.InstanceStarted)
 def start(event: events.InstanceStarted, state: State) -> Transition:
     """Ask for addresses and begin to send."""
     begun = dataclasses.replace(
@@ -177,27 +128,7 @@
     )
 
 
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.TimerFired)
-def elapse(event: events.TimerFired, state: State) -> Transition:
-    """Dispatch on the timer."""
-    return on_timer(event.timer, event, state)
-
-
-@functools.singledispatch
-def on_timer(
-    timer: typing.Any, event: events.TimerFired, state: State
-) -> Transition:
-    """Handle a timer."""
-    raise TypeError(type(timer).__name__)
-
-
-@on_timer.register(DirectoryDue)
+@dispatch.on_timer.register(DirectoryDue)
 def ask_again(
     timer: DirectoryDue, event: events.TimerFired, state: State
 ) -> Transition:
@@ -215,7 +146,7 @@
     )
 
 
-@reduce.register(events.CallAnswered)
+@dispatch.reduce.register(events.CallAnswered)
 def take_directory(event: events.CallAnswered, state: State) -> Transition:
     """Use the addresses of an answer."""
     if event.answer.addresses:
@@ -224,14 +155,14 @@
     return transitions.Transition(state, (again,))
 
 
-@reduce.register(events.CallFailed)
+@dispatch.reduce.register(events.CallFailed)
 def ask_another(event: events.CallFailed, state: State) -> Transition:
     """Ask the next directory."""
     again = effects.SetTimer(DirectoryDue(), RETRY_SECONDS)
     return transitions.Transition(state, (again,))
 
 
-@on_timer.register(ArrivalDue)
+@dispatch.on_timer.register(ArrivalDue)
 def arrive(
     timer: ArrivalDue, event: events.TimerFired, state: State
 ) -> Transition:
@@ -253,11 +184,11 @@
     key_draw = draws.draw(kind_draw.seed)
     leave_draw = draws.draw(key_draw.seed)
     count = state.count + 1
-    kind = pick_kind(kind_draw.unit)
+    kind = relay_asks.pick_kind(kind_draw.unit)
     key, tenant = state.plan.keys[int(key_draw.unit * len(state.plan.keys))]
     leaves = leave_draw.unit < LEAVING_SHARE
     name = f'{state.plan.run_id}-{count}'
-    ask = Ask(
+    ask = relay_asks.Ask(
         name,
         kind,
         f'/{kind.name}/{name}?of=%20{count}',
@@ -272,16 +203,7 @@
     return send(ask, event, state)
 
 
-def pick_kind(unit: float) -> Kind:
-    """Return a kind by its share."""
-    for kind in KINDS:
-        unit -= kind.share
-        if unit < 0:
-            return kind
-    return KINDS[-1]
-
-
-def send(ask: Ask, event: events.Event, state: State) -> Transition:
+def send(ask: relay_asks.Ask, event: events.Event, state: State) -> Transition:
     """Send an attempt to one of the known entry addresses."""
     if not state.entries:
         return retry(ask, RETRY_SECONDS, event, state)
@@ -316,7 +238,7 @@
 
 
 def retry(
-    ask: Ask, wait_seconds: float, event: events.Event, state: State
+    ask: relay_asks.Ask, wait_seconds: float, event: events.Event, state: State
 ) -> Transition:
     """Send a request again later, as a new attempt, if its time allows."""
     late = event.at + wait_seconds - ask.started_at > BUDGET_SECONDS / 2
@@ -327,7 +249,7 @@
         ask,
         attempt_id=f'{name}.{ask.tries}',
         tries=ask.tries + 1,
-        after_event=last_event(ask),
+        after_event=relay_asks.last_event(ask),
         status=0,
         stamp='',
         received=b'',
@@ -338,15 +260,7 @@
     )
 
 
-def last_event(ask: Ask) -> int | None:
-    """Return the last whole event of a stream that a caller has."""
-    if not ask.kind.streamed:
-        return None
-    split = event_stream.split(b'', ask.received, ask.after_event)
-    return split.last_event
-
-
-@on_timer.register(RetryDue)
+@dispatch.on_timer.register(RetryDue)
 def send_again(
     timer: RetryDue, event: events.TimerFired, state: State
 ) -> Transition:
@@ -354,7 +268,7 @@
     return send(timer.ask, event, state)
 
 
-@on_timer.register(SweepDue)
+@dispatch.on_timer.register(SweepDue)
 def sweep(
     timer: SweepDue, event: events.TimerFired, state: State
 ) -> Transition:
@@ -366,7 +280,7 @@
     return transition.with_effects(effects.SetTimer(timer, SWEEP_SECONDS))
 
 
-def is_left(ask: Ask, now: float) -> bool:
+def is_left(ask: relay_asks.Ask, now: float) -> bool:
     """Return whether a caller gives an attempt up."""
     limit = GAP_SECONDS
     if not ask.kind.streamed:
@@ -374,7 +288,7 @@
     return now >= ask.leaves_at or now - ask.heard_at > limit
 
 
-def leave(ask: Ask, event: events.Event, state: State) -> Transition:
+def leave(ask: relay_asks.Ask, event: events.Event, state: State) -> Transition:
     """Close the connection of an attempt."""
     return transitions.Transition(
         without(ask, state),
@@ -385,25 +299,25 @@
                 ('event', 'left'),
                 ('id', ask.attempt_id),
                 ('silent', event.at - ask.heard_at),
-                ('sound', is_sound(ask)),
+                ('sound', relay_asks.is_sound(ask)),
             ),
         ),
     )
 
 
-def without(ask: Ask, state: State) -> State:
+def without(ask: relay_asks.Ask, state: State) -> State:
     """Forget an attempt."""
     return dataclasses.replace(state, asks=state.asks.delete(ask.attempt_id))
 
 
-def keep(ask: Ask, state: State) -> Transition:
+def keep(ask: relay_asks.Ask, state: State) -> Transition:
     """Keep a changed attempt."""
     return transitions.Transition(
         dataclasses.replace(state, asks=state.asks.set(ask.attempt_id, ask))
     )
 
 
-@reduce.register(relay_events.HeadArrived)
+@dispatch.reduce.register(relay_events.HeadArrived)
 def take_head(event: relay_events.HeadArrived, state: State) -> Transition:
     """Keep the head of an answer."""
     ask = state.asks.get(event.send_id)
@@ -419,7 +333,7 @@
     return keep(headed, state)
 
 
-@reduce.register(relay_events.PartArrived)
+@dispatch.reduce.register(relay_events.PartArrived)
 def take_part(event: relay_events.PartArrived, state: State) -> Transition:
     """Keep a part of an answer."""
     ask = state.asks.get(event.send_id)
@@ -431,7 +345,7 @@
     return keep(grown, state)
 
 
-@reduce.register(relay_events.SendEnded)
+@dispatch.reduce.register(relay_events.SendEnded)
 def take_end(event: relay_events.SendEnded, state: State) -> Transition:
     """Write down a complete answer; come again after a refusal."""
     ask = state.asks.get(event.send_id)
@@ -446,8 +360,8 @@
                 ('id', ask.attempt_id),
                 ('status', ask.status),
                 ('stamp', ask.stamp),
-                ('whole', ask.received == whole_answer(ask)),
-                ('sound', is_sound(ask)),
+                ('whole', ask.received == relay_asks.whole_answer(ask)),
+                ('sound', relay_asks.is_sound(ask)),
                 ('seconds', event.at - ask.started_at),
             ),
         ),
@@ -460,25 +374,7 @@
     return written.then(functools.partial(retry, ask, wait, event))
 
 
-def whole_answer(ask: Ask) -> bytes:
-    """Return the whole right answer to an attempt."""
-    if not ask.kind.streamed:
-        return reference_text.whole_body(ask.digest)
-    first = 1 if ask.after_event is None else ask.after_event + 1
-    return b''.join(
-        reference_text.encode_event(ask.digest, number)
-        for number in range(first, reference_text.count_events(ask.digest) + 1)
-    )
-
-
-def is_sound(ask: Ask) -> bool:
-    """Return whether what has come so far is the start of the right answer."""
-    if ask.status // 100 != 2:
-        return True
-    return whole_answer(ask).startswith(ask.received)
-
-
-@reduce.register(relay_events.SendFailed)
+@dispatch.reduce.register(relay_events.SendFailed)
 def take_failure(event: relay_events.SendFailed, state: State) -> Transition:
     """Write down a lost answer; repeat it where that may be."""
     ask = state.asks.get(event.send_id)
@@ -498,7 +394,7 @@
                 ('status', ask.status),
                 ('sent', event.failure.sent),
                 ('problem', event.failure.kind.value),
-                ('sound', is_sound(ask)),
+                ('sound', relay_asks.is_sound(ask)),
                 ('seconds', event.at - ask.started_at),
             ),
         ),
--- a/bench/relay_load_main.py
+++ b/bench/relay_load_main.py
@@ -11,7 +11,7 @@
 
 import fire
 
-from bench import relay_load
+from bench import relay_asks, relay_load
 from mustardvale.internal.edge import (
     channels,
     http_client,
@@ -32,7 +32,7 @@
 class CallerCodec:
     """Encode what callers send and decode what they get."""
 
-    def encode_send(self, send: relay_load.Ask) -> relay_wire.EncodedSend:
+    def encode_send(self, send: relay_asks.Ask) -> relay_wire.EncodedSend:
         """Encode an attempt."""
         headers = [
             ('Host', relay_load.HOST),
@@ -51,7 +51,7 @@
         )
 
     def decode_head(
-        self, send: relay_load.Ask, received: relay_wire.ReceivedHead
+        self, send: relay_asks.Ask, received: relay_wire.ReceivedHead
     ) -> relay_load.Head:
         """Decode the head of an answer."""
         found = dict(received.headers)
@@ -63,7 +63,7 @@
         )
 
     def answers(
-        self, send: relay_load.Ask, received: relay_wire.ReceivedHead
+        self, send: relay_asks.Ask, received: relay_wire.ReceivedHead
     ) -> bool:
         """Take every answer; a wrong one is a finding."""
         return True
--- a/standins/layered_runner_codec.py
+++ b/standins/layered_runner_codec.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from mustardvale.internal.edge import relay_wire, wire
-from standins import json_codec, layered_runners
+from standins import json_codec, runner_messages
 
 LENGTH = struct.Struct('>I')
 ENTRY_TARGET = '/api/log-append?topic=keyed.servers&part=0'
@@ -23,10 +23,10 @@
     try:
         if received.listener == CONTROL:
             return msgspec.json.decode(
-                received.body, type=layered_runners.Faults
+                received.body, type=runner_messages.Faults
             )
         if path == '/api/report':
-            return layered_runners.ReadReport(
+            return runner_messages.ReadReport(
                 received.listener, expected(received)
             )
         if path == '/api/order':
@@ -45,14 +45,14 @@
     """Decode an order."""
     table = json.loads(received.body)
     if table['op'] == 'place':
-        return layered_runners.Place(
+        return runner_messages.Place(
             received.listener,
             expected(received),
             table['source'],
             table['target'],
             table.get('precondition'),
         )
-    return layered_runners.Repath(
+    return runner_messages.Repath(
         received.listener,
         expected(received),
         table['id'],
@@ -62,11 +62,11 @@
 
 def decode_run(
     received: relay_wire.ReceivedRequest,
-) -> layered_runners.Run:
+) -> runner_messages.Run:
     """Decode a request that is run."""
     found = dict(received.headers)
     last, deadline = found.get('last-event-id'), found.get('deadline-ms')
-    return layered_runners.Run(
+    return runner_messages.Run(
         received.listener,
         found.get('attempt-id', ''),
         received.method,
@@ -81,13 +81,13 @@
     )
 
 
-def decode_chain(text: str) -> tuple[layered_runners.ChainPart, ...]:
+def decode_chain(text: str) -> tuple[runner_messages.ChainPart, ...]:
     """Decode the parts of a chain."""
     parts = []
     for row in filter(None, text.split(',')):
         address, _, layers = row.partition('=')
         first, _, end = layers.partition('-')
-        parts.append(layered_runners.ChainPart(address, int(first), int(end)))
+        parts.append(runner_messages.ChainPart(address, int(first), int(end)))
     return tuple(parts)
 
 
@@ -105,9 +105,9 @@
     return relay_wire.ReplyHead(OK), b'{}'
 
 
-@encode_reply.register(layered_runners.Refusal)
+@encode_reply.register(runner_messages.Refusal)
 def encode_refusal(
-    reply: layered_runners.Refusal,
+    reply: runner_messages.Refusal,
 ) -> tuple[relay_wire.ReplyHead, bytes]:
     """Encode a refusal, which says that nothing was run."""
     headers: relay_wire.Headers = (
@@ -119,26 +119,26 @@
     return relay_wire.ReplyHead(reply.status, headers), b''
 
 
-@encode_reply.register(layered_runners.OrderReply)
+@encode_reply.register(runner_messages.OrderReply)
 def encode_order_reply(
-    reply: layered_runners.OrderReply,
+    reply: runner_messages.OrderReply,
 ) -> tuple[relay_wire.ReplyHead, bytes]:
     """Encode the answer to an order."""
     body = json.dumps({'address': reply.at_fault} if reply.at_fault else {})
     return relay_wire.ReplyHead(reply.status), body.encode()
 
 
-@encode_reply.register(layered_runners.WholeAnswer)
+@encode_reply.register(runner_messages.WholeAnswer)
 def encode_whole(
-    reply: layered_runners.WholeAnswer,
+    reply: runner_messages.WholeAnswer,
 ) -> tuple[relay_wire.ReplyHead, bytes]:
     """Encode the answer of a plain service."""
     return relay_wire.ReplyHead(OK, proof_headers(reply)), reply.body
 
 
-@encode_reply.register(layered_runners.Report)
+@encode_reply.register(runner_messages.Report)
 def encode_report(
-    reply: layered_runners.Report,
+    reply: runner_messages.Report,
 ) -> tuple[relay_wire.ReplyHead, bytes]:
     """Encode the state of a runner."""
     table = {
@@ -155,13 +155,13 @@
 
 
 def proof_headers(
-    reply: layered_runners.WholeAnswer | layered_runners.StreamHead,
+    reply: runner_messages.WholeAnswer | runner_messages.StreamHead,
 ) -> tuple[tuple[str, str], ...]:
     """Return the headers that vouch for an answer."""
     return (('Attempt-Id', reply.attempt_id), ('Server-Stamp', reply.stamp))
 
 
-def encode_head(head: layered_runners.StreamHead) -> relay_wire.ReplyHead:
+def encode_head(head: runner_messages.StreamHead) -> relay_wire.ReplyHead:
     """Encode the head of a stream."""
     kind = ('Content-Type', 'text/event-stream')
     return relay_wire.ReplyHead(OK, (kind, *proof_headers(head)))
@@ -175,7 +175,7 @@
     return relay_wire.ReplyHead(status, (('Not-Executed', '1'),)), body
 
 
-def encode_call(call: layered_runners.WriteEntries) -> wire.RawCall:
+def encode_call(call: runner_messages.WriteEntries) -> wire.RawCall:
     """Encode entries as records with their length and key."""
     body = b''
     for runner in call.runners:
@@ -185,7 +185,7 @@
     return wire.RawCall('POST', ENTRY_TARGET, body)
 
 
-def encode_entry(runner: layered_runners.Runner) -> bytes:
+def encode_entry(runner: runner_messages.Runner) -> bytes:
     """Encode the entry of a runner."""
     table: dict[str, typing.Any] = {
         'service': runner.service,
@@ -204,12 +204,12 @@
 
 
 def decode_answer(
-    call: layered_runners.WriteEntries, raw: wire.RawAnswer
+    call: runner_messages.WriteEntries, raw: wire.RawAnswer
 ) -> int:
     """Return the status of a write."""
     return raw.status
 
 
-def decode_part(call: layered_runners.WriteEntries, line: bytes) -> None:
+def decode_part(call: runner_messages.WriteEntries, line: bytes) -> None:
     """Refuse parts: no call here is answered with a stream."""
     raise wire.DecodeError(0, 'answer', 'no call is answered in parts')
--- a/standins/layered_runner_main.py
+++ b/standins/layered_runner_main.py
@@ -23,7 +23,11 @@
     performer,
     relay_server,
 )
-from standins import layered_runner_codec, layered_runners
+from standins import (
+    layered_runner_codec,
+    layered_runners,
+    runner_messages,
+)
 
 
 class RunnerLoop(loop.Loop):
@@ -69,11 +73,11 @@
 
 def build_runners(
     plan: dict[str, typing.Any],
-) -> immutables.Map[str, layered_runners.Runner]:
+) -> immutables.Map[str, runner_messages.Runner]:
     """Return the runners of a plan."""
     return immutables.Map(
         {
-            row['runner_id']: layered_runners.Runner(
+            row['runner_id']: runner_messages.Runner(
                 **{key: row[key] for key in row if key != 'listen'}
             )
             for row in plan['runners']
--- a/standins/layered_runners.py
+++ b/standins/layered_runners.py
@@ -12,7 +12,12 @@
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from standins import json_codec, reference_text
+from standins import (
+    json_codec,
+    reducers,
+    reference_text,
+    runner_messages,
+)
 
 HEARTBEAT_SECONDS = 0.6
 STORE_SECONDS = 1.0
@@ -24,162 +29,12 @@
 STALL_SECONDS = 2.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Faults:
-    """Hold the faults of one runner.
-
-    A runner that is `down` closes what it has and takes nothing; one that is
-    `dark` answers nothing. `lose_answers` counts runs without an answer, `cut`
-    streams that are cut within an event. `born` starts it again, empty.
-    """
-
-    runner_id: str
-    down: bool = False
-    dark: bool = False
-    draining: bool = False
-    full: bool = False
-    lose_answers: int = 0
-    cut: int = 0
-    born: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Runner:
-    """Describe a runner; one with an accelerator holds layers."""
-
-    runner_id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    accelerator: str = ''
-    started_at_ms: int = 0
-    layers: tuple[int, int] | None = None
-    loading: bool = False
-    order_count: int = 0
-    faults: Faults = Faults('')
-
-    @property
-    def answers(self) -> bool:
-        """Return whether the runner does anything at all."""
-        return not self.faults.down and not self.faults.dark
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChainPart:
-    """Name a runner by its address, and its layers."""
-
-    address: str
-    first: int
-    end: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Run:
-    """Ask a runner to run a request."""
-
-    runner_id: str
-    attempt_id: str
-    method: str
-    target: str
-    body: bytes
-    tenant: str
-    key_seen: bool
-    expected_runner: str
-    deadline_ms: int | None
-    chain: tuple[ChainPart, ...] = ()
-    last_event: int | None = None
-
-    @property
-    def digest(self) -> str:
-        """Return the digest that the answer depends on."""
-        return reference_text.digest(self.method, self.target, self.body)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadReport:
-    """Ask a runner for its state."""
-
-    runner_id: str
-    expected_runner: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Order a runner to hold layers."""
-
-    runner_id: str
-    expected_runner: str
-    first: int
-    end: int
-    expected_count: int | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Repath:
-    """Order a runner to go on with a request over another chain."""
-
-    runner_id: str
-    expected_runner: str
-    attempt_id: str
-    chain: tuple[ChainPart, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refusal:
-    """Answer with an error that says that nothing was run."""
-
-    status: int
-    at_fault: str = ''
-    attempt_id: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """Answer a request of a plain service."""
-
-    attempt_id: str
-    stamp: str
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamHead:
-    """Begin the answer to a model request."""
-
-    attempt_id: str
-    stamp: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderReply:
-    """Answer an order with a status."""
-
-    status: int
-    at_fault: str = ''
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
-    """Hold the state of a runner and the requests that it has waiting."""
-
-    runner: Runner
-    stalled: tuple[tuple[str, str], ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteEntries:
-    """Write entries to the store."""
-
-    runners: tuple[Runner, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartStream(effects.Effect):
     """Send the head of an answer that follows in parts."""
 
     request_id: str
-    head: StreamHead
+    head: runner_messages.StreamHead
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,8 +45,8 @@
     """
 
     what: str
-    run: Run
-    chain: tuple[ChainPart, ...]
+    run: runner_messages.Run
+    chain: tuple[runner_messages.ChainPart, ...]
     wall: float
 
 
@@ -199,8 +54,8 @@
 class Running:
     """Hold a run and its next event; `waiting_since` is set while it stalls."""
 
-    run: Run
-    chain: tuple[ChainPart, ...]
+    run: runner_messages.Run
+    chain: tuple[runner_messages.ChainPart, ...]
     next_event: int
     begun: bool = False
     waiting_since: float | None = None
@@ -234,20 +89,17 @@
 
     store_address: str
     layers: int
-    runners: immutables.Map[str, Runner]
+    runners: immutables.Map[str, runner_messages.Runner]
     running: immutables.Map[str, Running] = immutables.Map()
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
+answer = reducers.answer
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no run."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.InstanceStarted)
+@dispatch.reduce.register(events.InstanceStarted)
 def start(event: events.InstanceStarted, state: State) -> Transition:
     """Give every runner its start and write the entries."""
     born = int(event.wall * 1000)
@@ -259,23 +111,17 @@
     return write_entries(started)
 
 
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.CallerLeft)
+@dispatch.reduce.register(events.CallerLeft)
 def abandon(event: events.CallerLeft, state: State) -> Transition:
     """Stop a run whose caller has left."""
     return transitions.Transition(without(event.request_id, state))
 
 
-@reduce.register(events.CallerRequested)
+@dispatch.reduce.register(events.CallerRequested)
 def receive(event: events.CallerRequested, state: State) -> Transition:
     """Dispatch on the request, unless its runner is down or dark."""
     wanted = event.wanted
-    if isinstance(wanted, Faults):
+    if isinstance(wanted, runner_messages.Faults):
         return set_faults(wanted, event, state)
     runner = state.runners[wanted.runner_id]
     if runner.faults.down:
@@ -285,7 +131,7 @@
         return transitions.Transition(state)
     if wanted.expected_runner not in ('', runner.runner_id):
         attempt_id = getattr(wanted, 'attempt_id', '')
-        refused = Refusal(421, runner.address, attempt_id)
+        refused = runner_messages.Refusal(421, runner.address, attempt_id)
         return answer(event.request_id, refused, state)
     return on_request(wanted, runner, event, state)
 
@@ -293,7 +139,7 @@
 @functools.singledispatch
 def on_request(
     wanted: typing.Any,
-    runner: Runner,
+    runner: runner_messages.Runner,
     event: events.CallerRequested,
     state: State,
 ) -> Transition:
@@ -301,11 +147,6 @@
     raise TypeError(type(wanted).__name__)
 
 
-def answer(request_id: str, reply: typing.Any, state: State) -> Transition:
-    """Answer a request."""
-    return transitions.Transition(state, (effects.Reply(request_id, reply),))
-
-
 def without(request_id: str, state: State) -> State:
     """Forget a run."""
     if request_id not in state.running:
@@ -313,16 +154,16 @@
     return dataclasses.replace(state, running=state.running.delete(request_id))
 
 
-def with_runner(runner: Runner, state: State) -> State:
+def with_runner(runner: runner_messages.Runner, state: State) -> State:
     """Keep a changed runner."""
     table = state.runners.set(runner.runner_id, runner)
     return dataclasses.replace(state, runners=table)
 
 
-@on_request.register(Run)
+@on_request.register(runner_messages.Run)
 def begin(
-    wanted: Run,
-    runner: Runner,
+    wanted: runner_messages.Run,
+    runner: runner_messages.Runner,
     event: events.CallerRequested,
     state: State,
 ) -> Transition:
@@ -347,28 +188,32 @@
     )
 
 
-def check(wanted: Run, runner: Runner, state: State) -> Refusal | None:
+def check(
+    wanted: runner_messages.Run, runner: runner_messages.Runner, state: State
+) -> runner_messages.Refusal | None:
     """Return why a run cannot begin, if it cannot."""
     if not wanted.attempt_id:
-        return Refusal(400)
+        return runner_messages.Refusal(400)
     busy = sum(
         one.run.runner_id == runner.runner_id for one in state.running.values()
     )
     if runner.faults.full or busy >= runner.slots:
-        return Refusal(503, runner.address, wanted.attempt_id)
+        return runner_messages.Refusal(503, runner.address, wanted.attempt_id)
     if not runner.accelerator:
         return None
     chain = wanted.chain
     if not chain or chain[0].address != runner.address:
-        return Refusal(400, runner.address, wanted.attempt_id)
+        return runner_messages.Refusal(400, runner.address, wanted.attempt_id)
     for part in chain:
         status = check_part(part, state)
         if status:
-            return Refusal(status, part.address, wanted.attempt_id)
+            return runner_messages.Refusal(
+                status, part.address, wanted.attempt_id
+            )
     return None
 
 
-def check_part(part: ChainPart, state: State) -> int:
+def check_part(part: runner_messages.ChainPart, state: State) -> int:
     """Return the status with which a part is refused, or zero."""
     runner = find(part.address, state)
     if runner is None or not runner.answers or runner.loading:
@@ -381,12 +226,12 @@
     return 0
 
 
-def covers(held: tuple[int, int], part: ChainPart) -> bool:
+def covers(held: tuple[int, int], part: runner_messages.ChainPart) -> bool:
     """Return whether held layers cover a part that is not empty."""
     return held[0] <= part.first < part.end and part.end <= held[1]
 
 
-def find(address: str, state: State) -> Runner | None:
+def find(address: str, state: State) -> runner_messages.Runner | None:
     """Return the runner at an address."""
     for runner in state.runners.values():
         if runner.address == address:
@@ -394,21 +239,7 @@
     return None
 
 
-@reduce.register(events.TimerFired)
-def elapse(event: events.TimerFired, state: State) -> Transition:
-    """Dispatch on the timer."""
-    return on_timer(event.timer, event, state)
-
-
-@functools.singledispatch
-def on_timer(
-    timer: typing.Any, event: events.TimerFired, state: State
-) -> Transition:
-    """Handle a timer."""
-    raise TypeError(type(timer).__name__)
-
-
-@on_timer.register(HeartbeatDue)
+@dispatch.on_timer.register(HeartbeatDue)
 def heartbeat(
     timer: HeartbeatDue, event: events.TimerFired, state: State
 ) -> Transition:
@@ -423,14 +254,16 @@
         state,
         (
             effects.Call(
-                WriteEntries(alive), state.store_address, STORE_SECONDS
+                runner_messages.WriteEntries(alive),
+                state.store_address,
+                STORE_SECONDS,
             ),
             effects.SetTimer(HeartbeatDue(), HEARTBEAT_SECONDS),
         ),
     )
 
 
-@on_timer.register(StepDue)
+@dispatch.on_timer.register(StepDue)
 def step(timer: StepDue, event: events.TimerFired, state: State) -> Transition:
     """Send the next event of a run, or its whole answer."""
     running = state.running.get(timer.request_id)
@@ -449,7 +282,7 @@
     return any(is_gone(part, state) for part in running.chain)
 
 
-def is_gone(part: ChainPart, state: State) -> bool:
+def is_gone(part: runner_messages.ChainPart, state: State) -> bool:
     """Return whether the runner of a part does not answer."""
     runner = find(part.address, state)
     return runner is None or not runner.answers
@@ -472,7 +305,10 @@
 
 
 def end_plain(
-    request_id: str, running: Running, runner: Runner, state: State
+    request_id: str,
+    running: Running,
+    runner: runner_messages.Runner,
+    state: State,
 ) -> Transition:
     """Answer a run of a plain service, unless the answer is lost."""
     run = running.run
@@ -483,7 +319,7 @@
         state = with_runner(dataclasses.replace(runner, faults=faults), state)
         close = effects.CloseCaller(request_id)
         return transitions.Transition(state, (close,))
-    whole = WholeAnswer(
+    whole = runner_messages.WholeAnswer(
         run.attempt_id,
         stamp(run),
         reference_text.whole_body(run.digest),
@@ -491,19 +327,22 @@
     return answer(request_id, whole, state)
 
 
-def stamp(run: Run) -> str:
+def stamp(run: runner_messages.Run) -> str:
     """Return the proof that a runner made an answer."""
     return f'{run.runner_id}.{run.attempt_id}.{run.digest}'
 
 
 def send_event(
-    request_id: str, running: Running, runner: Runner, state: State
+    request_id: str,
+    running: Running,
+    runner: runner_messages.Runner,
+    state: State,
 ) -> Transition:
     """Send the next event, and the end after the last one."""
     run = running.run
     asked: tuple[effects.Effect, ...] = ()
     if not running.begun:
-        head = StreamHead(run.attempt_id, stamp(run))
+        head = runner_messages.StreamHead(run.attempt_id, stamp(run))
         asked = (StartStream(request_id, head),)
     number = running.next_event
     last = reference_text.count_events(run.digest)
@@ -531,7 +370,7 @@
 
 def cut(
     request_id: str,
-    runner: Runner,
+    runner: runner_messages.Runner,
     encoded: bytes,
     asked: tuple[effects.Effect, ...],
     state: State,
@@ -549,10 +388,10 @@
     )
 
 
-@on_request.register(ReadReport)
+@on_request.register(runner_messages.ReadReport)
 def report(
-    wanted: ReadReport,
-    runner: Runner,
+    wanted: runner_messages.ReadReport,
+    runner: runner_messages.Runner,
     event: events.CallerRequested,
     state: State,
 ) -> Transition:
@@ -564,21 +403,23 @@
         for part in running.chain
         if is_gone(part, state)
     )
-    return answer(event.request_id, Report(runner, stalled), state)
+    return answer(
+        event.request_id, runner_messages.Report(runner, stalled), state
+    )
 
 
-@on_request.register(Place)
+@on_request.register(runner_messages.Place)
 def place(
-    wanted: Place,
-    runner: Runner,
+    wanted: runner_messages.Place,
+    runner: runner_messages.Runner,
     event: events.CallerRequested,
     state: State,
 ) -> Transition:
     """Begin to load layers; what the runner held takes nothing new."""
     if wanted.expected_count not in (None, runner.order_count):
-        return answer(event.request_id, OrderReply(409), state)
+        return answer(event.request_id, runner_messages.OrderReply(409), state)
     if runner.layers == (wanted.first, wanted.end):
-        return answer(event.request_id, OrderReply(200), state)
+        return answer(event.request_id, runner_messages.OrderReply(200), state)
     count = runner.order_count + 1
     loading = dataclasses.replace(
         runner, layers=None, loading=True, order_count=count
@@ -588,13 +429,13 @@
     return transitions.Transition(
         with_runner(loading, state),
         (
-            effects.Reply(event.request_id, OrderReply(202)),
+            effects.Reply(event.request_id, runner_messages.OrderReply(202)),
             effects.SetTimer(over, LOAD_SECONDS * share),
         ),
     )
 
 
-@on_timer.register(LoadOver)
+@dispatch.on_timer.register(LoadOver)
 def end_load(
     timer: LoadOver, event: events.TimerFired, state: State
 ) -> Transition:
@@ -608,17 +449,17 @@
     return write_entries(with_runner(loaded, state))
 
 
-@on_request.register(Repath)
+@on_request.register(runner_messages.Repath)
 def repath(
-    wanted: Repath,
-    runner: Runner,
+    wanted: runner_messages.Repath,
+    runner: runner_messages.Runner,
     event: events.CallerRequested,
     state: State,
 ) -> Transition:
     """Go on with a request over another chain."""
     for part in wanted.chain:
         if check_part(part, state):
-            refused = OrderReply(409, part.address)
+            refused = runner_messages.OrderReply(409, part.address)
             return answer(event.request_id, refused, state)
     for request_id, running in state.running.items():
         if (running.run.runner_id, running.run.attempt_id) == (
@@ -632,15 +473,15 @@
                 state, running=state.running.set(request_id, moved)
             )
             return answer(
-                event.request_id, OrderReply(202), state
+                event.request_id, runner_messages.OrderReply(202), state
             ).with_effects(
                 RecordRun('move', running.run, wanted.chain, event.wall)
             )
-    return answer(event.request_id, OrderReply(404), state)
+    return answer(event.request_id, runner_messages.OrderReply(404), state)
 
 
 def set_faults(
-    wanted: Faults, event: events.CallerRequested, state: State
+    wanted: runner_messages.Faults, event: events.CallerRequested, state: State
 ) -> Transition:
     """Switch the faults of a runner; one that crashes loses what it has."""
     runner = state.runners[wanted.runner_id]
@@ -664,8 +505,8 @@
     return write_entries(state).with_effects(*closed, done)
 
 
-@reduce.register(events.CallAnswered)
-@reduce.register(events.CallFailed)
+@dispatch.reduce.register(events.CallAnswered)
+@dispatch.reduce.register(events.CallFailed)
 def ignore_store(event: events.Event, state: State) -> Transition:
     """Ignore the store's answers: entries are written again soon."""
     return transitions.Transition(state)
--- a/standins/loopback_proxy.py
+++ b/standins/loopback_proxy.py
@@ -7,13 +7,12 @@
 
 import dataclasses
 import enum
-import functools
 import typing
 
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from standins import json_codec
+from standins import json_codec, reducers
 
 
 class Side(enum.Enum):
@@ -115,21 +114,11 @@
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no connection."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.CallerRequested)
+@dispatch.reduce.register(events.CallerRequested)
 def set_faults(event: events.CallerRequested, state: State) -> Transition:
     """Switch the faults of a link, and reset connections if asked to."""
     wanted: Faults = event.wanted
@@ -170,7 +159,7 @@
     return state.faults.get(link, Faults(link))
 
 
-@reduce.register(Accepted)
+@dispatch.reduce.register(Accepted)
 def accept(event: Accepted, state: State) -> Transition:
     """Open the other side of a new connection."""
     if faults_of(event.link, state).refuse:
@@ -182,7 +171,7 @@
     )
 
 
-@reduce.register(Received)
+@dispatch.reduce.register(Received)
 def receive(event: Received, state: State) -> Transition:
     """Forward bytes as the faults of the link allow."""
     connection = state.connections.get(event.connection)
@@ -227,10 +216,11 @@
     )
 
 
-@reduce.register(events.TimerFired)
-def deliver(event: events.TimerFired, state: State) -> Transition:
+@dispatch.on_timer.register(Deliver)
+def deliver(
+    timer: Deliver, event: events.TimerFired, state: State
+) -> Transition:
     """Forward all bytes up to those whose delay is over, in their order."""
-    timer: Deliver = event.timer
     connection = state.connections.get(timer.connection)
     if connection is None:
         return transitions.Transition(state)
@@ -251,7 +241,7 @@
     )
 
 
-@reduce.register(Broken)
+@dispatch.reduce.register(Broken)
 def end(event: Broken, state: State) -> Transition:
     """Reset the side that is left, unless the link is silent."""
     connection = state.connections.get(event.connection)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -11,7 +11,7 @@
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from standins import json_codec, store_groups
+from standins import json_codec, reducers, store_groups
 
 SWEEP_SECONDS = 0.2
 RUNNER_TOPIC = 'keyed.servers'
@@ -152,30 +152,21 @@
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
+answer = reducers.answer
 DOWN = json_codec.Refused(503, 'the store is down')
 FORGOTTEN = json_codec.Refused(410, 'these records are gone')
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no record."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.InstanceStarted)
+@dispatch.reduce.register(events.InstanceStarted)
 def start(event: events.InstanceStarted, state: State) -> Transition:
     """Start to sweep."""
     sweep = effects.SetTimer(SweepDue(), SWEEP_SECONDS)
     return transitions.Transition(state, (sweep,))
 
 
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.CallerLeft)
+@dispatch.reduce.register(events.CallerLeft)
 def forget_reader(event: events.CallerLeft, state: State) -> Transition:
     """Forget a read whose caller left."""
     if event.request_id not in state.waiting:
@@ -184,7 +175,7 @@
     return transitions.Transition(dataclasses.replace(state, waiting=waiting))
 
 
-@reduce.register(events.CallerRequested)
+@dispatch.reduce.register(events.CallerRequested)
 def receive(event: events.CallerRequested, state: State) -> Transition:
     """Carry a request out as the faults allow."""
     wanted, faults = event.wanted, state.faults
@@ -201,21 +192,7 @@
     return carry_out(wanted, event.request_id, event.at, state)
 
 
-@reduce.register(events.TimerFired)
-def elapse(event: events.TimerFired, state: State) -> Transition:
-    """Dispatch on the timer."""
-    return on_timer(event.timer, event, state)
-
-
-@functools.singledispatch
-def on_timer(
-    timer: typing.Any, event: events.TimerFired, state: State
-) -> Transition:
-    """Handle a timer."""
-    raise TypeError(type(timer).__name__)
-
-
-@on_timer.register(Later)
+@dispatch.on_timer.register(Later)
 def carry_out_later(
     timer: Later, event: events.TimerFired, state: State
 ) -> Transition:
@@ -223,7 +200,7 @@
     return carry_out(timer.wanted, timer.request_id, event.at, state)
 
 
-@on_timer.register(SweepDue)
+@dispatch.on_timer.register(SweepDue)
 def sweep(
     timer: SweepDue, event: events.TimerFired, state: State
 ) -> Transition:
@@ -295,11 +272,6 @@
     return answer(request_id, json_codec.Done(), changed)
 
 
-def answer(request_id: str, reply: typing.Any, state: State) -> Transition:
-    """Answer a request."""
-    return transitions.Transition(state, (effects.Reply(request_id, reply),))
-
-
 def answer_change(
     request_id: str, reply: typing.Any, state: State
 ) -> Transition:
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -11,6 +11,7 @@
     layered_runners,
     loopback_proxy,
     platform_store,
+    runner_messages,
     store_groups,
 )
 from tests import reducer_driver
@@ -126,9 +127,9 @@
 
 def build_runner(
     name: str, layers: tuple[int, int] | None, **fields: typing.Any
-) -> layered_runners.Runner:
+) -> runner_messages.Runner:
     """Return a runner of the model."""
-    return layered_runners.Runner(
+    return runner_messages.Runner(
         name,
         'model',
         f'{name}:1',
@@ -157,17 +158,17 @@
     def run_chain(self, *parts: tuple[str, int, int]) -> typing.Any:
         """Send a request along a chain; return its answer if there is one."""
         chain = tuple(
-            layered_runners.ChainPart(f'{name}:1', first, end)
+            runner_messages.ChainPart(f'{name}:1', first, end)
             for name, first, end in parts
         )
-        wanted = layered_runners.Run(
+        wanted = runner_messages.Run(
             'm0', 'a1', 'POST', '/x', b'', 'ann', False, 'm0', 100, chain
         )
         return self.runners.ask('r1', wanted)
 
     def disturb(self, name: str, **faults: typing.Any) -> None:
         """Switch faults of a runner."""
-        self.runners.ask(f'f-{name}', layered_runners.Faults(name, **faults))
+        self.runners.ask(f'f-{name}', runner_messages.Faults(name, **faults))
 
     def test_whole_chain_streams_to_its_end(self) -> None:
         """Guard against a stand-in that serves nothing."""
@@ -192,23 +193,23 @@
         self.runners.pass_time(0.1)
         self.disturb('m1', dark=True)
         self.runners.pass_time(0.5)
-        report = self.runners.ask('p', layered_runners.ReadReport('m0', ''))
+        report = self.runners.ask('p', runner_messages.ReadReport('m0', ''))
         self.assertEqual((('a1', 'm1:1'),), report.stalled)
         self.runners.pass_time(3)
         self.assertIn('r1', self.runners.closed)
 
     def test_order_names_the_accepted_ones(self) -> None:
         """Guard against an order that is carried out late."""
-        first = layered_runners.Place('m2', 'm2', 4, 8, 0)
+        first = runner_messages.Place('m2', 'm2', 4, 8, 0)
         self.assertEqual(202, self.runners.ask('o1', first).status)
         self.runners.pass_time(2)
         self.assertEqual((4, 8), self.runners.state.runners['m2'].layers)
-        late = layered_runners.Place('m2', 'm2', 0, 4, 0)
+        late = runner_messages.Place('m2', 'm2', 0, 4, 0)
         self.assertEqual(409, self.runners.ask('o2', late).status)
 
     def test_other_runner_is_misdirected(self) -> None:
         """Guard against an address that another runner has by now."""
-        wanted = layered_runners.ReadReport('m0', 'm9')
+        wanted = runner_messages.ReadReport('m0', 'm9')
         self.assertEqual(421, self.runners.ask('p', wanted).status)
 
 
