--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -252,15 +252,6 @@
     """Send a request to the upstream that was chosen."""
     number = state.send_count + 1
     send_id = f's{number}'
-    ledger = state.repeats
-    if exchange.sends:
-        ledger = repeats.spend(
-            ledger,
-            exchange.service,
-            now,
-            state.limits,
-            members.count(state),
-        )
     attempt = exchanges.Attempt(
         send_id,
         target.runner_id,
@@ -276,7 +267,7 @@
     )
     next_state = dataclasses.replace(
         state,
-        repeats=ledger,
+        repeats=spend_repeat(exchange, now, state),
         send_count=number,
         seed=draws.draw(state.seed).seed,
         loads=take(state.loads, attempt),
@@ -292,6 +283,21 @@
     )
 
 
+def spend_repeat(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> repeats.Ledger:
+    """Count a send against the budget of repeats, unless it is the first."""
+    if not exchange.sends:
+        return state.repeats
+    return repeats.spend(
+        state.repeats,
+        exchange.service,
+        now,
+        state.limits,
+        members.count(state),
+    )
+
+
 def take(table: loads.LoadMap, attempt: exchanges.Attempt) -> loads.LoadMap:
     """Count an attempt at the upstreams that it uses."""
     if attempt.chain:
--- a/src/mustardvale/internal/relay/endings.py
+++ b/src/mustardvale/internal/relay/endings.py
@@ -133,32 +133,39 @@
         exchanges=state.exchanges.delete(exchange.request_id),
     )
     kind = exchange.route.kind.value
+    seconds = now - exchange.arrived_at
     logged = relay_effects.LogDecision(
-        end,
-        (
-            ('request', exchange.request.attempt_id),
-            ('route', exchange.route.name),
-            ('tenant', exchange.tenant),
-            *fields,
-            ('sends', exchange.sends),
-            ('runs', exchange.runs),
-            ('ms', int((now - exchange.arrived_at) * 1000)),
-        ),
-        routine=routine,
+        end, describe_end(exchange, fields, seconds), routine=routine
     )
     return transitions.Transition(
         next_state,
         (
             *aborted,
             effects.Count('relayed', (kind, end)),
-            effects.Observe(
-                'relay_seconds', now - exchange.arrived_at, (kind,)
-            ),
+            effects.Observe('relay_seconds', seconds, (kind,)),
             logged,
         ),
     )
 
 
+def describe_end(
+    exchange: exchanges.Exchange,
+    fields: tuple[tuple[str, typing.Any], ...],
+    seconds: float,
+) -> tuple[tuple[str, typing.Any], ...]:
+    """Return the fields of the line about the end of a request."""
+    described = {
+        'request': exchange.request.attempt_id,
+        'route': exchange.route.name,
+        'tenant': exchange.tenant,
+        **dict(fields),
+        'sends': exchange.sends,
+        'runs': exchange.runs,
+        'ms': int(seconds * 1000),
+    }
+    return tuple(described.items())
+
+
 def release(table: loads.LoadMap, attempt: exchanges.Attempt) -> loads.LoadMap:
     """Take an attempt away from the load of its upstreams."""
     if attempt.chain:
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import typing
+from collections import abc
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
@@ -196,17 +197,28 @@
         next_state,
         (
             effects.Call(call, chain[0].address, MOVE_ANSWER_SECONDS),
-            relay_effects.LogDecision(
-                'stream_moving',
-                (
-                    ('request', exchange.request.attempt_id),
-                    ('from', dispatch.describe_chain(attempt.chain)),
-                    ('to', dispatch.describe_chain(chain)),
-                    ('faulty', sorted(faulty)),
-                    ('last_event', exchange.last_event),
-                    ('silent_ms', int((now - attempt.heard_at) * 1000)),
-                ),
-            ),
+            describe_move(exchange, attempt, chain, faulty, now),
+        ),
+    )
+
+
+def describe_move(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    chain: requests.Chain,
+    faulty: frozenset[str],
+    now: float,
+) -> effects.Effect:
+    """Return the log line of an order to move."""
+    return relay_effects.LogDecision(
+        'stream_moving',
+        (
+            ('request', exchange.request.attempt_id),
+            ('from', dispatch.describe_chain(attempt.chain)),
+            ('to', dispatch.describe_chain(chain)),
+            ('faulty', sorted(faulty)),
+            ('last_event', exchange.last_event),
+            ('silent_ms', int((now - attempt.heard_at) * 1000)),
         ),
     )
 
@@ -247,24 +259,21 @@
     service = active.services.get(exchange.service) if active else None
     if service is None or service.engine is None:
         return None
-    used = {part.runner_id for part in attempt.chain}
-    candidates = tuple(
-        candidate
-        for candidate in dispatch.describe_candidates(
+    candidates = without(
+        dispatch.describe_candidates(
             service.engine, exchange.service, now, state
-        )
-        if candidate.runner_id not in used
+        ),
+        attempt.chain,
     )
     work = dispatch.measure(exchange, service.engine)
     repaired: tuple[requests.ChainPart, ...] = ()
     for span in spans(attempt.chain, faulty):
-        if span[0].runner_id not in faulty:
+        first, last = span[0], span[-1]
+        if first.runner_id not in faulty:
             repaired += span
             continue
         missing = chains.Span(
-            span[0].first_layer,
-            span[-1].end_layer,
-            repaired[-1].zone,
+            first.first_layer, last.end_layer, repaired[-1].zone
         )
         substitutes = chains.find(
             service.engine,
@@ -304,7 +313,7 @@
 
 
 def without(
-    candidates: tuple[chains.Candidate, ...], chain: requests.Chain
+    candidates: abc.Sequence[chains.Candidate], chain: requests.Chain
 ) -> tuple[chains.Candidate, ...]:
     """Leave out the runners of a chain."""
     taken = {part.runner_id for part in chain}
