Read the store at once when a reader is lost or cannot read

Cause: an instance that lost its reader tried the other one first. When the store turns both away but serves the follower, the list could be 2.4 s old, and leaving runners get nothing after two seconds on some sites.

Change: a follower that loses its reader reads the store at once and follows the other reader from the next read on. A reader whose own reads fail, of the list or of the configuration, refuses its followers at once. The soak runs six instances, so that each zone has a follower.

Before: the new tests fail (the second reader is asked; waiting followers get no answer). After: they pass.

--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -26,6 +26,8 @@
     relay_sites,
 )
 
+# Two zones of three, of which one follows the others.
+ENTRIES = 6
 # Faults end this long before the load, which shows that the site recovers.
 QUIET_SECONDS = relay_checks.RECOVERY_SECONDS + 3.0
 # Faults after which bounds on times do not hold for a while.
@@ -194,7 +196,10 @@
 ) -> Outcome:
     """Run a site under faults for some seconds and return what it showed."""
     site = relay_sites.RelaySite(
-        seed, rate=rate, seconds=seconds + QUIET_SECONDS
+        seed,
+        entries=ENTRIES,
+        rate=rate,
+        seconds=seconds + QUIET_SECONDS,
     )
     with site:
         driver = SoakDriver(site)
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -149,8 +149,8 @@
 def answer_followers(now: float, state: 'states.State') -> reducer.Transition:
     """Tell all instances that wait what has been read."""
     confirmed = state.configuration.confirmed_at
-    if not state.feed.followers or confirmed is None:
-        return transitions.Transition(state)
+    if confirmed is None or state.configuration.failing_since is not None:
+        return refuse_followers(state)
     told = tuple(
         effects.Reply(request_id, build_news(wanted, now - confirmed, state))
         for request_id, wanted in state.feed.followers.items()
@@ -159,6 +159,22 @@
     return transitions.Transition(dataclasses.replace(state, feed=feed), told)
 
 
+def refuse_followers(state: 'states.State') -> reducer.Transition:
+    """Let all instances that wait read for themselves.
+
+    The store may serve them while it does not answer here.
+    """
+    refusal = requests.Refusal(UNAVAILABLE, 'not_reading')
+    refused = tuple(
+        effects.Reply(request_id, refusal)
+        for request_id in state.feed.followers
+    )
+    feed = dataclasses.replace(state.feed, followers=immutables.Map())
+    return transitions.Transition(
+        dataclasses.replace(state, feed=feed), refused
+    )
+
+
 def build_news(
     wanted: calls.FollowPeer, confirmed_seconds: float, state: 'states.State'
 ) -> calls.PeerNews:
--- a/src/mustardvale/internal/relay/peer_news.py
+++ b/src/mustardvale/internal/relay/peer_news.py
@@ -85,7 +85,10 @@
 def leave_reader(
     problem: str, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Go on with another reader, or with the store."""
+    """Read the store at once, and follow another reader from then on.
+
+    A second reader that does not answer either would make the list too old.
+    """
     logged = relay_effects.LogDecision(
         'reader_lost',
         (
@@ -94,5 +97,5 @@
             ('asked_ms', int((now - state.feed.asked_at) * 1000)),
         ),
     )
-    following = runner_list.read(now, peer_feed.fail_reader(now, state))
+    following = runner_list.read_store(now, peer_feed.fail_reader(now, state))
     return dataclasses.replace(following, effects=(logged, *following.effects))
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -58,6 +58,11 @@
     reader = peer_feed.choose_reader(now, state)
     if reader is not None:
         return peer_feed.ask(reader, now, state)
+    return read_store(now, state)
+
+
+def read_store(now: float, state: 'states.State') -> reducer.Transition:
+    """Ask the store, and let it confirm the configuration as well."""
     position = state.runner_list.position
     call: typing.Any = calls.ReadRunners()
     if position is not None:
@@ -238,7 +243,7 @@
     failing = dataclasses.replace(known, failing=True, failed_at=now)
     return transitions.Transition(
         dataclasses.replace(state, runner_list=failing), logged
-    )
+    ).then(peer_feed.refuse_followers)
 
 
 @reducer.on_timer.register(timers.RunnersDue)
--- a/tests/test_relay_peer_feed.py
+++ b/tests/test_relay_peer_feed.py
@@ -79,6 +79,15 @@
             failure=events.Failure(events.FailureKind.TIMED_OUT, True),
         )
 
+    def answer_list(self) -> None:
+        """Let the store answer a read of the list."""
+        self.instance.occur(
+            events.CallAnswered,
+            call=calls.FollowRunners(1),
+            address='',
+            answer=calls.RunnersRead(5, ()),
+        )
+
     def count(self, kind: type[typing.Any]) -> int:
         """Return the number of calls of a kind so far."""
         return len(self.instance.calls_of(kind))
@@ -145,9 +154,23 @@
         self.tell(configuration_position=0, confirmed_seconds=0.0)
         self.assertEqual(before, self.instance.state.configuration.confirmed_at)
 
+    def test_store_is_read_when_a_reader_is_lost(self) -> None:
+        """Guard against a list that is too old for leaving runners.
+
+        Those get nothing two seconds after the store has the change.
+        """
+        self.lose()
+        self.assertEqual(1, self.count(calls.FollowRunners))
+        self.assertTrue(self.instance.state.configuration.reading)
+        self.assertLess(
+            peer_feed.ANSWER_SECONDS + runner_list.READ_PERIOD_SECONDS, 2.0
+        )
+
     def test_second_reader_is_next(self) -> None:
         """Guard against waiting again for a reader that is gone."""
         self.lose()
+        self.answer_list()
+        self.instance.pass_time(0.8)
         addresses = {
             call.address for call in self.instance.calls_of(calls.FollowPeer)
         }
@@ -155,11 +178,13 @@
 
     def test_store_is_read_without_any_reader(self) -> None:
         """Guard against a list and keys that nobody confirms."""
-        self.lose()
-        self.asked = self.instance.calls_of(calls.FollowPeer)
-        self.lose()
-        self.assertEqual(1, self.count(calls.FollowRunners))
-        self.assertTrue(self.instance.state.configuration.reading)
+        for _ in range(2):
+            self.lose()
+            self.answer_list()
+            self.instance.pass_time(0.8)
+            self.asked = self.instance.calls_of(calls.FollowPeer)
+        self.assertEqual(2, self.count(calls.FollowPeer))
+        self.assertEqual(3, self.count(calls.FollowRunners))
 
     def test_lost_reader_is_logged(self) -> None:
         """Guard against a change of source that no log explains."""
@@ -227,6 +252,26 @@
         margin = configuration_feed.REVOCATION_MARGIN_SECONDS
         self.assertLess(2 * poll + on_the_way, limit - margin)
 
+    def fail(self, call: typing.Any) -> None:
+        """Let the store not answer a call."""
+        self.instance.occur(
+            events.CallFailed,
+            call=call,
+            address='',
+            failure=events.Failure(events.FailureKind.CLOSED, True),
+        )
+
+    def test_reader_without_the_list_refuses(self) -> None:
+        """Guard against followers that wait though the store serves them."""
+        self.fail(calls.FollowRunners(1))
+        self.assertEqual(503, self.instance.replies['f1'].status)
+
+    def test_reader_without_the_configuration_refuses(self) -> None:
+        """Guard against followers that hear of no new version."""
+        self.fail(calls.FollowConfiguration(1, 2.0))
+        self.read()
+        self.assertEqual(503, self.instance.replies['f1'].status)
+
     def test_caller_that_left_is_forgotten(self) -> None:
         """Guard against a table that grows with lost followers."""
         self.instance.occur(events.CallerLeft, request_id='f1')
