Follow only readers that know every change since

Cause: found by reading the feed once more. An instance that changed to a reader that had just started missed drops that lay between its own position and the reader's first read; one that was suspended for a minute missed drops that its reader had forgotten; and entries that it had held back while the store was away stayed held back, so that its next own read could drop a living runner.

Change: news name the position of the reader's first read; a follower whose position is before it, or that hears after five seconds, reads the store once. News replace the entries that were held back.

Before: the four new tests fail. After: they pass.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -73,11 +73,13 @@
 class PeerNews:
     """Hold what another instance has read since.
 
+    It knows of every change after `complete_from`, its own first read.
     The configuration at its position was in force `confirmed_seconds` before
     this was sent. A newer one is read from the store, which has it whole.
     """
 
     list_position: int
+    complete_from: int
     changes: tuple[RunnerChange, ...]
     configuration_position: int
     confirmed_seconds: float
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -192,6 +192,7 @@
     )
     return calls.PeerNews(
         state.runner_list.position or 0,
+        state.runner_list.complete_from or 0,
         changes,
         state.configuration.position or 0,
         confirmed_seconds,
--- a/src/mustardvale/internal/relay/peer_news.py
+++ b/src/mustardvale/internal/relay/peer_news.py
@@ -18,6 +18,11 @@
     from mustardvale.internal.relay import state as states
 
 
+# News that an instance reads after it was suspended for long may lack drops
+# that its reader has forgotten meanwhile.
+LATEST_SECONDS = 5.0
+
+
 @reducer.on_answer.register(calls.FollowPeer)
 def take_news(
     call: calls.FollowPeer, event: events.CallAnswered, state: 'states.State'
@@ -26,6 +31,11 @@
     news = event.answer
     if not isinstance(news, calls.PeerNews):
         return leave_reader(f'status {news.status}', event.at, state)
+    if event.at - state.feed.asked_at > LATEST_SECONDS:
+        return leave_reader('late news', event.at, state)
+    if news.complete_from > (state.runner_list.position or 0):
+        # A reader that has just started does not know what went before.
+        return runner_list.read_store(event.at, state)
     return (
         take_list(news, event.at, state)
         .then(lambda listed: take_confirmation(news, event.at, listed))
@@ -36,7 +46,10 @@
 def take_list(
     news: calls.PeerNews, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Apply the changes of the list, unless this instance has read further."""
+    """Apply the changes of the list, unless this instance has read further.
+
+    The reader has decided about the entries that this one held back.
+    """
     known = state.runner_list
     position = max(known.position or 0, news.list_position)
     table = state.runners
@@ -48,7 +61,11 @@
     return runner_list.adopt(
         runner_list.forget_old(table, now),
         dataclasses.replace(
-            known, position=position, read_at=now, failing=False
+            known,
+            position=position,
+            dropped=frozenset(),
+            read_at=now,
+            failing=False,
         ),
         state,
     )
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -38,11 +38,13 @@
 class ListState:
     """Hold the position in the list's log and the pages of a whole read.
 
+    Every change after `complete_from`, the end of the first read, is known.
     `pages` has the upstreams that a whole read has found so far. `dropped`
     has those whose entries went while that proves nothing.
     """
 
     position: int | None = None
+    complete_from: int | None = None
     pages: immutables.Map[str, runners.ListedRunner] = immutables.Map()
     dropped: frozenset[str] = frozenset()
     read_at: float | None = None
@@ -147,8 +149,10 @@
         for runner_id in dropped:
             table = runners.unlisted(table, runner_id, position, now)
         dropped = frozenset()
+    complete_from = known.complete_from
     following = ListState(
         position=position,
+        complete_from=position if complete_from is None else complete_from,
         dropped=dropped,
         read_at=now,
         failed_at=failed_at,
--- a/tests/test_relay_peer_feed.py
+++ b/tests/test_relay_peer_feed.py
@@ -58,6 +58,7 @@
         """Let the reader answer."""
         given = {
             'list_position': 9,
+            'complete_from': 0,
             'changes': (),
             'configuration_position': 1,
             'confirmed_seconds': 0.5,
@@ -186,6 +187,31 @@
         self.assertEqual(2, self.count(calls.FollowPeer))
         self.assertEqual(3, self.count(calls.FollowRunners))
 
+    def test_reader_that_has_just_started(self) -> None:
+        """Guard against a drop that lies before the reader's first read."""
+        self.tell(complete_from=8)
+        self.assertEqual(1, self.count(calls.FollowRunners))
+        self.assertEqual(1, self.count(calls.FollowPeer))
+
+    def test_news_after_a_suspension(self) -> None:
+        """Guard against drops that the reader has forgotten by now."""
+        self.instance.now += 70
+        self.tell()
+        self.assertEqual(1, self.count(calls.FollowRunners))
+
+    def test_entry_that_was_held_back_and_is_there_again(self) -> None:
+        """Guard against dropping a runner that its reader still lists."""
+        held_back = dataclasses.replace(
+            self.instance.state.runner_list, dropped=frozenset(('p1',))
+        )
+        self.instance.state = dataclasses.replace(
+            self.instance.state, runner_list=held_back
+        )
+        self.tell()
+        self.lose()
+        self.answer_list()
+        self.assertTrue(self.instance.state.runners['p1'].usable)
+
     def test_lost_reader_is_logged(self) -> None:
         """Guard against a change of source that no log explains."""
         self.lose()
@@ -218,6 +244,14 @@
         news = self.instance.replies['f1']
         self.assertEqual(5, news.list_position)
 
+    def test_first_read_is_told(self) -> None:
+        """Guard against a follower that cannot see what its reader missed."""
+        self.read()
+        first = self.instance.replies['f1'].complete_from
+        self.instance.ask('f2', calls.FollowPeer(5, 1))
+        self.read()
+        self.assertEqual(first, self.instance.replies['f2'].complete_from)
+
     def test_only_what_changed_is_told(self) -> None:
         """Guard against sending the whole list each time."""
         self.instance.state = dataclasses.replace(
@@ -299,6 +333,7 @@
         """Guard against entries that lose fields on the way."""
         news = calls.PeerNews(
             4,
+            3,
             (
                 calls.RunnerChange('m1', relay_states.model_runner('m1', 0, 9)),
                 calls.RunnerChange('m2', None),
