End the processes of a soak that is stopped

Cause: a soak that got SIGTERM left its instances and stand-ins running; seen when one was stopped by hand.

Change: the signal leaves through the context manager, as in the demo.

--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -18,6 +18,7 @@
 import fire
 
 from bench import (
+    demo,
     fault_plans,
     fault_run,
     processes,
@@ -246,6 +247,8 @@
     rate: float = 30,
 ) -> None:
     """Run faults with one or more seeds; seed 0 draws one."""
+    # Without it the processes of a run would outlive a stopped soak.
+    signal.signal(signal.SIGTERM, demo.exit_on_signal)
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
     chosen = tuple(kinds.split('+')) if kinds else tuple(relay_faults.KINDS)
     broken = 0
