--- a/bench/chain_placement.py
+++ b/bench/chain_placement.py
@@ -56,7 +56,8 @@
     usual_prompt=775,
     usual_output=220,
 )
-SITE = immutables.Map(
+Kinds = abc.Mapping[str, abc.Mapping[str, int]]
+SITE: Kinds = immutables.Map(
     {
         'a': {'a100': 2, 'v100': 4, 'l4': 4},
         'b': {'a100': 1, 'v100': 6, 'l4': 6},
@@ -82,14 +83,14 @@
     lost: bool = False
 
 
-def build_pool() -> Pool:
-    """Return the empty runners of the site."""
+def build_pool(site: Kinds = SITE) -> Pool:
+    """Return the empty runners of a site."""
     numbers = itertools.count(1)
     return tuple(
         runners.ListedRunner(
             f'r{next(numbers)}', 's', '10.0.0.1:1', zone, accelerator=kind
         )
-        for zone, kinds in SITE.items()
+        for zone, kinds in site.items()
         for kind, count in kinds.items()
         for _ in range(count)
     )
