Count configurations whose confirmation was lost as perhaps in force

Its trace: version 2 took the key of eve away, version 3 gave it back while the store lost answers. The operator saw no confirmation, so that the history had no version 3, but every instance adopted it at once (configuration_adopted, version 3, 3 keys). The check was wrong, not the instances.

Ruled out: a stale instance; all six logs have version 3 within 0.4 s.

--- a/bench/relay_sites.py
+++ b/bench/relay_sites.py
@@ -293,6 +293,9 @@
         """Write the next version of the configuration."""
         self.version += 1
         table = build_configuration(self.version, self.keys, self.timeout_ms)
+        keys = [key for found in self.keys.values() for key in found]
+        # A version whose confirmation is lost may be in force all the same.
+        self.note('config_sent', version=self.version, keys=keys)
         key = b'config'
         record = bytes((len(key),)) + key + json.dumps(table).encode()
         self.post(
@@ -300,7 +303,6 @@
             '/api/log-append?topic=keyed.op&part=0',
             LENGTH.pack(len(record)) + record,
         )
-        keys = [key for found in self.keys.values() for key in found]
         self.note('config', version=self.version, keys=keys)
 
     def post(self, address: str, target: str, body: bytes) -> None:
