Look a send up in one place, and split addresses with one function

Change: answers.reduce_send looks the send up and dispatches on the event, as the reducer does for timers and calls; moves calls answers.find; addresses.split stands beside the check of addresses. Behaviour stays: an answer of another request is still counted when its send is over.

Ruled out: one address check for settings and for entries of runners, whose bounds differ.

--- a/src/mustardvale/daemon.py
+++ b/src/mustardvale/daemon.py
@@ -8,6 +8,7 @@
 from mustardvale import errors
 from mustardvale import settings as setting_table
 from mustardvale.internal import (
+    addresses,
     configuration,
     handlers,
     log_streams,
@@ -84,9 +85,8 @@
         loop.occur,
         loop.metrics.count,
     ).register(loop)
-    host, _, port = settings.address.rpartition(':')
     loop.server = http_server.HttpServer(
-        (host, int(port)),
+        addresses.split(settings.address),
         codec,
         loop.occur,
         f'{settings.instance_id}-{secrets.token_hex(4)}',
--- a/src/mustardvale/internal/addresses.py
+++ b/src/mustardvale/internal/addresses.py
@@ -1,4 +1,4 @@
-"""Check addresses of the form IP:port."""
+"""Check and split addresses of the form IP:port."""
 
 import ipaddress
 
@@ -16,3 +16,9 @@
     except ValueError:
         return False
     return port.isascii() and port.isdecimal() and 0 < int(port) <= MAXIMUM_PORT
+
+
+def split(text: str) -> tuple[str, int]:
+    """Return host and port of an address, or raise `ValueError`."""
+    host, _, port = text.rpartition(':')
+    return host, int(port)
--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -8,6 +8,8 @@
 
 from circuits.core import pollers
 
+from mustardvale.internal import addresses
+
 PENDING_CONNECT = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
 RECEIVE_BYTES = 64 * 1024
 # A connection whose peer acknowledges nothing for this long is broken; the
@@ -118,14 +120,13 @@
 
     def connect(self, address: str, owner: ChannelOwner) -> Channel:
         """Open a connection; its owner hears of the outcome."""
-        host, _, port = address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         prepare(sock)
         channel = Channel(sock, connected=False)
         channel.owner = owner
         self.channels[sock] = channel
         try:
-            code = sock.connect_ex((host, int(port)))
+            code = sock.connect_ex(addresses.split(address))
         except (OSError, ValueError, OverflowError):
             code = errno.EADDRNOTAVAIL
         if code not in PENDING_CONNECT:
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -11,7 +11,7 @@
 import h11
 import immutables
 
-from mustardvale.internal import events
+from mustardvale.internal import addresses, events
 from mustardvale.internal.edge import connections, deadlines, wire
 
 MAXIMUM_CONNECTIONS_PER_ADDRESS = 64
@@ -94,7 +94,6 @@
         self, pool: connections.AddressPool, pending: connections.PendingCall
     ) -> None:
         """Open a connection for a call."""
-        host, _, port = pending.address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setblocking(False)
@@ -103,7 +102,7 @@
         pending.connection = connection
         pool.open_count += 1
         self.connections[sock] = connection
-        code = sock.connect_ex((host, int(port)))
+        code = sock.connect_ex(addresses.split(pending.address))
         if code in PENDING_CONNECT:
             self.poller.addWriter(self, sock)
         else:
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 
 from mustardvale.internal import effects, transitions
@@ -50,16 +51,35 @@
     attempt: exchanges.Attempt
 
 
-def find(event: relay_events.SendEvent, state: 'states.State') -> Open | None:
-    """Return what an event belongs to, unless it is over."""
-    request_id = state.sends.get(event.send_id)
+def find(send_id: str, state: 'states.State') -> Open | None:
+    """Return the request and attempt of a send, unless it is over."""
+    request_id = state.sends.get(send_id)
     if request_id is None:
         return None
     exchange = state.exchanges[request_id]
-    attempt = exchanges.find_attempt(exchange, event.send_id)
+    attempt = exchanges.find_attempt(exchange, send_id)
     return None if attempt is None else Open(exchange, attempt)
 
 
+@functools.singledispatch
+def on_send(
+    event: relay_events.SendEvent, found: Open, state: 'states.State'
+) -> reducer.Transition:
+    """Handle an event of a send that is not over."""
+    raise TypeError(f'no handler for {type(event).__name__}')
+
+
+@reducer.reduce.register(relay_events.SendEvent)
+def reduce_send(
+    event: relay_events.SendEvent, state: 'states.State'
+) -> reducer.Transition:
+    """Dispatch on the event; one of a send that is over changes nothing."""
+    found = find(event.send_id, state)
+    if found is None:
+        return transitions.Transition(state)
+    return on_send(event, found, state)
+
+
 def keep(
     found: Open, attempt: exchanges.Attempt, state: 'states.State'
 ) -> 'states.State':
@@ -70,14 +90,11 @@
     )
 
 
-@reducer.reduce.register(relay_events.SendStarted)
+@on_send.register(relay_events.SendStarted)
 def take_start(
-    event: relay_events.SendStarted, state: 'states.State'
+    event: relay_events.SendStarted, found: Open, state: 'states.State'
 ) -> reducer.Transition:
     """Note that the upstream may have received the request."""
-    found = find(event, state)
-    if found is None:
-        return transitions.Transition(state)
     sent = dataclasses.replace(found.attempt, sent=True, heard_at=event.at)
     return transitions.Transition(keep(found, sent, state))
 
@@ -87,7 +104,7 @@
     event: relay_events.StrayAnswerArrived, state: 'states.State'
 ) -> reducer.Transition:
     """Count and log an answer that belonged to another request."""
-    found = find(event, state)
+    found = find(event.send_id, state)
     runner = found.attempt.runner_id if found else None
     return transitions.Transition(
         state,
@@ -101,14 +118,11 @@
     )
 
 
-@reducer.reduce.register(relay_events.HeadArrived)
+@on_send.register(relay_events.HeadArrived)
 def take_head(
-    event: relay_events.HeadArrived, state: 'states.State'
+    event: relay_events.HeadArrived, found: Open, state: 'states.State'
 ) -> reducer.Transition:
     """Keep the head of an answer."""
-    found = find(event, state)
-    if found is None:
-        return transitions.Transition(state)
     headed = dataclasses.replace(
         found.attempt, head=event.head, heard_at=event.at
     )
@@ -125,14 +139,11 @@
     return head.status // 100 == 2 and head.proven and not head.encoded
 
 
-@reducer.reduce.register(relay_events.PartArrived)
+@on_send.register(relay_events.PartArrived)
 def take_part(
-    event: relay_events.PartArrived, state: 'states.State'
+    event: relay_events.PartArrived, found: Open, state: 'states.State'
 ) -> reducer.Transition:
     """Pass on whole events of a stream, or keep a part of a whole answer."""
-    found = find(event, state)
-    if found is None:
-        return transitions.Transition(state)
     head = found.attempt.head
     assert head is not None, 'a body follows its head'
     if found.exchange.is_stream and is_success(head):
@@ -209,14 +220,11 @@
     )
 
 
-@reducer.reduce.register(relay_events.SendEnded)
+@on_send.register(relay_events.SendEnded)
 def take_end(
-    event: relay_events.SendEnded, state: 'states.State'
+    event: relay_events.SendEnded, found: Open, state: 'states.State'
 ) -> reducer.Transition:
     """Handle the complete end of an answer."""
-    found = find(event, state)
-    if found is None:
-        return transitions.Transition(state)
     head = found.attempt.head
     assert head is not None, 'an answer ends after its head'
     state = learn(found, head, event.at, state)
@@ -381,14 +389,11 @@
     return transitions.Transition(following.state, (logged, *following.effects))
 
 
-@reducer.reduce.register(relay_events.SendFailed)
+@on_send.register(relay_events.SendFailed)
 def take_failure(
-    event: relay_events.SendFailed, state: 'states.State'
+    event: relay_events.SendFailed, found: Open, state: 'states.State'
 ) -> reducer.Transition:
     """Handle a send that ended without a whole answer."""
-    found = find(event, state)
-    if found is None:
-        return transitions.Transition(state)
     problem = event.failure.kind.value
     learned: reducer.Transition = transitions.Transition(state)
     if found.attempt.head is None:
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -329,7 +329,7 @@
     call: calls.MoveRequest, event: events.CallAnswered, state: 'states.State'
 ) -> reducer.Transition:
     """Take over the new chain, or try another way."""
-    found = find_moving(call, state)
+    found = answers.find(call.send_id, state)
     if found is None:
         return transitions.Transition(state)
     answer = event.answer
@@ -365,7 +365,7 @@
 ) -> reducer.Transition:
     """Go on watching: the order may have been carried out."""
     counted = effects.Count('moves', ('unanswered',))
-    found = find_moving(call, state)
+    found = answers.find(call.send_id, state)
     if found is None:
         return transitions.Transition(state, (counted,))
     stopped = dataclasses.replace(found.attempt, moving_to=())
@@ -374,18 +374,6 @@
     )
 
 
-def find_moving(
-    call: calls.MoveRequest, state: 'states.State'
-) -> answers.Open | None:
-    """Return the attempt that an order was given for, unless it is over."""
-    request_id = state.sends.get(call.send_id)
-    if request_id is None:
-        return None
-    exchange = state.exchanges[request_id]
-    attempt = exchanges.find_attempt(exchange, call.send_id)
-    return None if attempt is None else answers.Open(exchange, attempt)
-
-
 def adopt_chain(
     found: answers.Open,
     chain: requests.Chain,
--- a/src/mustardvale/relay_daemon.py
+++ b/src/mustardvale/relay_daemon.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from mustardvale import errors, relay_settings
+from mustardvale.internal import addresses
 from mustardvale.internal.edge import (
     bounded_output,
     logs,
@@ -38,17 +39,16 @@
         relay_metrics.build(),
         relay_loop.Codecs(front_codec, front_codec, call_codec),
     )
-    addresses = settings.identity.addresses
+    own = settings.identity.addresses
     listeners = (
-        (front_codec.FRONT, addresses.front, front_codec),
-        (front_codec.READINESS, addresses.readiness, front_codec),
-        (front_codec.DIRECTORY, addresses.directory, front_codec),
-        (front_codec.METRICS, addresses.metrics, front_codec),
-        (PEERS, addresses.peers, peer_feed_codec),
+        (front_codec.FRONT, own.front, front_codec),
+        (front_codec.READINESS, own.readiness, front_codec),
+        (front_codec.DIRECTORY, own.directory, front_codec),
+        (front_codec.METRICS, own.metrics, front_codec),
+        (PEERS, own.peers, peer_feed_codec),
     )
     for name, address, codec in listeners:
-        host, _, port = address.rpartition(':')
-        loop.callers.listen(name, (host, int(port)), codec)
+        loop.callers.listen(name, addresses.split(address), codec)
     return loop
 
 
