Share the dispatch of the older stand-ins, the start of sites and an engine

Cause: three older stand-ins still had the dispatch that standins.reducers now builds; two sites had the same context manager, two faults the same fields, and bench.chain_placement and tests.relay_states the same engine.

Change: they use one piece each.

--- a/bench/attempts.py
+++ b/bench/attempts.py
@@ -17,7 +17,7 @@
 import time
 import tracemalloc
 
-from mustardvale.internal import attempts, records
+from mustardvale.internal import addresses, attempts, records
 from mustardvale.internal.edge import codec_records
 from tests import action_site
 
@@ -76,8 +76,7 @@
 
 def connect(address: str) -> socket.socket:
     """Open a connection."""
-    host, _, port = address.rpartition(':')
-    return socket.create_connection((host, int(port)), timeout=10)
+    return socket.create_connection(addresses.split(address), timeout=10)
 
 
 class Load:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+import types
 import typing
 from collections import abc
 from http import client
@@ -68,6 +69,36 @@
         return tuple(f'{host}:{probe.getsockname()[1]}' for probe in probes)
 
 
+class Startable:
+    """Start within a `with` statement, and stop at its end."""
+
+    def start(self) -> None:
+        """Start everything."""
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        """Stop everything that was started."""
+        raise NotImplementedError
+
+    def __enter__(self) -> typing.Self:
+        """Start everything, or stop what has started."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        self.stop()
+
+
 def request(
     method: str,
     address: str,
--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -42,20 +42,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DisturbRunner(Fault):
+class DisturbRunner(fault_plans.Disturb):
     """Switch faults of a runner on; it starts again empty at the end."""
 
-    target: str
-    faults: tuple[tuple[str, typing.Any], ...]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DisturbLink(Fault):
+class DisturbLink(fault_plans.Disturb):
     """Switch faults of a link on, and off at the end."""
 
-    target: str
-    faults: tuple[tuple[str, typing.Any], ...]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configure(Fault):
--- a/bench/relay_sites.py
+++ b/bench/relay_sites.py
@@ -106,7 +106,7 @@
     }
 
 
-class RelaySite:
+class RelaySite(processes.Startable):
     """Control the processes of a site."""
 
     def __init__(
@@ -180,24 +180,6 @@
         """Return the path of a plan or settings file."""
         return str(self.directory / f'{name}.plan')
 
-    def __enter__(self) -> 'RelaySite':
-        """Start the site."""
-        try:
-            self.start()
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        """Stop the site."""
-        self.stop()
-
     def start(self) -> None:
         """Start everything and wait until layers are placed."""
         self.write_plans()
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -13,7 +13,6 @@
 import functools
 import pathlib
 import tempfile
-import types
 import typing
 
 import msgspec
@@ -30,7 +29,7 @@
 READ_LIMIT = 1000
 
 
-class Site:
+class Site(processes.Startable):
     """Control the processes of one site."""
 
     def __init__(
@@ -54,24 +53,6 @@
             member.instance_id: member for member in self.plan.members
         }
 
-    def __enter__(self) -> 'Site':
-        """Start the site."""
-        try:
-            self.start()
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        """Stop the site."""
-        self.stop()
-
     @property
     def entry_addresses(self) -> tuple[str, ...]:
         """Return the caller addresses of all entry instances."""
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -5,7 +5,7 @@
 import typing
 
 from mustardvale.internal import calls, effects, events, transitions
-from standins import json_codec
+from standins import json_codec, reducers
 
 DOWN = json_codec.Refused(503, 'the instance list is down')
 
@@ -59,28 +59,20 @@
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no row."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.TimerFired)
-def publish(event: events.TimerFired, state: State) -> Transition:
+@dispatch.on_timer.register(Publish)
+def publish(
+    timer: Publish, event: events.TimerFired, state: State
+) -> Transition:
     """Show rows to readers."""
-    shown = dataclasses.replace(state, shown=event.timer.instances)
+    shown = dataclasses.replace(state, shown=timer.instances)
     return transitions.Transition(shown)
 
 
-@reduce.register(events.CallerRequested)
+@dispatch.reduce.register(events.CallerRequested)
 def receive(event: events.CallerRequested, state: State) -> Transition:
     """Dispatch on the request."""
     return on_request(event.wanted, event, state)
--- a/standins/layered_runner_main.py
+++ b/standins/layered_runner_main.py
@@ -14,6 +14,7 @@
 import fire
 import immutables
 
+from mustardvale.internal import addresses
 from mustardvale.internal.edge import (
     channels,
     http_client,
@@ -54,10 +55,12 @@
         ).register(self)
         self.history = pathlib.Path(history)
         self.callers.listen(
-            layered_runner_codec.CONTROL, split(plan['control'])
+            layered_runner_codec.CONTROL, addresses.split(plan['control'])
         )
         for row in plan['runners']:
-            self.callers.listen(row['runner_id'], split(row['listen']))
+            self.callers.listen(
+                row['runner_id'], addresses.split(row['listen'])
+            )
 
     def record(self, line: dict[str, typing.Any]) -> None:
         """Write a line of the history."""
@@ -65,12 +68,6 @@
             opened.write(f'{json.dumps(line)}\n')
 
 
-def split(address: str) -> tuple[str, int]:
-    """Return host and port of an address."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def build_runners(
     plan: dict[str, typing.Any],
 ) -> immutables.Map[str, runner_messages.Runner]:
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -7,7 +7,7 @@
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from standins import json_codec
+from standins import json_codec, reducers
 
 RETENTION_SWEEP_SECONDS = 1.0
 
@@ -113,28 +113,19 @@
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
+answer = reducers.answer
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no stream."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.InstanceStarted)
+@dispatch.reduce.register(events.InstanceStarted)
 def start(event: events.InstanceStarted, state: State) -> Transition:
     """Start to sweep."""
     sweep = effects.SetTimer(SweepDue(), RETENTION_SWEEP_SECONDS)
     return transitions.Transition(state, (sweep,))
 
 
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.CallerRequested)
+@dispatch.reduce.register(events.CallerRequested)
 def receive(event: events.CallerRequested, state: State) -> Transition:
     """Dispatch on the request."""
     if state.faults.down and not isinstance(event.wanted, Faults):
@@ -142,26 +133,12 @@
     return on_request(event.wanted, event, state)
 
 
-@reduce.register(events.CallerLeft)
+@dispatch.reduce.register(events.CallerLeft)
 def forget_reader(event: events.CallerLeft, state: State) -> Transition:
     """Forget a read whose caller left."""
     return transitions.Transition(without_waiting(event.request_id, state))
 
 
-@reduce.register(events.TimerFired)
-def elapse(event: events.TimerFired, state: State) -> Transition:
-    """Dispatch on the timer."""
-    return on_timer(event.timer, event, state)
-
-
-@functools.singledispatch
-def on_timer(
-    timer: typing.Any, event: events.TimerFired, state: State
-) -> Transition:
-    """Handle a timer."""
-    raise TypeError(type(timer).__name__)
-
-
 @functools.singledispatch
 def on_request(
     wanted: typing.Any,
@@ -176,14 +153,6 @@
 TOO_MANY = json_codec.Refused(429, 'too many appends')
 
 
-def answer(request_id: str, reply: typing.Any, state: State) -> Transition:
-    """Answer a request."""
-    return transitions.Transition(
-        state,
-        (effects.Reply(request_id, reply),),
-    )
-
-
 @on_request.register(Faults)
 def set_faults(
     wanted: Faults,
@@ -227,7 +196,7 @@
     return dataclasses.replace(state, credit=credit, credited_at=now)
 
 
-@on_timer.register(AppendLater)
+@dispatch.on_timer.register(AppendLater)
 def append_later(
     timer: AppendLater,
     event: events.TimerFired,
@@ -314,7 +283,7 @@
     )
 
 
-@on_timer.register(WaitOver)
+@dispatch.on_timer.register(WaitOver)
 def end_wait(
     timer: WaitOver,
     event: events.TimerFired,
@@ -352,7 +321,7 @@
     return dataclasses.replace(state, waiting=waiting)
 
 
-@on_timer.register(SweepDue)
+@dispatch.on_timer.register(SweepDue)
 def sweep(
     timer: SweepDue,
     event: events.TimerFired,
--- a/standins/loopback_proxy_main.py
+++ b/standins/loopback_proxy_main.py
@@ -17,6 +17,7 @@
 import fire
 import immutables
 
+from mustardvale.internal import addresses
 from mustardvale.internal.edge import (
     channels,
     logs,
@@ -115,12 +116,12 @@
             self.table, ControlCodec(), self.occur
         )
         self.server = self.control
-        self.control.listen(CONTROL, split(plan['control']))
+        self.control.listen(CONTROL, addresses.split(plan['control']))
         self.numbers = itertools.count(1)
         self.sides: dict[tuple[int, loopback_proxy.Side], channels.Channel] = {}
         for row in plan['links']:
             self.table.listen(
-                split(row['listen']),
+                addresses.split(row['listen']),
                 BACKLOG,
                 functools.partial(self.take_callers, row['name']),
             )
@@ -169,12 +170,6 @@
                 self.table.close_when_written(channel)
 
 
-def split(address: str) -> tuple[str, int]:
-    """Return host and port of an address."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 @performer.perform.register(loopback_proxy.Connect)
 def perform_connect(effect: loopback_proxy.Connect, runtime: ProxyLoop) -> None:
     """Open the other side of a connection."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -3,6 +3,7 @@
 import secrets
 import typing
 
+from mustardvale.internal import addresses
 from mustardvale.internal.edge import (
     http_client,
     http_server,
@@ -25,9 +26,8 @@
     """Serve a reducer at `host:port` until the process is stopped."""
     logs.configure('INFO', name)
     loop = runtime.Runtime(reduce, state, performer.perform, metrics.Metrics())
-    host, _, port = address.rpartition(':')
     loop.server = http_server.HttpServer(
-        (host, int(port)),
+        addresses.split(address),
         codec,
         loop.occur,
         f'{name}-{secrets.token_hex(4)}',
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc
 
+from mustardvale.internal import addresses
 from mustardvale.internal.edge import http_server, performer, runtime
 from standins import engine_faults, engine_group
 
@@ -56,9 +57,8 @@
         loop: runtime.Runtime,
     ) -> None:
         """Serve an engine at `host:port`."""
-        host, _, port = address.rpartition(':')
         self.servers[instance_id] = EngineServer(
-            (host, int(port)),
+            addresses.split(address),
             engine_group.EngineCodec(instance_id),
             loop.occur,
             engine_group.build_prefix(
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -7,7 +7,7 @@
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from standins import json_codec
+from standins import json_codec, reducers
 
 DOWN = json_codec.Refused(503, 'the weight store is down')
 
@@ -97,27 +97,20 @@
 
 
 Transition = transitions.Transition[State]
+dispatch = reducers.build()
+reduce = dispatch.reduce
+answer = reducers.answer
 
 
-@functools.singledispatch
-def reduce(event: events.Event, state: State) -> Transition:
-    """Ignore events that concern no lease."""
-    return transitions.Transition(state)
-
-
-@reduce.register(events.StopRequested)
-def stop(event: events.StopRequested, state: State) -> Transition:
-    """Stop at once."""
-    return transitions.Transition(state, (effects.StopLoop(),))
-
-
-@reduce.register(events.TimerFired)
-def end_lease(event: events.TimerFired, state: State) -> Transition:
+@dispatch.on_timer.register(LeaseOver)
+def end_lease(
+    timer: LeaseOver, event: events.TimerFired, state: State
+) -> Transition:
     """End a lease whose time is over."""
-    return transitions.Transition(without(event.timer.lease, state))
+    return transitions.Transition(without(timer.lease, state))
 
 
-@reduce.register(events.CallerRequested)
+@dispatch.reduce.register(events.CallerRequested)
 def receive(event: events.CallerRequested, state: State) -> Transition:
     """Dispatch on the request."""
     if state.faults.down and not isinstance(event.wanted, Faults):
@@ -135,14 +128,6 @@
     raise TypeError(type(wanted).__name__)
 
 
-def answer(request_id: str, reply: typing.Any, state: State) -> Transition:
-    """Answer a request."""
-    return transitions.Transition(
-        state,
-        (effects.Reply(request_id, reply),),
-    )
-
-
 def without(lease: str, state: State) -> State:
     """Return the state without a lease that may have ended before."""
     if lease not in state.leases:
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -5,12 +5,12 @@
 
 import immutables
 
+from bench import chain_placement
 from mustardvale.internal import effects, events
 from mustardvale.internal.relay import (
     bounds,
     calls,
     configuration,
-    engines,
     handlers,
     members,
     repeats,
@@ -27,26 +27,16 @@
 KEY = 'key-of-ann'
 LAYERS = 80
 
-ENGINE = engines.Engine(
-    layers=LAYERS,
-    layer_mb=1750,
-    cache_bytes_per_token=1_180_000,
-    slots=96,
+# The users' accelerators, under names that say what sets them apart.
+KINDS = immutables.Map({'a100': 'large', 'v100': 'small', 'l4': 'wide'})
+ENGINE = dataclasses.replace(
+    chain_placement.ENGINE,
     accelerators=immutables.Map(
         {
-            'large': engines.Accelerator('large', 72_000, 2.4, 3.2),
-            'small': engines.Accelerator('small', 14_400, 5.3, 7.9),
-            'wide': engines.Accelerator('wide', 21_600, 16.0, 8.2),
+            KINDS[kind]: dataclasses.replace(one, name=KINDS[kind])
+            for kind, one in chain_placement.ENGINE.accelerators.items()
         }
     ),
-    step_seconds=0.00102,
-    step_seconds_per_sequence=0.00000918,
-    step_seconds_per_thousand_tokens=0.0000123,
-    read_tokens_per_second=164_000,
-    activation_bytes=59_000,
-    zone_link_mbps=16_000,
-    usual_prompt=775,
-    usual_output=220,
     load_seconds=14,
     loads_at_once=6,
 )
