Give each zone a group of its members, and one group to the readers

Cause: one consumer group held all instances. A list of it names at most as many members as it has partitions, 96 of 195, so that shares of the retry budget and loads were divided by a wrong number; and each change of the members made all instances list them again.

Change: the instances of a zone form a group; the readers of all zones form another one, whose first partition names the leader. Followers get the lists with their updates. A common limit is shared by zones and then by instances. Callers get the addresses of their zone, and of other zones where these are few. Followers without the store wait at a reader instead of reading on.

Measured: tests.test_relay_feeds.Readers, test_relay_peer_feed.StoreOutage and Members.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -65,11 +65,15 @@
 class FollowPeer:
     """Wait for the changes that another instance reads from the store.
 
-    The positions are those up to which this instance has read.
+    The positions are those up to which this instance has read, and
+    `members_checksum` is that of the members that it knows. `is_store_lost` is
+    true if the store does not answer this instance either.
     """
 
     list_position: int
     configuration_position: int
+    members_checksum: int = 0
+    is_store_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +84,9 @@
     first read. Its configuration was confirmed `confirmed_seconds` before the
     update was sent. The configuration itself is not included; a follower reads
     a newer one from the store.
+
+    `zone_members` and `readers` are the names of the members of the zone and of
+    the readers of all zones. They are empty if the follower knows the same.
     """
 
     list_position: int
@@ -87,6 +94,8 @@
     changes: tuple[RunnerChange, ...]
     configuration_position: int
     confirmed_seconds: float
+    zone_members: tuple[str, ...] = ()
+    readers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,8 +105,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JoinMembers:
-    """Join the group of instances, or renew the membership, for a time."""
+    """Join a group of instances, or renew the membership, for a time.
+
+    There is a group for each zone, and one for the readers of all zones, which
+    has no zone.
+    """
 
+    zone: str
     member: str
     lifetime_seconds: float
     generation: int
@@ -107,8 +121,8 @@
 class MembersJoined:
     """Confirm a membership.
 
-    The generation rises with each change of the members. The leader is the
-    member that may send orders to runners.
+    The generation rises with each change of the members. The leader of the
+    readers is the instance that may send orders to runners.
     """
 
     generation: int
@@ -117,8 +131,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveMembers:
-    """Leave the group of instances."""
+    """Leave the group of a zone, or that of the readers of all zones."""
 
+    zone: str
     member: str
 
 
@@ -129,12 +144,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListMembers:
-    """Read the names of the group's members."""
+    """Read the members of a zone, or the readers of all zones."""
+
+    zone: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersListed:
-    """Hold the names of the group's members."""
+    """Hold the names of the members of a group."""
 
     members: tuple[str, ...]
 
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -69,7 +69,7 @@
     place of the store.
     """
     known = state.configuration
-    if known.failing_since is None and peer_feed.is_following(state):
+    if peer_feed.is_following(state):
         idle = dataclasses.replace(known, is_reading=False)
         return transitions.Transition(
             dataclasses.replace(state, configuration=idle)
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -5,7 +5,6 @@
 
 from mustardvale.internal import caller_messages, effects, events, transitions
 from mustardvale.internal.relay import (
-    calls,
     completion,
     configuration_feed,
     instance_settings,
@@ -25,11 +24,13 @@
 # call stopped instances, with a shorter one they would ask more often.
 DIRECTORY_VALIDITY_SECONDS = 1.0
 MAXIMUM_DIRECTORY_ADDRESSES = 64
+# Callers of a zone with fewer other instances also get those of other zones, so
+# that the loss of a few instances leaves them enough.
+MINIMUM_ZONE_ADDRESSES = 8
 # After this time without an answer to a poll and its retries, the store is
 # considered unreachable.
 STORE_OUTAGE_SECONDS = 0.5
 STOP_CHECK_PERIOD_SECONDS = 0.1
-LEAVE_TIMEOUT_SECONDS = 1.0
 # Share of the time to stop after which open requests are aborted, so that the
 # callers receive their errors before the process ends.
 STOP_ABORT_SHARE = 0.9
@@ -61,7 +62,7 @@
         )
         .then(lambda current: configuration_feed.poll_next(current, event.at))
         .then(lambda current: runner_list.read_next(event.at, current))
-        .then(lambda current: members.send_join(current, event.at))
+        .then(lambda current: members.renew_memberships(current, event.at))
     )
 
 
@@ -103,15 +104,15 @@
 
 
 def choose_addresses(now: float, state: 'states.State') -> tuple[str, ...]:
-    """Return the front addresses of the instances that accept requests.
+    """Return the front addresses of instances that accept requests.
 
-    An instance that is stopping omits itself while it knows of others. So does
-    one that cannot reach the store, because it soon cannot check keys.
+    They are those of this zone and, where these are few, also of the readers of
+    other zones. An instance that is stopping omits itself while it knows of
+    others. So does one that cannot reach the store, because it soon cannot
+    check keys.
     """
     own = state.identity.addresses.front
-    addresses = tuple(
-        member.front for member in state.members.listed if member.front != own
-    )
+    addresses = list_other_addresses(state)
     failing_since = state.configuration.failing_since
     is_serving = (
         state.stopping is None
@@ -125,6 +126,28 @@
     return addresses[:MAXIMUM_DIRECTORY_ADDRESSES]
 
 
+def list_other_addresses(state: 'states.State') -> tuple[str, ...]:
+    """Return the front addresses of other instances.
+
+    The list begins after this instance in the order of ids. Where not all
+    addresses fit in an answer, the answers of all instances together name each
+    instance equally often.
+    """
+    own_id = state.identity.instance_id
+    own_zone = state.identity.availability_zone
+    zone_members = state.members.zone.listed
+    later = [member for member in zone_members if member.instance_id > own_id]
+    earlier = [member for member in zone_members if member.instance_id < own_id]
+    chosen = later + earlier
+    if len(chosen) < MINIMUM_ZONE_ADDRESSES:
+        chosen += [
+            member
+            for member in state.members.readers.listed
+            if member.availability_zone != own_zone
+        ]
+    return tuple(member.front for member in chosen)
+
+
 @reducer.on_request.register(requests.MetricsRequest)
 def answer_metrics(
     request: requests.MetricsRequest,
@@ -147,16 +170,13 @@
     stopping = dataclasses.replace(
         state, stopping=instance_settings.Stopping(event.at)
     )
-    leave = calls.LeaveMembers(members.encode_member(state.identity))
     return transitions.Transition(
         stopping,
         (
             relay_effects.LogDecision(
                 'stop_requested', (('open', len(state.exchanges)),)
             ),
-            effects.Call(
-                leave, state.identity.addresses.store, LEAVE_TIMEOUT_SECONDS
-            ),
+            *members.leave_groups(state),
             relay_effects.CloseIdleCallers(),
             effects.SetTimer(timers.StopCheckDue(), STOP_CHECK_PERIOD_SECONDS),
         ),
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -1,13 +1,17 @@
-"""Maintain this instance's membership and the list of instances.
-
-Each instance periodically joins one consumer group of the platform's store. The
-group has more partitions than there are instances, so that the owners of its
-partitions are all the instances. The owner of the first partition is the leader
-and the only instance that sends orders to runners.
+"""Maintain this instance's membership and the lists of other instances.
+
+The instances of each zone form a consumer group in the platform's store, and
+the readers of all zones form another one. A change in one zone is therefore
+noticed by the instances of that zone only, and what an instance knows grows
+with its zone. The groups have more partitions than members, so that the owners
+of the partitions are all the members. The owner of the first partition of the
+readers' group is the leader and the only instance that sends orders to runners.
 """
 
 import dataclasses
 import typing
+import zlib
+from collections import abc
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import calls, instance_settings, reducer, timers
@@ -16,17 +20,22 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
+# With two readers, the loss of one affects its followers only briefly.
+READERS_PER_ZONE = 2
 JOIN_PERIOD_SECONDS = 0.7
 MEMBERSHIP_LIFETIME_SECONDS = 2.1
 ANSWER_TIMEOUT_SECONDS = 1.0
 SEPARATOR = '|'
 MEMBER_FIELD_COUNT = 5
+READER_GROUP = ''
 # A new member is listed once it owns partitions. It gets them after their owner
 # has joined twice more and the new member once.
 HANDOVER_SECONDS = 2.4
 # Number of instances assumed until they are listed. High, because a share of a
 # limit that is too small for a while does less harm than one that is too large.
 ASSUMED_INSTANCE_COUNT = 8
+# Number of zones assumed until the readers of the other zones are known.
+ASSUMED_ZONE_COUNT = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,12 +53,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class MemberState:
-    """Hold the group's generation and its members as last listed.
+class GroupState:
+    """Hold the generation of a group and its members as last listed.
 
     `listed_generation` is the generation of that list, or -1 before the first.
-    `leader_until` is when leadership ends unless it is renewed; it counts from
-    the time at which the renewal was sent.
+    `is_joined` is true from the first join until this instance leaves.
     """
 
     generation: int = 0
@@ -58,14 +66,28 @@
     generation_changed_at: float = 0.0
     list_requested_at: float = 0.0
     join_requested_at: float = 0.0
+    is_joined: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberState:
+    """Hold the group of this instance's zone and that of all readers.
+
+    `leader_until` is when leadership ends unless it is renewed; it counts from
+    the time at which the renewal was sent. `checksum` is that of both lists.
+    """
+
+    zone: GroupState = GroupState()
+    readers: GroupState = GroupState()
     leader_until: float = 0.0
+    checksum: int = 0
     is_failing: bool = False
 
 
 def encode_member(identity: instance_settings.Identity) -> str:
     """Return the member name of an instance, which holds its addresses."""
-    return SEPARATOR.join(
-        (
+    return format_member(
+        Member(
             identity.instance_id,
             identity.addresses.front,
             identity.availability_zone,
@@ -75,19 +97,75 @@
     )
 
 
+def format_member(member: Member) -> str:
+    """Return the name that describes a member."""
+    return SEPARATOR.join(
+        (
+            member.instance_id,
+            member.front,
+            member.availability_zone,
+            member.region,
+            member.peers,
+        )
+    )
+
+
+def format_members(listed: tuple[Member, ...]) -> tuple[str, ...]:
+    """Return the names of members."""
+    return tuple(map(format_member, listed))
+
+
 def decode_member(name: str) -> Member | None:
     """Return the member that a name describes, or `None` for other formats."""
     fields = name.split(SEPARATOR)
     return Member(*fields) if len(fields) == MEMBER_FIELD_COUNT else None
 
 
+def decode_members(names: abc.Iterable[str]) -> tuple[Member, ...]:
+    """Return the members with names of the right format, ordered by id."""
+    decoded = {decode_member(name) for name in names}
+    return tuple(
+        sorted(
+            (member for member in decoded if member is not None),
+            key=lambda member: member.instance_id,
+        )
+    )
+
+
 def count_instances(state: 'states.State') -> int:
-    """Return the number of instances, including this one."""
-    if state.members.listed_generation < 0:
+    """Return the estimated number of instances, including this one.
+
+    A limit for all instances is shared evenly by the zones, and by the
+    instances of each zone. The estimate is the number of shares of the size of
+    this instance's share, so that the shares of all instances add up to 1 even
+    where the zones have different numbers of instances.
+    """
+    known = state.members
+    if known.zone.listed_generation < 0:
         return ASSUMED_INSTANCE_COUNT
     own = state.identity.instance_id
-    others = sum(member.instance_id != own for member in state.members.listed)
-    return others + 1
+    others = sum(member.instance_id != own for member in known.zone.listed)
+    return (others + 1) * count_zones(state)
+
+
+def count_zones(state: 'states.State') -> int:
+    """Return the number of zones with instances."""
+    known = state.members.readers
+    if known.listed_generation < 0:
+        return ASSUMED_ZONE_COUNT
+    zones = {member.availability_zone for member in known.listed}
+    return len(zones | {state.identity.availability_zone})
+
+
+def list_zone_readers(state: 'states.State') -> tuple[Member, ...]:
+    """Return the readers of this instance's zone."""
+    return state.members.zone.listed[:READERS_PER_ZONE]
+
+
+def is_reader(state: 'states.State') -> bool:
+    """Return whether this instance is a reader of its zone."""
+    own = state.identity.instance_id
+    return any(member.instance_id == own for member in list_zone_readers(state))
 
 
 def is_leader(state: 'states.State', now: float) -> bool:
@@ -95,37 +173,110 @@
     return state.stopping is None and now < state.members.leader_until
 
 
-def send_join(state: 'states.State', now: float) -> reducer.Transition:
-    """Send a request to join the group, or to renew the membership."""
-    joining = dataclasses.replace(state.members, join_requested_at=now)
+def find_group(zone: str, known: MemberState) -> GroupState:
+    """Return the state of the group with a zone, or of the readers."""
+    return known.zone if zone else known.readers
+
+
+def replace_group(
+    zone: str, group: GroupState, state: 'states.State'
+) -> 'states.State':
+    """Store the state of a group, and the checksum of both lists."""
+    known = state.members
+    changed = (
+        dataclasses.replace(known, zone=group)
+        if zone
+        else dataclasses.replace(known, readers=group)
+    )
+    if group.listed is not find_group(zone, known).listed:
+        changed = dataclasses.replace(
+            changed, checksum=compute_checksum(changed)
+        )
+    return dataclasses.replace(state, members=changed)
+
+
+def compute_checksum(known: MemberState) -> int:
+    """Return a checksum of the members of both groups."""
+    names = (
+        *format_members(known.zone.listed),
+        READER_GROUP,
+        *format_members(known.readers.listed),
+    )
+    return zlib.crc32('\n'.join(names).encode())
+
+
+def renew_memberships(state: 'states.State', now: float) -> reducer.Transition:
+    """Join the group of the zone, and that of the readers as one of them.
+
+    An instance that is no longer a reader leaves the readers.
+    """
+    renewed = send_join(state.identity.availability_zone, now, state)
+    if is_reader(state):
+        renewed = renewed.then(
+            lambda current: send_join(READER_GROUP, now, current)
+        )
+    elif state.members.readers.is_joined:
+        renewed = renewed.then(leave_readers)
+    return renewed.with_effects(
+        effects.SetTimer(timers.MembershipRenewalDue(), JOIN_PERIOD_SECONDS)
+    )
+
+
+def send_join(
+    zone: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Send a request to join a group, or to renew the membership."""
+    group = find_group(zone, state.members)
     call = calls.JoinMembers(
+        zone,
         encode_member(state.identity),
         MEMBERSHIP_LIFETIME_SECONDS,
-        state.members.generation,
+        group.generation,
     )
+    joining = dataclasses.replace(group, join_requested_at=now, is_joined=True)
     return transitions.Transition(
-        dataclasses.replace(state, members=joining),
-        (
-            effects.Call(
-                call, state.identity.addresses.store, ANSWER_TIMEOUT_SECONDS
-            ),
-            effects.SetTimer(
-                timers.MembershipRenewalDue(), JOIN_PERIOD_SECONDS
-            ),
-        ),
+        replace_group(zone, joining, state), (build_call(call, state),)
+    )
+
+
+def leave_readers(state: 'states.State') -> reducer.Transition:
+    """Give up the leadership, and leave the group of the readers."""
+    left = dataclasses.replace(state.members.readers, is_joined=False)
+    known = dataclasses.replace(state.members, readers=left, leader_until=0.0)
+    call = calls.LeaveMembers(READER_GROUP, encode_member(state.identity))
+    return transitions.Transition(
+        dataclasses.replace(state, members=known), (build_call(call, state),)
+    )
+
+
+def leave_groups(state: 'states.State') -> tuple[effects.Effect, ...]:
+    """Return the effects that leave all groups before a stop."""
+    name = encode_member(state.identity)
+    zones = [state.identity.availability_zone]
+    if state.members.readers.is_joined:
+        zones.append(READER_GROUP)
+    return tuple(
+        build_call(calls.LeaveMembers(zone, name), state) for zone in zones
+    )
+
+
+def build_call(call: typing.Any, state: 'states.State') -> effects.Effect:
+    """Return the effect of a call to the store."""
+    return effects.Call(
+        call, state.identity.addresses.store, ANSWER_TIMEOUT_SECONDS
     )
 
 
 @reducer.on_timer.register(timers.MembershipRenewalDue)
-def renew_membership(
+def handle_renewal_timer(
     timer: timers.MembershipRenewalDue,
     event: events.TimerFired,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Renew the membership unless this instance is stopping."""
+    """Renew the memberships unless this instance is stopping."""
     if state.stopping is not None:
         return transitions.Transition(state)
-    return send_join(state, event.at)
+    return renew_memberships(state, event.at)
 
 
 @reducer.on_answer.register(calls.JoinMembers)
@@ -135,55 +286,73 @@
     """Store the generation and the leadership; list the members if due."""
     if not isinstance(event.answer, calls.MembersJoined):
         return record_failure(f'status {event.answer.status}', state)
-    known = state.members
+    group = find_group(call.zone, state.members)
+    if group.generation != event.answer.generation:
+        group = dataclasses.replace(
+            group,
+            generation=event.answer.generation,
+            generation_changed_at=event.at,
+        )
+    joined = record_leadership(
+        call, event.answer, event.at, replace_group(call.zone, group, state)
+    )
+    if not is_member_list_due(call.zone, event.at, joined.state):
+        return joined
+    listing = dataclasses.replace(group, list_requested_at=event.at)
+    return joined.then(
+        lambda current: transitions.Transition(
+            replace_group(call.zone, listing, current),
+            (build_call(calls.ListMembers(call.zone), current),),
+        )
+    )
+
+
+def record_leadership(
+    call: calls.JoinMembers,
+    answer: calls.MembersJoined,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Store whether this instance leads the readers, and log a change."""
+    known = dataclasses.replace(state.members, is_failing=False)
+    group = known.readers
+    if call.zone or not group.is_joined:
+        # A late answer after leaving the readers grants nothing.
+        return transitions.Transition(dataclasses.replace(state, members=known))
     leader_until = 0.0
-    if event.answer.is_leader:
-        leader_until = known.join_requested_at + MEMBERSHIP_LIFETIME_SECONDS
+    if answer.is_leader:
+        leader_until = group.join_requested_at + MEMBERSHIP_LIFETIME_SECONDS
     log_effects: tuple[effects.Effect, ...] = ()
-    if event.answer.is_leader != (known.leader_until > event.at):
+    if answer.is_leader != (known.leader_until > now):
         log_effects = (
             relay_effects.LogDecision(
                 'order_right_changed',
                 (
-                    ('held', event.answer.is_leader),
-                    ('generation', event.answer.generation),
+                    ('held', answer.is_leader),
+                    ('generation', answer.generation),
                 ),
             ),
         )
-    has_changed = event.answer.generation != known.generation
-    joined = dataclasses.replace(
-        known,
-        generation=event.answer.generation,
-        generation_changed_at=event.at
-        if has_changed
-        else known.generation_changed_at,
-        leader_until=leader_until,
-        is_failing=False,
-    )
-    if not is_member_list_due(joined, event.at):
-        return transitions.Transition(
-            dataclasses.replace(state, members=joined), log_effects
-        )
-    listing = dataclasses.replace(joined, list_requested_at=event.at)
-    next_state = dataclasses.replace(state, members=listing)
-    list_call = effects.Call(
-        calls.ListMembers(),
-        state.identity.addresses.store,
-        ANSWER_TIMEOUT_SECONDS,
+    led = dataclasses.replace(known, leader_until=leader_until)
+    return transitions.Transition(
+        dataclasses.replace(state, members=led), log_effects
     )
-    return transitions.Transition(next_state, (*log_effects, list_call))
 
 
-def is_member_list_due(known: MemberState, now: float) -> bool:
-    """Return whether to list the members again.
+def is_member_list_due(zone: str, now: float, state: 'states.State') -> bool:
+    """Return whether to list the members of a group again.
 
     They are listed when the generation changes, and once more after the time
-    in which all partitions have been handed over.
+    in which all partitions have been handed over. A follower receives the
+    lists from its reader.
     """
-    if known.listed_generation != known.generation:
+    group = find_group(zone, state.members)
+    if state.peer_feed.reader_id and group.listed_generation >= 0:
+        return False
+    if group.listed_generation != group.generation:
         return True
-    handed_over_at = known.generation_changed_at + HANDOVER_SECONDS
-    return known.list_requested_at < handed_over_at <= now
+    handed_over_at = group.generation_changed_at + HANDOVER_SECONDS
+    return group.list_requested_at < handed_over_at <= now
 
 
 @reducer.on_answer.register(calls.ListMembers)
@@ -193,25 +362,32 @@
     """Store the listed members."""
     if not isinstance(event.answer, calls.MembersListed):
         return record_failure(f'status {event.answer.status}', state)
-    decoded = {decode_member(name) for name in event.answer.members}
-    listed = tuple(
-        sorted(
-            (member for member in decoded if member is not None),
-            key=lambda member: member.instance_id,
-        )
-    )
+    return record_members(call.zone, event.answer.members, state)
+
+
+def record_members(
+    zone: str, names: tuple[str, ...], state: 'states.State'
+) -> reducer.Transition:
+    """Store the members of a group, and log a change."""
+    group = find_group(zone, state.members)
+    listed = decode_members(names)
+    is_changed = listed != group.listed
     known = dataclasses.replace(
-        state.members,
-        listed=listed,
-        listed_generation=state.members.generation,
+        group,
+        listed=listed if is_changed else group.listed,
+        listed_generation=group.generation,
     )
+    next_state = replace_group(zone, known, state)
+    if not is_changed:
+        return transitions.Transition(next_state)
     return transitions.Transition(
-        dataclasses.replace(state, members=known),
+        next_state,
         (
-            effects.SetGauge('members', len(listed)),
+            effects.SetGauge('members', count_instances(next_state)),
             relay_effects.LogDecision(
                 'members_changed',
                 (
+                    ('group', zone or 'readers'),
                     ('generation', known.generation),
                     ('members', [member.instance_id for member in listed]),
                 ),
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -213,7 +213,7 @@
                 ('first', assignment.layers.first),
                 ('end', assignment.layers.end),
                 ('order_count', count),
-                ('generation', state.members.generation),
+                ('generation', state.members.readers.generation),
             ),
         ),
     )
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -18,8 +18,6 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-# With two readers, the loss of one affects its followers only briefly.
-READERS_PER_ZONE = 2
 # Readers answer after each of their reads of the list, every 0.7 s.
 ANSWER_TIMEOUT_SECONDS = 1.2
 # A reader that did not answer is skipped for this long.
@@ -46,34 +44,25 @@
 def choose_reader(now: float, state: 'states.State') -> members.Member | None:
     """Return the reader to follow, or `None` to read from the store."""
     positions = state.configuration.position, state.runner_list.position
-    has_no_members = state.members.listed_generation < 0
+    has_no_members = state.members.zone.listed_generation < 0
     if None in positions or has_no_members or state.stopping is not None:
         return None
-    own = state.identity
-    readers = list_zone_members(state)[:READERS_PER_ZONE]
-    if any(member.instance_id == own.instance_id for member in readers):
+    if members.is_reader(state):
         return None
+    readers = members.list_zone_readers(state)
     # A checksum of this instance's address spreads the followers over the
     # readers.
-    first = sum(own.addresses.peers.encode()) % max(len(readers), 1)
+    own_address = state.identity.addresses.peers
+    first = sum(own_address.encode()) % max(len(readers), 1)
     for member in (*readers[first:], *readers[:first]):
         if state.peer_feed.failed_until.get(member.instance_id, 0.0) <= now:
             return member
     return None
 
 
-def list_zone_members(state: 'states.State') -> tuple[members.Member, ...]:
-    """Return the members of this instance's zone, ordered by id."""
-    return tuple(
-        member
-        for member in state.members.listed
-        if member.availability_zone == state.identity.availability_zone
-    )
-
-
 def may_have_followers(state: 'states.State') -> bool:
     """Return whether the zone has more instances than readers."""
-    return len(list_zone_members(state)) > READERS_PER_ZONE
+    return len(state.members.zone.listed) > members.READERS_PER_ZONE
 
 
 def is_following(state: 'states.State') -> bool:
@@ -91,7 +80,12 @@
     assert configuration_position is not None, (
         'followers have read the configuration'
     )
-    call = calls.FollowPeer(list_position, configuration_position)
+    call = calls.FollowPeer(
+        list_position,
+        configuration_position,
+        state.members.checksum,
+        state.runner_list.is_failing,
+    )
     return change_reader(reader.instance_id, now, state).with_effects(
         effects.Call(call, reader.peers, ANSWER_TIMEOUT_SECONDS)
     )
@@ -112,12 +106,22 @@
         (
             ('reader', reader_id or None),
             ('before', state.peer_feed.reader_id or None),
-            ('generation', state.members.generation),
+            ('generation', state.members.zone.generation),
         ),
     )
     return transitions.Transition(next_state, (log_effect,))
 
 
+def forget_reader_failures(state: 'states.State') -> 'states.State':
+    """Ask all readers again: the store does not answer this instance either."""
+    return dataclasses.replace(
+        state,
+        peer_feed=dataclasses.replace(
+            state.peer_feed, failed_until=immutables.Map()
+        ),
+    )
+
+
 def record_reader_failure(now: float, state: 'states.State') -> 'states.State':
     """Skip the current reader for a while."""
     failed = state.peer_feed.failed_until.set(
@@ -138,10 +142,13 @@
     """Keep a follower until the next read, or refuse it.
 
     An instance that follows a reader itself, is stopping or has too many
-    followers refuses.
+    followers refuses. While the store does not answer, it keeps only followers
+    that the store does not answer either: the others can read for themselves.
     """
     is_full = len(state.peer_feed.followers) >= MAXIMUM_FOLLOWER_COUNT
-    if is_full or is_following(state) or state.stopping is not None:
+    is_reading = state.stopping is None and not is_following(state)
+    can_help = call.is_store_lost or not state.runner_list.is_failing
+    if is_full or not is_reading or not can_help:
         refusal = requests.Refusal(UNAVAILABLE_STATUS, 'not_reading')
         return transitions.Transition(
             state, (effects.Reply(event.request_id, refusal),)
@@ -181,16 +188,25 @@
 
 
 def refuse_followers(state: 'states.State') -> reducer.Transition:
-    """Refuse all followers, so that they read the store themselves.
+    """Refuse followers, so that they read the store themselves.
 
-    The store may answer them although it does not answer this instance.
+    The store may answer them although it does not answer this instance. Those
+    that have tried it in vain wait for the next read that succeeds.
     """
     refusal = requests.Refusal(UNAVAILABLE_STATUS, 'not_reading')
+    kept = immutables.Map(
+        {
+            request_id: call
+            for request_id, call in state.peer_feed.followers.items()
+            if call.is_store_lost
+        }
+    )
     replies = tuple(
         effects.Reply(request_id, refusal)
         for request_id in state.peer_feed.followers
+        if request_id not in kept
     )
-    feed = dataclasses.replace(state.peer_feed, followers=immutables.Map())
+    feed = dataclasses.replace(state.peer_feed, followers=kept)
     return transitions.Transition(
         dataclasses.replace(state, peer_feed=feed), replies
     )
@@ -211,10 +227,17 @@
         for runner_id, runner in state.runners.items()
         if runner.changed_position >= call.list_position
     )
-    return calls.PeerUpdate(
+    update = calls.PeerUpdate(
         state.runner_list.position or 0,
         state.runner_list.complete_from or 0,
         changes,
         state.configuration.position or 0,
         confirmed_seconds,
     )
+    if call.members_checksum == state.members.checksum:
+        return update
+    return dataclasses.replace(
+        update,
+        zone_members=members.format_members(state.members.zone.listed),
+        readers=members.format_members(state.members.readers.listed),
+    )
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -3,10 +3,11 @@
 import dataclasses
 import typing
 
-from mustardvale.internal import events
+from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
     calls,
     configuration_feed,
+    members,
     peer_feed,
     reducer,
     runner_list,
@@ -38,6 +39,7 @@
         return runner_list.read_from_store(event.at, state)
     return (
         apply_runner_changes(update, event.at, state)
+        .then(lambda current: apply_members(update, current))
         .then(lambda current: apply_confirmation(update, event.at, current))
         .then(lambda current: runner_list.read_next(event.at, current))
     )
@@ -76,6 +78,20 @@
     )
 
 
+def apply_members(
+    update: calls.PeerUpdate, state: 'states.State'
+) -> reducer.Transition:
+    """Store the members that the reader knows, if they differ."""
+    if not update.zone_members:
+        return transitions.Transition(state)
+    zone = state.identity.availability_zone
+    return members.record_members(zone, update.zone_members, state).then(
+        lambda current: members.record_members(
+            members.READER_GROUP, update.readers, current
+        )
+    )
+
+
 def apply_confirmation(
     update: calls.PeerUpdate, now: float, state: 'states.State'
 ) -> reducer.Transition:
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -275,8 +275,9 @@
             ),
         )
     failing = dataclasses.replace(known, is_failing=True, failed_at=now)
+    next_state = dataclasses.replace(state, runner_list=failing)
     return transitions.Transition(
-        dataclasses.replace(state, runner_list=failing), failure_effects
+        peer_feed.forget_reader_failures(next_state), failure_effects
     ).then(peer_feed.refuse_followers)
 
 
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -5,6 +5,7 @@
 import functools
 import struct
 import typing
+from urllib import parse
 
 import msgspec
 
@@ -15,10 +16,12 @@
 OPERATOR_TOPIC = 'keyed.op'
 CONFIGURATION_KEY = 'config'
 RUNNER_TOPIC = 'keyed.servers'
-MEMBER_GROUP = 'mustardvale.entries'
+# The group of the readers of all zones. The group of a zone has the zone's name
+# after a dot.
+READER_GROUP = 'mustardvale.entries'
 # The store distributes the partitions of a group evenly. The number of topics
 # times the partitions of each is the number of members that can hold one.
-MEMBER_TOPICS = tuple(f'mustardvale.members.{index}' for index in range(12))
+MEMBER_TOPICS = tuple(f'mustardvale.members.{index}' for index in range(24))
 # The member that holds this partition is the leader.
 LEADER_PARTITION = (MEMBER_TOPICS[0], 0)
 
@@ -110,7 +113,7 @@
     return encode_post(
         '/api/log-join',
         {
-            'group': MEMBER_GROUP,
+            'group': build_group_name(call.zone),
             'member': call.member,
             'topics': list(MEMBER_TOPICS),
             'ttl-ms': int(call.lifetime_seconds * MILLISECONDS_PER_SECOND),
@@ -123,14 +126,21 @@
 def encode_leave(call: calls.LeaveMembers) -> wire.RawCall:
     """Encode a call that leaves the group."""
     return encode_post(
-        '/api/log-leave', {'group': MEMBER_GROUP, 'member': call.member}
+        '/api/log-leave',
+        {'group': build_group_name(call.zone), 'member': call.member},
     )
 
 
 @encode_call.register(calls.ListMembers)
 def encode_member_list(call: calls.ListMembers) -> wire.RawCall:
-    """Encode a request for the members of the group."""
-    return wire.RawCall('GET', f'/api/log-owners?group={MEMBER_GROUP}')
+    """Encode a request for the members of a group."""
+    query = parse.urlencode({'group': build_group_name(call.zone)})
+    return wire.RawCall('GET', f'/api/log-owners?{query}')
+
+
+def build_group_name(zone: str) -> str:
+    """Return the name of the group of a zone, or of the readers."""
+    return f'{READER_GROUP}.{zone}' if zone else READER_GROUP
 
 
 @encode_call.register(calls.ReadRunnerReport)
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -237,7 +237,10 @@
         self.list_runners(listed)
         self.state = dataclasses.replace(
             self.state,
-            members=members.MemberState(listed_generation=1),
+            members=members.MemberState(
+                zone=members.GroupState(listed_generation=1),
+                readers=members.GroupState(listed_generation=1),
+            ),
             retry_buckets=build_full_buckets(self.now, limits),
         )
         self.emit_event(events.TimerFired, timer=timers.ExchangeCheckDue())
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -272,7 +272,7 @@
                 {'generation': 3, 'ttl-ms': 3000, 'parts': [row]}
             )
             joined = call_codec.decode_answer(
-                calls.JoinMembers('m', 3.0, 0), build_answer(body)
+                calls.JoinMembers('', 'm', 3.0, 0), build_answer(body)
             )
             self.assertEqual(expected, joined.is_leader)
 
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -16,6 +16,9 @@
 from tests import relay_states
 
 
+ZONE = relay_states.IDENTITY.availability_zone
+
+
 class UpstreamList(unittest.TestCase):
     """Dropped entries are applied, but not shortly after an outage."""
 
@@ -131,20 +134,22 @@
     def setUp(self) -> None:
         self.instance = relay_states.Instance()
 
-    def join(self, generation: int, is_leader: bool = False) -> None:
-        """Deliver the store's answer to a join."""
+    def join(
+        self, generation: int, is_leader: bool = False, zone: str = ZONE
+    ) -> None:
+        """Deliver the store's answer to a join of a zone or the readers."""
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.JoinMembers('', 3.0, 0),
+            call=calls.JoinMembers(zone, '', 3.0, 0),
             address='',
             answer=calls.MembersJoined(generation, is_leader),
         )
 
-    def list_members(self, *names: str) -> None:
-        """Deliver the store's list of members."""
+    def list_members(self, *names: str, zone: str = ZONE) -> None:
+        """Deliver the store's list of the members of a zone or the readers."""
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.ListMembers(),
+            call=calls.ListMembers(zone),
             address='',
             answer=calls.MembersListed(names),
         )
@@ -160,7 +165,7 @@
     def test_members_are_listed_when_the_generation_changes(self) -> None:
         """Guard against repeated reads of an unchanged list."""
         self.join(4)
-        self.list_members('entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84')
+        self.list_members('entry-2|10.0.0.2:80|zone-a|region|10.0.0.2:84')
         self.join(4)
         self.assertEqual(1, len(self.instance.list_calls(calls.ListMembers)))
 
@@ -180,7 +185,7 @@
     def test_directory_has_all_members(self) -> None:
         """Guard against directing all callers to one instance."""
         self.join(4)
-        self.list_members('entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84')
+        self.list_members('entry-2|10.0.0.2:80|zone-a|region|10.0.0.2:84')
         self.assertEqual(
             {'10.0.0.1:80', '10.0.0.2:80'}, set(self.request_directory())
         )
@@ -188,7 +193,7 @@
     def test_directory_omits_an_instance_without_the_store(self) -> None:
         """Guard against directing callers to an instance that refuses keys."""
         self.join(4)
-        self.list_members('entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84')
+        self.list_members('entry-2|10.0.0.2:80|zone-a|region|10.0.0.2:84')
         self.instance.emit_event(
             events.CallFailed,
             call=calls.FollowConfiguration(1, 2.0),
@@ -208,10 +213,13 @@
         self.instance.state = dataclasses.replace(
             self.instance.state,
             members=dataclasses.replace(
-                self.instance.state.members, join_requested_at=self.instance.now
+                self.instance.state.members,
+                readers=members.GroupState(
+                    join_requested_at=self.instance.now, is_joined=True
+                ),
             ),
         )
-        self.join(4, is_leader=True)
+        self.join(4, is_leader=True, zone=members.READER_GROUP)
         now = self.instance.now
         self.assertTrue(members.is_leader(self.instance.state, now))
         later = now + members.MEMBERSHIP_LIFETIME_SECONDS
@@ -220,9 +228,127 @@
     def test_member_names_of_other_formats_are_ignored(self) -> None:
         """Guard against a failure on names written by another program."""
         self.list_members(
-            'something', 'entry-2|10.0.0.2:80|zone-b|region|10.0.0.2:84'
+            'something', 'entry-2|10.0.0.2:80|zone-a|region|10.0.0.2:84'
+        )
+        self.assertEqual(1, len(self.instance.state.members.zone.listed))
+
+
+class Readers(unittest.TestCase):
+    """The first two instances of a zone are its readers."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+
+    def list_zone(self, *numbers: int) -> None:
+        """Deliver the store's list of this instance's zone."""
+        names = tuple(
+            f'entry-{number}|10.0.0.{number}:80|zone-a|region|'
+            f'10.0.0.{number}:84'
+            for number in numbers
+        )
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.ListMembers(ZONE),
+            address='',
+            answer=calls.MembersListed(names),
+        )
+
+    def list_readers(self, zone_count: int) -> None:
+        """Deliver the store's list of the readers of all zones."""
+        names = tuple(
+            f'other-{number}|10.0.9.{number}:80|zone-{number}|region|'
+            f'10.0.9.{number}:84'
+            for number in range(zone_count)
+        )
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.ListMembers(members.READER_GROUP),
+            address='',
+            answer=calls.MembersListed(names),
+        )
+
+    def list_joined_zones(self) -> list[str]:
+        """Return the zones of the groups that were joined, '' for readers."""
+        return [
+            call.call.zone
+            for call in self.instance.list_calls(calls.JoinMembers)
+        ]
+
+    def renew(self) -> None:
+        """Fire the timer of the renewal."""
+        self.instance.emit_event(
+            events.TimerFired,
+            timer=relay_states.timers.MembershipRenewalDue(),
+        )
+
+    def test_reader_joins_the_readers(self) -> None:
+        """Guard against a site without a leader."""
+        self.list_zone(1, 2, 3)
+        self.renew()
+        self.assertEqual([ZONE, members.READER_GROUP], self.list_joined_zones())
+
+    def test_follower_joins_only_its_zone(self) -> None:
+        """Guard against a group of readers that grows with the instances."""
+        self.list_zone(0, 2)
+        self.list_zone(0, 10, 1)
+        self.list_zone(*range(3, 10))
+        self.renew()
+        self.assertEqual([ZONE], self.list_joined_zones())
+
+    def test_former_reader_gives_up_the_leadership(self) -> None:
+        """Guard against two instances that send orders."""
+        self.list_zone(1, 2, 3)
+        self.renew()
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.JoinMembers(members.READER_GROUP, '', 3.0, 0),
+            address='',
+            answer=calls.MembersJoined(1, is_leader=True),
+        )
+        now = self.instance.now
+        self.assertTrue(members.is_leader(self.instance.state, now))
+        self.list_zone(0, *range(2, 5))
+        self.renew()
+        self.assertFalse(members.is_leader(self.instance.state, now))
+        self.assertEqual(1, len(self.instance.list_calls(calls.LeaveMembers)))
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.JoinMembers(members.READER_GROUP, '', 3.0, 0),
+            address='',
+            answer=calls.MembersJoined(1, is_leader=True),
+        )
+        self.assertFalse(members.is_leader(self.instance.state, now))
+
+    def test_limits_are_shared_by_zones_and_then_by_instances(self) -> None:
+        """Guard against a budget that is divided by a part of the instances.
+
+        One group for all instances names at most as many as it has partitions.
+        """
+        self.list_zone(*range(1, 40))
+        self.list_readers(5)
+        count = members.count_instances(self.instance.state)
+        self.assertEqual(39 * 6, count)
+
+    def test_directory_of_a_large_zone(self) -> None:
+        """Guard against instances that no answer names.
+
+        An answer holds 64 addresses.
+        """
+        self.list_zone(*range(1, 101))
+        answer = self.instance.ask(
+            'd1', requests.DirectoryRequest('site.example')
+        )
+        self.assertEqual(64, len(set(answer.addresses)))
+        self.assertEqual('10.0.0.1:80', answer.addresses[0])
+
+    def test_directory_of_a_small_zone(self) -> None:
+        """Guard against callers whose only addresses fail together."""
+        self.list_zone(1, 2)
+        self.list_readers(3)
+        answer = self.instance.ask(
+            'd1', requests.DirectoryRequest('site.example')
         )
-        self.assertEqual(1, len(self.instance.state.members.listed))
+        self.assertEqual(5, len(set(answer.addresses)))
 
 
 class Orders(unittest.TestCase):
@@ -241,7 +367,8 @@
         self.instance.state = dataclasses.replace(
             self.instance.state,
             members=members.MemberState(
-                listed_generation=1, leader_until=self.instance.now + 60
+                zone=members.GroupState(listed_generation=1),
+                leader_until=self.instance.now + 60,
             ),
         )
 
--- a/tests/test_relay_peer_feed.py
+++ b/tests/test_relay_peer_feed.py
@@ -27,6 +27,10 @@
     'entry-1', '10.0.0.1:80', 'zone-a', 'region', '10.0.0.1:84'
 )
 
+THIRD = dataclasses.replace(
+    READER, instance_id='entry-3', front='10.0.0.3:80', peers='10.0.0.3:84'
+)
+
 
 def set_members(
     instance: relay_states.Instance, *listed: members.Member
@@ -34,7 +38,10 @@
     """Set the members that an instance knows."""
     instance.state = dataclasses.replace(
         instance.state,
-        members=members.MemberState(listed_generation=1, listed=listed),
+        members=members.MemberState(
+            zone=members.GroupState(listed_generation=1, listed=listed),
+            readers=members.GroupState(listed_generation=1),
+        ),
     )
 
 
@@ -334,6 +341,117 @@
         self.assertEqual(503, refused.status)
 
 
+class StoreOutage(unittest.TestCase):
+    """While the store is away, followers wait for a reader.
+
+    Each of them asking the store would cost calls that grow with the number of
+    instances.
+    """
+
+    def fail_store(self, instance: relay_states.Instance) -> None:
+        """Report that the store does not answer an instance."""
+        instance.emit_event(
+            events.CallFailed,
+            call=calls.FollowRunners(1),
+            address='',
+            failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+        )
+
+    def test_follower_returns_to_a_reader(self) -> None:
+        """Guard against followers that repeat reads of a lost store."""
+        follower = relay_states.Instance()
+        set_members(follower, READER, SECOND, OWN)
+        follower.pass_time(0.8)
+        follower.emit_event(
+            events.CallFailed,
+            call=follower.list_calls(calls.FollowPeer)[-1].call,
+            address='',
+            failure=events.Failure(events.FailureKind.CLOSED, True),
+        )
+        self.fail_store(follower)
+        follower.pass_time(0.5)
+        asked = follower.list_calls(calls.FollowPeer)
+        self.assertEqual(2, len(asked))
+        self.assertTrue(asked[-1].call.is_store_lost)
+
+    def test_reader_keeps_followers_without_the_store(self) -> None:
+        """Guard against followers that hear of the store's return late."""
+        reader = relay_states.Instance()
+        set_members(reader, OWN, READER, SECOND)
+        self.fail_store(reader)
+        able = reader.ask('f1', calls.FollowPeer(1, 1))
+        self.assertEqual(503, able.status)
+        reader.ask('f2', calls.FollowPeer(1, 1, is_store_lost=True))
+        self.fail_store(reader)
+        self.assertNotIn('f2', reader.replies)
+        reader.emit_event(
+            events.CallAnswered,
+            call=calls.FollowRunners(1),
+            address='',
+            answer=calls.RunnersRead(5, ()),
+        )
+        self.assertEqual(5, reader.replies['f2'].list_position)
+
+
+class Members(unittest.TestCase):
+    """Followers get the members from their reader."""
+
+    def setUp(self) -> None:
+        self.reader = relay_states.Instance()
+        set_members(self.reader, OWN, READER, SECOND)
+        members_state = self.reader.state.members
+        self.reader.state = members.replace_group(
+            'zone-a',
+            dataclasses.replace(
+                members_state.zone, listed=(READER, SECOND, OWN, THIRD)
+            ),
+            self.reader.state,
+        )
+
+    def request_update(self, checksum: int) -> calls.PeerUpdate:
+        """Return the update for a follower that knows some members."""
+        return peer_feed.build_update(
+            calls.FollowPeer(1, 1, checksum), 0.0, self.reader.state
+        )
+
+    def test_changed_members_are_sent(self) -> None:
+        """Guard against calls to the store for each change of the members."""
+        update = self.request_update(0)
+        self.assertEqual(4, len(update.zone_members))
+        follower = relay_states.Instance()
+        set_members(follower, READER, SECOND, OWN)
+        follower.pass_time(0.8)
+        follower.emit_event(
+            events.CallAnswered,
+            call=follower.list_calls(calls.FollowPeer)[-1].call,
+            address='',
+            answer=update,
+        )
+        listed = follower.state.members.zone.listed
+        self.assertEqual(4, len(listed))
+        self.assertEqual(
+            self.reader.state.members.checksum, follower.state.members.checksum
+        )
+
+    def test_known_members_are_not_sent(self) -> None:
+        """Guard against sending all members in each update."""
+        update = self.request_update(self.reader.state.members.checksum)
+        self.assertEqual((), update.zone_members)
+
+    def test_follower_does_not_list_the_members(self) -> None:
+        """Guard against a list for each instance at each change."""
+        follower = relay_states.Instance()
+        set_members(follower, READER, SECOND, OWN)
+        follower.pass_time(0.8)
+        follower.emit_event(
+            events.CallAnswered,
+            call=calls.JoinMembers('zone-a', '', 3.0, 0),
+            address='',
+            answer=calls.MembersJoined(9, is_leader=False),
+        )
+        self.assertEqual([], follower.list_calls(calls.ListMembers))
+
+
 class Encoding(unittest.TestCase):
     """Updates are decoded as they were encoded."""
 
