Check the requests when the first of them can need it

Cause: a timer looked at all open requests each 40 ms, also when there were none, and worked out the last activity of each runner each time.

Change: the next check is due when the first request can be silent, wait or time out, within 0.04 to 0.5 s; a new request brings it forward. Last activity is worked out where it is asked for. A late check is told from the time at which it was due.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -330,10 +330,8 @@
     """
     if status == MISDIRECTED_STATUS:
         return MISDIRECTED_EXCLUSION_SECONDS
-    if (
-        now - state.last_activity_at.get(at_fault, 0.0)
-        < RECENT_ACTIVITY_SECONDS
-    ):
+    last_activity = exchanges.list_last_activity(state.exchanges)
+    if now - last_activity.get(at_fault, 0.0) < RECENT_ACTIVITY_SECONDS:
         return FULL_EXCLUSION_SECONDS
     return CRASHED_EXCLUSION_SECONDS
 
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -3,9 +3,10 @@
 import dataclasses
 import typing
 
-from mustardvale.internal import draws, effects, transitions
+from mustardvale.internal import draws, effects
 from mustardvale.internal.relay import (
     chains,
+    check_schedule,
     completion,
     engines,
     exchanges,
@@ -78,8 +79,8 @@
     if now < compute_wait_deadline(exchange):
         waiting = dataclasses.replace(exchange, last_search_at=now)
         exchange_map = state.exchanges.set(exchange.request_id, waiting)
-        return transitions.Transition(
-            dataclasses.replace(state, exchanges=exchange_map)
+        return check_schedule.request_check(
+            now, dataclasses.replace(state, exchanges=exchange_map)
         )
     return completion.fail_exchange(
         exchange, explain_no_target(exchange, now, state), now, state
@@ -313,12 +314,9 @@
         ),
         exchanges=state.exchanges.set(exchange.request_id, sent),
     )
-    return transitions.Transition(
-        next_state,
-        (
-            build_send_effect(exchange, target, send_id, now),
-            build_send_log(exchange, target, now, state),
-        ),
+    return check_schedule.request_check(now, next_state).with_effects(
+        build_send_effect(exchange, target, send_id, now),
+        build_send_log(exchange, target, now, state),
     )
 
 
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -110,3 +110,18 @@
             if attempt.send_id != send_id
         ),
     )
+
+
+def list_last_activity(exchange_map: ExchangeMap) -> dict[str, float]:
+    """Return when a stream last delivered something through each runner."""
+    last_activity: dict[str, float] = {}
+    for exchange in exchange_map.values():
+        for attempt in exchange.attempts:
+            if attempt.first_event_at is None:
+                continue
+            for part in attempt.chain:
+                last_activity[part.runner_id] = max(
+                    last_activity.get(part.runner_id, 0.0),
+                    attempt.last_received_at,
+                )
+    return last_activity
--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -1,4 +1,4 @@
-"""Check all open requests periodically.
+"""Check all open requests.
 
 Waiting requests search for an upstream again, requests without time left
 fail, and silent attempts are probed or retried. One timer for all of them
@@ -8,10 +8,9 @@
 import dataclasses
 import typing
 
-import immutables
-
-from mustardvale.internal import effects, events, transitions
+from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
+    check_schedule,
     completion,
     configuration,
     dispatch,
@@ -26,7 +25,6 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-MONITOR_PERIOD_SECONDS = 0.04
 # A plain request without an answer after this share of its target time is
 # retried at another runner, which can still answer within the target.
 MAXIMUM_SILENCE_TARGET_SHARE = 0.6
@@ -40,9 +38,9 @@
 SILENT_GAP_COUNT = 2
 # Runners through which a stream was active this recently are not suspected.
 RECENT_ACTIVITY_SECONDS = 0.25
-# A check that is later than this shows that the instance was suspended or had
-# no processor time. It has yet to read what arrived meanwhile.
-LATE_CHECK_SECONDS = 0.15
+# A check that is late by more than this shows that the instance was suspended or
+# had no processor time. It has yet to read what arrived meanwhile.
+LATE_CHECK_SECONDS = 0.1
 # Silence is ignored for as long as the check was late, but no longer than this.
 MAXIMUM_GRACE_SECONDS = 0.5
 SUSPECT_DEPRIORITIZE_SECONDS = 0.5
@@ -56,41 +54,55 @@
 ) -> reducer.Transition:
     """Check every open request, and update the mean loads."""
     ignored_until = state.silence_ignored_until
-    gap = event.at - (state.last_check_at or event.at)
-    if gap > LATE_CHECK_SECONDS:
-        ignored_until = event.at + min(gap, MAXIMUM_GRACE_SECONDS)
-    return transitions.Transition(
-        dataclasses.replace(
-            state,
-            last_check_at=event.at,
-            silence_ignored_until=ignored_until,
-            last_activity_at=find_last_activity(state),
-            mean_loads=loads.update_means(
-                state.loads, state.mean_loads, MONITOR_PERIOD_SECONDS
+    late_seconds = event.at - (state.check_due_at or event.at)
+    if late_seconds > LATE_CHECK_SECONDS:
+        ignored_until = event.at + min(late_seconds, MAXIMUM_GRACE_SECONDS)
+    elapsed_seconds = event.at - (state.last_check_at or event.at)
+    return (
+        transitions.Transition(
+            dataclasses.replace(
+                state,
+                last_check_at=event.at,
+                silence_ignored_until=ignored_until,
+                mean_loads=loads.update_means(
+                    state.loads, state.mean_loads, elapsed_seconds
+                ),
+            )
+        )
+        .then_each(
+            state.exchanges,
+            lambda request_id, current: check_exchange(
+                request_id, event.at, current
             ),
-        ),
-        (effects.SetTimer(timer, MONITOR_PERIOD_SECONDS),),
-    ).then_each(
-        state.exchanges,
-        lambda request_id, current: check_exchange(
-            request_id, event.at, current
-        ),
+        )
+        .then(lambda current: schedule_next(event.at, current))
     )
 
 
-def find_last_activity(state: 'states.State') -> immutables.Map[str, float]:
-    """Return when a stream last delivered something through each runner."""
-    last_activity: dict[str, float] = {}
-    for exchange in state.exchanges.values():
-        for attempt in exchange.attempts:
-            if attempt.first_event_at is None:
-                continue
-            for part in attempt.chain:
-                last_activity[part.runner_id] = max(
-                    last_activity.get(part.runner_id, 0.0),
-                    attempt.last_received_at,
-                )
-    return immutables.Map(last_activity)
+def schedule_next(now: float, state: 'states.State') -> reducer.Transition:
+    """Schedule the next check for when the first request can need it."""
+    due_times = [
+        find_check_time(exchange, now, state)
+        for exchange in state.exchanges.values()
+    ]
+    due_at = min(due_times, default=now + check_schedule.MAXIMUM_CHECK_SECONDS)
+    return check_schedule.set_check(due_at, now, state)
+
+
+def find_check_time(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> float:
+    """Return when a request can need a check, unless an event changes it."""
+    if not exchange.attempts or now < state.silence_ignored_until:
+        return now
+    attempt = exchange.attempts[-1]
+    if exchange.is_caller_blocked or not exchange.route.is_retryable:
+        return exchange.deadline_at
+    if attempt.chain:
+        silent_at = moves.compute_silent_at(attempt)
+    else:
+        silent_at = attempt.last_received_at + compute_plain_limit(exchange)
+    return min(silent_at, exchange.deadline_at)
 
 
 def check_exchange(
@@ -127,12 +139,16 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Retry a plain request whose runner is silent for too long."""
-    limit = exchange.route.target_latency_seconds * MAXIMUM_SILENCE_TARGET_SHARE
-    if now - attempt.last_received_at < limit:
+    if now - attempt.last_received_at < compute_plain_limit(exchange):
         return transitions.Transition(state)
     return moves.restart_elsewhere(exchange, attempt, 'silent', now, state)
 
 
+def compute_plain_limit(exchange: exchanges.Exchange) -> float:
+    """Return for how many seconds a plain request may get no answer."""
+    return exchange.route.target_latency_seconds * MAXIMUM_SILENCE_TARGET_SHARE
+
+
 def check_stream_attempt(
     exchange: exchanges.Exchange,
     attempt: exchanges.Attempt,
@@ -167,11 +183,10 @@
 ) -> 'states.State':
     """Deprioritize the runners that may have caused the silence of a chain."""
     runner_map = state.runners
+    last_activity = exchanges.list_last_activity(state.exchanges)
     for part in attempt.chain:
-        if (
-            now - state.last_activity_at.get(part.runner_id, 0.0)
-            >= RECENT_ACTIVITY_SECONDS
-        ):
+        active_at = last_activity.get(part.runner_id, 0.0)
+        if now - active_at >= RECENT_ACTIVITY_SECONDS:
             runner_map = runners.deprioritize(
                 runner_map, part.runner_id, now + SUSPECT_DEPRIORITIZE_SECONDS
             )
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -74,10 +74,15 @@
 
 def is_silent(attempt: exchanges.Attempt, now: float) -> bool:
     """Return whether nothing was received for long enough to probe."""
+    return now >= compute_silent_at(attempt)
+
+
+def compute_silent_at(attempt: exchanges.Attempt) -> float:
+    """Return from when on an attempt counts as silent."""
     limit = STREAM_PAUSE_PROBE_SECONDS
     if attempt.first_event_at is None:
         limit = FIRST_EVENT_PROBE_SECONDS
-    return now - attempt.last_received_at >= limit
+    return attempt.last_received_at + limit
 
 
 @reducer.on_answer.register(calls.ProbeRunner)
@@ -113,7 +118,8 @@
     Shortly after this instance was suspended or delayed, a failure proves
     nothing.
     """
-    received_at = state.last_activity_at.get(call.runner_id, 0.0)
+    last_activity = exchanges.list_last_activity(state.exchanges)
+    received_at = last_activity.get(call.runner_id, 0.0)
     is_streaming = event.at - received_at < FIRST_EVENT_PROBE_SECONDS
     if is_streaming or event.at < state.silence_ignored_until:
         return transitions.Transition(state)
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -43,8 +43,10 @@
 
     `seed` is the state of the random number generator. `maximum_idle_seconds`
     is how long a connection may be idle before it is reused. `probed_at` is
-    when each runner was last asked which requests are stalled, and
-    `last_activity_at` when a stream last received data through it.
+    when each runner was last asked which requests are stalled.
+
+    `last_check_at` is when the requests were last checked, and `check_due_at`
+    when they are checked next.
 
     After this instance itself was suspended or delayed, streams are not taken
     as silent until `silence_ignored_until`.
@@ -67,7 +69,7 @@
     send_count: int = 0
     maximum_idle_seconds: float = idle_connections.MAXIMUM_IDLE_SECONDS
     probed_at: immutables.Map[str, float] = immutables.Map()
-    last_activity_at: immutables.Map[str, float] = immutables.Map()
     last_check_at: float = 0.0
+    check_due_at: float = 0.0
     silence_ignored_until: float = 0.0
     stopping: instance_settings.Stopping | None = None
