Search two zones for a chain before all of them

Cause: each choice built a candidate for each runner and searched the runners of all zones, although a crossing costs more than a chain within a zone: 6.7 ms at 205 runners, of which 270 choices a second are 1.8 cores.

Change: an index of the runners by service and zone; the cheaper chain of the own and a random zone is used if it costs less than a crossing. The search goes through the layers in order instead of a queue of all partial chains, works out what a runner costs a layer once, and takes its random numbers from the standard library.

--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -1,17 +1,16 @@
 """Choose the chain of runners that carries a model request.
 
 A chain is a pipeline over the layers of the model: each part names a runner
-and the consecutive layers that it runs. The search is Dijkstra's algorithm over
-pairs of layer and zone. The cost of a part is its expected time, which rises as
-the runner's memory or its slots fill up.
+and the consecutive layers that it runs. The search finds the cheapest chain to
+each pair of layer and zone, in the order of layers. The cost of a part is its
+expected time, which rises as the runner's memory or its slots fill up.
 """
 
 import dataclasses
 import heapq
-import itertools
+import random
 from collections import abc
 
-from mustardvale.internal import draws
 from mustardvale.internal.relay import engines, loads, requests, runners
 
 # Runners with an estimated load of this share or more are left out. The limit
@@ -127,34 +126,60 @@
     )
 
 
-def compute_part_cost(
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCosts:
+    """Hold what a part on a candidate costs one request for each layer.
+
+    `memory_share_per_layer` is the share of its memory that the request takes.
+    `cost_factor` includes a random addition.
+    """
+
+    candidate: Candidate
+    seconds_per_layer: float
+    memory_share_per_layer: float
+    cost_factor: float
+
+
+def build_part_costs(
     engine: engines.Engine,
     candidate: Candidate,
-    first: int,
-    end: int,
     work: Work,
+    random_fraction: float,
+) -> PartCosts:
+    """Return the costs of a candidate; the fraction is from 0 to 1."""
+    step = engines.compute_step_seconds(
+        engine, candidate.accelerator, 1, candidate.sequence_count
+    )
+    prefill = engines.compute_prefill_seconds(
+        engine, candidate.accelerator, 1, work.prompt_tokens
+    )
+    tokens = work.prompt_tokens + work.output_tokens
+    return PartCosts(
+        candidate,
+        step * work.output_tokens + prefill,
+        tokens / max(candidate.token_layer_capacity, 1.0),
+        candidate.cost_factor * (1 + JITTER_SHARE * random_fraction),
+    )
+
+
+def compute_part_cost(
+    costs: PartCosts, first: int, end: int, slots: int
 ) -> float | None:
     """Return the cost of a part in seconds, or `None` if the runner is full."""
+    candidate = costs.candidate
     layer_count = end - first
-    token_layers = (work.prompt_tokens + work.output_tokens) * layer_count
-    used_share = candidate.memory_share + token_layers / max(
-        candidate.token_layer_capacity, 1.0
+    used_share = (
+        candidate.memory_share + costs.memory_share_per_layer * layer_count
     )
     if first == 0:
-        used_share = max(used_share, candidate.slot_share + 1 / engine.slots)
+        used_share = max(used_share, candidate.slot_share + 1 / slots)
     if used_share >= FULL_LOAD_SHARE:
         return None
-    step = engines.compute_step_seconds(
-        engine, candidate.accelerator, layer_count, candidate.sequence_count
-    )
-    prefill = engines.compute_prefill_seconds(
-        engine, candidate.accelerator, layer_count, work.prompt_tokens
-    )
-    seconds = step * work.output_tokens + prefill
     crowding = 1 / (1 - min(used_share, MAXIMUM_CROWDING_SHARE))
     if used_share > MAXIMUM_CROWDING_SHARE:
         crowding *= 1 + (used_share - MAXIMUM_CROWDING_SHARE) * OVERFULL_FACTOR
-    return (seconds + STEP_WAIT_SECONDS) * candidate.cost_factor * crowding
+    seconds = costs.seconds_per_layer * layer_count + STEP_WAIT_SECONDS
+    return seconds * costs.cost_factor * crowding
 
 
 def compute_crossing_cost(
@@ -184,23 +209,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PartialChain:
-    """Hold a chain that covers the layers below `next_layer`."""
+class FoundChain:
+    """Hold a chain and its cost in seconds."""
 
     cost: float
-    next_layer: int
-    zone: str
     chain: requests.Chain
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Extension:
-    """Hold a part that may follow a partial chain."""
-
-    part: requests.ChainPart
-    cost: float
-
-
 def find_chain(
     engine: engines.Engine,
     candidates: abc.Sequence[Candidate],
@@ -214,18 +229,25 @@
     `find_link_load` returns the requests on the link between two zones.
     """
     search = ChainSearch(engine, candidates, work, span, seed)
-    search.push(PartialChain(0.0, span.first, span.source_zone, ()))
-    while search.heap:
-        partial = heapq.heappop(search.heap)[-1]
-        if partial.next_layer >= span.end:
-            return partial.chain
-        if search.settle(partial):
-            search.extend(partial, find_link_load)
-    return None
+    found = search.run(find_link_load)
+    return None if found is None else found.chain
+
+
+def find_zone_chain(
+    engine: engines.Engine,
+    candidates: abc.Sequence[Candidate],
+    work: Work,
+    seed: int,
+) -> FoundChain | None:
+    """Return the cheapest chain over all layers on runners of one zone."""
+    span = LayerSpan(0, engine.layer_count, '')
+    return ChainSearch(engine, candidates, work, span, seed).run(
+        assume_idle_link
+    )
 
 
 class ChainSearch:
-    """Hold the queue of partial chains and the nodes that are settled."""
+    """Hold the cheapest chain found so far to each node."""
 
     def __init__(
         self,
@@ -236,85 +258,78 @@
         seed: int,
     ) -> None:
         self.engine = engine
-        self.candidates = candidates
         self.work = work
         self.span = span
-        self.jitter = draw_jitter(candidates, seed)
-        self.heap: list[tuple[float, int, PartialChain]] = []
-        self.sequence = itertools.count()
-        self.settled: set[tuple[int, str]] = set()
-        self.extensions_by_layer: dict[int, list[Extension]] = {}
+        random_source = random.Random(seed)
+        self.part_costs = [
+            build_part_costs(engine, candidate, work, random_source.random())
+            for candidate in candidates
+        ]
+        self.found: dict[int, dict[str, FoundChain]] = {
+            span.first: {span.source_zone: FoundChain(0.0, ())}
+        }
+        self.layers = [span.first]
         self.crossing_costs: dict[tuple[str, str], float | None] = {}
 
-    def push(self, partial: PartialChain) -> None:
-        """Add a partial chain to the queue; the first of equal cost wins."""
-        number = next(self.sequence)
-        heapq.heappush(self.heap, (partial.cost, number, partial))
+    def run(self, find_link_load: LinkLoadLookup) -> FoundChain | None:
+        """Return the cheapest chain to the end of the span.
 
-    def settle(self, partial: PartialChain) -> bool:
-        """Settle a layer and zone; return whether they were not settled yet.
-
-        The queue yields the cheapest chain to each layer and zone first.
+        A part always leads to a later layer. When a layer is the first of
+        those that are left, the chains to it are therefore final.
         """
-        node = (partial.next_layer, partial.zone)
-        if node in self.settled or len(partial.chain) >= MAXIMUM_CHAIN_PARTS:
-            return False
-        self.settled.add(node)
-        return True
+        while self.layers:
+            layer = heapq.heappop(self.layers)
+            if layer >= self.span.end:
+                break
+            for costs in self.part_costs:
+                layers = costs.candidate.layers
+                if layers.first <= layer < layers.end:
+                    self.extend(layer, costs, find_link_load)
+        complete = self.found.get(self.span.end, {})
+        return min(
+            complete.values(), key=lambda found: found.cost, default=None
+        )
 
     def extend(
-        self, partial: PartialChain, find_link_load: LinkLoadLookup
+        self, layer: int, costs: PartCosts, find_link_load: LinkLoadLookup
     ) -> None:
-        """Add the chains that continue on a runner with the next layer."""
-        for extension in self.list_extensions(partial.next_layer):
-            part = extension.part
-            if (part.end_layer, part.zone) in self.settled:
-                continue
+        """Extend the chains to a layer by a part on one runner."""
+        candidate = costs.candidate
+        end = min(candidate.layers.end, self.span.end)
+        part_cost = compute_part_cost(costs, layer, end, self.engine.slots)
+        if part_cost is None:
+            return
+        part = requests.ChainPart(
+            candidate.runner_id, candidate.address, layer, end, candidate.zone
+        )
+        for zone, before in self.found[layer].items():
             crossing = self.find_crossing_cost(
-                partial.zone, part.zone, find_link_load
+                zone, candidate.zone, find_link_load
             )
             if crossing is not None:
-                cost = partial.cost + extension.cost + crossing
-                chain = (*partial.chain, part)
-                self.push(PartialChain(cost, part.end_layer, part.zone, chain))
-
-    def list_extensions(self, layer: int) -> list[Extension]:
-        """Return the parts that can start at a layer."""
-        extensions = self.extensions_by_layer.get(layer)
-        if extensions is None:
-            extensions = [
-                extension
-                for candidate in self.candidates
-                if candidate.layers.first <= layer < candidate.layers.end
-                and (extension := self.build_extension(candidate, layer))
-                is not None
-            ]
-            self.extensions_by_layer[layer] = extensions
-        return extensions
-
-    def build_extension(
-        self, candidate: Candidate, layer: int
-    ) -> Extension | None:
-        """Return the part that starts at a layer, if the runner has room."""
-        end = min(candidate.layers.end, self.span.end)
-        cost = compute_part_cost(self.engine, candidate, layer, end, self.work)
-        if cost is None:
-            return None
-        return Extension(
-            requests.ChainPart(
-                candidate.runner_id,
-                candidate.address,
-                layer,
-                end,
-                candidate.zone,
-            ),
-            cost * self.jitter[candidate.runner_id],
-        )
+                self.record(before, part, before.cost + part_cost + crossing)
+
+    def record(
+        self, before: FoundChain, part: requests.ChainPart, cost: float
+    ) -> None:
+        """Store a chain unless a cheaper one leads to the same node."""
+        if len(before.chain) >= MAXIMUM_CHAIN_PARTS:
+            return
+        found = self.found.get(part.end_layer)
+        if found is None:
+            found = {}
+            self.found[part.end_layer] = found
+            heapq.heappush(self.layers, part.end_layer)
+        known = found.get(part.zone)
+        if known is None or cost < known.cost:
+            found[part.zone] = FoundChain(cost, (*before.chain, part))
 
     def find_crossing_cost(
         self, source: str, target: str, find_link_load: LinkLoadLookup
     ) -> float | None:
         """Return the cost of a crossing, or `None` if its link is full."""
+        if not source or source == target:
+            return 0.0
         pair = (source, target)
         if pair not in self.crossing_costs:
             self.crossing_costs[pair] = compute_crossing_cost(
@@ -325,15 +340,3 @@
                 find_link_load(source, target),
             )
         return self.crossing_costs[pair]
-
-
-def draw_jitter(
-    candidates: abc.Sequence[Candidate], seed: int
-) -> dict[str, float]:
-    """Return a random cost factor of at least 1 for each runner."""
-    jitter = {}
-    for candidate in candidates:
-        drawn = draws.draw(seed)
-        seed = drawn.seed
-        jitter[candidate.runner_id] = 1 + JITTER_SHARE * drawn.fraction
-    return jitter
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -1,6 +1,7 @@
 """Choose an upstream for a request and send the request to it."""
 
 import dataclasses
+import random
 import typing
 
 from mustardvale.internal import draws, effects
@@ -32,6 +33,8 @@
 # Time between two searches for an upstream by one waiting stream. Many streams
 # wait at once after a loss of runners, and each search takes processor time.
 STREAM_SEARCH_PERIOD_SECONDS = 0.2
+# Zones whose runners are searched for a chain before those of all zones.
+SEARCHED_ZONE_COUNT = 2
 # Sends of one request, including those that an upstream refused to run.
 MAXIMUM_SENDS = 4
 # Requests with less time left than this are not sent.
@@ -157,7 +160,9 @@
     instance_count = members.count_instances(state)
     best: tuple[float, runners.Runner] | None = None
     seed = state.seed
-    for runner in runners.list_service_runners(state.runners, exchange.service):
+    for runner in runners.list_service_runners(
+        state.runners, state.runner_index, exchange.service
+    ):
         drawn = draws.draw(seed)
         seed = drawn.seed
         if (
@@ -208,9 +213,22 @@
     engine: engines.Engine, service: str, now: float, state: 'states.State'
 ) -> list[chains.Candidate]:
     """Return the runners of a service that may get new requests."""
+    listed = runners.list_service_runners(
+        state.runners, state.runner_index, service
+    )
+    return build_candidates(engine, listed, now, state)
+
+
+def build_candidates(
+    engine: engines.Engine,
+    listed: tuple[runners.Runner, ...],
+    now: float,
+    state: 'states.State',
+) -> list[chains.Candidate]:
+    """Return the candidates among listed runners, with their loads."""
     instance_count = members.count_instances(state)
     candidates = []
-    for runner in runners.list_service_runners(state.runners, service):
+    for runner in listed:
         if not runner.is_usable:
             continue
         load = loads.estimate_total_load(
@@ -231,28 +249,79 @@
     now: float,
     state: 'states.State',
 ) -> Target | None:
-    """Return the cheapest chain for a model request."""
-    candidates = [
-        candidate
-        for candidate in list_candidates(engine, exchange.service, now, state)
-        if candidate.runner_id not in exchange.tried_runner_ids
-    ]
+    """Return a cheap chain for a model request.
+
+    The cheaper chain of two zones is used. Only if it costs more than a
+    crossing between zones, or there is none, all runners are searched.
+    """
     work = estimate_work(exchange, engine)
-    span = chains.LayerSpan(0, engine.layer_count, '')
-    chain = chains.find_chain(
-        engine,
-        candidates,
-        work,
-        span,
-        state.seed,
-        build_link_load_lookup(state),
-    )
+    chain = choose_zone_chain(engine, exchange, work, now, state)
+    if chain is None:
+        listed = list_candidates(engine, exchange.service, now, state)
+        chain = chains.find_chain(
+            engine,
+            exclude_tried(listed, exchange),
+            work,
+            chains.LayerSpan(0, engine.layer_count, ''),
+            state.seed,
+            build_link_load_lookup(state),
+        )
     if not chain:
         return None
     tokens = work.prompt_tokens + work.output_tokens * MEAN_OUTPUT_SHARE
     return Target(chain[0].runner_id, chain[0].address, chain, tokens)
 
 
+def choose_zone_chain(
+    engine: engines.Engine,
+    exchange: exchanges.Exchange,
+    work: chains.Work,
+    now: float,
+    state: 'states.State',
+) -> requests.Chain | None:
+    """Return the cheaper of the chains within two zones, if it is cheap."""
+    best: chains.FoundChain | None = None
+    for zone in pick_zones(exchange.service, state):
+        listed = runners.list_zone_runners(
+            state.runners, state.runner_index, exchange.service, zone
+        )
+        candidates = build_candidates(engine, listed, now, state)
+        found = chains.find_zone_chain(
+            engine, exclude_tried(candidates, exchange), work, state.seed
+        )
+        if found is not None and (best is None or found.cost < best.cost):
+            best = found
+    if best is None or best.cost > chains.CROSSING_SECONDS:
+        return None
+    return best.chain
+
+
+def pick_zones(service: str, state: 'states.State') -> tuple[str, ...]:
+    """Return this instance's zone and a random one, or two random ones.
+
+    Two choices spread the requests almost as evenly as a search of all zones,
+    at a cost that does not grow with the number of zones.
+    """
+    zones = sorted(state.runner_index.get(service, ()))
+    own_zone = state.identity.availability_zone
+    random_source = random.Random(state.seed)
+    picked = random_source.sample(zones, min(len(zones), SEARCHED_ZONE_COUNT))
+    if own_zone in zones and own_zone not in picked:
+        picked[0] = own_zone
+    return tuple(picked)
+
+
+def exclude_tried(
+    candidates: list[chains.Candidate], exchange: exchanges.Exchange
+) -> list[chains.Candidate]:
+    """Return the candidates that have not refused or failed a request."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.runner_id not in exchange.tried_runner_ids
+    ]
+
+
 def build_link_load_lookup(state: 'states.State') -> chains.LinkLoadLookup:
     """Return a function that estimates the requests on a link of two zones.
 
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -109,7 +109,9 @@
     assert service.engine is not None, 'only engines hold layers'
     pool = tuple(
         runner.listed
-        for runner in runners.list_service_runners(state.runners, service.name)
+        for runner in runners.list_service_runners(
+            state.runners, state.runner_index, service.name
+        )
         if runner.is_usable and runner.listed.accelerator
     )
     ids = frozenset(runner.runner_id for runner in pool)
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -200,7 +200,14 @@
             ),
         )
     return transitions.Transition(
-        dataclasses.replace(state, runner_list=list_state, runners=runner_map),
+        dataclasses.replace(
+            state,
+            runner_list=list_state,
+            runners=runner_map,
+            runner_index=state.runner_index
+            if runner_map is state.runners
+            else runners.build_index(runner_map),
+        ),
         log_effects,
     )
 
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -226,17 +226,48 @@
     )
 
 
+# The ids of the runners of each service, by zone.
+RunnerIndex: typing.TypeAlias = (
+    'immutables.Map[str, immutables.Map[str, tuple[str, ...]]]'
+)
+
+
+def build_index(runner_map: RunnerMap) -> RunnerIndex:
+    """Return the index of the runners by service and zone."""
+    ids: dict[str, dict[str, list[str]]] = {}
+    for runner_id, runner in runner_map.items():
+        zones = ids.setdefault(runner.listed.service, {})
+        zones.setdefault(runner.listed.availability_zone, []).append(runner_id)
+    return immutables.Map(
+        {
+            service: immutables.Map(
+                {zone: tuple(sorted(names)) for zone, names in zones.items()}
+            )
+            for service, zones in ids.items()
+        }
+    )
+
+
 def list_service_runners(
-    runner_map: RunnerMap, service: str
+    runner_map: RunnerMap, index: RunnerIndex, service: str
 ) -> tuple[Runner, ...]:
-    """Return the runners of a service."""
+    """Return the runners of a service, ordered by zone and id."""
+    zones = index.get(service, immutables.Map())
     return tuple(
         runner
-        for runner in runner_map.values()
-        if runner.listed.service == service
+        for zone in sorted(zones)
+        for runner in list_zone_runners(runner_map, index, service, zone)
     )
 
 
+def list_zone_runners(
+    runner_map: RunnerMap, index: RunnerIndex, service: str, zone: str
+) -> tuple[Runner, ...]:
+    """Return the runners of a service in one zone."""
+    names = index.get(service, immutables.Map()).get(zone, ())
+    return tuple(runner_map[name] for name in names)
+
+
 def find_id_by_address(runner_map: RunnerMap, address: str) -> str | None:
     """Return the id of the listed upstream at an address, if there is one."""
     for runner_id, runner in runner_map.items():
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -58,6 +58,7 @@
     configuration: ConfigurationState = ConfigurationState()
     runner_list: runner_lists.RunnerListState = runner_lists.RunnerListState()
     runners: runner_tables.RunnerMap = immutables.Map()
+    runner_index: runner_tables.RunnerIndex = immutables.Map()
     members: member_tables.MemberState = member_tables.MemberState()
     orders: order_tables.OrderState = order_tables.OrderState()
     loads: load_tables.LoadMap = immutables.Map()
