Build the parts of a chain only for the cheapest chain to a layer

Cause: the search built a part for each extension, most of which are dropped.

Change: costs are compared first.

--- a/bench/chain_cost.py
+++ b/bench/chain_cost.py
@@ -1,75 +1,152 @@
-"""Measure the processor time of the choice of a chain at two site sizes.
+"""Measure the processor time of the choice of a chain by the number of runners.
 
 PYTHONPATH=src:. python -m bench.chain_cost --write
+
+`zones` is the choice of the product, which searches two zones first, and `all`
+the search of all runners that follows where no zone has a cheap chain.
 """
 
+import dataclasses
 import random
 import statistics
 import time
 import typing
+from collections import abc
 
 import fire
+import immutables
+
 from bench import chain_placement, measurements
-from mustardvale.internal.relay import chains, loads, runners
+from mustardvale.internal.relay import (
+    chains,
+    configuration,
+    dispatch,
+    exchanges,
+    instance_settings,
+    loads,
+    requests,
+    runners,
+)
+from mustardvale.internal.relay import state as states
 
-CHOICE_COUNT = 400
+CHOICE_COUNT = 40
 MILLISECONDS_PER_SECOND = 1000
 PERCENTILE_COUNT = 100
+SEED_BITS = 60
+SERVICE = 'model'
 # A model request of typical size, in prompt and output tokens.
 WORK = chains.Work(800, 220)
-SITES: dict[str, chain_placement.AcceleratorCounts] = {
-    '38 runners in 3 zones': chain_placement.SITE,
-    '93 runners in 3 zones': {
-        'a': {'a100': 4, 'v100': 10, 'l4': 11},
-        'b': {'a100': 3, 'v100': 14, 'l4': 16},
-        'c': {'a100': 2, 'v100': 24, 'l4': 9},
-    },
-}
-
-
-def build_candidates(
-    site: chain_placement.AcceleratorCounts, random_source: random.Random
-) -> list[chains.Candidate]:
-    """Return the runners of a site as candidates with random loads."""
+# Runners of each accelerator in a zone of about 40 runners, and the numbers of
+# such zones: 205 runners are those of five zones, 3,400 those of two years on.
+ZONE = immutables.Map({'a100': 4, 'v100': 21, 'l4': 16})
+ZONE_COUNTS = (1, 2, 5, 25, 83)
+
+
+def build_state(zone_count: int) -> states.State:
+    """Return the state of an instance in front of runners with layers."""
+    site = {f'zone-{number:02}': ZONE for number in range(zone_count)}
     pool = chain_placement.build_pool(site)
-    placed = chain_placement.place_least_covered(pool)
-    candidates = []
-    for runner in pool:
-        listed = runners.ListedRunner(
-            runner.runner_id,
-            runner.service,
-            runner.address,
-            runner.availability_zone,
-            accelerator=runner.accelerator,
-            layers=placed[runner.runner_id],
-        )
-        load = loads.Load(
-            random_source.randint(0, 20), random_source.randint(0, 9)
-        )
-        candidates.append(
-            chains.build_candidate(
-                chain_placement.ENGINE, runners.Runner(listed), load, 0
+    placed = {
+        runner_id: layers
+        for zone in site
+        for runner_id, layers in chain_placement.place_least_covered(
+            tuple(runner for runner in pool if runner.availability_zone == zone)
+        ).items()
+    }
+    random_source = random.Random(1)
+    runner_map = immutables.Map(
+        {
+            runner.runner_id: runners.Runner(
+                dataclasses.replace(
+                    runner, service=SERVICE, layers=placed[runner.runner_id]
+                )
             )
-        )
-    return [candidate for candidate in candidates if candidate is not None]
+            for runner in pool
+        }
+    )
+    own_loads = immutables.Map(
+        {
+            runner_id: loads.Load(random_source.randint(0, 20), 1, 9_000.0)
+            for runner_id in sorted(runner_map)
+        }
+    )
+    service = configuration.Service(SERVICE, chain_placement.ENGINE)
+    return states.State(
+        identity=instance_settings.Identity(
+            'entry-1',
+            'zone-00',
+            'region',
+            instance_settings.Addresses('', '', '', '', '', ''),
+        ),
+        limits=instance_settings.Limits(),
+        seed=1,
+        configuration=states.ConfigurationState(
+            active=configuration.Configuration(
+                1, services=immutables.Map({SERVICE: service})
+            )
+        ),
+        runners=runner_map,
+        runner_index=runners.build_index(runner_map),
+        loads=own_loads,
+    )
+
+
+def build_exchange() -> exchanges.Exchange:
+    """Return a model request of typical size."""
+    prompt = requests.Prompt('m', WORK.prompt_tokens, 400, 220)
+    route = configuration.Route(
+        'r',
+        'host',
+        '/',
+        configuration.RequestKind.STREAMING,
+        (configuration.ServiceShare(SERVICE, 1),),
+        timeout_seconds=20,
+        target_latency_seconds=0.5,
+        is_resumable=True,
+    )
+    request = requests.ClientRequest('a', 'POST', '/', 'host', (), b'')
+    return exchanges.Exchange(
+        'r1',
+        dataclasses.replace(request, prompt=prompt),
+        route,
+        SERVICE,
+        0,
+        20,
+    )
+
+
+def search_all(
+    exchange: exchanges.Exchange, now: float, state: states.State
+) -> requests.Chain | None:
+    """Search the runners of all zones."""
+    engine = chain_placement.ENGINE
+    return chains.find_chain(
+        engine,
+        dispatch.list_candidates(engine, SERVICE, now, state),
+        WORK,
+        chains.LayerSpan(0, engine.layer_count, ''),
+        state.seed,
+        dispatch.build_link_load_lookup(state),
+    )
 
 
-def measure(site: chain_placement.AcceleratorCounts) -> dict[str, float]:
+def measure(
+    choose: abc.Callable[..., typing.Any], state: states.State
+) -> dict[str, float]:
     """Return the mean and 99th percentile time of a choice in milliseconds."""
     random_source = random.Random(1)
-    candidates = build_candidates(site, random_source)
-    engine = chain_placement.ENGINE
-    span = chains.LayerSpan(0, engine.layer_count, '')
+    exchange = build_exchange()
     choice_milliseconds = []
     for _ in range(CHOICE_COUNT):
-        started = time.process_time()
-        chain = chains.find_chain(
-            engine, candidates, WORK, span, random_source.randrange(1 << 60)
+        drawn = dataclasses.replace(
+            state, seed=random_source.getrandbits(SEED_BITS)
         )
+        started = time.process_time()
+        chosen = choose(exchange, 1.0, drawn)
         choice_milliseconds.append(
             (time.process_time() - started) * MILLISECONDS_PER_SECOND
         )
-        assert chain, 'a placed site has a chain'
+        assert chosen, 'a placed site has a chain'
     return {
         'mean_ms': round(statistics.fmean(choice_milliseconds), 3),
         'p99_ms': round(
@@ -80,9 +157,13 @@
 
 def main(write: bool = False) -> None:
     """Print the results and write them to the documentation if `write`."""
-    results: dict[str, typing.Any] = {
-        name: measure(site) for name, site in SITES.items()
-    }
+    results: dict[str, typing.Any] = {}
+    for zone_count in ZONE_COUNTS:
+        state = build_state(zone_count)
+        results[f'{len(state.runners)} runners in {zone_count} zones'] = {
+            'zones': measure(dispatch.choose_target, state),
+            'all': measure(search_all, state),
+        }
     print(results)
     if write:
         command = 'PYTHONPATH=src:. python -m bench.chain_cost --write'
--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -299,30 +299,37 @@
         part_cost = compute_part_cost(costs, layer, end, self.engine.slots)
         if part_cost is None:
             return
-        part = requests.ChainPart(
-            candidate.runner_id, candidate.address, layer, end, candidate.zone
-        )
         for zone, before in self.found[layer].items():
             crossing = self.find_crossing_cost(
                 zone, candidate.zone, find_link_load
             )
-            if crossing is not None:
-                self.record(before, part, before.cost + part_cost + crossing)
+            if crossing is None:
+                continue
+            cost = before.cost + part_cost + crossing
+            if self.is_cheapest(candidate.zone, end, cost):
+                self.record(before, candidate, end, cost)
+
+    def is_cheapest(self, zone: str, end: int, cost: float) -> bool:
+        """Return whether no chain to a layer and zone is known to be cheaper."""
+        known = self.found.get(end, {}).get(zone)
+        return known is None or cost < known.cost
 
     def record(
-        self, before: FoundChain, part: requests.ChainPart, cost: float
+        self, before: FoundChain, candidate: Candidate, end: int, cost: float
     ) -> None:
-        """Store a chain unless a cheaper one leads to the same node."""
+        """Store the chain that is extended by a candidate up to a layer."""
         if len(before.chain) >= MAXIMUM_CHAIN_PARTS:
             return
-        found = self.found.get(part.end_layer)
-        if found is None:
-            found = {}
-            self.found[part.end_layer] = found
-            heapq.heappush(self.layers, part.end_layer)
-        known = found.get(part.zone)
-        if known is None or cost < known.cost:
-            found[part.zone] = FoundChain(cost, (*before.chain, part))
+        first = before.chain[-1].end_layer if before.chain else self.span.first
+        part = requests.ChainPart(
+            candidate.runner_id, candidate.address, first, end, candidate.zone
+        )
+        if end not in self.found:
+            self.found[end] = {}
+            heapq.heappush(self.layers, end)
+        self.found[end][candidate.zone] = FoundChain(
+            cost, (*before.chain, part)
+        )
 
     def find_crossing_cost(
         self, source: str, target: str, find_link_load: LinkLoadLookup
