Start a relaying instance without the messages of the product's callers

Cause: a start takes 0.39 s of processor time, most of it imports, and all 195 instances of the large site start at once after a loss of power. The relay loaded all timers and caller messages of the product's own interface for three of their classes, and each frozen data class takes about 0.4 ms to build.

Change: the base class of timers and the pages that the edge fills in have modules of their own.

--- a/src/mustardvale/internal/caller_messages.py
+++ b/src/mustardvale/internal/caller_messages.py
@@ -199,21 +199,3 @@
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SpansRequest(CallerRequest):
     """Request the latest trace spans of this instance."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MetricsPage:
-    """Tell the edge to reply with the metrics that it holds."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SpansPage:
-    """Tell the edge to reply with the trace spans that it holds."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Text:
-    """Hold text rendered by the edge."""
-
-    text: bytes
-    content_type: str
--- a/src/mustardvale/internal/edge/codec.py
+++ b/src/mustardvale/internal/edge/codec.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from mustardvale import errors
-from mustardvale.internal import caller_messages
+from mustardvale.internal import caller_messages, pages
 from mustardvale.internal.edge import trace_contexts, wire
 
 BEARER_PREFIX = 'Bearer '
@@ -203,8 +203,8 @@
     )
 
 
-@encode_reply.register(caller_messages.Text)
-def encode_text(reply: caller_messages.Text) -> wire.RawReply:
+@encode_reply.register(pages.Text)
+def encode_text(reply: pages.Text) -> wire.RawReply:
     """Encode a text page."""
     return wire.RawReply(200, reply.text, content_type=reply.content_type)
 
--- a/src/mustardvale/internal/edge/performer.py
+++ b/src/mustardvale/internal/edge/performer.py
@@ -8,7 +8,7 @@
 
 import prometheus_client
 
-from mustardvale.internal import caller_messages, effects
+from mustardvale.internal import effects, pages
 from mustardvale.internal.edge import trace_contexts
 
 if typing.TYPE_CHECKING:
@@ -68,29 +68,29 @@
     return reply
 
 
-@render_page.register(caller_messages.MetricsPage)
+@render_page.register(pages.MetricsPage)
 def render_metrics(
-    reply: caller_messages.MetricsPage,
+    reply: pages.MetricsPage,
     runtime: 'runtimes.Runtime',
-) -> caller_messages.Text:
+) -> pages.Text:
     """Render the metrics in the Prometheus text format."""
-    return caller_messages.Text(
+    return pages.Text(
         runtime.metrics.expose(),
         prometheus_client.CONTENT_TYPE_LATEST,
     )
 
 
-@render_page.register(caller_messages.SpansPage)
+@render_page.register(pages.SpansPage)
 def render_spans(
-    reply: caller_messages.SpansPage,
+    reply: pages.SpansPage,
     runtime: 'runtimes.Runtime',
-) -> caller_messages.Text:
+) -> pages.Text:
     """Render the latest spans as lines of JSON."""
     lines = '\n'.join(
         span.to_json(indent=None)
         for span in runtime.spans.processor.finished_spans
     )
-    return caller_messages.Text(lines.encode(), 'application/x-ndjson')
+    return pages.Text(lines.encode(), 'application/x-ndjson')
 
 
 @perform.register(effects.StreamPart)
--- a/src/mustardvale/internal/reducer.py
+++ b/src/mustardvale/internal/reducer.py
@@ -11,7 +11,7 @@
     calls,
     events,
     messages,
-    timers,
+    timer_base,
     transitions,
 )
 
@@ -35,7 +35,7 @@
 
 @functools.singledispatch
 def on_timer(
-    timer: timers.Timer,
+    timer: timer_base.Timer,
     event: events.TimerFired,
     state: 'states.State',
 ) -> transitions.Transition['states.State']:
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from mustardvale.internal import caller_messages, effects, events, transitions
+from mustardvale.internal import effects, events, pages, transitions
 from mustardvale.internal.relay import (
     completion,
     configuration_feed,
@@ -156,7 +156,7 @@
 ) -> reducer.Transition:
     """Answer with the metrics, which the edge fills in."""
     return transitions.Transition(
-        state, (effects.Reply(event.request_id, caller_messages.MetricsPage()),)
+        state, (effects.Reply(event.request_id, pages.MetricsPage()),)
     )
 
 
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -2,39 +2,39 @@
 
 import dataclasses
 
-from mustardvale.internal import timers
+from mustardvale.internal import timer_base
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationRetryDue(timers.Timer):
+class ConfigurationRetryDue(timer_base.Timer):
     """Read the configuration again after a failure."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RunnerListReadDue(timers.Timer):
+class RunnerListReadDue(timer_base.Timer):
     """Read the list of upstreams again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class MembershipRenewalDue(timers.Timer):
+class MembershipRenewalDue(timer_base.Timer):
     """Renew the membership of this instance."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PlacementCheckDue(timers.Timer):
+class PlacementCheckDue(timer_base.Timer):
     """Check whether runners hold the layers that they should."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ExchangeCheckDue(timers.Timer):
+class ExchangeCheckDue(timer_base.Timer):
     """Check for requests that wait, are silent or have timed out."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class IdleLimitRaiseDue(timers.Timer):
+class IdleLimitRaiseDue(timer_base.Timer):
     """Raise the limit on idle connections."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StopCheckDue(timers.Timer):
+class StopCheckDue(timer_base.Timer):
     """Check whether a graceful shutdown can complete."""
--- a/src/mustardvale/internal/statuses.py
+++ b/src/mustardvale/internal/statuses.py
@@ -10,6 +10,7 @@
     limits,
     membership,
     messages,
+    pages,
     reducer,
     transitions,
     upstreams,
@@ -188,7 +189,7 @@
     """Have the edge answer with its metrics."""
     return transitions.Transition(
         state,
-        (effects.Reply(event.request_id, caller_messages.MetricsPage()),),
+        (effects.Reply(event.request_id, pages.MetricsPage()),),
     )
 
 
@@ -201,5 +202,5 @@
     """Have the edge answer with its latest trace spans."""
     return transitions.Transition(
         state,
-        (effects.Reply(event.request_id, caller_messages.SpansPage()),),
+        (effects.Reply(event.request_id, pages.SpansPage()),),
     )
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from mustardvale.internal import caller_messages
+from mustardvale.internal import pages
 from mustardvale.internal.edge import relay_wire, wire
 from mustardvale.internal.relay import requests
 
@@ -222,9 +222,9 @@
     return relay_wire.ReplyHead(200, (JSON_CONTENT_TYPE,)), body
 
 
-@encode_reply.register(caller_messages.Text)
+@encode_reply.register(pages.Text)
 def encode_text(
-    reply: caller_messages.Text,
+    reply: pages.Text,
 ) -> tuple[relay_wire.ReplyHead, bytes]:
     """Encode a page of text."""
     content_type = (('Content-Type', reply.content_type),)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -18,6 +18,7 @@
     membership,
     messages,
     state,
+    timer_base,
     timers,
 )
 from tests import builders
@@ -78,7 +79,7 @@
         self.sent: collections.Counter[str] = collections.Counter()
         self.now = 100.0
 
-    def fire(self, timer: timers.Timer) -> None:
+    def fire(self, timer: timer_base.Timer) -> None:
         """Fire a timer at every instance and deliver the resulting messages."""
         for address in tuple(self.states):
             self.reduce(address, events.TimerFired(at=self.now, timer=timer))
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -17,6 +17,7 @@
     routing,
     state,
     step_latency,
+    timer_base,
     timers,
     upstreams,
 )
@@ -95,7 +96,7 @@
 
 
 def reduce_timer(
-    timer: timers.Timer, current: state.State, at: float
+    timer: timer_base.Timer, current: state.State, at: float
 ) -> state.State:
     """Return the state after the expiry of a timer."""
     return handlers.reduce(
