Accept requests for longer where all instances stop together

Cause: a stopping instance refuses new requests after a second. Where all instances of a small site stop in turn, faster than they start again, nobody accepts requests for seconds.

Change: an instance that knows no other one accepts requests in the first half of its time to stop; while it stops it lists the others again, on small sites.

Measured: test_relay_admission.Stopping, no network. Rolls of all instances were not played.

--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -30,6 +30,9 @@
 # not fetched the new addresses yet. Streams that start later would delay the
 # stop by seconds, during which the other instances carry the extra load.
 ACCEPT_AFTER_STOP_SECONDS = 1.0
+# Share of the time to stop in which it accepts requests if it knows no other
+# instance. The rest is for the requests that it has accepted.
+ACCEPT_ALONE_SHARE = 0.5
 
 
 class AdmissionError(Exception):
@@ -86,11 +89,7 @@
 ) -> AdmittedRequest:
     """Return the route and tenant of a request, or raise `AdmissionError`."""
     active = state.configuration.active
-    stopping = state.stopping
-    if (
-        stopping is not None
-        and now - stopping.started_at > ACCEPT_AFTER_STOP_SECONDS
-    ):
+    if not is_accepting(state, now):
         raise build_unavailable_error(request, 'this instance stops')
     if active is None:
         raise build_unavailable_error(
@@ -109,6 +108,16 @@
     return AdmittedRequest(route, find_tenant(request, active, now, state))
 
 
+def is_accepting(state: 'states.State', now: float) -> bool:
+    """Return whether new requests are accepted, also during a stop."""
+    if state.stopping is None:
+        return True
+    waited_seconds = now - state.stopping.started_at
+    if members.list_other_addresses(state):
+        return waited_seconds <= ACCEPT_AFTER_STOP_SECONDS
+    return waited_seconds <= state.limits.stop_seconds * ACCEPT_ALONE_SHARE
+
+
 def find_tenant(
     request: requests.ClientRequest,
     active: configuration.Configuration,
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -24,9 +24,6 @@
 # call stopped instances, with a shorter one they would ask more often.
 DIRECTORY_VALIDITY_SECONDS = 1.0
 MAXIMUM_DIRECTORY_ADDRESSES = 64
-# Callers of a zone with fewer other instances also get those of other zones, so
-# that the loss of a few instances leaves them enough.
-MINIMUM_ZONE_ADDRESSES = 8
 # After this time without an answer to a poll and its retries, the store is
 # considered unreachable.
 STORE_OUTAGE_SECONDS = 0.5
@@ -112,7 +109,7 @@
     check keys.
     """
     own = state.identity.addresses.front
-    addresses = list_other_addresses(state)
+    addresses = members.list_other_addresses(state)
     failing_since = state.configuration.failing_since
     is_serving = (
         state.stopping is None
@@ -126,28 +123,6 @@
     return addresses[:MAXIMUM_DIRECTORY_ADDRESSES]
 
 
-def list_other_addresses(state: 'states.State') -> tuple[str, ...]:
-    """Return the front addresses of other instances.
-
-    The list begins after this instance in the order of ids. Where not all
-    addresses fit in an answer, the answers of all instances together name each
-    instance equally often.
-    """
-    own_id = state.identity.instance_id
-    own_zone = state.identity.availability_zone
-    zone_members = state.members.zone.listed
-    later = [member for member in zone_members if member.instance_id > own_id]
-    earlier = [member for member in zone_members if member.instance_id < own_id]
-    chosen = later + earlier
-    if len(chosen) < MINIMUM_ZONE_ADDRESSES:
-        chosen += [
-            member
-            for member in state.members.readers.listed
-            if member.availability_zone != own_zone
-        ]
-    return tuple(member.front for member in chosen)
-
-
 @reducer.on_request.register(requests.MetricsRequest)
 def answer_metrics(
     request: requests.MetricsRequest,
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -28,6 +28,9 @@
 SEPARATOR = '|'
 MEMBER_FIELD_COUNT = 5
 READER_GROUP = ''
+# Callers of a zone with fewer other instances also get those of other zones, so
+# that the loss of a few instances leaves them enough.
+MINIMUM_ZONE_MEMBERS = 8
 # A new member is listed once it owns partitions. It gets them after their owner
 # has joined twice more and the new member once.
 HANDOVER_SECONDS = 2.4
@@ -173,6 +176,28 @@
     return state.stopping is None and now < state.members.leader_until
 
 
+def list_other_addresses(state: 'states.State') -> tuple[str, ...]:
+    """Return the front addresses of other instances.
+
+    The list begins after this instance in the order of ids. Where not all
+    addresses fit in an answer, the answers of all instances together name each
+    instance equally often.
+    """
+    own_id = state.identity.instance_id
+    own_zone = state.identity.availability_zone
+    zone_members = state.members.zone.listed
+    later = [member for member in zone_members if member.instance_id > own_id]
+    earlier = [member for member in zone_members if member.instance_id < own_id]
+    chosen = later + earlier
+    if len(chosen) < MINIMUM_ZONE_MEMBERS:
+        chosen += [
+            member
+            for member in state.members.readers.listed
+            if member.availability_zone != own_zone
+        ]
+    return tuple(member.front for member in chosen)
+
+
 def find_group(zone: str, known: MemberState) -> GroupState:
     """Return the state of the group with a zone, or of the readers."""
     return known.zone if zone else known.readers
@@ -273,10 +298,32 @@
     event: events.TimerFired,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Renew the memberships unless this instance is stopping."""
-    if state.stopping is not None:
+    """Renew the memberships, or only list the others while stopping."""
+    if state.stopping is None:
+        return renew_memberships(state, event.at)
+    return list_remaining(timer, state)
+
+
+def list_remaining(
+    timer: timers.MembershipRenewalDue, state: 'states.State'
+) -> reducer.Transition:
+    """List the other instances again while this one is stopping.
+
+    On a small site they may all stop at the same time, and then this instance
+    accepts requests for longer. On a large one that does not happen, and lists
+    for each stopping instance would be many.
+    """
+    zone = state.identity.availability_zone
+    if len(state.members.zone.listed) > MINIMUM_ZONE_MEMBERS:
         return transitions.Transition(state)
-    return renew_memberships(state, event.at)
+    return transitions.Transition(
+        state,
+        (
+            build_call(calls.ListMembers(zone), state),
+            build_call(calls.ListMembers(READER_GROUP), state),
+            effects.SetTimer(timer, JOIN_PERIOD_SECONDS),
+        ),
+    )
 
 
 @reducer.on_answer.register(calls.JoinMembers)
