Leave out plain runners that refused as another process, and count skipped tests

Cause: a plain runner that answers 421 was excluded, but the choice among plain runners did not look at that, so that the next request went there again. The test runner printed known red tests as skipped and counted skipped tests as passed.

Change: excluded runners are left out of the choice; passed, failed, known red and skipped tests are counted apart.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -165,10 +165,7 @@
     ):
         drawn = draws.draw(seed)
         seed = drawn.seed
-        if (
-            not runner.is_usable
-            or runner.listed.runner_id in exchange.tried_runner_ids
-        ):
+        if not may_use_runner(runner, exchange, now):
             continue
         load = loads.estimate_total_load(
             runner.listed.runner_id,
@@ -185,6 +182,15 @@
     return Target(listed.runner_id, listed.address)
 
 
+def may_use_runner(
+    runner: runners.Runner, exchange: exchanges.Exchange, now: float
+) -> bool:
+    """Return whether a plain request may be sent to a runner."""
+    is_excluded = runner.excluded_until > now
+    is_tried = runner.listed.runner_id in exchange.tried_runner_ids
+    return runner.is_usable and not is_excluded and not is_tried
+
+
 # Assumed latency of a runner that has not answered yet.
 DEFAULT_LATENCY_SECONDS = 0.02
 FAILURE_COST_FACTOR = 10.0
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -265,6 +265,24 @@
         used = {sent.request.runner_id for sent in self.instance.sends}
         self.assertEqual({'p2'}, used)
 
+    def test_runner_with_another_identity(self) -> None:
+        """Guard against choosing a plain runner again that refused with 421.
+
+        Its address belongs to another process, until its entry changes.
+        """
+        self.instance.receive_request('r1', '/read/x')
+        send_id = self.instance.start_send()
+        refusing = self.instance.sends[0].request.runner_id
+        head = relay_states.build_head(
+            421, is_unexecuted=True, has_proof=False, headers=()
+        )
+        self.instance.deliver_answer(send_id, head)
+        self.instance.end_answer(send_id)
+        for number in range(8):
+            self.instance.receive_request(f'n{number}', '/read/x')
+        used = {sent.request.runner_id for sent in self.instance.sends[1:]}
+        self.assertNotIn(refusing, used)
+
     def test_runner_that_closes_with_an_answer(self) -> None:
         """Guard against relying on the list, which lags behind the runner.
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -8,6 +8,7 @@
 import re
 import subprocess
 import sys
+import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_PATH = ROOT / 'KNOWN-RED.txt'
@@ -15,6 +16,7 @@
     r'^(?:FAIL|ERROR): \S+ \((\S+?)\)', re.MULTILINE
 )
 TEST_COUNT_PATTERN = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
+SKIPPED_COUNT_PATTERN = re.compile(r'\bskipped=(\d+)')
 LISTED_TEST_PATTERN = re.compile(r'^test: (\S+)', re.MULTILINE)
 
 
@@ -45,15 +47,41 @@
     return set(LISTED_TEST_PATTERN.findall(KNOWN_RED_PATH.read_text()))
 
 
+class Counts(typing.NamedTuple):
+    """Hold the numbers of tests by result."""
+
+    passed: int
+    failed: int
+    known_red: int
+    skipped: int
+
+
+def list_failed(output: str) -> set[str]:
+    """Return the names of the tests that failed."""
+    return {test.split(':')[0] for test in FAILED_TEST_PATTERN.findall(output)}
+
+
+def count_results(output: str, known_red: set[str]) -> Counts:
+    """Return the results in the output of nose2."""
+    failed = list_failed(output)
+    ran = TEST_COUNT_PATTERN.search(output)
+    ran_count = int(ran.group(1)) if ran else 0
+    skipped = SKIPPED_COUNT_PATTERN.search(output)
+    skipped_count = int(skipped.group(1)) if skipped else 0
+    return Counts(
+        ran_count - len(failed) - skipped_count,
+        len(failed - known_red),
+        len(failed & known_red),
+        skipped_count,
+    )
+
+
 def main(names: list[str]) -> int:
     """Run the named tests, or all, and return the exit status."""
     output = run_nose2(names)
-    failed = {
-        test.split(':')[0] for test in FAILED_TEST_PATTERN.findall(output)
-    }
-    summary = TEST_COUNT_PATTERN.search(output)
-    test_count = int(summary.group(1)) if summary else 0
+    failed = list_failed(output)
     known_red = read_known_red()
+    counts = count_results(output, known_red)
     for test in sorted(failed & known_red):
         print(f'known red: {test}')
     unexpected_passes = set() if names else known_red - failed
@@ -62,12 +90,9 @@
     unexpected = failed - known_red
     for test in sorted(unexpected):
         print(f'failed: {test}')
-    known_red_count = len(failed & known_red)
-    print(
-        f'{test_count - len(failed)} passed, {len(unexpected)} failed, '
-        f'{known_red_count} skipped'
-    )
-    return int(bool(unexpected or unexpected_passes or not test_count))
+    print(f'{counts.known_red} known red, {counts.skipped} did not run')
+    print(f'{counts.passed} passed, {counts.failed} failed')
+    return int(bool(unexpected or unexpected_passes or not counts.passed))
 
 
 if __name__ == '__main__':
