Count the load of a moved stream at its new chain from the order on

Cause: when streams lose the same runner, all of an instance's streams on it are moved in one moment.

Change: the load moves with the order, and returns if the order is refused or gets no answer.

Measured: test_relay_moves.LostSharedPart, four streams with two substitutes: 4 and 0 before, 2 and 2 after.

--- a/src/mustardvale/internal/relay/completion.py
+++ b/src/mustardvale/internal/relay/completion.py
@@ -175,9 +175,9 @@
     load_map: loads.LoadMap, attempt: exchanges.Attempt
 ) -> loads.LoadMap:
     """Remove an attempt from the load of its upstreams."""
-    if attempt.chain:
+    if attempt.loaded_chain:
         return loads.add_chain(
-            load_map, attempt.chain, attempt.estimated_tokens, -1
+            load_map, attempt.loaded_chain, attempt.estimated_tokens, -1
         )
     return loads.add_request(load_map, attempt.runner_id, -1)
 
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -32,6 +32,11 @@
     pending_chain: requests.Chain = ()
     move_count: int = 0
 
+    @property
+    def loaded_chain(self) -> requests.Chain:
+        """Return the chain whose runners carry the load of the request."""
+        return self.pending_chain or self.chain
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -215,7 +215,7 @@
         move_count=attempt.move_count + 1,
         last_received_at=now,
     )
-    next_state = answers.store_attempt(
+    next_state = store_moved(
         answers.OpenAttempt(exchange, attempt), moving, state
     )
     call = calls.MoveRequest(
@@ -379,7 +379,7 @@
             open_attempt, call.chain, event.at, state
         ).with_effects(count_effect)
     unmoved = dataclasses.replace(open_attempt.attempt, pending_chain=())
-    state = answers.store_attempt(open_attempt, unmoved, state)
+    state = store_moved(open_attempt, unmoved, state)
     if verdict is calls.OrderVerdict.CONFLICT:
         at_fault = runners.find_id_by_address(
             state.runners, answer.fault_address
@@ -409,7 +409,7 @@
         return transitions.Transition(state, (count_effect,))
     unmoved = dataclasses.replace(open_attempt.attempt, pending_chain=())
     return transitions.Transition(
-        answers.store_attempt(open_attempt, unmoved, state), (count_effect,)
+        store_moved(open_attempt, unmoved, state), (count_effect,)
     )
 
 
@@ -419,18 +419,15 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Store the new chain of an attempt, and move its load there."""
+    """Store the new chain of an attempt."""
     moved = dataclasses.replace(
         open_attempt.attempt,
         chain=chain,
         pending_chain=(),
         last_received_at=now,
     )
-    load_map = completion.remove_load(state.loads, open_attempt.attempt)
-    load_map = loads.add_chain(load_map, chain, moved.estimated_tokens, 1)
-    next_state = answers.store_attempt(open_attempt, moved, state)
     return transitions.Transition(
-        dataclasses.replace(next_state, loads=load_map),
+        store_moved(open_attempt, moved, state),
         (
             relay_effects.LogDecision(
                 'stream_moved',
@@ -441,3 +438,23 @@
             ),
         ),
     )
+
+
+def store_moved(
+    open_attempt: answers.OpenAttempt,
+    moved: exchanges.Attempt,
+    state: 'states.State',
+) -> 'states.State':
+    """Store an attempt whose chain changes, and move its load with it.
+
+    The load counts at the new chain from the order on, so that the next
+    requests to move choose other substitutes.
+    """
+    load_map = loads.add_chain(
+        completion.remove_load(state.loads, open_attempt.attempt),
+        moved.loaded_chain,
+        moved.estimated_tokens,
+        1,
+    )
+    stored = answers.store_attempt(open_attempt, moved, state)
+    return dataclasses.replace(stored, loads=load_map)
--- a/tests/test_relay_moves.py
+++ b/tests/test_relay_moves.py
@@ -356,3 +356,74 @@
         instance.deliver_answer(send_id, relay_states.build_head(), EVENT)
         instance.pass_time(0.9)
         self.assertEqual(1, len(instance.sends))
+
+
+class LostSharedPart(unittest.TestCase):
+    """Streams that lose the same runner spread over its substitutes.
+
+    The pattern: all streams of an instance pass one runner, which is lost. They
+    are moved in the same moment, before any of the orders is answered.
+    """
+
+    STREAM_COUNT = 4
+
+    def setUp(self) -> None:
+        first = relay_states.build_model_runner('m1', 0, 40)
+        self.lost = relay_states.build_model_runner('m2', 40, 80)
+        substitutes = tuple(
+            relay_states.build_model_runner(name, 40, 80)
+            for name in ('m3', 'm4')
+        )
+        self.instance = relay_states.Instance((first, self.lost))
+        for number in range(self.STREAM_COUNT):
+            self.instance.receive_request(f'r{number}', '/model/x')
+            send_id = self.instance.start_send()
+            self.instance.deliver_answer(
+                send_id, relay_states.build_head(), EVENT
+            )
+        self.instance.list_runners((first, self.lost, *substitutes))
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.ProbeRunner('m1'),
+            address=first.address,
+            answer=calls.RunnerReport(
+                1,
+                False,
+                stalled=(calls.StalledRequest('a-r0', self.lost.address),),
+            ),
+        )
+
+    def list_moves(self) -> list[calls.MoveRequest]:
+        """Return the orders to move that were sent."""
+        return [
+            call.call for call in self.instance.list_calls(calls.MoveRequest)
+        ]
+
+    def test_streams_spread_over_the_substitutes(self) -> None:
+        """Guard against filling one substitute, which refuses the rest."""
+        used = [move.chain[1].runner_id for move in self.list_moves()]
+        self.assertEqual(self.STREAM_COUNT, len(used))
+        self.assertEqual(['m3', 'm3', 'm4', 'm4'], sorted(used))
+
+    def test_refused_move_returns_the_load(self) -> None:
+        """Guard against load that stays counted where no stream runs."""
+        for move in self.list_moves():
+            self.instance.emit_event(
+                events.CallAnswered,
+                call=move,
+                address='',
+                answer=calls.OrderAnswer(calls.OrderVerdict.CONFLICT),
+            )
+        counts = {
+            runner_id: load.request_count
+            for runner_id, load in self.instance.state.loads.items()
+        }
+        self.assertEqual(
+            {'m1': self.STREAM_COUNT, 'm2': self.STREAM_COUNT}, counts
+        )
+
+    def test_ended_stream_removes_the_load_of_a_pending_move(self) -> None:
+        """Guard against load that stays counted after its stream."""
+        for number in range(self.STREAM_COUNT):
+            self.instance.emit_event(events.CallerLeft, request_id=f'r{number}')
+        self.assertEqual({}, dict(self.instance.state.loads))
