--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -406,10 +406,21 @@
 def handle_member_list(
     call: calls.ListMembers, event: events.CallAnswered, state: 'states.State'
 ) -> reducer.Transition:
-    """Store the listed members."""
+    """Store the listed members; a new reader joins the readers at once.
+
+    Until it knows the readers, it assumes that limits are shared by many zones.
+    """
     if not isinstance(event.answer, calls.MembersListed):
         return record_failure(f'status {event.answer.status}', state)
-    return record_members(call.zone, event.answer.members, state)
+    recorded = record_members(call.zone, event.answer.members, state)
+    known = recorded.state
+    if known.members.readers.is_joined or known.stopping is not None:
+        return recorded
+    if not is_reader(known):
+        return recorded
+    return recorded.then(
+        lambda current: send_join(READER_GROUP, event.at, current)
+    )
 
 
 def record_members(
