Apply changed limits on callers to open connections

Callers saw a reset or a 408 on a kept connection that the newest version of the configuration still allows.

Cause: the end of the idle time, the end of the time for headers and the size of headers were fixed when a connection became idle, began a request or was accepted. A version that raised them did not hold for such connections, and one that lowered them ended connections at once that a caller with the earlier version still used.

Change: a connection records since when it waits, and the limits are compared when it is swept. A lowered time stays in force until the earlier time has passed once. A kept connection gets a new protocol state before a request if the size of headers has changed.

--- a/src/mustardvale/internal/edge/relay_performer.py
+++ b/src/mustardvale/internal/edge/relay_performer.py
@@ -3,7 +3,7 @@
 import logging
 import typing
 
-from mustardvale.internal.edge import performer, relay_server
+from mustardvale.internal.edge import caller_limits, performer
 from mustardvale.internal.relay import effects
 
 if typing.TYPE_CHECKING:
@@ -67,11 +67,13 @@
     effect: effects.LimitCallers, runtime: 'relay_loop.RelayLoop'
 ) -> None:
     """Limit what callers may send and how long they may take."""
-    runtime.callers.limits = relay_server.CallerLimits(
-        effect.maximum_header_bytes,
-        effect.maximum_body_bytes,
-        effect.header_timeout_seconds,
-        effect.idle_timeout_seconds,
+    runtime.callers.apply_limits(
+        caller_limits.CallerLimits(
+            effect.maximum_header_bytes,
+            effect.maximum_body_bytes,
+            effect.header_timeout_seconds,
+            effect.idle_timeout_seconds,
+        )
     )
 
 
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -8,6 +8,7 @@
 import enum
 import functools
 import itertools
+import math
 import socket
 import time
 import typing
@@ -16,7 +17,12 @@
 import h11
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import channels, relay_wire, wire
+from mustardvale.internal.edge import (
+    caller_limits,
+    channels,
+    relay_wire,
+    wire,
+)
 
 BACKLOG = 512
 MAXIMUM_ACCEPTS_PER_EVENT = 64
@@ -33,19 +39,6 @@
 Address = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
-    """Limit what a caller may send and how long it may take.
-
-    The defaults apply until a configuration sets other limits.
-    """
-
-    maximum_header_bytes: int = 16 * 1024
-    maximum_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_seconds: float = 3.0
-    idle_timeout_seconds: float = 15.0
-
-
 class Phase(enum.Enum):
     """Name the phase of a connection."""
 
@@ -56,7 +49,11 @@
 
 
 class CallerConnection:
-    """Track one connection of a caller; an `expires_at` of 0 means no limit."""
+    """Track one connection of a caller.
+
+    `waiting_since` is when its phase began, or when the last part of a request
+    arrived.
+    """
 
     def __init__(
         self,
@@ -68,12 +65,10 @@
         self.listener = listener
         self.codec = codec
         self.channel: channels.Channel | None = None
-        self.protocol = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=server.limits.maximum_header_bytes,
-        )
+        self.maximum_header_bytes = server.limits.maximum_header_bytes
+        self.protocol = build_protocol(self.maximum_header_bytes)
         self.phase = Phase.IDLE
-        self.expires_at = time.monotonic() + server.limits.idle_timeout_seconds
+        self.waiting_since = time.monotonic()
         self.head: h11.Request | None = None
         self.body = bytearray()
         self.pipelined_bytes = 0
@@ -115,12 +110,23 @@
         self.channel_table = channel_table
         self.codec = codec
         self.emit_event = emit_event
-        self.limits = CallerLimits()
+        self.limit_history = caller_limits.LimitHistory()
         self.is_closing = False
         self.request_numbers = itertools.count(1)
         self.connections: set[CallerConnection] = set()
         self.requests: dict[str, CallerConnection] = {}
 
+    @property
+    def limits(self) -> caller_limits.CallerLimits:
+        """Return the limits in force."""
+        return self.limit_history.current
+
+    def apply_limits(self, limits: caller_limits.CallerLimits) -> None:
+        """Put other limits in force, also for open connections."""
+        self.limit_history = caller_limits.change_limits(
+            self.limit_history, limits, time.monotonic()
+        )
+
     def listen(
         self,
         listener: str,
@@ -177,6 +183,8 @@
             return
         if connection.phase is Phase.DISCARDING:
             return
+        if connection.phase is Phase.IDLE:
+            renew_protocol(connection, self.limits.maximum_header_bytes)
         connection.protocol.receive_data(received)
         if connection.phase is Phase.ANSWERING:
             self.limit_pipelined_input(connection, len(received))
@@ -196,9 +204,7 @@
         """Parse the input of a connection that waits for a request."""
         if connection.phase is Phase.IDLE:
             connection.phase = Phase.RECEIVING
-            connection.expires_at = (
-                time.monotonic() + self.limits.header_timeout_seconds
-            )
+            connection.waiting_since = time.monotonic()
         try:
             has_more = True
             while has_more:
@@ -240,7 +246,6 @@
         connection.body.clear()
         request = connection.codec.decode_request(received)
         connection.phase = Phase.ANSWERING
-        connection.expires_at = 0
         connection.pipelined_bytes = 0
         connection.is_head_sent = False
         connection.request_id = f'r{next(self.request_numbers)}'
@@ -261,7 +266,7 @@
         """Answer an invalid request with an error, and discard what follows."""
         head, body = connection.codec.encode_error(status, code, message)
         connection.phase = Phase.DISCARDING
-        connection.expires_at = time.monotonic() + LINGER_SECONDS
+        connection.waiting_since = time.monotonic()
         if connection.protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             closing = dataclasses.replace(head, closes_connection=True)
             self.send_event(connection, build_response(closing, len(body)))
@@ -343,14 +348,12 @@
             # Closing a socket with unread input resets it, and the caller may
             # lose the answer, so input is discarded for a while.
             connection.phase = Phase.DISCARDING
-            connection.expires_at = time.monotonic() + LINGER_SECONDS
+            connection.waiting_since = time.monotonic()
             self.shut_down_output(connection)
             return
         connection.protocol.start_next_cycle()
         connection.phase = Phase.IDLE
-        connection.expires_at = (
-            time.monotonic() + self.limits.idle_timeout_seconds
-        )
+        connection.waiting_since = time.monotonic()
         assert connection.channel is not None, 'an answer needs a channel'
         self.channel_table.resume_reading(connection.channel)
         if connection.protocol.trailing_data[0]:
@@ -419,9 +422,22 @@
         """End connections whose timeout has expired."""
         now = time.monotonic()
         for connection in tuple(self.connections):
-            if 0 < connection.expires_at <= now:
+            waited_seconds = now - connection.waiting_since
+            if waited_seconds >= self.compute_timeout(connection.phase, now):
                 self.expire_connection(connection)
 
+    def compute_timeout(self, phase: Phase, now: float) -> float:
+        """Return for how many seconds a connection may wait in a phase."""
+        match phase:
+            case Phase.IDLE:
+                return self.limit_history.compute_idle_seconds(now)
+            case Phase.RECEIVING:
+                return self.limit_history.compute_header_seconds(now)
+            case Phase.ANSWERING:
+                return math.inf
+            case Phase.DISCARDING:
+                return LINGER_SECONDS
+
     def expire_connection(self, connection: CallerConnection) -> None:
         """Refuse an incomplete request, or close the connection."""
         if connection.phase is Phase.RECEIVING:
@@ -429,17 +445,32 @@
                 connection,
                 408,
                 'request_timeout',
-                'the headers, or the next part of the body, took longer than'
-                f' {self.limits.header_timeout_seconds} s',
+                'the headers, or the next part of the body, took too long',
             )
         elif connection.channel is not None and connection.channel.output:
             # TCP_USER_TIMEOUT ends the connection if the caller acknowledges
             # no output for too long.
-            connection.expires_at = time.monotonic() + LINGER_SECONDS
+            connection.waiting_since = time.monotonic()
         else:
             self.close_connection(connection)
 
 
+def build_protocol(maximum_header_bytes: int) -> h11.Connection:
+    """Return the protocol state of a new connection."""
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=maximum_header_bytes
+    )
+
+
+def renew_protocol(
+    connection: CallerConnection, maximum_header_bytes: int
+) -> None:
+    """Apply a changed limit before the next request; h11 cannot change it."""
+    if connection.maximum_header_bytes != maximum_header_bytes:
+        connection.maximum_header_bytes = maximum_header_bytes
+        connection.protocol = build_protocol(maximum_header_bytes)
+
+
 def build_response(
     head: relay_wire.ReplyHead, length: int | None
 ) -> h11.Response:
@@ -479,9 +510,7 @@
     """Buffer a piece of a body, and extend the time limit of the request."""
     connection.body += event.data
     check_body_length(len(connection.body), server.limits)
-    connection.expires_at = (
-        time.monotonic() + server.limits.header_timeout_seconds
-    )
+    connection.waiting_since = time.monotonic()
     return True
 
 
@@ -494,7 +523,7 @@
     return False
 
 
-def check_body_length(length: int, limits: CallerLimits) -> None:
+def check_body_length(length: int, limits: caller_limits.CallerLimits) -> None:
     """Check the length of a body, or raise `wire.DecodeError`."""
     if length > limits.maximum_body_bytes:
         raise wire.DecodeError(
--- /dev/null
+++ b/tests/test_relay_server.py
@@ -0,0 +1,175 @@
+"""Test the connections of callers, with sockets but without processes."""
+
+import dataclasses
+import socket
+import typing
+import unittest
+from unittest import mock
+
+from bench import processes
+from mustardvale.internal import addresses, events
+from mustardvale.internal.edge import caller_limits, channels, relay_server
+from mustardvale.internal.relay import requests
+from mustardvale.platform import front_codec
+from tests import relay_site
+
+LIMITS = caller_limits.CallerLimits(
+    maximum_header_bytes=1000,
+    maximum_body_bytes=1000,
+    header_timeout_seconds=1.0,
+    idle_timeout_seconds=4.0,
+)
+ANSWER = requests.RelayedAnswer(200, (), b'read')
+# The kernel delivers on the loopback interface within this time.
+DELIVERY_SECONDS = 1.0
+
+
+class Clock:
+    """Provide a monotonic clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        """Return the time that the test has set."""
+        return self.now
+
+
+class ServerCase(unittest.TestCase):
+    """Provide a server that the test drives in place of a loop."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        patched = mock.patch.object(relay_server, 'time', self.clock)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.events: list[typing.Any] = []
+        self.table = channels.ChannelTable(channels.DirectPoller())
+        self.addCleanup(self.table.stop_listening)
+        self.server = relay_server.RelayServer(
+            self.table, front_codec, self.record_event
+        )
+        self.server.apply_limits(LIMITS)
+        # The longer limits of a server without a configuration have ended.
+        self.clock.now += 60
+        self.address = addresses.split(processes.find_free_addresses(1)[0])
+        self.server.listen(front_codec.FRONT, self.address)
+
+    def record_event(
+        self, kind: type[events.Event], **fields: typing.Any
+    ) -> None:
+        """Record an event in place of a reducer."""
+        self.events.append(kind(at=self.clock.now, **fields))
+
+    def list_request_ids(self) -> list[str]:
+        """Return the ids of the requests that were reported."""
+        return [
+            event.request_id
+            for event in self.events
+            if isinstance(event, events.CallerRequested)
+        ]
+
+    def connect(self) -> socket.socket:
+        """Open a connection that the server has not accepted."""
+        sock = socket.create_connection(self.address, timeout=DELIVERY_SECONDS)
+        self.addCleanup(sock.close)
+        return sock
+
+    def accept(self) -> tuple[socket.socket, relay_server.CallerConnection]:
+        """Open a connection; return the caller's socket and its record."""
+        known = set(self.server.connections)
+        sock = self.connect()
+        for listener in tuple(self.table.listeners):
+            self.table.on_readable(listener)
+        (connection,) = self.server.connections - known
+        self.addCleanup(self.server.close_connection, connection)
+        return sock, connection
+
+    def deliver(
+        self, connection: relay_server.CallerConnection, sent: bytes
+    ) -> None:
+        """Let the server read input of a caller."""
+        connection.on_received(connection.channel, sent)
+
+    def answer_first(self) -> socket.socket:
+        """Return a connection that is idle after one answer."""
+        sock, connection = self.accept()
+        self.deliver(connection, relay_site.encode_request('/read/x', 'a1'))
+        self.server.reply(self.list_request_ids()[-1], ANSWER)
+        self.assertEqual(200, relay_site.read_answer(sock).status)
+        return sock
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass, and sweep the connections."""
+        self.clock.now += seconds
+        self.server.sweep()
+
+    def change_limits(self, **fields: typing.Any) -> None:
+        """Apply a version that changes limits."""
+        self.server.apply_limits(dataclasses.replace(LIMITS, **fields))
+
+
+class IdleTime(ServerCase):
+    """A connection may be idle for as long as any version in force allows."""
+
+    def test_raised_limit_holds_for_connections_that_are_idle(self) -> None:
+        """Guard against a close under a caller that relies on a new version."""
+        self.answer_first()
+        self.pass_time(1)
+        self.change_limits(idle_timeout_seconds=12.0)
+        self.pass_time(8)
+        self.assertEqual(1, len(self.server.connections))
+        self.pass_time(3.1)
+        self.assertEqual(0, len(self.server.connections))
+
+    def test_lowered_limit_spares_callers_that_use_the_earlier_one(
+        self,
+    ) -> None:
+        """Guard against a close under a caller that knows the old version."""
+        self.pass_time(10)
+        self.change_limits(idle_timeout_seconds=1.0)
+        self.answer_first()
+        self.pass_time(3.5)
+        self.assertEqual(1, len(self.server.connections))
+        self.pass_time(0.6)
+        self.assertEqual(0, len(self.server.connections))
+
+    def test_lowered_limit_ends_later_connections_sooner(self) -> None:
+        """Guard against a limit that is never lowered."""
+        self.change_limits(idle_timeout_seconds=1.0)
+        self.pass_time(4.1)
+        self.answer_first()
+        self.pass_time(1.1)
+        self.assertEqual(0, len(self.server.connections))
+
+
+class LimitsOfOpenConnections(ServerCase):
+    """An open connection follows the limits of the newest version."""
+
+    def test_raised_header_size_holds_for_the_next_request(self) -> None:
+        """Guard against a refusal of headers that a new version allows."""
+        sock, connection = self.accept()
+        self.change_limits(maximum_header_bytes=4000)
+        headers = f'X-Long: {"x" * 2000}\r\n'
+        request = relay_site.encode_request('/read/x', 'a1', headers=headers)
+        self.deliver(connection, request[:1500])
+        self.deliver(connection, request[1500:])
+        self.assertEqual(1, len(self.list_request_ids()))
+
+    def test_raised_header_time_holds_for_an_open_request(self) -> None:
+        """Guard against a 408 for a request that a new version allows."""
+        sock, connection = self.accept()
+        self.deliver(connection, b'POST /read/x HTTP/1.1\r\n')
+        self.change_limits(header_timeout_seconds=3.0)
+        self.pass_time(2)
+        self.assertIs(relay_server.Phase.RECEIVING, connection.phase)
+        self.pass_time(1.1)
+        self.assertEqual(408, relay_site.read_answer(sock).status)
+
+    def test_lowered_header_time_spares_an_open_request(self) -> None:
+        """Guard against a 408 for a request that the old version allows."""
+        sock, connection = self.accept()
+        self.deliver(connection, b'POST /read/x HTTP/1.1\r\n')
+        self.change_limits(header_timeout_seconds=0.2)
+        self.pass_time(0.9)
+        self.assertIs(relay_server.Phase.RECEIVING, connection.phase)
