Read what has arrived before a connection of a caller is closed

A caller whose request lay in the socket buffer got a reset, and could not know whether the request had been read: at the end of the idle time, at a stop, and at the exit of the process, there also from the listen queue.

Cause: idle connections were closed by their phase, which changes only when the poller reports their input. The process ended with connections not yet accepted, and with input not yet read, which also resets a connection whose answer is still on the way.

Change: an idle connection is read once more before it is closed. Before the loop stops, the server accepts what is pending, stops to listen, reads all connections, and refuses incomplete requests with 503.

Measured: test_request_at_the_end_of_the_idle_time_is_reported and test_request_at_a_stop_is_reported failed before with '2 != 1' requests, test_pending_connection_is_served_before_the_exit with '1 != 0', test_incomplete_request_is_refused_before_the_exit with a timeout of the caller.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -13,6 +13,9 @@
 
 PENDING_CONNECT_CODES = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
 RECEIVE_BYTES = 64 * 1024
+# Events of one listener that are handled at once before it is closed; each
+# accepts several connections.
+MAXIMUM_ACCEPT_EVENTS = 8
 # TCP_USER_TIMEOUT: a connection fails if sent data is not acknowledged for this
 # long. The default of the kernel is many minutes.
 USER_TIMEOUT_MS = 3000
@@ -107,6 +110,12 @@
         self.listeners[sock] = accept
         self.poller.addReader(self, sock)
 
+    def accept_pending(self) -> None:
+        """Accept the connections that the poller has not reported yet."""
+        for sock, accept in tuple(self.listeners.items()):
+            for _ in range(MAXIMUM_ACCEPT_EVENTS):
+                accept(sock)
+
     def stop_listening(self) -> None:
         """Close all listening sockets."""
         for sock in tuple(self.listeners):
@@ -219,6 +228,10 @@
             return
         channel.owner.on_received(channel, received)
 
+    def read_available(self, channel: Channel) -> None:
+        """Read input that the poller has not reported yet."""
+        self.on_readable(channel.sock)
+
     def on_writable(self, sock: socket.socket) -> None:
         """Complete the connection, or write queued output."""
         channel = self.channels.get(sock)
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -97,6 +97,11 @@
             ConnectionSweep(), relay_server.SWEEP_PERIOD_SECONDS
         )
 
+    def stop_when_flushed(self, check: loop.FlushCheck) -> None:
+        """Answer what has arrived before the loop stops."""
+        self.callers.drain_input()
+        super().stop_when_flushed(check)
+
     def watch_settings(
         self, path: str, read_settings: abc.Callable[[], typing.Any]
     ) -> None:
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -409,7 +409,34 @@
         self.is_closing = True
         for connection in tuple(self.connections):
             if connection.phase is Phase.IDLE:
-                self.close_connection(connection)
+                self.close_unused(connection)
+
+    def close_unused(self, connection: CallerConnection) -> None:
+        """Close an idle connection, unless input has arrived meanwhile.
+
+        Closing a socket with unread input resets it, and the caller cannot know
+        whether the request was read.
+        """
+        assert connection.channel is not None, 'a connection has a channel'
+        self.channel_table.read_available(connection.channel)
+        if connection.phase is Phase.IDLE:
+            self.close_connection(connection)
+
+    def drain_input(self) -> None:
+        """Read all requests that have arrived, and accept no more callers.
+
+        Incomplete ones are refused. The exit of the process resets connections
+        with unread input, even if their answers are on the way.
+        """
+        self.channel_table.accept_pending()
+        self.channel_table.stop_listening()
+        for connection in tuple(self.connections):
+            assert connection.channel is not None, 'a connection has a channel'
+            self.channel_table.read_available(connection.channel)
+            if connection.phase is Phase.RECEIVING:
+                self.refuse_request(
+                    connection, 503, 'unavailable', 'the instance stops'
+                )
 
     def is_flushed(self) -> bool:
         """Return whether no output is queued."""
@@ -447,6 +474,8 @@
                 'request_timeout',
                 'the headers, or the next part of the body, took too long',
             )
+        elif connection.phase is Phase.IDLE:
+            self.close_unused(connection)
         elif connection.channel is not None and connection.channel.output:
             # TCP_USER_TIMEOUT ends the connection if the caller acknowledges
             # no output for too long.
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -143,6 +143,50 @@
         self.assertEqual(0, len(self.server.connections))
 
 
+class UnreadInput(ServerCase):
+    """A connection is closed only after its input has been read."""
+
+    def test_request_at_the_end_of_the_idle_time_is_reported(self) -> None:
+        """Guard against a reset of a request that was not read yet."""
+        sock = self.answer_first()
+        sock.sendall(relay_site.encode_request('/read/x', 'a2'))
+        self.pass_time(5)
+        self.assertEqual(2, len(self.list_request_ids()))
+        self.server.reply(self.list_request_ids()[-1], ANSWER)
+        self.assertEqual(200, relay_site.read_answer(sock).status)
+
+    def test_request_at_a_stop_is_reported(self) -> None:
+        """Guard against a stop that resets a request in the socket."""
+        sock = self.answer_first()
+        sock.sendall(relay_site.encode_request('/read/x', 'a2'))
+        self.server.close_idle()
+        self.assertEqual(2, len(self.list_request_ids()))
+
+    def test_connections_without_a_request_are_closed_at_a_stop(self) -> None:
+        """Guard against idle connections that delay a stop."""
+        sock = self.answer_first()
+        self.server.close_idle()
+        self.assertEqual(b'', sock.recv(1))
+
+    def test_pending_connection_is_served_before_the_exit(self) -> None:
+        """Guard against a request in the backlog that is reset at the exit."""
+        sock = self.connect()
+        sock.sendall(relay_site.encode_request('/read/x', 'a1'))
+        self.server.drain_input()
+        self.assertEqual(1, len(self.list_request_ids()))
+        self.assertEqual({}, self.table.listeners)
+
+    def test_incomplete_request_is_refused_before_the_exit(self) -> None:
+        """Guard against an exit that resets a caller in the middle."""
+        sock, connection = self.accept()
+        request = relay_site.encode_request('/read/x', 'a1', b'body')
+        self.deliver(connection, request[:-2])
+        self.server.drain_input()
+        answer = relay_site.read_answer(sock)
+        self.assertEqual(503, answer.status)
+        self.assertEqual('close', answer.headers['connection'])
+
+
 class LimitsOfOpenConnections(ServerCase):
     """An open connection follows the limits of the newest version."""
 
