Refuse requests that arrive while the process exits

A request that was read after the stop had completed was sent to an upstream, and cut by the exit of the process some 20 ms later.

Cause: whether a stopping instance accepts a request depends on the time since the stop began. An instance that knows no other one accepts for half of its time to stop, 4 s, but ends after 3 s if no request is open, and the loop goes on until all output is written.

Change: the state records that the process exits, and admission refuses with 503 from then on.

Measured: test_request_after_the_end_is_refused failed before with KeyError 'r1', as the request was sent and got no answer. It passes now.

--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -112,6 +112,8 @@
     """Return whether new requests are accepted, also during a stop."""
     if state.stopping is None:
         return True
+    if state.stopping.is_exiting:
+        return False
     waited_seconds = now - state.stopping.started_at
     if members.list_other_addresses(state):
         return waited_seconds <= ACCEPT_AFTER_STOP_SECONDS
--- a/src/mustardvale/internal/relay/instance_settings.py
+++ b/src/mustardvale/internal/relay/instance_settings.py
@@ -49,6 +49,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stopping:
-    """Hold when a graceful shutdown began."""
+    """Hold when a graceful shutdown began, and whether the process exits."""
 
     started_at: float
+    is_exiting: bool = False
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -172,7 +172,11 @@
         return transitions.Transition(
             state, (effects.SetTimer(timer, STOP_CHECK_PERIOD_SECONDS),)
         )
-    aborted: reducer.Transition = transitions.Transition(state).then_each(
+    exiting = dataclasses.replace(
+        state,
+        stopping=dataclasses.replace(state.stopping, is_exiting=True),
+    )
+    aborted: reducer.Transition = transitions.Transition(exiting).then_each(
         state.exchanges.values(),
         lambda exchange, current: completion.fail_exchange(
             exchange, 'the instance stops', event.at, current
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -5,7 +5,7 @@
 
 import immutables
 
-from mustardvale.internal import events
+from mustardvale.internal import effects, events
 from mustardvale.internal.relay import (
     calls,
     configuration,
@@ -386,3 +386,16 @@
         instance.now += 2.0
         instance.receive_request('r2', '/read/x')
         self.assertEqual(503, instance.replies['r2'].status)
+
+    def test_request_after_the_end_is_refused(self) -> None:
+        """Guard against a request that is sent while the process exits.
+
+        The loop reads what has arrived until all output is written.
+        """
+        instance = relay_states.Instance()
+        instance.emit_event(events.StopRequested)
+        instance.pass_time(3.2)
+        self.assertIn(effects.StopLoop(), instance.others)
+        instance.receive_request('r1', '/read/x')
+        self.assertEqual(503, instance.replies['r1'].status)
+        self.assertEqual([], instance.sends)
