Keep a silent send open beside a second one until one of them delivers

Cause: A silent attempt was given up (its connection closed) as soon as a second send could start. Where that one was refused, could not connect or broke off, the stream was cut or the request failed, though the first runner was sound and went on: silence of a second or so is no fault. The same happened after one probe of the first runner without an answer for 0.25 s, and to idempotent plain requests. Change: The second send starts beside the first (hedges.py, at most two open sends, within the retry budget and the runs of the route, in which an open send now counts). The first event of a stream, or the first complete answer, decides; only then is the other send aborted and its load released. If either fails, the other goes on alone. The incomplete event belongs to the attempt. An error of one send is dropped while the other is open.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -15,6 +15,7 @@
     dispatch,
     event_stream,
     exchanges,
+    hedges,
     idle_connections,
     reducer,
     requests,
@@ -190,26 +191,50 @@
     """Forward the events that a part completes.
 
     Comments before the first event are kept back until it arrives, because the
-    request can go to another runner only until its answer has begun.
+    request can go to another runner only until its answer has begun. So are
+    those of a send that has another one beside it.
     """
-    exchange = open_attempt.exchange
+    exchange, attempt = open_attempt.exchange, open_attempt.attempt
     split = event_stream.split_events(
-        exchange.partial_event, event.part, exchange.last_event_id
+        attempt.partial_event, event.part, exchange.last_event_id
     )
-    if not split.has_progress and not exchange.has_stream_started:
+    is_undecided = not exchange.has_stream_started or len(exchange.attempts) > 1
+    if not split.has_progress and is_undecided:
         return keep_partial(
             open_attempt, split.complete + split.remainder, event.at, state
         )
     if not split.complete:
         return keep_partial(open_attempt, split.remainder, event.at, state)
-    next_state = record_events(open_attempt, split, event.at, state)
+    if len(exchange.attempts) == 1:
+        return deliver_events(open_attempt, head, split, event.at, state)
+    return hedges.abort_others(exchange, attempt, event.at, state).then(
+        lambda current: deliver_events(
+            OpenAttempt(current.exchanges[exchange.request_id], attempt),
+            head,
+            split,
+            event.at,
+            current,
+        )
+    )
+
+
+def deliver_events(
+    open_attempt: OpenAttempt,
+    head: requests.AnswerHead,
+    split: event_stream.SplitEvents,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send complete events of the only open attempt to the caller."""
+    exchange = open_attempt.exchange
+    next_state = record_events(open_attempt, split, now, state)
     stream_effects: tuple[effects.Effect, ...] = ()
     if not exchange.has_stream_started:
-        stream_effects = build_stream_start(exchange, head, event.at)
+        stream_effects = build_stream_start(exchange, head, now)
     elif exchange.last_event_at is not None:
         stream_effects = (
             effects.Observe(
-                'between_events_seconds', event.at - exchange.last_event_at
+                'between_events_seconds', now - exchange.last_event_at
             ),
         )
     part = effects.StreamPart(exchange.request_id, split.complete)
@@ -227,8 +252,8 @@
             now,
             state,
         )
-    changed = dataclasses.replace(open_attempt.exchange, partial_event=partial)
-    return transitions.Transition(store_exchange(changed, state))
+    kept = dataclasses.replace(open_attempt.attempt, partial_event=partial)
+    return transitions.Transition(store_attempt(open_attempt, kept, state))
 
 
 def record_events(
@@ -244,18 +269,19 @@
     """
     exchange, attempt = open_attempt.exchange, open_attempt.attempt
     if not split.has_progress:
-        return store_exchange(
-            dataclasses.replace(exchange, partial_event=split.remainder), state
-        )
+        kept = dataclasses.replace(attempt, partial_event=split.remainder)
+        return store_attempt(open_attempt, kept, state)
     first = now if attempt.first_event_at is None else attempt.first_event_at
     received = dataclasses.replace(
-        attempt, last_received_at=now, first_event_at=first
+        attempt,
+        last_received_at=now,
+        first_event_at=first,
+        partial_event=split.remainder,
     )
     last_event = exchange.last_event_id
     changed = dataclasses.replace(
         exchange,
         attempts=(received,),
-        partial_event=split.remainder,
         has_stream_started=True,
         last_event_at=now,
         last_event_id=last_event
@@ -341,7 +367,8 @@
 ) -> reducer.Transition:
     """Complete a stream, or retry it if it ended within an event."""
     exchange = open_attempt.exchange
-    if exchange.partial_event or not exchange.has_stream_started:
+    is_truncated = bool(open_attempt.attempt.partial_event)
+    if is_truncated or not exchange.has_stream_started:
         return retry_failed(
             open_attempt,
             'the stream ended within an event or without any',
@@ -368,8 +395,24 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Forward a complete answer to the caller."""
+    overtaken = hedges.abort_others(
+        open_attempt.exchange, open_attempt.attempt, now, state
+    )
+    return overtaken.then(
+        lambda current: reply_with_answer(open_attempt, head, now, current)
+    )
+
+
+def reply_with_answer(
+    open_attempt: OpenAttempt,
+    head: requests.AnswerHead,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Complete a request with the answer of its only open attempt."""
+    exchange = state.exchanges[open_attempt.exchange.request_id]
     remaining, state = completion.end_attempt(
-        open_attempt.exchange, open_attempt.attempt, state
+        exchange, open_attempt.attempt, state
     )
     return completion.finish_exchange(
         remaining,
@@ -407,7 +450,14 @@
     remaining, next_state = completion.end_attempt(
         open_attempt.exchange, open_attempt.attempt, state
     )
-    remaining = record_failed_attempt(remaining, open_attempt.attempt, problem)
+    remaining = exchanges.record_failed_attempt(
+        remaining, open_attempt.attempt, problem
+    )
+    if remaining.attempts and not is_final(remaining, head):
+        return transitions.Transition(
+            store_exchange(remaining, next_state),
+            (build_failure_log(remaining, open_attempt.attempt, problem, now),),
+        )
     should_retry = (
         head.status >= FIRST_SERVER_ERROR_STATUS
         and dispatch.may_retry(remaining, now, next_state)
@@ -424,6 +474,15 @@
     return forward_answer(open_attempt, head, now, state)
 
 
+def is_final(exchange: exchanges.Exchange, head: requests.AnswerHead) -> bool:
+    """Return whether an error decides a request that has another send open."""
+    return (
+        not exchange.is_stream
+        and head.status < FIRST_SERVER_ERROR_STATUS
+        and head.status not in UNEXECUTED_STATUSES
+    )
+
+
 def store_exchange(
     exchange: exchanges.Exchange, state: 'states.State'
 ) -> 'states.State':
@@ -433,19 +492,6 @@
     )
 
 
-def record_failed_attempt(
-    exchange: exchanges.Exchange, attempt: exchanges.Attempt, problem: str
-) -> exchanges.Exchange:
-    """Record a send that failed; it counts as a run if it may have run."""
-    return dataclasses.replace(
-        exchange,
-        possible_run_count=exchange.possible_run_count + attempt.is_sent,
-        tried_runner_ids=exchange.tried_runner_ids | {attempt.runner_id},
-        partial_event=b'',
-        last_problem=problem,
-    )
-
-
 def retry_refused(
     open_attempt: OpenAttempt,
     head: requests.AnswerHead,
@@ -461,7 +507,6 @@
         remaining,
         tried_runner_ids=remaining.tried_runner_ids
         | {at_fault or open_attempt.attempt.runner_id},
-        partial_event=b'',
         last_problem=f'refused without running, status {head.status}',
     )
     retried = retry_or_fail(refused, now, store_exchange(refused, state))
@@ -505,30 +550,40 @@
     runner_map = runners.record_failure(
         state.runners, open_attempt.attempt.runner_id, now
     )
-    failed = record_failed_attempt(remaining, open_attempt.attempt, problem)
+    failed = exchanges.record_failed_attempt(
+        remaining, open_attempt.attempt, problem
+    )
     state = store_exchange(
         failed, dataclasses.replace(state, runners=runner_map)
     )
     abort = relay_effects.AbortSend(open_attempt.attempt.send_id)
-    log_effect = relay_effects.LogDecision(
+    log_effect = build_failure_log(failed, open_attempt.attempt, problem, now)
+    retried = retry_or_fail(failed, now, state)
+    return transitions.Transition(
+        retried.state, (abort, log_effect, *retried.effects)
+    )
+
+
+def build_failure_log(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    problem: str,
+    now: float,
+) -> effects.Effect:
+    """Return the effect that logs a failed send."""
+    return relay_effects.LogDecision(
         'send_failed',
         (
-            ('request', failed.request.attempt_id),
-            ('runner', open_attempt.attempt.runner_id),
-            ('chain', dispatch.format_chain(open_attempt.attempt.chain)),
+            ('request', exchange.request.attempt_id),
+            ('runner', attempt.runner_id),
+            ('chain', dispatch.format_chain(attempt.chain)),
             ('problem', problem),
-            ('sent', open_attempt.attempt.is_sent),
-            ('last_event', failed.last_event_id),
-            (
-                'silent_ms',
-                int((now - open_attempt.attempt.last_received_at) * 1000),
-            ),
+            ('sent', attempt.is_sent),
+            ('last_event', exchange.last_event_id),
+            ('silent_ms', int((now - attempt.last_received_at) * 1000)),
+            ('open', len(exchange.attempts)),
         ),
     )
-    retried = retry_or_fail(failed, now, state)
-    return transitions.Transition(
-        retried.state, (abort, log_effect, *retried.effects)
-    )
 
 
 def retry_or_fail(
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -492,8 +492,9 @@
 ) -> bool:
     """Return whether a request may be sent to another upstream.
 
-    A request that may have run is retried only if its route allows it. All
-    retries, including those after a refusal, share the service's budget.
+    A request that may have run is retried only if its route allows it. An open
+    send counts as a run. All retries, including those after a refusal, share the
+    service's budget.
     """
     if exchange.send_count >= MAXIMUM_SENDS:
         return False
@@ -506,11 +507,9 @@
     )
     if balance < 1:
         return False
-    if not exchange.may_have_run:
+    runs = exchange.possible_run_count + len(exchange.attempts)
+    if not runs:
         return True
-    runs = exchange.possible_run_count + sum(
-        attempt.is_sent for attempt in exchange.attempts
-    )
     return (
         exchange.route.is_retryable and runs < exchange.route.maximum_attempts
     )
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -15,8 +15,9 @@
     `is_sent` is true once the upstream may have received the request.
     `estimated_tokens` is the number of tokens that its chain is assumed to keep
     for it. `last_received_at` is when data last arrived, `first_event_at` when
-    the first complete event of a stream did. `pending_chain` is the chain of an
-    order to move the request that has not been answered yet.
+    the first complete event of a stream did. `partial_event` is the beginning of
+    an event that is not complete yet. `pending_chain` is the chain of an order to
+    move the request that has not been answered yet.
     """
 
     send_id: str
@@ -29,6 +30,7 @@
     body: bytes = b''
     last_received_at: float = 0.0
     first_event_at: float | None = None
+    partial_event: bytes = b''
     pending_chain: requests.Chain = ()
     move_count: int = 0
 
@@ -44,10 +46,9 @@
 
     `possible_run_count` counts the failed sends that may have run the request;
     open sends are not in it. `send_count` counts all sends. `tried_runner_ids`
-    names the upstreams that refused or failed the request. `partial_event` is
-    the beginning of an event that is not complete yet. `last_search_at` is when
-    a search last found no upstream, and `last_problem` why the last send
-    failed.
+    names the upstreams that refused or failed the request. `last_search_at` is
+    when a search last found no upstream, and `last_problem` why the last send
+    failed or got a second one beside it.
     """
 
     request_id: str
@@ -64,7 +65,6 @@
     tried_runner_ids: frozenset[str] = frozenset()
     has_stream_started: bool = False
     last_event_id: int | None = None
-    partial_event: bytes = b''
     last_event_at: float | None = None
     is_caller_blocked: bool = False
     last_search_at: float | None = None
@@ -117,6 +117,18 @@
     )
 
 
+def record_failed_attempt(
+    exchange: Exchange, attempt: Attempt, problem: str
+) -> Exchange:
+    """Record a send that failed; it counts as a run if it may have run."""
+    return dataclasses.replace(
+        exchange,
+        possible_run_count=exchange.possible_run_count + attempt.is_sent,
+        tried_runner_ids=exchange.tried_runner_ids | {attempt.runner_id},
+        last_problem=problem,
+    )
+
+
 def list_last_activity(exchange_map: ExchangeMap) -> dict[str, float]:
     """Return when a stream last delivered something through each runner."""
     last_activity: dict[str, float] = {}
--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -1,7 +1,7 @@
 """Check all open requests.
 
 Waiting requests search for an upstream again, requests without time left
-fail, and silent attempts are probed or retried. One timer for all of them
+fail, and silent attempts are probed or hedged. One timer for all of them
 replaces several timers for each request.
 """
 
@@ -10,11 +10,13 @@
 
 from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
+    answers,
     check_schedule,
     completion,
     configuration,
     dispatch,
     exchanges,
+    hedges,
     loads,
     moves,
     reducer,
@@ -26,12 +28,12 @@
     from mustardvale.internal.relay import state as states
 
 # A plain request without an answer after this share of its target time is
-# retried at another runner, which can still answer within the target.
+# sent to a second runner, which can still answer within the target.
 MAXIMUM_SILENCE_TARGET_SHARE = 0.6
-# A stream without a new event for this long is retried elsewhere, even when its
+# A stream without a new event for this long gets a second send, even when its
 # first runner reports no fault, because callers disconnect after two seconds.
-# Probes report faults earlier, and a retry processes the prompt again at every
-# runner of the chain.
+# Probes report faults earlier, and a second send processes the prompt again at
+# every runner of its chain.
 MINIMUM_STREAM_SILENCE_SECONDS = 1.2
 # Callers of routes with slower events wait longer. A pause of twice the target
 # is late, but the stream may still be sound.
@@ -95,14 +97,26 @@
     """Return when a request can need a check, unless an event changes it."""
     if not exchange.attempts or now < state.silence_ignored_until:
         return now
-    attempt = exchange.attempts[-1]
     if exchange.is_caller_blocked or not exchange.route.is_retryable:
         return exchange.deadline_at
+    return min(
+        exchange.deadline_at,
+        *(
+            compute_attempt_check_at(exchange, attempt)
+            for attempt in exchange.attempts
+        ),
+    )
+
+
+def compute_attempt_check_at(
+    exchange: exchanges.Exchange, attempt: exchanges.Attempt
+) -> float:
+    """Return from when on an attempt has to be probed or hedged."""
     if attempt.chain:
-        silent_at = moves.compute_silent_at(attempt)
-    else:
-        silent_at = attempt.last_received_at + compute_plain_limit(exchange)
-    return min(silent_at, exchange.deadline_at)
+        return moves.compute_silent_at(attempt)
+    if len(exchange.attempts) == hedges.MAXIMUM_OPEN_SENDS:
+        return exchange.deadline_at
+    return attempt.last_received_at + compute_plain_limit(exchange)
 
 
 def check_exchange(
@@ -120,16 +134,27 @@
         if not dispatch.is_search_due(exchange, now):
             return transitions.Transition(state)
         return dispatch.try_send(exchange, now, state)
-    attempt = exchange.attempts[-1]
     may_not_retry = (
         exchange.is_caller_blocked or not exchange.route.is_retryable
     )
     if may_not_retry or now < state.silence_ignored_until:
         return transitions.Transition(state)
-    check_attempt = (
-        check_stream_attempt if attempt.chain else check_plain_attempt
+    return transitions.Transition(state).then_each(
+        exchange.attempts,
+        lambda attempt, current: check_attempt(attempt.send_id, now, current),
     )
-    return check_attempt(exchange, attempt, now, state)
+
+
+def check_attempt(
+    send_id: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Check one open attempt, unless an earlier check has ended it."""
+    open_attempt = answers.find_open_attempt(send_id, state)
+    if open_attempt is None:
+        return transitions.Transition(state)
+    exchange, attempt = open_attempt.exchange, open_attempt.attempt
+    check = check_stream_attempt if attempt.chain else check_plain_attempt
+    return check(exchange, attempt, now, state)
 
 
 def check_plain_attempt(
@@ -138,10 +163,10 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Retry a plain request whose runner is silent for too long."""
+    """Hedge a plain request whose runner is silent for too long."""
     if now - attempt.last_received_at < compute_plain_limit(exchange):
         return transitions.Transition(state)
-    return moves.restart_elsewhere(exchange, attempt, 'silent', now, state)
+    return hedges.send_beside(exchange, attempt, 'silent', now, state)
 
 
 def compute_plain_limit(exchange: exchanges.Exchange) -> float:
@@ -155,11 +180,11 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Probe the first runner of a silent stream, or retry the stream."""
+    """Probe the first runner of a silent stream, or hedge the stream."""
     silence_seconds = now - attempt.last_received_at
     if silence_seconds < compute_silence_limit(exchange.route, attempt):
         return moves.probe_first_runner(attempt, now, state)
-    return moves.restart_elsewhere(
+    return hedges.send_beside(
         exchange,
         attempt,
         'silent',
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -17,6 +17,7 @@
     completion,
     dispatch,
     exchanges,
+    hedges,
     loads,
     reducer,
     requests,
@@ -192,12 +193,12 @@
 ) -> reducer.Transition:
     """Order the first runner to continue without the faulty runners.
 
-    A request whose first runner is faulty is sent elsewhere instead.
+    A request whose first runner is faulty gets a second send instead.
     """
     if attempt.pending_chain or not attempt.is_sent:
         return transitions.Transition(state)
     if attempt.runner_id in faulty or attempt.move_count >= MAXIMUM_MOVES:
-        return restart_elsewhere(
+        return hedges.send_beside(
             exchange,
             attempt,
             'the first runner is faulty or the request was moved too often',
@@ -206,7 +207,7 @@
         )
     chain = replace_faulty_parts(exchange, attempt, faulty, now, state)
     if chain is None:
-        return restart_elsewhere(
+        return hedges.send_beside(
             exchange, attempt, 'no substitute is available', now, state
         )
     moving = dataclasses.replace(
@@ -254,30 +255,6 @@
     )
 
 
-def restart_elsewhere(
-    exchange: exchanges.Exchange,
-    attempt: exchanges.Attempt,
-    problem: str,
-    now: float,
-    state: 'states.State',
-) -> reducer.Transition:
-    """Send a request elsewhere, if it may be retried and a target is free.
-
-    Otherwise the attempt stays open: silence alone does not fail a request.
-    """
-    remaining = answers.record_failed_attempt(
-        exchanges.remove_attempt(exchange, attempt.send_id),
-        attempt,
-        problem,
-    )
-    if not dispatch.may_retry(remaining, now, state) or (
-        dispatch.choose_target(remaining, now, state) is None
-    ):
-        return transitions.Transition(state)
-    open_attempt = answers.OpenAttempt(exchange, attempt)
-    return answers.retry_failed(open_attempt, problem, now, state)
-
-
 def replace_faulty_parts(
     exchange: exchanges.Exchange,
     attempt: exchanges.Attempt,
@@ -357,7 +334,7 @@
 def handle_move_answer(
     call: calls.MoveRequest, event: events.CallAnswered, state: 'states.State'
 ) -> reducer.Transition:
-    """Adopt the new chain, or send the request elsewhere.
+    """Adopt the new chain, or send the request elsewhere too.
 
     After a conflict the attempt stays open and the next probe may move it.
     """
@@ -393,7 +370,7 @@
             )
         return transitions.Transition(state, (count_effect,))
     exchange = state.exchanges[open_attempt.exchange.request_id]
-    return restart_elsewhere(
+    return hedges.send_beside(
         exchange, unmoved, f'move {verdict.value}', event.at, state
     ).with_effects(count_effect)
 
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -103,6 +103,10 @@
         first = self.instance.start_send()
         self.instance.pass_time(0.4)
         self.assertEqual(2, len(self.instance.sends))
+        second = self.instance.start_send()
+        self.instance.deliver_answer(second, relay_states.build_head(), b'yes')
+        self.instance.end_answer(second)
+        self.assertEqual(200, self.instance.replies['r1'].status)
         self.assertIn(first, self.instance.aborted_send_ids)
 
     def test_truncated_answer_is_retried(self) -> None:
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -17,7 +17,7 @@
     'configuration_feed',
     'runner_list orders',
     'peer_updates',
-    'completion dispatch admission answers moves monitoring lifecycle',
+    'completion dispatch hedges admission answers moves monitoring lifecycle',
     'state handlers',
 )
 RELAY_PACKAGE = 'mustardvale.internal.relay'
