Follow the list past an entry that is nested too deeply

Cause: msgspec raises RecursionError for deep JSON, and numbers too large for a float raise OverflowError. Neither was among the errors of decoding, so the exception left the call to the store without an answer and without a failure. The next read is scheduled by one of these, so the list, the configuration or the members were not read any more. An answer about members without a list raised StopIteration in the same way. Change: both kinds count as errors of decoding, for entries, answers of the store, reports, answers to orders and requests of other instances.

--- a/src/mustardvale/internal/edge/peer_feed_codec.py
+++ b/src/mustardvale/internal/edge/peer_feed_codec.py
@@ -29,7 +29,7 @@
         )
     try:
         return msgspec.json.decode(received.body, type=calls.FollowPeer)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise wire.DecodeError(400, 'malformed', str(error)) from error
 
 
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -290,9 +290,10 @@
     rows = (
         decoded
         if isinstance(decoded, list)
-        else next(rows for rows in decoded.values() if isinstance(rows, list))
+        else [rows for rows in decoded.values() if isinstance(rows, list)][0]
     )
-    return calls.MembersListed(tuple(sorted({row[2] for row in rows})))
+    names = {runner_codec.check_string(row[2]) for row in rows}
+    return calls.MembersListed(tuple(sorted(names)))
 
 
 @decode_success.register(calls.FollowPeer)
--- a/src/mustardvale/platform/configuration_codec.py
+++ b/src/mustardvale/platform/configuration_codec.py
@@ -15,6 +15,9 @@
     TypeError,
     ValueError,
     AttributeError,
+    # Numbers too large for a float, and values that are nested too deeply.
+    ArithmeticError,
+    RecursionError,
 )
 MILLISECONDS_PER_SECOND = 1000
 REQUEST_KINDS = immutables.Map(
--- a/src/mustardvale/platform/runner_codec.py
+++ b/src/mustardvale/platform/runner_codec.py
@@ -171,7 +171,7 @@
     """Return the address that a refusal names, or an empty string."""
     try:
         decoded = msgspec.json.decode(body) if body else {}
-    except msgspec.DecodeError:
+    except DECODING_ERRORS:
         return ''
     address = decoded.get('address', '') if isinstance(decoded, dict) else ''
     return address if isinstance(address, str) else ''
--- a/tests/relay_site.py
+++ b/tests/relay_site.py
@@ -144,6 +144,10 @@
     def append_record(self, topic: str, key: str, table: typing.Any) -> None:
         """Append a record."""
         content = b'' if table is None else json.dumps(table).encode()
+        self.append_bytes(topic, key, content)
+
+    def append_bytes(self, topic: str, key: str, content: bytes) -> None:
+        """Append a record with any content, as another writer may."""
         with self.changed:
             self.records[topic].append((key, content))
             self.changed.notify_all()
