Use no runner whose entry has an impossible id, address or number

Cause: the fields of an entry were checked for their type only. `int` and `isdecimal` accept signs, spaces, line ends, underscores and digits of other scripts, so that '10.0.0.1:80\n' was an address and went into the header that names a chain. Ids went into a header unchecked. Layers could end at 10**12 or begin below 0, and counts could be negative or beyond 64 bits. Change: an entry names a runner only with an id that fits a header, a strict IPv4 address and port, and numbers from 0 on within 64 bits, or 10,000 for layers. Numbers and names in reports of runners are checked in the same way.

--- a/src/mustardvale/internal/addresses.py
+++ b/src/mustardvale/internal/addresses.py
@@ -3,6 +3,7 @@
 import ipaddress
 
 MAXIMUM_PORT = 65535
+MAXIMUM_PORT_DIGITS = 5
 EXPECTED_FORM = (
     'use an IPv4 address and a port from 1 to 65535, such as 127.0.0.1:7000'
 )
@@ -15,7 +16,10 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) <= MAXIMUM_PORT
+    is_number = port.isascii() and port.isdecimal()
+    if not is_number or len(port) > MAXIMUM_PORT_DIGITS:
+        return False
+    return 0 < int(port) <= MAXIMUM_PORT
 
 
 def split(text: str) -> tuple[str, int]:
--- a/src/mustardvale/platform/runner_codec.py
+++ b/src/mustardvale/platform/runner_codec.py
@@ -1,9 +1,11 @@
 """Encode orders to runners, and decode their entries and reports."""
 
+import math
 import typing
 
 import msgspec
 
+from mustardvale.internal import addresses
 from mustardvale.internal.edge import wire
 from mustardvale.internal.relay import calls, runners
 from mustardvale.platform import configuration_codec, front_codec
@@ -13,6 +15,11 @@
 # Errors that decoding JSON of an unexpected form raises.
 DECODING_ERRORS = configuration_codec.DECODING_ERRORS
 
+MAXIMUM_ID_LENGTH = 255
+MAXIMUM_INTEGER = 2**63 - 1
+# Placement and chains count single layers. This is far above any model.
+MAXIMUM_LAYER_COUNT = 10_000
+
 ACCEPTED_STATUS = 202
 OK_STATUS = 200
 CONFLICT_STATUS = 409
@@ -22,7 +29,9 @@
 def decode_entry(runner_id: str, encoded: bytes) -> runners.ListedRunner | None:
     """Decode an entry of the runner list, or return `None` if invalid."""
     try:
-        return decode_entry_fields(runner_id, msgspec.json.decode(encoded))
+        return decode_entry_fields(
+            check_runner_id(runner_id), msgspec.json.decode(encoded)
+        )
     except DECODING_ERRORS:
         return None
 
@@ -54,11 +63,21 @@
         return None
     row = rows[0] if isinstance(rows, list) else rows
     layers = runners.LayerRange(
-        check_integer(row['source']), check_integer(row['target'])
+        check_integer(row['source']),
+        check_integer(row['target'], MAXIMUM_LAYER_COUNT),
     )
     return layers if layers.count > 0 else None
 
 
+def check_runner_id(runner_id: str) -> str:
+    """Return an id that can be sent in a header, or raise `ValueError`."""
+    is_word = runner_id.isascii() and runner_id.isprintable()
+    is_short = 0 < len(runner_id) <= MAXIMUM_ID_LENGTH
+    if not is_word or not is_short or ' ' in runner_id:
+        raise ValueError(f'{runner_id[:MAXIMUM_ID_LENGTH]!r} is not an id')
+    return runner_id
+
+
 def check_string(raw_value: typing.Any) -> str:
     """Return a string that is not empty, or raise `TypeError`."""
     if not isinstance(raw_value, str) or not raw_value:
@@ -69,22 +88,31 @@
     return raw_value
 
 
-def check_integer(raw_value: typing.Any) -> int:
-    """Return an integer that is not a boolean, or raise `TypeError`."""
+def check_integer(raw_value: typing.Any, maximum: int = MAXIMUM_INTEGER) -> int:
+    """Return an integer from 0 on, or raise `TypeError` or `ValueError`."""
     if not isinstance(raw_value, int) or isinstance(raw_value, bool):
         raise TypeError(f'expected an integer, got {type(raw_value).__name__}')
+    if not 0 <= raw_value <= maximum:
+        raise ValueError(f'the integer is not from 0 to {maximum}')
     return raw_value
 
 
+def check_factor(raw_value: typing.Any) -> float:
+    """Return a finite factor above 0, or raise `TypeError` or `ValueError`."""
+    if not isinstance(raw_value, (int, float)):
+        raise TypeError(f'expected a number, got {type(raw_value).__name__}')
+    factor = float(raw_value)
+    if not 0 < factor < math.inf:
+        raise ValueError(f'{factor} is not a factor')
+    return factor
+
+
 def check_address(raw_value: typing.Any) -> str:
     """Return an `IPv4:port`, or raise `TypeError` or `ValueError`."""
-    host, _, port = check_string(raw_value).rpartition(':')
-    octets = host.split('.')
-    if len(octets) != 4 or not all(octet.isdecimal() for octet in octets):
-        raise ValueError(f'{host!r} is not an IPv4 address')
-    if not 0 < int(port) < 65536:
-        raise ValueError(f'{port!r} is not a port number')
-    return str(raw_value)
+    address = check_string(raw_value)
+    if not addresses.is_address(address):
+        raise ValueError(f'{address!r}: {addresses.EXPECTED_FORM}')
+    return address
 
 
 def decode_report(raw: wire.RawAnswer) -> calls.RunnerReport:
@@ -97,9 +125,11 @@
         return calls.RunnerReport(
             order_count=check_integer(decoded['seq']),
             has_active_order=bool(decoded['busy']),
-            slowdown=float(decoded.get('pace') or 1),
+            slowdown=check_factor(decoded.get('pace') or 1),
             stalled=tuple(
-                calls.StalledRequest(row['id'], row['address'])
+                calls.StalledRequest(
+                    check_string(row['id']), check_string(row['address'])
+                )
                 for row in decoded.get('stalled') or ()
             ),
         )
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -9,7 +9,7 @@
 
 from mustardvale.internal.edge import peer_feed_codec, relay_wire, wire
 from mustardvale.internal.relay import calls, runners
-from mustardvale.platform import call_codec, configuration_codec
+from mustardvale.platform import call_codec, configuration_codec, runner_codec
 from tests import odd_entries
 
 
@@ -82,6 +82,26 @@
                 self.assertEqual('', answer.fault_address)
 
 
+class Reports(unittest.TestCase):
+    """Numbers of a report that cannot be used fail its call."""
+
+    def test_odd_numbers(self) -> None:
+        """Guard against a count or a pace that later calculations fail on."""
+        for body in (
+            b'{"seq":' + b'9' * 400 + b',"busy":false}',
+            b'{"seq":-1,"busy":false}',
+            b'{"seq":1.5,"busy":false}',
+            b'{"seq":1,"busy":false,"pace":"nan"}',
+            b'{"seq":1,"busy":false,"pace":"1e999"}',
+            b'{"seq":1,"busy":false,"pace":' + b'9' * 400 + b'}',
+            b'{"seq":1,"busy":false,"pace":-2}',
+            b'{"seq":1,"busy":false,"stalled":[{"id":7,"address":[]}]}',
+        ):
+            with self.subTest(body[:40]):
+                with self.assertRaises(wire.DecodeError):
+                    runner_codec.decode_report(build_answer(body))
+
+
 class PeerRequests(unittest.TestCase):
     """A request of another instance that does not decode is refused."""
 
