Read the whole list past records that cannot be decoded

Cause: one value of a page that is no base64, and one empty record of the log, failed the read of all entries. The key of the last entry went into the address of the next page unescaped, so that a space, a line end or a character beyond ASCII made a call that could not be written and had no answer. Change: such a record names no runner; the page is asked for with an escaped key. A record that is shorter than its key names nothing.

--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -91,7 +91,7 @@
 @encode_call.register(calls.ReadRunners)
 def encode_runner_read(call: calls.ReadRunners) -> wire.RawCall:
     """Encode a read of one page of the runners' entries."""
-    after = f'&after={call.after}' if call.after else ''
+    after = '&' + parse.urlencode({'after': call.after}) if call.after else ''
     return wire.RawCall(
         'GET', f'/api/log-newest?topic={RUNNER_TOPIC}&part=0{after}'
     )
@@ -202,19 +202,21 @@
 ) -> calls.RunnersRead:
     """Decode a page of the runners' entries."""
     decoded = msgspec.json.decode(raw.body)
-    changes = tuple(
-        calls.RunnerChange(
-            item['key'],
-            runner_codec.decode_entry(
-                item['key'], base64.b64decode(item['value'])
-            ),
-        )
-        for item in decoded['items']
-    )
+    changes = tuple(map(decode_listed_item, decoded['items']))
     next_page = changes[-1].runner_id if decoded.get('has-more') else ''
     return calls.RunnersRead(decoded['end'], changes, next_page)
 
 
+def decode_listed_item(item: dict[str, typing.Any]) -> calls.RunnerChange:
+    """Decode an item of a page; an unreadable one names no runner to use."""
+    key = runner_codec.check_string(item['key'])
+    try:
+        encoded = base64.b64decode(item['value'], validate=True)
+    except runner_codec.DECODING_ERRORS:
+        return calls.RunnerChange(key, None)
+    return calls.RunnerChange(key, runner_codec.decode_entry(key, encoded))
+
+
 @decode_success.register(calls.FollowRunners)
 def decode_runner_changes(
     call: calls.FollowRunners, raw: wire.RawAnswer
@@ -254,10 +256,15 @@
 
 
 def split_key(record: bytes) -> tuple[str, bytes]:
-    """Split a record into key and value; the first byte is the key length."""
-    length = record[0]
-    key = record[1 : 1 + length].decode('utf-8', 'replace')
-    return key, record[1 + length :]
+    """Split a record into key and value; the first byte is the key length.
+
+    A record that is shorter than its key has an empty key.
+    """
+    value_start = 1 + record[0] if record else 1
+    if value_start > len(record):
+        return '', b''
+    key = record[1:value_start].decode('utf-8', 'replace')
+    return key, record[value_start:]
 
 
 @decode_success.register(calls.JoinMembers)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,20 +3,66 @@
 One odd entry names no runner to use, and leaves the others as they are.
 """
 
+import base64
 import json
+import struct
 import time
 import typing
 import unittest
+from urllib import parse
 
 import hypothesis
+import immutables
 from hypothesis import strategies
 
-from mustardvale.internal.relay import runners
-from mustardvale.platform import runner_codec
+from mustardvale.internal.edge import wire
+from mustardvale.internal.relay import calls, runners
+from mustardvale.platform import call_codec, runner_codec
 from tests import odd_entries, relay_site, test_relay_processes
 
 
 VALID_ENTRY = json.dumps(odd_entries.ENTRY).encode()
+
+
+def build_answer(body: bytes) -> wire.RawAnswer:
+    """Return a successful answer."""
+    return wire.RawAnswer(200, immutables.Map(), body)
+
+
+def encode_records(*records: tuple[bytes, bytes]) -> bytes:
+    """Encode keyed records as the store's log does."""
+    body = struct.pack('>QQ', 0, 0)
+    for key, content in records:
+        record = bytes((len(key),)) + key + content
+        body += struct.pack('>I', len(record)) + record
+    return body
+
+
+def follow(*records: tuple[bytes, bytes]) -> calls.RunnersRead:
+    """Decode a read of records after position 10."""
+    return call_codec.decode_answer(
+        calls.FollowRunners(10), build_answer(encode_records(*records))
+    )
+
+
+def encode_page(
+    *items: tuple[str, bytes], has_more: bool = False, **fields: object
+) -> bytes:
+    """Encode a page of the newest records."""
+    rows = [
+        {'key': key, 'value': base64.b64encode(content).decode(), **fields}
+        for key, content in items
+    ]
+    return json.dumps({'items': rows, 'has-more': has_more, 'end': 9}).encode()
+
+
+def list_usable(read: calls.RunnersRead) -> dict[str, bool]:
+    """Return which runners of a read have an entry."""
+    return {
+        change.runner_id: change.entry is not None for change in read.changes
+    }
+
+
 MUTATED_ENTRIES = strategies.dictionaries(
     strategies.sampled_from(tuple(odd_entries.ENTRY)),
     odd_entries.JSON_VALUES,
@@ -74,6 +120,106 @@
         )
 
 
+class ListReads(unittest.TestCase):
+    """One odd entry leaves the other entries of its read as they are."""
+
+    def test_followed_records(self) -> None:
+        """Guard against a list that stops at an odd entry."""
+        for name, content in odd_entries.list_odd_entries():
+            with self.subTest(name):
+                read = follow(
+                    (b'i-1', VALID_ENTRY),
+                    (b'i-2', content),
+                    (b'i-3', VALID_ENTRY),
+                )
+                self.assertEqual(13, read.position)
+                self.assertEqual(
+                    {'i-1': True, 'i-2': False, 'i-3': True}, list_usable(read)
+                )
+
+    def test_pages(self) -> None:
+        """Guard against a page that is not read for one odd entry."""
+        for name, content in odd_entries.list_odd_entries():
+            with self.subTest(name):
+                body = encode_page(
+                    ('i-1', VALID_ENTRY),
+                    ('i-2', content),
+                    ('i-3', VALID_ENTRY),
+                    ('i-4', content),
+                    has_more=True,
+                )
+                read = call_codec.decode_answer(
+                    calls.ReadRunners(), build_answer(body)
+                )
+                self.assertEqual('i-4', read.next_page)
+                self.assertTrue(list_usable(read)['i-3'])
+                self.assertFalse(list_usable(read)['i-4'])
+
+    def test_records_without_a_key(self) -> None:
+        """Guard against a record of odd length that stops the list."""
+        for odd in (
+            b'',
+            b'\x00',
+            b'\x00{}',
+            b'\xff',
+            b'\xffshort',
+            b'\x01\xff',
+        ):
+            with self.subTest(odd):
+                body = encode_records((b'i-1', VALID_ENTRY))
+                body += struct.pack('>I', len(odd)) + odd
+                body += encode_records((b'i-2', VALID_ENTRY))[16:]
+                read = call_codec.decode_answer(
+                    calls.FollowRunners(10), build_answer(body)
+                )
+                self.assertEqual(13, read.position)
+                usable = list_usable(read)
+                self.assertTrue(usable['i-1'] and usable['i-2'])
+
+    def test_items_without_a_readable_value(self) -> None:
+        """Guard against a page that is lost for one value."""
+        for odd in (None, 7, '', '=', 'not base64!', 'A', '\u0663'):
+            with self.subTest(odd):
+                table = json.loads(
+                    encode_page(('i-1', VALID_ENTRY), ('i-2', VALID_ENTRY))
+                )
+                table['items'][0]['value'] = odd
+                read = call_codec.decode_answer(
+                    calls.ReadRunners(),
+                    build_answer(json.dumps(table).encode()),
+                )
+                self.assertEqual({'i-1': False, 'i-2': True}, list_usable(read))
+
+    def test_key_at_the_end_of_a_page(self) -> None:
+        """Guard against a next page that cannot be asked for."""
+        for key in ('a b', 'a&part=1', 'a\r\nX: y', '\u0663', '\x00', 'a%20b'):
+            with self.subTest(key):
+                target = call_codec.encode_call(calls.ReadRunners(key)).target
+                self.assertTrue(target.isascii() and target.isprintable())
+                self.assertNotIn(' ', target)
+                query = parse.parse_qs(target.partition('?')[2])
+                self.assertEqual([key], query['after'])
+                self.assertEqual(['0'], query['part'])
+
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.binary(min_size=1, max_size=8),
+                strategies.one_of(
+                    strategies.binary(max_size=60), MUTATED_ENTRIES
+                ),
+            ),
+            max_size=5,
+        )
+    )
+    def test_any_records(self, records: list[tuple[bytes, bytes]]) -> None:
+        """Guard against a read that fails or does not move the position."""
+        read = follow(*records, (b'i-sound', VALID_ENTRY))
+        self.assertEqual(11 + len(records), read.position)
+        self.assertTrue(list_usable(read)['i-sound'])
+
+
 class FollowedList(test_relay_processes.RelayCase):
     """An instance goes on to follow the list after an odd entry."""
 
