Decode only the newest record of the configuration in a poll

Cause: all new records of a poll were decoded, though only the last one is used. A record that does not decode failed the poll, and each later poll from the same position, also after a valid version had been written. Change: the last record alone is decoded. Measured: a valid version after a record that is nested too deeply raised DecodeError; now it is adopted and the position moves past both.

--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -186,14 +186,17 @@
     call: calls.FollowConfiguration, raw: wire.RawAnswer
 ) -> calls.ConfigurationRead:
     """Decode the last configuration among the operator's new records."""
-    newest_configuration = None
+    newest = b''
     count = 0
     for record in split_records(raw.body):
         count += 1
         key, value = split_key(record)
         if key == CONFIGURATION_KEY and value:
-            newest_configuration = configuration_codec.decode(value)
-    return calls.ConfigurationRead(call.position + count, newest_configuration)
+            newest = value
+    return calls.ConfigurationRead(
+        call.position + count,
+        configuration_codec.decode(newest) if newest else None,
+    )
 
 
 @decode_success.register(calls.ReadRunners)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -10,7 +10,7 @@
 from mustardvale.internal.edge import peer_feed_codec, relay_wire, wire
 from mustardvale.internal.relay import calls, runners
 from mustardvale.platform import call_codec, configuration_codec, runner_codec
-from tests import odd_entries
+from tests import odd_entries, test_odd_entries
 
 
 def build_answer(body: bytes) -> wire.RawAnswer:
@@ -132,3 +132,15 @@
             with self.subTest(content[:40]):
                 with self.assertRaises(wire.DecodeError):
                     configuration_codec.decode(content)
+
+    def test_version_after_an_odd_record(self) -> None:
+        """Guard against a new version that is not read for an older record."""
+        body = test_odd_entries.encode_records(
+            (b'config', odd_entries.DEEP_OBJECT),
+            (b'config', b'{"version":8,"routes":[]}'),
+        )
+        read = call_codec.decode_answer(
+            calls.FollowConfiguration(3, 1.0), build_answer(body)
+        )
+        self.assertEqual(5, read.position)
+        self.assertEqual(8, read.configuration.version)
