Check the entries that another instance has read

Cause: a follower took the entries of its reader as they came. During a change of release the reader may list entries that the follower refuses. Change: the codec applies the checks of the store's entries to them as well. Measured: eight odd entries of an update were listed before; now none is, and the sound one beside them is.

--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import dataclasses
 import functools
 import struct
 import typing
@@ -310,8 +311,19 @@
 def decode_peer_answer(
     call: calls.FollowPeer, raw: wire.RawAnswer
 ) -> calls.PeerUpdate:
-    """Decode the changes that another instance has read."""
-    return peer_feed_codec.decode_answer(raw)
+    """Decode the changes that another instance has read.
+
+    That instance may accept entries that this one does not.
+    """
+    update = peer_feed_codec.decode_answer(raw)
+    changes = tuple(
+        dataclasses.replace(
+            change,
+            entry=runner_codec.check_listed(change.runner_id, change.entry),
+        )
+        for change in update.changes
+    )
+    return dataclasses.replace(update, changes=changes)
 
 
 @decode_success.register(calls.ReadRunnerReport)
--- a/src/mustardvale/platform/runner_codec.py
+++ b/src/mustardvale/platform/runner_codec.py
@@ -57,6 +57,29 @@
     )
 
 
+def check_listed(
+    runner_id: str, entry: runners.ListedRunner | None
+) -> runners.ListedRunner | None:
+    """Return the entry that another instance has read, or `None` if invalid."""
+    if entry is None:
+        return None
+    layers = entry.layers
+    fields = {
+        'service': entry.service,
+        'address': entry.address,
+        'zone': entry.availability_zone,
+        'state': entry.state.value,
+        'born': entry.started_at_ms,
+        'slots': entry.slots,
+        'kind': entry.accelerator,
+        'layers': layers and {'source': layers.first, 'target': layers.end},
+    }
+    try:
+        return decode_entry_fields(check_runner_id(runner_id), fields)
+    except DECODING_ERRORS:
+        return None
+
+
 def decode_layers(rows: typing.Any) -> runners.LayerRange | None:
     """Decode the layers that a runner holds; `target` is exclusive."""
     if not rows:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import dataclasses
 import json
 import struct
 import time
@@ -13,6 +14,7 @@
 
 import hypothesis
 import immutables
+import msgspec
 from hypothesis import strategies
 
 from mustardvale.internal.edge import wire
@@ -220,6 +222,38 @@
         self.assertTrue(list_usable(read)['i-sound'])
 
 
+class PeerUpdates(unittest.TestCase):
+    """An odd entry does not come in from another instance either."""
+
+    def test_odd_entries(self) -> None:
+        """Guard against entries that an instance of another release lists."""
+        sound = runner_codec.decode_entry('i-1', VALID_ENTRY)
+        changes = [calls.RunnerChange('i-1', sound)]
+        for odd in (
+            {'address': '127.1.2.3:65536'},
+            {'address': '127.1.2.3:80\n'},
+            {'started_at_ms': 2**70},
+            {'slots': -1},
+            {'service': ''},
+            {'layers': runners.LayerRange(-5, 30)},
+            {'layers': runners.LayerRange(0, 10**12)},
+        ):
+            entry = dataclasses.replace(sound, **odd)
+            changes.append(calls.RunnerChange(f'i-{len(changes) + 1}', entry))
+        changes.append(calls.RunnerChange('i 9', sound))
+        changes.append(calls.RunnerChange('i-dropped', None))
+        update = calls.PeerUpdate(9, 0, tuple(changes), 1, 0.5)
+        decoded = call_codec.decode_answer(
+            calls.FollowPeer(1, 1), build_answer(msgspec.json.encode(update))
+        )
+        self.assertEqual(9, decoded.list_position)
+        self.assertEqual(sound, decoded.changes[0].entry)
+        self.assertEqual(
+            [None for _ in changes[1:]],
+            [change.entry for change in decoded.changes[1:]],
+        )
+
+
 class FollowedList(test_relay_processes.RelayCase):
     """An instance goes on to follow the list after an odd entry."""
 
