Use a runner again as soon as it answers after a silence

Cause: One probe of a first runner that got no answer for 0.25 s excluded the runner for 2 s and deprioritized it for 4 s. A sound runner that was silent for a second was left out for up to three seconds more: its streams had gone on elsewhere, so that nothing showed its return. The first answer ends the exclusion and the lower priority, unless another observation set a longer one (reachability.py). What remains: a runner that another runner reports as stalled is still avoided for the whole time, because this instance cannot see the link between the two; and all silent streams of an unreachable first runner still get a second send at once, from the retry budget.

--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -19,6 +19,7 @@
     exchanges,
     hedges,
     loads,
+    reachability,
     reducer,
     requests,
     runners,
@@ -37,7 +38,6 @@
 # Reports lag by a few hundred milliseconds, so that the first one may not show
 # the fault yet.
 PROBE_PERIOD_SECONDS = 0.2
-PROBE_TIMEOUT_SECONDS = 0.25
 MOVE_TIMEOUT_SECONDS = 0.4
 # A faulty runner is deprioritized for about as long as the platform takes to
 # drop the entry of a crashed one.
@@ -58,19 +58,7 @@
     runner = state.runners.get(attempt.runner_id)
     if runner is None or now - probed_at < PROBE_PERIOD_SECONDS:
         return transitions.Transition(state)
-    return transitions.Transition(
-        dataclasses.replace(
-            state, probed_at=state.probed_at.set(attempt.runner_id, now)
-        ),
-        (
-            effects.Call(
-                calls.ProbeRunner(attempt.runner_id),
-                runner.listed.address,
-                PROBE_TIMEOUT_SECONDS,
-            ),
-            effects.Count('probes', ()),
-        ),
-    )
+    return reachability.probe_runner(runner, now, state)
 
 
 def is_silent(attempt: exchanges.Attempt, now: float) -> bool:
@@ -90,12 +78,18 @@
 def handle_probe_answer(
     call: calls.ProbeRunner, event: events.CallAnswered, state: 'states.State'
 ) -> reducer.Transition:
-    """Mark the runners that requests wait for, and move the requests."""
+    """Mark the runners that requests wait for, and move the requests.
+
+    A runner that was unreachable is used again.
+    """
     report = event.answer
     if not isinstance(report, calls.RunnerReport):
         return transitions.Transition(state)
     runner_map = runners.record_slowdown(
-        state.runners, call.runner_id, report.slowdown, event.at
+        runners.record_reachable(state.runners, call.runner_id),
+        call.runner_id,
+        report.slowdown,
+        event.at,
     )
     state = dataclasses.replace(state, runners=runner_map)
     at_fault = {
@@ -125,8 +119,15 @@
     if is_streaming or event.at < state.silence_ignored_until:
         return transitions.Transition(state)
     faulty = frozenset((call.runner_id,))
-    return mark_faulty(faulty, 'unreachable', event.at, state).then(
-        lambda current: move_affected(faulty, event.at, current)
+    until = event.at + FAULT_DEPRIORITIZE_SECONDS
+    return (
+        mark_faulty(faulty, 'unreachable', event.at, state)
+        .then(
+            lambda current: reachability.record_unreachable(
+                call.runner_id, until, current
+            )
+        )
+        .then(lambda current: move_affected(faulty, event.at, current))
     )
 
 
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -53,7 +53,9 @@
     `changed_position` is the position of the list at which the entry last
     changed or was dropped, and `delisted_at` the time at which it was dropped.
     Until `deprioritized_until` other upstreams are preferred, and until
-    `excluded_until` the upstream is left out of new chains.
+    `excluded_until` the upstream is left out of new chains. `unreachable_until`
+    is how long it is avoided because a probe was not answered, and 0 after an
+    answer.
 
     `mean_latency_seconds` and `failure_rate` are exponential moving averages.
     `slowdown` is the factor by which the runner reports to be slower than
@@ -65,6 +67,7 @@
     delisted_at: float | None = None
     deprioritized_until: float = 0.0
     excluded_until: float = 0.0
+    unreachable_until: float = 0.0
     consecutive_failures: int = 0
     mean_latency_seconds: float = 0.0
     failure_rate: float = 0.0
@@ -181,6 +184,43 @@
     )
 
 
+def record_unreachable(
+    runner_map: RunnerMap, runner_id: str, until: float
+) -> RunnerMap:
+    """Record until when an upstream is avoided that did not answer.
+
+    A further probe without an answer does not extend that time.
+    """
+    known = runner_map.get(runner_id)
+    if known is None:
+        return runner_map
+    avoided_until = min(until, known.deprioritized_until)
+    return runner_map.set(
+        runner_id, dataclasses.replace(known, unreachable_until=avoided_until)
+    )
+
+
+def record_reachable(runner_map: RunnerMap, runner_id: str) -> RunnerMap:
+    """Use an upstream again that answers, unless avoided for longer."""
+    known = runner_map.get(runner_id)
+    if known is None or not known.unreachable_until:
+        return runner_map
+    until = known.unreachable_until
+    return runner_map.set(
+        runner_id,
+        dataclasses.replace(
+            known,
+            unreachable_until=0.0,
+            deprioritized_until=0.0
+            if known.deprioritized_until <= until
+            else known.deprioritized_until,
+            excluded_until=0.0
+            if known.excluded_until <= until
+            else known.excluded_until,
+        ),
+    )
+
+
 def record_answer(
     runner_map: RunnerMap, runner_id: str, seconds: float, is_success: bool
 ) -> RunnerMap:
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -30,6 +30,13 @@
     """Check for requests that wait, are silent or have timed out."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoveryProbeDue(timer_base.Timer):
+    """Ask an unreachable upstream whether it answers again."""
+
+    runner_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IdleLimitRaiseDue(timer_base.Timer):
     """Raise the limit on idle connections."""
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -17,7 +17,8 @@
     'configuration_feed',
     'runner_list orders',
     'peer_updates',
-    'completion dispatch hedges admission answers moves monitoring lifecycle',
+    'completion dispatch hedges admission answers reachability moves'
+    ' monitoring lifecycle',
     'state handlers',
 )
 RELAY_PACKAGE = 'mustardvale.internal.relay'
--- a/tests/test_relay_moves.py
+++ b/tests/test_relay_moves.py
@@ -3,7 +3,7 @@
 import unittest
 
 from mustardvale.internal import events
-from mustardvale.internal.relay import calls
+from mustardvale.internal.relay import calls, runners
 from tests import relay_states
 
 EVENT = b'id: 1\ndata: x\n\n'
@@ -122,6 +122,88 @@
         )
 
 
+class ReturningRunners(unittest.TestCase):
+    """A runner that was silent for a moment is used again when it answers.
+
+    The pattern: a sound first runner is silent for about a second. Its streams
+    have gone on elsewhere, so that none of them shows its return.
+    """
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.receive_request('r1', '/model/x')
+        self.send_id = self.instance.start_send()
+        self.runner_id = self.instance.sends[0].request.runner_id
+        self.instance.pass_time(0.2)
+        self.fail_probe()
+        self.instance.emit_event(events.CallerLeft, request_id='r1')
+
+    def fail_probe(self) -> None:
+        """Let a probe of the runner time out."""
+        self.instance.emit_event(
+            events.CallFailed,
+            call=calls.ProbeRunner(self.runner_id),
+            address='',
+            failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+        )
+
+    def answer_probe(self) -> None:
+        """Answer a probe as the runner."""
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.ProbeRunner(self.runner_id),
+            address='',
+            answer=calls.RunnerReport(1, False),
+        )
+
+    def count_probes(self) -> int:
+        """Return how many probes of the runner were sent."""
+        return sum(
+            call.call.runner_id == self.runner_id
+            for call in self.instance.list_calls(calls.ProbeRunner)
+        )
+
+    def find_runner(self) -> runners.Runner:
+        """Return the record of the runner."""
+        return self.instance.state.runners[self.runner_id]
+
+    def test_unreachable_runner_is_probed_without_a_stream(self) -> None:
+        """Guard against a runner whose return nobody notices."""
+        before = self.count_probes()
+        self.instance.pass_time(0.5)
+        self.assertEqual(before + 1, self.count_probes())
+
+    def test_answer_ends_the_exclusion(self) -> None:
+        """Guard against leaving out a sound runner after its silence."""
+        self.assertGreater(self.find_runner().excluded_until, self.instance.now)
+        self.instance.pass_time(0.5)
+        self.answer_probe()
+        self.assertEqual(0, self.find_runner().excluded_until)
+        self.assertEqual(0, self.find_runner().deprioritized_until)
+
+    def test_other_exclusions_stay(self) -> None:
+        """Guard against using a runner without the listed layers."""
+        until = self.instance.now + 5.0
+        self.instance.state = relay_states.dataclasses.replace(
+            self.instance.state,
+            runners=runners.exclude(
+                self.instance.state.runners, self.runner_id, until
+            ),
+        )
+        self.answer_probe()
+        self.assertEqual(until, self.find_runner().excluded_until)
+
+    def test_probes_end_with_the_exclusion(self) -> None:
+        """Guard against probes of a crashed runner for ever."""
+        before = self.count_probes()
+        for _ in range(20):
+            answered = self.count_probes()
+            self.instance.pass_time(0.5)
+            if self.count_probes() > answered:
+                self.fail_probe()
+        self.assertLessEqual(self.count_probes(), before + 4)
+
+
 class RefusedRequests(unittest.TestCase):
     """A runner that refuses a request is excluded for a while."""
 
