Check only the newest of two open sends

Cause: While two sends of a silent stream were open, each check of the requests (every 40 ms) also searched the suspects of the older one, which reads all open streams, though no further send could start. Change: Only the newest send is probed; the older one has been probed and hedged already. Where two sends are open, nothing is suspected and plain requests wait for their deadline.

--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -10,7 +10,6 @@
 
 from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
-    answers,
     check_schedule,
     completion,
     configuration,
@@ -99,24 +98,14 @@
         return now
     if exchange.is_caller_blocked or not exchange.route.is_retryable:
         return exchange.deadline_at
-    return min(
-        exchange.deadline_at,
-        *(
-            compute_attempt_check_at(exchange, attempt)
-            for attempt in exchange.attempts
-        ),
-    )
-
-
-def compute_attempt_check_at(
-    exchange: exchanges.Exchange, attempt: exchanges.Attempt
-) -> float:
-    """Return from when on an attempt has to be probed or hedged."""
+    attempt = exchange.attempts[-1]
     if attempt.chain:
-        return moves.compute_silent_at(attempt)
-    if len(exchange.attempts) == hedges.MAXIMUM_OPEN_SENDS:
+        silent_at = moves.compute_silent_at(attempt)
+    elif len(exchange.attempts) == hedges.MAXIMUM_OPEN_SENDS:
         return exchange.deadline_at
-    return attempt.last_received_at + compute_plain_limit(exchange)
+    else:
+        silent_at = attempt.last_received_at + compute_plain_limit(exchange)
+    return min(silent_at, exchange.deadline_at)
 
 
 def check_exchange(
@@ -139,22 +128,12 @@
     )
     if may_not_retry or now < state.silence_ignored_until:
         return transitions.Transition(state)
-    return transitions.Transition(state).then_each(
-        exchange.attempts,
-        lambda attempt, current: check_attempt(attempt.send_id, now, current),
+    # An older attempt has been probed and hedged already.
+    attempt = exchange.attempts[-1]
+    check_attempt = (
+        check_stream_attempt if attempt.chain else check_plain_attempt
     )
-
-
-def check_attempt(
-    send_id: str, now: float, state: 'states.State'
-) -> reducer.Transition:
-    """Check one open attempt, unless an earlier check has ended it."""
-    open_attempt = answers.find_open_attempt(send_id, state)
-    if open_attempt is None:
-        return transitions.Transition(state)
-    exchange, attempt = open_attempt.exchange, open_attempt.attempt
-    check = check_stream_attempt if attempt.chain else check_plain_attempt
-    return check(exchange, attempt, now, state)
+    return check_attempt(exchange, attempt, now, state)
 
 
 def check_plain_attempt(
@@ -182,7 +161,10 @@
 ) -> reducer.Transition:
     """Probe the first runner of a silent stream, or hedge the stream."""
     silence_seconds = now - attempt.last_received_at
-    if silence_seconds < compute_silence_limit(exchange.route, attempt):
+    is_hedged = len(exchange.attempts) == hedges.MAXIMUM_OPEN_SENDS
+    if is_hedged or silence_seconds < compute_silence_limit(
+        exchange.route, attempt
+    ):
         return moves.probe_first_runner(attempt, now, state)
     return hedges.send_beside(
         exchange,
