Test that a send that never started is replaced

Cause: No test covered a silent second send that has not reached its runner, after a first one that may have run. Change: A test in test_relay_hedges.Limits: the send is replaced by a third one, and not joined by it.

--- a/tests/test_relay_hedges.py
+++ b/tests/test_relay_hedges.py
@@ -328,6 +328,29 @@
         instance.pass_time(1)
         self.assertEqual(2, len(instance.sends))
 
+    def test_send_that_never_started_is_replaced(self) -> None:
+        """Guard against waiting for a runner that cannot be reached.
+
+        One run has failed, so that a third send beside the second could be a
+        run too many.
+        """
+        instance = relay_states.Instance(
+            (
+                *relay_states.TWO_CHAINS,
+                relay_states.build_plain_runner('p3'),
+            )
+        )
+        instance.receive_request('r1', '/read/x')
+        instance.fail_send(instance.start_send())
+        unreached = instance.sends[1].send_id
+        instance.pass_time(0.4)
+        self.assertEqual([unreached], instance.aborted_send_ids[-1:])
+        third = instance.start_send(2)
+        instance.deliver_answer(third, relay_states.build_head(), b'yes')
+        instance.end_answer(third)
+        self.assertEqual(200, instance.replies['r1'].status)
+        self.assertEqual({}, dict(instance.state.loads))
+
 
 COMMENT = b': wait\n\n'
 
