Fail a call to an address that does not exist

Cause: the client of calls passed any address to `connect_ex`, which raises for a port out of range or a host that is no address. The exception left the call without an end until its timeout, and a socket that was not watched.

--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -106,7 +106,10 @@
         pending.connection = connection
         pool.open_count += 1
         self.connections[sock] = connection
-        code = sock.connect_ex(addresses.split(pending.address))
+        try:
+            code = sock.connect_ex(addresses.split(pending.address))
+        except (OSError, ValueError, OverflowError):
+            code = errno.EADDRNOTAVAIL
         if code in PENDING_CONNECT_CODES:
             self.poller.addWriter(self, sock)
         else:
