List no member whose addresses cannot be used

Cause: a name with five parts was listed as a member, whatever its addresses were. Callers were sent to them, and followers asked them for changes. Change: a member needs a strict address for callers and for other instances. The address '10.0.0.00' in a test of readers was a placeholder for a member whose id sorts second; it is now a valid address, and the test as strict.

--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -13,7 +13,7 @@
 import zlib
 from collections import abc
 
-from mustardvale.internal import effects, events, transitions
+from mustardvale.internal import addresses, effects, events, transitions
 from mustardvale.internal.relay import calls, instance_settings, reducer, timers
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -121,7 +121,13 @@
 def decode_member(name: str) -> Member | None:
     """Return the member that a name describes, or `None` for other formats."""
     fields = name.split(SEPARATOR)
-    return Member(*fields) if len(fields) == MEMBER_FIELD_COUNT else None
+    if len(fields) != MEMBER_FIELD_COUNT:
+        return None
+    member = Member(*fields)
+    is_reachable = addresses.is_address(member.front) and addresses.is_address(
+        member.peers
+    )
+    return member if is_reachable else None
 
 
 def decode_members(names: abc.Iterable[str]) -> tuple[Member, ...]:
--- a/tests/test_odd_addresses.py
+++ b/tests/test_odd_addresses.py
@@ -5,7 +5,8 @@
 
 from mustardvale.internal import events
 from mustardvale.internal.edge import channels, http_client, wire
-from tests import odd_entries
+from mustardvale.internal.relay import members
+from tests import odd_entries, relay_states
 
 
 class FakePoller:
@@ -79,3 +80,33 @@
     def on_error(self, channel: channels.Channel, problem: str) -> None:
         """Record an error, in place of the owner of a channel."""
         self.problems.append(problem)
+
+
+class MemberNames(unittest.TestCase):
+    """A member whose addresses cannot be used is not listed."""
+
+    def test_odd_addresses(self) -> None:
+        """Guard against callers that are sent to an impossible address."""
+        sound = 'entry-2|127.1.2.4:80|zone-a|region|127.1.2.4:84'
+        for odd in odd_entries.ODD_ADDRESSES:
+            with self.subTest(odd[:40]):
+                names = (
+                    sound,
+                    f'entry-3|{odd}|zone-a|region|127.1.2.5:84',
+                    f'entry-4|127.1.2.6:80|zone-a|region|{odd}',
+                )
+                listed = members.decode_members(names)
+                self.assertEqual(
+                    [sound], [members.format_member(one) for one in listed]
+                )
+
+    def test_directory(self) -> None:
+        """Guard against an odd member in the answers to callers."""
+        instance = relay_states.Instance()
+        names = (
+            members.encode_member(instance.state.identity),
+            'entry-2|127.1.2.4:80|zone-a|region|127.1.2.4:84',
+            'entry-3|127.1.2.4:65536|zone-a|region|127.1.2.5:84',
+        )
+        state = members.record_members('zone-a', names, instance.state).state
+        self.assertEqual(('127.1.2.4:80',), members.list_other_addresses(state))
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -242,8 +242,8 @@
     def list_zone(self, *numbers: int | str) -> None:
         """Deliver the store's list of this instance's zone."""
         names = tuple(
-            f'entry-{number}|10.0.0.{number}:80|zone-a|region|'
-            f'10.0.0.{number}:84'
+            f'entry-{number}|10.0.0.{int(number)}:80|zone-a|region|'
+            f'10.0.0.{int(number)}:84'
             for number in numbers
         )
         self.instance.emit_event(
