Continue a stream only with events of the next runner

Cause: each 2xx with the runner's proof counted as the continuation of a stream, whatever its status and type. The text of such an answer was forwarded as events, and one without a body, such as a 204, ended the stream as if it were complete. Errors were kept back already. Change: in a stream, a success is a 200 whose type, if it has one, is that of events, and that does not state that it has not run. Others count as a failed send: the stream is resumed elsewhere or cut. Measured: before, a stream that had begun got b'event: error' or an object from a 200 of another type, and ended regularly after a 201, 202, 204 or 205; over connections, with a length, chunks or a close. Now callers see the first event and a break. All other statuses, heads cut at each byte, and answers that end with their connection passed before and after.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -152,9 +152,16 @@
     return transitions.Transition(next_state)
 
 
-def is_success(head: requests.AnswerHead) -> bool:
-    """Return whether a head starts a success with the runner's proof."""
-    return head.status // 100 == 2 and head.has_proof and not head.is_encoded
+def is_success(head: requests.AnswerHead, exchange: exchanges.Exchange) -> bool:
+    """Return whether a head starts a success with the runner's proof.
+
+    A stream continues only with events. Another answer would add its text to
+    them, or end the stream as if it were complete.
+    """
+    is_proven = head.has_proof and not head.is_unexecuted
+    is_plain = head.status // 100 == 2 and not head.is_encoded
+    has_kind = head.is_event_stream or not exchange.is_stream
+    return is_proven and is_plain and has_kind
 
 
 @handle_send_event.register(relay_events.PartArrived)
@@ -166,7 +173,8 @@
     """Forward the complete events of a stream, or buffer other answers."""
     head = open_attempt.attempt.head
     assert head is not None, 'a body follows its head'
-    if open_attempt.exchange.is_stream and is_success(head):
+    exchange = open_attempt.exchange
+    if exchange.is_stream and is_success(head, exchange):
         return forward_events(open_attempt, head, event, state)
     body = open_attempt.attempt.body + event.part
     if len(body) > MAXIMUM_ANSWER_BYTES:
@@ -313,7 +321,7 @@
     state = update_runner(open_attempt, head, event.at, state)
     if head.is_unexecuted:
         return retry_refused(open_attempt, head, event.at, state)
-    if is_success(head):
+    if is_success(head, open_attempt.exchange):
         if open_attempt.exchange.is_stream:
             return complete_stream(open_attempt, event.at, state)
         return forward_answer(open_attempt, head, event.at, state)
@@ -443,7 +451,7 @@
     if head.status // 100 == 2:
         return retry_failed(
             open_attempt,
-            'the answer has no proof or is compressed',
+            'the answer has no proof, or another form than expected',
             now,
             state,
         )
--- a/src/mustardvale/internal/relay/requests.py
+++ b/src/mustardvale/internal/relay/requests.py
@@ -144,6 +144,7 @@
     `headers` are forwarded unchanged. `has_proof` is true if the answer carries
     the proof that a runner made it, and `is_unexecuted` if the upstream states
     that the request has not run. `is_encoded` is true for a compressed body.
+    `is_event_stream` is false for a status or type that a stream cannot have.
     `is_closing` is true if the upstream closes the connection, as it does
     before it exits and sometimes at other times. `fault_address` is the address
     of the runner in the chain that caused an error.
@@ -154,5 +155,6 @@
     has_proof: bool = False
     is_unexecuted: bool = False
     is_encoded: bool = False
+    is_event_stream: bool = True
     is_closing: bool = False
     fault_address: str = ''
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -58,7 +58,9 @@
 REPLACED_HEADERS = frozenset(
     (API_KEY, TENANT, DEADLINE_MS, EXPECTED_RUNNER, CHAIN, URGENCY, LAST_EVENT),
 )
+OK_STATUS = 200
 MISDIRECTED_STATUS = 421
+EVENT_STREAM_TYPE = 'text/event-stream'
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -305,6 +307,14 @@
         is_unexecuted=NOT_RUN in headers
         or received.status == MISDIRECTED_STATUS,
         is_encoded='content-encoding' in headers,
+        is_event_stream=received.status == OK_STATUS
+        and is_event_stream_type(headers.get('content-type', '')),
         is_closing=headers.get(CONNECTION, '').lower() == 'close',
         fault_address=headers.get(FAULT_ADDRESS, ''),
     )
+
+
+def is_event_stream_type(content_type: str) -> bool:
+    """Return whether a content type, if there is one, is that of events."""
+    media_type = content_type.partition(';')[0].strip().lower()
+    return media_type in {'', EVENT_STREAM_TYPE}
