Relay headers with bytes beyond ASCII

Cause: header texts are decoded as Latin-1, and h11 encodes texts as ASCII. A byte beyond ASCII, which HTTP allows in a value, raised UnicodeEncodeError when the request or the answer was written. The effect was logged as failed, and the request had no end. Change: headers are encoded as Latin-1 before h11 gets them. The fakes of the tests decode them in the same way.

--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -332,7 +332,7 @@
     request = h11.Request(
         method=encoded.method,
         target=encoded.target,
-        headers=list(encoded.headers),
+        headers=relay_wire.encode_headers(encoded.headers),
     )
     output = protocol.send(request) or b''
     if encoded.body:
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -504,11 +504,11 @@
     head: relay_wire.ReplyHead, length: int | None
 ) -> h11.Response:
     """Return the head of an answer; without a length the body is chunked."""
-    headers = list(head.headers)
+    headers = relay_wire.encode_headers(head.headers)
     if length is not None and head.status != 304:
-        headers.append(('Content-Length', str(length)))
+        headers.append((b'Content-Length', b'%d' % length))
     if head.closes_connection:
-        headers.append(('Connection', 'close'))
+        headers.append((b'Connection', b'close'))
     return h11.Response(status_code=head.status, headers=headers)
 
 
--- a/src/mustardvale/internal/edge/relay_wire.py
+++ b/src/mustardvale/internal/edge/relay_wire.py
@@ -54,6 +54,14 @@
     headers: Headers
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Encode headers as they were decoded, with a byte for each character."""
+    return [
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in headers
+    ]
+
+
 class CallerCodec(typing.Protocol):
     """Decode requests of callers, and encode the answers to them."""
 
--- a/tests/relay_site.py
+++ b/tests/relay_site.py
@@ -98,12 +98,12 @@
 
 def read_request(stream: typing.Any) -> ReceivedRequest | None:
     """Read one request; return none at the end of the input."""
-    line = stream.readline().decode()
+    line = stream.readline().decode('latin-1')
     if not line.strip():
         return None
     method, target, _ = line.split(' ', 2)
     headers = {}
-    while head := stream.readline().decode().strip():
+    while head := stream.readline().decode('latin-1').strip():
         name, _, text = head.partition(':')
         headers[name.lower()] = text.strip()
     body = stream.read(int(headers.get('content-length', 0)))
