Refuse numbers in headers that are too large to calculate with

Cause: a number of hundreds of digits raised OverflowError, or ValueError from 4,300 digits on, instead of the codec's own error. The request was neither reported nor refused until the timeout for its headers. Change: a number of more than 18 digits is refused with 400. Measured: Deadline-Ms with 400 and 3,000 digits ended with 408 after the timeout and a traceback in the log; now with 400 at once.

--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -62,6 +62,7 @@
 MISDIRECTED_STATUS = 421
 EVENT_STREAM_TYPE = 'text/event-stream'
 MILLISECONDS_PER_SECOND = 1000
+MAXIMUM_NUMBER_LENGTH = 18
 
 
 def decode_request(received: relay_wire.ReceivedRequest) -> typing.Any:
@@ -104,9 +105,12 @@
     """
     if text is None or not text.strip():
         return None
-    if not text.strip().isdecimal():
+    if not text.strip().isdecimal() or len(text) > MAXIMUM_NUMBER_LENGTH:
         raise wire.DecodeError(
-            400, 'malformed_request', f'header {name} is not a whole number'
+            400,
+            'malformed_request',
+            f'header {name} is no whole number of {MAXIMUM_NUMBER_LENGTH}'
+            ' digits or fewer',
         )
     return int(text)
 
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -43,3 +43,21 @@
             self.assertEqual(b'whole', answer.read())
         self.assertLess(time.monotonic() - started_at, 1.0)
         self.assertEqual('caf\xe9', answer.headers['x-note'])
+
+    def test_numbers_of_callers(self) -> None:
+        """Guard against a request without an end for a number too large."""
+        for name in ('Deadline-Ms', 'Last-Event-Id', 'Token-Count'):
+            for digits in (25, 400, 3000):
+                with self.subTest(name=name, digits=digits):
+                    with self.site.connect() as sock:
+                        sock.sendall(
+                            relay_site.encode_request(
+                                '/read/x',
+                                'a1',
+                                headers=f'{name}: {"9" * digits}\r\n',
+                            ).replace(b'Deadline-Ms: 3000\r\n', b'')
+                        )
+                        answer = relay_site.read_answer(sock)
+                        answer.read()
+                    self.assertIn(answer.status, (200, 400))
+        self.assertNotIn('Traceback', self.site.read_log())
