Leave runners that list layers beyond the model out of its placement

Cause: an entry with more layers than the model has, or of an accelerator that the configuration doesn't name, counted as a holder of layers. The gap that the sound runners left was not seen. Change: such a runner is no part of the placement and of chains. Measured: with runners that list layers 0 to 10,000 and 1,000 to 2,000, the leader sent no order for layers 40 to 80, which nobody held ([] is not true); now it orders a sound runner to load them.

--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -101,6 +101,8 @@
     layers = listed.layers
     if layers is None or not layers.count:
         return None
+    if layers.end > engine.layer_count:
+        return None
     if listed.accelerator not in engine.accelerators:
         return None
     if runner.excluded_until > now:
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -112,7 +112,7 @@
         for runner in runners.list_service_runners(
             state.runners, state.runner_index, service.name
         )
-        if runner.is_usable and runner.listed.accelerator
+        if runner.is_usable and is_placeable(service.engine, runner.listed)
     )
     ids = frozenset(runner.runner_id for runner in pool)
     if ids != state.orders.known_runner_ids:
@@ -140,6 +140,16 @@
     return send_orders(service.engine, assigned, now, state)
 
 
+def is_placeable(engine: engines.Engine, listed: runners.ListedRunner) -> bool:
+    """Return whether a runner can hold layers, and lists none beyond them.
+
+    An entry with layers that the model does not have may be of another writer.
+    """
+    layers = listed.layers
+    is_within_model = layers is None or layers.end <= engine.layer_count
+    return is_within_model and listed.accelerator in engine.accelerators
+
+
 def plan_gap_closure(
     engine: engines.Engine,
     pool: tuple[runners.ListedRunner, ...],
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,10 +17,16 @@
 import msgspec
 from hypothesis import strategies
 
+from mustardvale.internal import events
 from mustardvale.internal.edge import wire
-from mustardvale.internal.relay import calls, runners
+from mustardvale.internal.relay import calls, members, runners
 from mustardvale.platform import call_codec, runner_codec
-from tests import odd_entries, relay_site, test_relay_processes
+from tests import (
+    odd_entries,
+    relay_site,
+    relay_states,
+    test_relay_processes,
+)
 
 
 VALID_ENTRY = json.dumps(odd_entries.ENTRY).encode()
@@ -254,6 +260,57 @@
         )
 
 
+class LayersOfOtherModels(unittest.TestCase):
+    """A runner that lists layers beyond the model takes no part in it."""
+
+    def test_chain(self) -> None:
+        """Guard against a chain over layers that no model has."""
+        odd = relay_states.build_model_runner('m9', 0, 200)
+        instance = relay_states.Instance((odd, *relay_states.TWO_CHAINS))
+        for number in range(20):
+            instance.receive_request(f'r{number}', '/model/x')
+        used = {
+            part.runner_id
+            for send in instance.sends
+            for part in send.request.chain
+        }
+        self.assertTrue(used)
+        self.assertNotIn('m9', used)
+
+    def test_gap(self) -> None:
+        """Guard against a gap that odd layers hide, and an order for them."""
+        instance = relay_states.Instance(
+            (
+                relay_states.build_model_runner('m1', 0, 40),
+                relay_states.build_model_runner('m2', 0, 40),
+                relay_states.build_model_runner('m8', 1_000, 2_000),
+                relay_states.build_model_runner('m9', 0, 10_000),
+            )
+        )
+        instance.state = dataclasses.replace(
+            instance.state,
+            members=members.MemberState(
+                zone=members.GroupState(listed_generation=1),
+                leader_until=instance.now + 60,
+            ),
+        )
+        for _ in range(10):
+            instance.emit_event(
+                events.TimerFired,
+                timer=relay_states.timers.PlacementCheckDue(),
+            )
+            instance.pass_time(0.5)
+        ordered = [call.call for call in instance.list_calls(calls.PlaceLayers)]
+        self.assertTrue(ordered)
+        self.assertLessEqual(
+            {order.runner_id for order in ordered}, {'m1', 'm2'}
+        )
+        self.assertEqual(
+            {(40, 80)},
+            {(order.layers.first, order.layers.end) for order in ordered},
+        )
+
+
 class FollowedList(test_relay_processes.RelayCase):
     """An instance goes on to follow the list after an odd entry."""
 
