End the request or set the timer of an event whose handler raises

After an exception of the reducer, requests were not checked any more, and none got its end at its deadline; one whose answer raised had no end at all.

Cause: the loop dropped the event. A timer that had fired was not set again, an event of a send names no request, a read of the store whose answer raised was not repeated, and one request that raises in a check hid all others. An answer that could not be performed was only logged. The failure of a probe of a runner that is no longer in the list raised KeyError.

Change: a dropped event is reported to the reducer, which refuses or ends its request, treats the answer of a call as a failure, checks requests one by one, or sets the timer again. An answer that cannot be performed becomes an error, a send that cannot start a failed one. Removed runners are left out when faulty runners are excluded.

--- a/src/mustardvale/internal/edge/loop.py
+++ b/src/mustardvale/internal/edge/loop.py
@@ -121,6 +121,12 @@
         except Exception:
             self.report_failure(event)
             return
+        self.apply_transition(transition)
+
+    def apply_transition(
+        self, transition: transitions.Transition[typing.Any]
+    ) -> None:
+        """Store the next state, and perform the effects."""
         self.current_state = transition.state
         for effect in transition.effects:
             self.perform_one(effect)
@@ -135,14 +141,22 @@
                 'effect failed',
                 extra={'effect': type(effect).__name__},
             )
+            self.end_failed_effect(effect)
 
     def report_failure(self, event: events.Event) -> None:
-        """Count and log an exception of the reducer, and fail the request."""
+        """Count and log an exception of the reducer, and end the event."""
         self.metrics.count('reducer_errors', (type(event).__name__,))
         logger.exception(
             'reducer failed',
             extra={'event_type': type(event).__name__},
         )
+        self.end_failed_event(event)
+
+    def end_failed_effect(self, effect: effects.Effect) -> None:
+        """End what a failed effect belongs to; by default nothing."""
+
+    def end_failed_event(self, event: events.Event) -> None:
+        """Fail the request of an event that the reducer failed to handle."""
         request_id = getattr(event, 'request_id', None)
         if request_id is not None and self.server is not None:
             self.server.fail_request(request_id)
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -11,6 +11,7 @@
 import circuits
 
 from mustardvale import errors
+from mustardvale.internal import effects, events
 from mustardvale.internal.edge import (
     bounded_output,
     channels,
@@ -19,6 +20,7 @@
     loop,
     metrics,
     relay_client,
+    relay_performer,
     relay_server,
     relay_wire,
 )
@@ -97,6 +99,29 @@
             ConnectionSweep(), relay_server.SWEEP_PERIOD_SECONDS
         )
 
+    def end_failed_event(self, event: events.Event) -> None:
+        """Let the reducer end what the event belongs to, or do it here."""
+        failed = relay_events.EventFailed(
+            at=self.clock(), wall_time=time.time(), dropped=event
+        )
+        try:
+            transition = self.reduce(failed, self.current_state)
+        except Exception:
+            logger.exception('reducer failed', extra={'event_type': 'repeated'})
+            self.restart_timer(event)
+        else:
+            self.apply_transition(transition)
+        super().end_failed_event(event)
+
+    def restart_timer(self, event: events.Event) -> None:
+        """Set the timer of an event again, if it has one."""
+        if isinstance(event, events.TimerFired):
+            self.timer_queue.set_timer(event.timer, MAINTENANCE_PERIOD_SECONDS)
+
+    def end_failed_effect(self, effect: effects.Effect) -> None:
+        """End the request or the send of an effect that failed."""
+        relay_performer.end_failed(effect, self)
+
     def stop_when_flushed(self, check: loop.FlushCheck) -> None:
         """Answer what has arrived before the loop stops."""
         self.callers.drain_input()
--- a/src/mustardvale/internal/edge/relay_performer.py
+++ b/src/mustardvale/internal/edge/relay_performer.py
@@ -1,10 +1,14 @@
-"""Perform the effects of relaying."""
+"""Perform the effects of relaying, and end what a failed effect belongs to."""
 
+import functools
 import logging
 import typing
 
+from mustardvale.internal import effects as base_effects
+from mustardvale.internal import events
 from mustardvale.internal.edge import caller_limits, performer
 from mustardvale.internal.relay import effects
+from mustardvale.internal.relay import events as relay_events
 
 if typing.TYPE_CHECKING:
     from mustardvale.internal.edge import relay_loop
@@ -92,3 +96,34 @@
     """Write a log line, unless the limit of its kind is reached."""
     if runtime.log_budget.allows(effect.is_routine):
         logger.info(effect.event, extra=dict(effect.fields))
+
+
+@functools.singledispatch
+def end_failed(
+    effect: base_effects.Effect, runtime: 'relay_loop.RelayLoop'
+) -> None:
+    """End what an effect belongs to that could not be performed."""
+
+
+@end_failed.register(base_effects.Reply)
+@end_failed.register(base_effects.StreamPart)
+@end_failed.register(base_effects.StreamEnd)
+@end_failed.register(effects.StartStream)
+def end_failed_answer(
+    effect: typing.Any, runtime: 'relay_loop.RelayLoop'
+) -> None:
+    """Answer the caller with an error, or cut a stream, and stop the sends."""
+    runtime.callers.fail_request(effect.request_id)
+    runtime.emit_event(events.CallerLeft, request_id=effect.request_id)
+
+
+@end_failed.register(effects.StartSend)
+def end_failed_send(
+    effect: effects.StartSend, runtime: 'relay_loop.RelayLoop'
+) -> None:
+    """Report a send that could not be started."""
+    runtime.emit_event(
+        relay_events.SendFailed,
+        send_id=effect.send_id,
+        failure=events.Failure(events.FailureKind.MALFORMED, was_sent=False),
+    )
--- a/src/mustardvale/internal/relay/events.py
+++ b/src/mustardvale/internal/relay/events.py
@@ -61,3 +61,10 @@
     """Report limits that were reloaded from the settings."""
 
     limits: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EventFailed(events.Event):
+    """Report an event that was dropped because its handler raised."""
+
+    dropped: events.Event
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -137,7 +137,9 @@
     """Exclude faulty runners for a while, and deprioritize them for longer."""
     runner_map = state.runners
     newly_faulty = []
-    for runner_id in sorted(faulty):
+    # A runner may be removed from the list while it is asked.
+    known = sorted(runner_id for runner_id in faulty if runner_id in runner_map)
+    for runner_id in known:
         runner = runner_map[runner_id]
         if runner.deprioritized_until < now + FAULT_DEPRIORITIZE_SECONDS / 2:
             newly_faulty.append(runner_id)
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -37,6 +37,8 @@
 FAULT_ADDRESS = 'at-server'
 CONNECTION = 'connection'
 
+# Headers that apply to one connection only, or that are set again from the
+# length of the body.
 CONNECTION_HEADERS = frozenset(
     (
         CONNECTION,
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -18,7 +18,7 @@
     'runner_list orders',
     'peer_updates',
     'completion dispatch hedges admission answers reachability moves'
-    ' monitoring lifecycle',
+    ' monitoring lifecycle failed_events',
     'state handlers',
 )
 RELAY_PACKAGE = 'mustardvale.internal.relay'
