Let open requests end under the version that admitted them

A version that dropped a service ended its open requests: an interrupted stream was cut, a refused request failed, and a stream that waited for a lost runner was not moved. One that raised a timeout did not hold for open requests, which ended with 504, or were cut, at the earlier timeout.

Cause: a service was looked up in the newest version only, and none was taken as no runner to use. The deadline was fixed when a request was admitted.

Change: a request keeps the service of the version that admitted it, which is used if the newest version has none of that name. Each adopted version extends the deadlines of open requests on routes with a longer timeout, up to the deadline of the caller. A shorter timeout holds for later requests.

--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -68,7 +68,7 @@
     drawn = draws.draw(state.seed)
     state = dataclasses.replace(state, seed=drawn.seed)
     service = configuration.pick_service(admitted.route, drawn.fraction)
-    exchange = build_exchange(event, request, admitted, service)
+    exchange = build_exchange(event, request, admitted, service, state)
     budgets = retry_budgets.credit_request(
         state.retry_buckets,
         service,
@@ -172,12 +172,11 @@
     request: requests.ClientRequest,
     admitted: AdmittedRequest,
     service: str,
+    state: 'states.State',
 ) -> exchanges.Exchange:
     """Return the initial state of a request that is relayed."""
+    active = state.configuration.active
     route, tenant = admitted.route, admitted.tenant
-    timeout_seconds = route.timeout_seconds
-    if request.deadline_seconds is not None:
-        timeout_seconds = min(timeout_seconds, request.deadline_seconds)
     priority = route.priority
     if tenant is not None and tenant.priority is not None:
         priority = tenant.priority
@@ -187,7 +186,8 @@
         route,
         service,
         event.at,
-        event.at + timeout_seconds,
+        exchanges.compute_deadline(request, route.timeout_seconds, event.at),
+        admitted_service=active.services.get(service) if active else None,
         tenant=None if tenant is None else tenant.name,
         urgency=max(0, min(priority, MAXIMUM_URGENCY)),
         last_event_id=request.last_event_id,
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -12,6 +12,7 @@
 from mustardvale.internal.relay import (
     calls,
     configuration,
+    exchanges,
     peer_feed,
     reducer,
     retry_budgets,
@@ -188,9 +189,13 @@
         failing_since=None,
     )
     services = () if active is None else active.services
+    open_exchanges = state.exchanges
+    if active is not None and active is not known.active:
+        open_exchanges = exchanges.extend_deadlines(open_exchanges, active)
     next_state = dataclasses.replace(
         state,
         configuration=confirmed,
+        exchanges=open_exchanges,
         retry_buckets=retry_budgets.add_services(
             state.retry_buckets, services, now
         ),
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -9,6 +9,7 @@
     chains,
     check_schedule,
     completion,
+    configuration,
     engines,
     exchanges,
     loads,
@@ -108,12 +109,23 @@
     return now - searched_at >= STREAM_SEARCH_PERIOD_SECONDS
 
 
+def find_service(
+    exchange: exchanges.Exchange, state: 'states.State'
+) -> configuration.Service | None:
+    """Return a request's service, also if the newest version drops it.
+
+    An open request ends under the version that admitted it.
+    """
+    active = state.configuration.active
+    service = active.services.get(exchange.service) if active else None
+    return service or exchange.admitted_service
+
+
 def explain_no_target(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> str:
     """Return why no upstream can take a request."""
-    active = state.configuration.active
-    service = active.services.get(exchange.service) if active else None
+    service = find_service(exchange, state)
     if service is None:
         return f'service {exchange.service} is not configured'
     if service.engine is None:
@@ -143,9 +155,7 @@
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> Target | None:
     """Return the upstream for a request, or none if none is usable."""
-    active = state.configuration.active
-    assert active is not None, 'requests need a configuration'
-    service = active.services.get(exchange.service)
+    service = find_service(exchange, state)
     if service is None:
         return None
     if service.engine is None:
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -48,7 +48,9 @@
     open sends are not in it. `send_count` counts all sends. `tried_runner_ids`
     names the upstreams that refused or failed the request. `last_search_at` is
     when a search last found no upstream, and `last_problem` why the last send
-    failed or got a second one beside it.
+    failed or got a second one beside it. `admitted_service` describes the
+    service in the version that admitted the request, for the case that a later
+    version drops it.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     service: str
     arrived_at: float
     deadline_at: float
+    admitted_service: configuration.Service | None = None
     tenant: str | None = None
     urgency: int | None = None
     attempts: tuple[Attempt, ...] = ()
@@ -86,6 +89,39 @@
 ExchangeMap: typing.TypeAlias = 'immutables.Map[str, Exchange]'
 
 
+def compute_deadline(
+    request: requests.ClientRequest, timeout_seconds: float, arrived_at: float
+) -> float:
+    """Return when a request must end, by its route and by its caller."""
+    if request.deadline_seconds is None:
+        return arrived_at + timeout_seconds
+    return arrived_at + min(timeout_seconds, request.deadline_seconds)
+
+
+def extend_deadlines(
+    exchange_map: ExchangeMap, newest: configuration.Configuration
+) -> ExchangeMap:
+    """Give open requests the time that a newer version allows, if longer.
+
+    A version that lowers a timeout holds for requests that arrive later.
+    """
+    timeouts = {
+        route.name: route.timeout_seconds
+        for routes in newest.routes_by_host.values()
+        for route in routes
+    }
+    for request_id, exchange in exchange_map.items():
+        deadline_at = compute_deadline(
+            exchange.request,
+            timeouts.get(exchange.route.name, 0),
+            exchange.arrived_at,
+        )
+        if deadline_at > exchange.deadline_at:
+            extended = dataclasses.replace(exchange, deadline_at=deadline_at)
+            exchange_map = exchange_map.set(request_id, extended)
+    return exchange_map
+
+
 def find_attempt(exchange: Exchange, send_id: str) -> Attempt | None:
     """Return the open attempt with a send id, if there is one."""
     for attempt in exchange.attempts:
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -266,8 +266,7 @@
     state: 'states.State',
 ) -> requests.Chain | None:
     """Return a chain with substitutes for faulty runners, if one exists."""
-    active = state.configuration.active
-    service = active.services.get(exchange.service) if active else None
+    service = dispatch.find_service(exchange, state)
     if service is None or service.engine is None:
         return None
     candidates = exclude_runners(
