Refuse what cannot end before a stop aborts it

Cause: an instance that knew no other one accepted requests for half of its time to stop, whatever they were. Streams accepted 4 s after the stop had 3.2 s left, and many last longer: callers lost them. The refusals that followed said that another instance could serve at once, though there was none for seconds.

Change: it accepts for three eighths of the time to stop. A request is refused as not run if its expected end, with the longest output on its chain or four target latencies of a plain one, is later than the abort. A stream that can be resumed is accepted, because its caller resumes it at a successor and would otherwise be served by nobody for seconds. Where no other instance is known, Retry-After is the time until a successor is expected.

--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -15,6 +15,7 @@
     reducer,
     requests,
     retry_budgets,
+    stopping,
 )
 
 if typing.TYPE_CHECKING:
@@ -26,13 +27,6 @@
 # Short, because other instances usually can serve the request.
 NOT_READY_RETRY_SECONDS = 0.05
 MAXIMUM_URGENCY = 9
-# A stopping instance accepts requests for this long, from callers that have
-# not fetched the new addresses yet. Streams that start later would delay the
-# stop by seconds, during which the other instances carry the extra load.
-ACCEPT_AFTER_STOP_SECONDS = 1.0
-# Share of the time to stop in which it accepts requests if it knows no other
-# instance. The rest is for the requests that it has accepted.
-ACCEPT_ALONE_SHARE = 0.5
 
 
 class AdmissionError(Exception):
@@ -89,8 +83,12 @@
 ) -> AdmittedRequest:
     """Return the route and tenant of a request, or raise `AdmissionError`."""
     active = state.configuration.active
-    if not is_accepting(state, now):
-        raise build_unavailable_error(request, 'this instance stops')
+    if not stopping.is_accepting(state, now):
+        raise build_unavailable_error(
+            request,
+            'this instance stops',
+            stopping.compute_retry_seconds(state, now),
+        )
     if active is None:
         raise build_unavailable_error(
             request, 'no configuration has been read yet'
@@ -108,18 +106,6 @@
     return AdmittedRequest(route, find_tenant(request, active, now, state))
 
 
-def is_accepting(state: 'states.State', now: float) -> bool:
-    """Return whether new requests are accepted, also during a stop."""
-    if state.stopping is None:
-        return True
-    if state.stopping.is_exiting:
-        return False
-    waited_seconds = now - state.stopping.started_at
-    if members.list_other_addresses(state):
-        return waited_seconds <= ACCEPT_AFTER_STOP_SECONDS
-    return waited_seconds <= state.limits.stop_seconds * ACCEPT_ALONE_SHARE
-
-
 def find_tenant(
     request: requests.ClientRequest,
     active: configuration.Configuration,
@@ -138,13 +124,13 @@
 
 
 def build_unavailable_error(
-    request: requests.ClientRequest, reason: str
+    request: requests.ClientRequest,
+    reason: str,
+    retry_seconds: float = NOT_READY_RETRY_SECONDS,
 ) -> AdmissionError:
     """Return a refusal that asks the caller to retry."""
     return AdmissionError(
-        requests.Refusal(
-            503, 'unavailable', request.attempt_id, NOT_READY_RETRY_SECONDS
-        ),
+        requests.Refusal(503, 'unavailable', request.attempt_id, retry_seconds),
         reason,
     )
 
--- a/src/mustardvale/internal/relay/completion.py
+++ b/src/mustardvale/internal/relay/completion.py
@@ -5,7 +5,13 @@
 
 from mustardvale.internal import effects, transitions
 from mustardvale.internal.relay import effects as relay_effects
-from mustardvale.internal.relay import exchanges, loads, reducer, requests
+from mustardvale.internal.relay import (
+    exchanges,
+    loads,
+    reducer,
+    requests,
+    stopping,
+)
 
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
@@ -57,7 +63,7 @@
     """
     if exchange.has_stream_started:
         return abort_stream(exchange, problem, now, state)
-    refusal = build_failure_refusal(exchange, now)
+    refusal = build_failure_refusal(exchange, now, state)
     return finish_exchange(
         exchange,
         'request_failed',
@@ -71,7 +77,7 @@
 
 
 def build_failure_refusal(
-    exchange: exchanges.Exchange, now: float
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> requests.Refusal:
     """Return the error for a request that cannot be served."""
     attempt_id = exchange.request.attempt_id
@@ -80,13 +86,20 @@
             SERVICE_UNAVAILABLE_STATUS,
             'not_run',
             attempt_id,
-            RETRY_AFTER_SECONDS,
+            compute_retry_seconds(now, state),
         )
     if now >= exchange.deadline_at:
         return requests.Refusal(GATEWAY_TIMEOUT_STATUS, 'timed_out', attempt_id)
     return requests.Refusal(BAD_GATEWAY_STATUS, 'upstream_failed', attempt_id)
 
 
+def compute_retry_seconds(now: float, state: 'states.State') -> float:
+    """Return after which time a request that has not run may be served."""
+    if state.stopping is None:
+        return RETRY_AFTER_SECONDS
+    return stopping.compute_retry_seconds(state, now)
+
+
 def abort_stream(
     exchange: exchanges.Exchange,
     problem: str,
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -18,6 +18,7 @@
     requests,
     retry_budgets,
     runners,
+    stopping,
 )
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -79,7 +80,7 @@
         )
     target = choose_target(exchange, now, state)
     if target is not None:
-        return send_request(exchange, target, now, state)
+        return send_before_stop(exchange, target, now, state)
     if now < compute_wait_deadline(exchange):
         waiting = dataclasses.replace(exchange, last_search_at=now)
         exchange_map = state.exchanges.set(exchange.request_id, waiting)
@@ -91,6 +92,22 @@
     )
 
 
+def send_before_stop(
+    exchange: exchanges.Exchange,
+    target: Target,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send a request, or refuse it if a stop would abort it."""
+    if exchange.may_have_run or stopping.can_end(
+        exchange, target.chain, now, state
+    ):
+        return send_request(exchange, target, now, state)
+    return completion.fail_exchange(
+        exchange, 'this instance stops too soon', now, state
+    )
+
+
 def compute_wait_deadline(exchange: exchanges.Exchange) -> float:
     """Return the time until which a request waits for a free upstream."""
     if exchange.last_event_at is not None:
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -12,6 +12,7 @@
     reducer,
     requests,
     runner_list,
+    stopping,
     timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -28,9 +29,6 @@
 # considered unreachable.
 STORE_OUTAGE_SECONDS = 0.5
 STOP_CHECK_PERIOD_SECONDS = 0.1
-# Share of the time to stop after which open requests are aborted, so that the
-# callers receive their errors before the process ends.
-STOP_ABORT_SHARE = 0.9
 # Callers that have not fetched new addresses yet still connect for this long.
 MINIMUM_STOP_SECONDS = 3.0
 
@@ -142,11 +140,10 @@
     """Leave the group of instances, and let open requests finish."""
     if state.stopping is not None:
         return transitions.Transition(state)
-    stopping = dataclasses.replace(
-        state, stopping=instance_settings.Stopping(event.at)
-    )
     return transitions.Transition(
-        stopping,
+        dataclasses.replace(
+            state, stopping=instance_settings.Stopping(event.at)
+        ),
         (
             relay_effects.LogDecision(
                 'stop_requested', (('open', len(state.exchanges)),)
@@ -165,7 +162,7 @@
     """Stop once no request is open, or abort them near the time limit."""
     assert state.stopping is not None, 'the timer follows a stop request'
     waited_seconds = event.at - state.stopping.started_at
-    must_stop = waited_seconds >= state.limits.stop_seconds * STOP_ABORT_SHARE
+    must_stop = event.at >= stopping.compute_abort_time(state)
     if not must_stop and (
         waited_seconds < MINIMUM_STOP_SECONDS or state.exchanges
     ):
--- /dev/null
+++ b/src/mustardvale/internal/relay/stopping.py
@@ -0,0 +1,165 @@
+"""Decide what an instance that is stopping still accepts, and for how long.
+
+Where other instances remain, a stopping one accepts requests for a moment only.
+Where all instances stop together, it accepts for longer what can still end.
+"""
+
+import typing
+
+from mustardvale.internal.relay import (
+    chains,
+    engines,
+    exchanges,
+    loads,
+    members,
+    requests,
+)
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal.relay import state as states
+
+# A stopping instance accepts requests for this long, from callers that have
+# not fetched the new addresses yet. Streams that start later would delay the
+# stop by seconds, during which the other instances carry the extra load.
+ACCEPT_AFTER_STOP_SECONDS = 1.0
+# Share of the time to stop in which it accepts requests if it knows no other
+# instance. The rest is for the requests that it has accepted.
+ACCEPT_ALONE_SHARE = 0.375
+# Share of the time to stop after which open requests are aborted, so that the
+# callers receive their errors before the process ends.
+ABORT_SHARE = 0.9
+# Other requests slow a stream down after it has begun.
+STREAM_TIME_FACTOR = 1.5
+# A plain request is expected to end within this many target latencies.
+TARGET_LATENCY_COUNT = 4.0
+# Short, because other instances usually can serve the request.
+RETRY_ELSEWHERE_SECONDS = 0.05
+# Time from a stop until a successor is expected to accept requests, and the
+# shortest time to wait for one whose start is overdue.
+SUCCESSOR_SECONDS = 4.2
+MINIMUM_SUCCESSOR_WAIT_SECONDS = 1.0
+
+
+def compute_abort_time(state: 'states.State') -> float:
+    """Return when open requests are aborted; infinite without a stop."""
+    if state.stopping is None:
+        return float('inf')
+    return state.stopping.started_at + state.limits.stop_seconds * ABORT_SHARE
+
+
+def is_accepting(state: 'states.State', now: float) -> bool:
+    """Return whether new requests are accepted, also during a stop."""
+    stopping = state.stopping
+    if stopping is None:
+        return True
+    if stopping.is_exiting:
+        return False
+    waited_seconds = now - stopping.started_at
+    if members.list_other_addresses(state):
+        return waited_seconds <= ACCEPT_AFTER_STOP_SECONDS
+    return waited_seconds <= state.limits.stop_seconds * ACCEPT_ALONE_SHARE
+
+
+def can_end(
+    exchange: exchanges.Exchange,
+    chain: requests.Chain,
+    now: float,
+    state: 'states.State',
+) -> bool:
+    """Return whether a request ends before a stop aborts it."""
+    if state.stopping is None or exchange.route.is_resumable:
+        return True
+    expected_end = now + estimate_seconds(exchange, chain, now, state)
+    return min(expected_end, exchange.deadline_at) <= compute_abort_time(state)
+
+
+def estimate_seconds(
+    exchange: exchanges.Exchange,
+    chain: requests.Chain,
+    now: float,
+    state: 'states.State',
+) -> float:
+    """Return the time in which a request ends, with a margin."""
+    active = state.configuration.active
+    service = active.services.get(exchange.service) if active else None
+    if service is None or service.engine is None or not chain:
+        return exchange.route.target_latency_seconds * TARGET_LATENCY_COUNT
+    work = estimate_work(exchange, service.engine)
+    seconds = 0.0
+    zone = chain[0].zone
+    for part in chain:
+        seconds += estimate_part_seconds(part, work, service.engine, now, state)
+        seconds += estimate_crossing_seconds(
+            zone, part.zone, work, service.engine
+        )
+        zone = part.zone
+    return seconds * STREAM_TIME_FACTOR
+
+
+def estimate_work(
+    exchange: exchanges.Exchange, engine: engines.Engine
+) -> chains.Work:
+    """Return the tokens of a model request.
+
+    A stream that cannot be resumed must end even with the longest output.
+    """
+    prompt = exchange.request.prompt
+    if prompt is None:
+        return chains.Work(
+            engine.typical_prompt_tokens, engine.typical_output_tokens
+        )
+    output_tokens = prompt.output_limit_tokens
+    if exchange.route.is_resumable:
+        output_tokens = prompt.expected_output_tokens
+    return chains.Work(prompt.token_count, output_tokens)
+
+
+def estimate_part_seconds(
+    part: requests.ChainPart,
+    work: chains.Work,
+    engine: engines.Engine,
+    now: float,
+    state: 'states.State',
+) -> float:
+    """Return the time that a part of a chain takes for a whole request."""
+    runner = state.runners.get(part.runner_id)
+    if runner is None or runner.listed.accelerator not in engine.accelerators:
+        return 0.0
+    load = loads.estimate_total_load(
+        part.runner_id,
+        state.loads,
+        state.mean_loads,
+        members.count_instances(state),
+    )
+    accelerator = runner.listed.accelerator
+    layer_count = part.end_layer - part.first_layer
+    step = engines.compute_step_seconds(
+        engine, accelerator, layer_count, load.request_count + 1
+    )
+    prefill = engines.compute_prefill_seconds(
+        engine, accelerator, layer_count, work.prompt_tokens
+    )
+    slowdown = runner.slowdown if runner.slowdown_until > now else 1.0
+    return (step * work.output_tokens + prefill) * max(slowdown, 1.0)
+
+
+def estimate_crossing_seconds(
+    source: str, target: str, work: chains.Work, engine: engines.Engine
+) -> float:
+    """Return the time that a request loses between the zones of two parts."""
+    delay = engines.find_zone_delay_seconds(engine, source, target)
+    transfer = engines.compute_transfer_seconds(
+        engine, source, target, work.prompt_tokens
+    )
+    return delay * work.output_tokens + transfer
+
+
+def compute_retry_seconds(state: 'states.State', now: float) -> float:
+    """Return when another instance is expected to serve a refused request."""
+    stopping = state.stopping
+    if stopping is None or members.list_other_addresses(state):
+        return RETRY_ELSEWHERE_SECONDS
+    waited_seconds = now - stopping.started_at
+    return max(
+        SUCCESSOR_SECONDS - waited_seconds, MINIMUM_SUCCESSOR_WAIT_SECONDS
+    )
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -13,7 +13,7 @@
     'configuration calls loads retry_budgets exchanges event_stream'
     ' placement chains',
     'reducer',
-    'members peer_feed idle_connections check_schedule',
+    'members peer_feed idle_connections check_schedule stopping',
     'configuration_feed',
     'runner_list orders',
     'peer_updates',
