Exclude a chain runner that refuses connections

Cause: a refused connection only deprioritized the runner for half a second. A crashed runner stays listed for three to four seconds. Change: the first refused connection excludes the runner from new chains, by the rule for refused requests: 1.5 s, or 0.3 s if a stream has just received data through it, because a full runner refuses connections too. A changed entry ends the exclusion, and a new process starts without any. Runners of plain services stay deprioritized only. Measured: the tests failed before: "'m3' unexpectedly found in ['m1', ..., 'm3', ...]" and "0.0 not greater than 1000.0".

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -9,7 +9,7 @@
 import functools
 import typing
 
-from mustardvale.internal import effects, transitions
+from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     completion,
     dispatch,
@@ -357,13 +357,20 @@
 def choose_exclusion_seconds(
     at_fault: str, status: int, now: float, state: 'states.State'
 ) -> float:
-    """Return for how many seconds to exclude a runner that refused.
+    """Return for how many seconds to exclude a runner that refused."""
+    if status == MISDIRECTED_STATUS:
+        return MISDIRECTED_EXCLUSION_SECONDS
+    return estimate_outage_seconds(at_fault, now, state)
+
+
+def estimate_outage_seconds(
+    at_fault: str, now: float, state: 'states.State'
+) -> float:
+    """Return how long a runner that refuses is assumed to do so.
 
-    The refusal does not show whether the runner is full or has crashed. A
+    A refusal does not show whether the runner is full or has crashed. A
     runner that has just delivered part of a stream is considered full.
     """
-    if status == MISDIRECTED_STATUS:
-        return MISDIRECTED_EXCLUSION_SECONDS
     last_activity = exchanges.list_last_activity(state.exchanges)
     if now - last_activity.get(at_fault, 0.0) < RECENT_ACTIVITY_SECONDS:
         return FULL_EXCLUSION_SECONDS
@@ -540,6 +547,8 @@
 ) -> reducer.Transition:
     """Handle a send that ended without a complete answer."""
     problem = event.failure.kind.value
+    if event.failure.kind is events.FailureKind.REFUSED:
+        state = exclude_unconnected(open_attempt.attempt, event.at, state)
     limited: reducer.Transition = transitions.Transition(state)
     if open_attempt.attempt.head is None:
         limited = idle_connections.record_reset(event.idle_seconds, state)
@@ -548,6 +557,24 @@
     )
 
 
+def exclude_unconnected(
+    attempt: exchanges.Attempt, now: float, state: 'states.State'
+) -> 'states.State':
+    """Exclude the first runner of a chain that accepts no connection.
+
+    The runner of a plain service is only deprioritized by `retry_failed`: its
+    service has few runners, and one that is full refuses connections too.
+    """
+    runner = state.runners.get(attempt.runner_id)
+    if not attempt.chain or runner is None or runner.excluded_until > now:
+        return state
+    until = now + estimate_outage_seconds(attempt.runner_id, now, state)
+    return dataclasses.replace(
+        state,
+        runners=runners.exclude(state.runners, attempt.runner_id, until),
+    )
+
+
 def retry_failed(
     open_attempt: OpenAttempt, problem: str, now: float, state: 'states.State'
 ) -> reducer.Transition:
--- /dev/null
+++ b/tests/test_relay_crashed_runners.py
@@ -0,0 +1,82 @@
+"""Test what the crash of a runner costs the requests of others."""
+
+import dataclasses
+import unittest
+
+from mustardvale.internal.relay import requests
+from tests import relay_states
+
+EVENT = b'id: 1\ndata: x\n\n'
+# Many of these fit on one runner.
+SHORT_PROMPT = requests.Prompt('m', 80, 20, 10)
+ONE_CHAIN_PER_ZONE = (
+    relay_states.build_model_runner('m1', 0, 40),
+    relay_states.build_model_runner('m2', 40, 80),
+    relay_states.build_model_runner('m3', 0, 40, availability_zone='zone-b'),
+    relay_states.build_model_runner('m4', 40, 80, availability_zone='zone-b'),
+)
+
+
+def list_first_runners(instance: relay_states.Instance) -> list[str]:
+    """Return the runner that each send was addressed to."""
+    return [sent.request.runner_id for sent in instance.sends]
+
+
+class RefusedConnections(unittest.TestCase):
+    """A runner that accepts no connection gets no further requests."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance(ONE_CHAIN_PER_ZONE)
+
+    def crash_first_runner(self) -> str:
+        """Refuse the connection of a first request; return the runner."""
+        self.instance.receive_request('r1', '/model/x')
+        crashed = self.instance.sends[-1].request.runner_id
+        self.instance.fail_send(self.instance.sends[-1].send_id, was_sent=False)
+        return crashed
+
+    def test_next_requests_avoid_the_runner_that_refused(self) -> None:
+        """Guard against sends to a dead runner until its entry is dropped."""
+        crashed = self.crash_first_runner()
+        for number in range(2, 12):
+            self.instance.pass_time(0.1)
+            self.instance.receive_request(
+                f'r{number}', '/model/x', prompt=SHORT_PROMPT
+            )
+        self.assertEqual(12, len(self.instance.sends))
+        self.assertNotIn(crashed, list_first_runners(self.instance)[1:])
+
+    def test_runner_with_active_streams_is_considered_full(self) -> None:
+        """Guard against excluding a full runner for as long as a dead one."""
+        instance = relay_states.Instance(ONE_CHAIN_PER_ZONE[:2])
+        instance.receive_request('r1', '/model/x')
+        instance.deliver_answer(
+            instance.start_send(), relay_states.build_head(), EVENT
+        )
+        instance.receive_request('r2', '/model/x')
+        instance.fail_send(instance.sends[-1].send_id, was_sent=False)
+        excluded_until = instance.state.runners['m1'].excluded_until
+        self.assertGreater(excluded_until, instance.now)
+        self.assertLess(excluded_until, instance.now + 0.5)
+
+    def test_restarted_process_is_used_at_once(self) -> None:
+        """Guard against excluding the process that replaced the crashed one."""
+        crashed = self.crash_first_runner()
+        restarted = relay_states.build_model_runner(crashed, 0, 40)
+        self.instance.list_runners(
+            (
+                *ONE_CHAIN_PER_ZONE[1:],
+                dataclasses.replace(restarted, started_at_ms=2),
+            )
+        )
+        self.assertEqual(
+            0.0, self.instance.state.runners[crashed].excluded_until
+        )
+
+    def test_plain_runner_is_not_excluded(self) -> None:
+        """Guard against a plain service without any usable runner."""
+        instance = relay_states.Instance()
+        instance.receive_request('r1', '/read/x')
+        refused = instance.sends[-1].request.runner_id
+        instance.fail_send(instance.sends[-1].send_id, was_sent=False)
+        self.assertEqual(0.0, instance.state.runners[refused].excluded_until)
