Charge only sends that arrive to the retry budget

Cause: each send after the first was charged, and counted towards the four sends of a request, also where the connection was refused. Change: a request counts the sends that ended before a byte was sent. A send is charged only if an earlier one of the request may have arrived, and the charge is returned if the send itself does not arrive. Four arrivals are allowed as before, and six sends that do not arrive. A test counts the charges.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -589,7 +589,14 @@
         remaining, open_attempt.attempt, problem
     )
     state = store_exchange(
-        failed, dataclasses.replace(state, runners=runner_map)
+        failed,
+        dataclasses.replace(
+            state,
+            runners=runner_map,
+            retry_buckets=dispatch.return_retry_charge(
+                failed, open_attempt.attempt, now, state
+            ),
+        ),
     )
     abort = relay_effects.AbortSend(open_attempt.attempt.send_id)
     log_effect = build_failure_log(failed, open_attempt.attempt, problem, now)
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -37,8 +37,12 @@
 STREAM_SEARCH_PERIOD_SECONDS = 0.2
 # Zones whose runners are searched for a chain before those of all zones.
 SEARCHED_ZONE_COUNT = 2
-# Sends of one request, including those that an upstream refused to run.
-MAXIMUM_SENDS = 4
+# Sends of one request that arrive at an upstream, including those that it
+# refuses to run.
+MAXIMUM_ARRIVALS = 4
+# Sends of one request that end before a byte is sent. They cost no upstream
+# anything, but each occupies a socket and some of the time that is left.
+MAXIMUM_UNCONNECTED_SENDS = 6
 # Requests with less time left than this are not sent.
 MINIMUM_REMAINING_SECONDS = 0.01
 # Share of the expected output tokens that the cache holds on average while a
@@ -425,8 +429,11 @@
 def spend_retry_budget(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> retry_budgets.RetryBuckets:
-    """Charge a send to the retry budget, unless it is the first."""
-    if not exchange.send_count:
+    """Charge a send to the retry budget, unless none has arrived before.
+
+    The charge is returned if the send does not arrive.
+    """
+    if not exchange.arrival_count:
         return state.retry_buckets
     return retry_budgets.debit_retry(
         state.retry_buckets,
@@ -437,6 +444,24 @@
     )
 
 
+def return_retry_charge(
+    failed: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    now: float,
+    state: 'states.State',
+) -> retry_budgets.RetryBuckets:
+    """Return the charge for a failed send that did not arrive."""
+    if attempt.is_sent or not failed.arrival_count:
+        return state.retry_buckets
+    return retry_budgets.return_retry(
+        state.retry_buckets,
+        failed.service,
+        now,
+        state.limits,
+        members.count_instances(state),
+    )
+
+
 def add_load(
     load_map: loads.LoadMap, attempt: exchanges.Attempt
 ) -> loads.LoadMap:
@@ -520,10 +545,14 @@
     """Return whether a request may be sent to another upstream.
 
     A request that may have run is retried only if its route allows it. An open
-    send counts as a run. All retries, including those after a refusal, share the
-    service's budget.
+    send counts as a run. All sends after the first that arrived, including those
+    after a refusal, share the service's budget.
     """
-    if exchange.send_count >= MAXIMUM_SENDS:
+    if exchange.unconnected_count >= MAXIMUM_UNCONNECTED_SENDS:
+        return False
+    if not exchange.arrival_count:
+        return True
+    if exchange.arrival_count >= MAXIMUM_ARRIVALS:
         return False
     balance = retry_budgets.compute_balance(
         state.retry_buckets,
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -45,12 +45,14 @@
     """Hold a request of a caller until it is answered.
 
     `possible_run_count` counts the failed sends that may have run the request;
-    open sends are not in it. `send_count` counts all sends. `tried_runner_ids`
-    names the upstreams that refused or failed the request. `last_search_at` is
-    when a search last found no upstream, and `last_problem` why the last send
-    failed or got a second one beside it. `admitted_service` describes the
-    service in the version that admitted the request, for the case that a later
-    version drops it.
+    open sends are not in it. `send_count` counts all sends, and
+    `unconnected_count` those that ended before a byte was sent. The others are
+    assumed to have arrived at an upstream. `tried_runner_ids` names the
+    upstreams that refused or failed the request. `last_search_at` is when a
+    search last found no upstream, and `last_problem` why the last send failed
+    or got a second one beside it. `admitted_service` describes the service in
+    the version that admitted the request, for the case that a later version
+    drops it.
     """
 
     request_id: str
@@ -65,6 +67,7 @@
     attempts: tuple[Attempt, ...] = ()
     possible_run_count: int = 0
     send_count: int = 0
+    unconnected_count: int = 0
     tried_runner_ids: frozenset[str] = frozenset()
     has_stream_started: bool = False
     last_event_id: int | None = None
@@ -78,6 +81,11 @@
         """Return whether the answer is a stream of events."""
         return self.route.kind is configuration.RequestKind.STREAMING
 
+    @property
+    def arrival_count(self) -> int:
+        """Return how many sends may have arrived at an upstream."""
+        return self.send_count - self.unconnected_count
+
     @property
     def may_have_run(self) -> bool:
         """Return whether any send may have run the request or may still."""
@@ -159,6 +167,7 @@
     """Record a send that failed; it counts as a run if it may have run."""
     return dataclasses.replace(
         exchange,
+        unconnected_count=exchange.unconnected_count + (not attempt.is_sent),
         possible_run_count=exchange.possible_run_count + attempt.is_sent,
         tried_runner_ids=exchange.tried_runner_ids | {attempt.runner_id},
         last_problem=problem,
--- a/src/mustardvale/internal/relay/retry_budgets.py
+++ b/src/mustardvale/internal/relay/retry_budgets.py
@@ -85,6 +85,18 @@
     return buckets.set(service, RetryBucket(bucket.balance - 1, now))
 
 
+def return_retry(
+    buckets: RetryBuckets,
+    service: str,
+    now: float,
+    limits: instance_settings.Limits,
+    instance_count: int,
+) -> RetryBuckets:
+    """Return the charge for a retry that arrived at no upstream."""
+    bucket = refill_bucket(buckets, service, now, limits, instance_count)
+    return buckets.set(service, RetryBucket(bucket.balance + 1, now))
+
+
 def compute_balance(
     buckets: RetryBuckets,
     service: str,
--- a/tests/test_relay_crashed_runners.py
+++ b/tests/test_relay_crashed_runners.py
@@ -3,7 +3,11 @@
 import dataclasses
 import unittest
 
-from mustardvale.internal.relay import requests
+from mustardvale.internal.relay import (
+    instance_settings,
+    requests,
+    retry_budgets,
+)
 from tests import relay_states
 
 EVENT = b'id: 1\ndata: x\n\n'
@@ -15,6 +19,16 @@
     relay_states.build_model_runner('m3', 0, 40, availability_zone='zone-b'),
     relay_states.build_model_runner('m4', 40, 80, availability_zone='zone-b'),
 )
+MANY_CHAINS = (
+    *(
+        relay_states.build_model_runner(f'm{number}', 0, 40)
+        for number in range(1, 9)
+    ),
+    *(
+        relay_states.build_model_runner(f'm{number}', 40, 80)
+        for number in range(9, 13)
+    ),
+)
 
 
 def list_first_runners(instance: relay_states.Instance) -> list[str]:
@@ -80,3 +94,89 @@
         refused = instance.sends[-1].request.runner_id
         instance.fail_send(instance.sends[-1].send_id, was_sent=False)
         self.assertEqual(0.0, instance.state.runners[refused].excluded_until)
+
+
+class RetryBudget(unittest.TestCase):
+    """A send that reaches no runner costs nothing of the retry budget."""
+
+    def measure_balance(self, instance: relay_states.Instance) -> float:
+        """Return the number of retries that the model service may send."""
+        return retry_budgets.compute_balance(
+            instance.state.retry_buckets,
+            'model',
+            instance.now,
+            instance.state.limits,
+            1,
+        )
+
+    def test_refused_connections_leave_the_budget(self) -> None:
+        """Guard against a dead runner that uses up the budget of a service."""
+        instance = relay_states.Instance()
+        instance.receive_request('r1', '/model/x')
+        before = self.measure_balance(instance)
+        instance.fail_send(instance.sends[-1].send_id, was_sent=False)
+        instance.start_send()
+        self.assertEqual(2, len(instance.sends))
+        self.assertEqual(before, self.measure_balance(instance))
+
+    def test_refused_resumption_returns_its_charge(self) -> None:
+        """Guard against charging a resumption once for each dead runner."""
+        instance = relay_states.Instance()
+        instance.receive_request('r1', '/model/x')
+        before = self.measure_balance(instance)
+        send_id = instance.start_send()
+        instance.deliver_answer(send_id, relay_states.build_head(), EVENT)
+        instance.fail_send(send_id)
+        self.assertEqual(before - 1, self.measure_balance(instance))
+        instance.fail_send(instance.sends[-1].send_id, was_sent=False)
+        self.assertEqual(before, self.measure_balance(instance))
+
+    def test_spent_budget_allows_the_first_arrival(self) -> None:
+        """Guard against failing a request that no runner has received."""
+        instance = relay_states.Instance(
+            limits=instance_settings.Limits(retry_ratio=0, retries_per_window=0)
+        )
+        instance.receive_request('r1', '/model/x')
+        instance.fail_send(instance.sends[-1].send_id, was_sent=False)
+        self.assertEqual(2, len(instance.sends))
+
+    def test_every_arrival_but_the_first_is_charged(self) -> None:
+        """Guard against arrivals beyond the budget of the service."""
+        instance = relay_states.Instance(MANY_CHAINS)
+        instance.receive_request('r1', '/model/x')
+        before = self.measure_balance(instance)
+        instance.fail_send(instance.sends[-1].send_id, was_sent=False)
+        send_id = instance.start_send()
+        instance.deliver_answer(send_id, relay_states.build_head(), EVENT)
+        instance.fail_send(send_id)
+        instance.start_send()
+        self.assertEqual(3, len(instance.sends))
+        self.assertEqual(before - 1, self.measure_balance(instance))
+
+
+class SendLimits(unittest.TestCase):
+    """A request is not failed for runners that never received it."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance(MANY_CHAINS)
+        self.instance.receive_request('r1', '/model/x')
+
+    def refuse_connections(self, count: int) -> None:
+        """Refuse the connections of the next sends."""
+        for _ in range(count):
+            if 'r1' in self.instance.replies:
+                return
+            self.instance.fail_send(
+                self.instance.sends[-1].send_id, was_sent=False
+            )
+
+    def test_dead_runners_do_not_use_up_the_sends(self) -> None:
+        """Guard against a refusal while usable runners are left."""
+        self.refuse_connections(5)
+        self.assertEqual(6, len(self.instance.sends))
+
+    def test_refused_connections_are_limited(self) -> None:
+        """Guard against a request that tries every runner of a large site."""
+        self.refuse_connections(11)
+        self.assertEqual(6, len(self.instance.sends))
+        self.assertEqual(503, self.instance.replies['r1'].status)
