--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -90,18 +90,23 @@
     pending = state.orders.pending
     for runner_id, order in state.orders.pending.items():
         runner = state.runners.get(runner_id)
-        if (
-            runner is None
-            or now > order.expires_at
-            or runner.listed.started_at_ms != order.started_at_ms
-            or runner.listed.layers == order.layers
-        ):
+        if now > order.expires_at or is_settled(order, runner):
             pending = pending.delete(runner_id)
     return dataclasses.replace(
         state, orders=dataclasses.replace(state.orders, pending=pending)
     )
 
 
+def is_settled(order: PendingOrder, runner: runners.Runner | None) -> bool:
+    """Return whether an order is completed, or its process gone or leaving."""
+    if runner is None or not runner.is_usable:
+        return True
+    return (
+        runner.listed.started_at_ms != order.started_at_ms
+        or runner.listed.layers == order.layers
+    )
+
+
 def order_layers(
     service: configuration.Service, now: float, state: 'states.State'
 ) -> reducer.Transition:
