Check the placement as soon as an empty runner is listed

Cause: the leader looked for runners without layers every half second. Change: a list with a new or changed empty runner brings the check forward. Other instances only arm their timer anew. Measured: the tests failed before: "Lists differ: ['m1'] != []".

--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -193,6 +193,8 @@
     log_effects = build_change_logs(
         state.runners, runner_map, list_state.position
     )
+    if has_new_empty_runner(state.runners, runner_map):
+        log_effects += (effects.SetTimer(timers.PlacementCheckDue(), 0),)
     if state.runner_list.is_failing:
         log_effects += (
             relay_effects.LogDecision(
@@ -212,6 +214,18 @@
     )
 
 
+def has_new_empty_runner(
+    before: runners.RunnerMap, after: runners.RunnerMap
+) -> bool:
+    """Return whether a runner that needs layers was added or changed."""
+    if before is after:
+        return False
+    return any(
+        runner.needs_layers and before.get(runner_id) is not runner
+        for runner_id, runner in after.items()
+    )
+
+
 def remove_expired(
     runner_map: runners.RunnerMap, now: float
 ) -> runners.RunnerMap:
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -81,6 +81,13 @@
             self.delisted_at is None and self.listed.state is ListedState.READY
         )
 
+    @property
+    def needs_layers(self) -> bool:
+        """Return whether the runner could hold layers and has none."""
+        if not self.is_usable or not self.listed.accelerator:
+            return False
+        return self.listed.layers is None or not self.listed.layers.count
+
 
 RunnerMap: typing.TypeAlias = 'immutables.Map[str, Runner]'
 
--- a/tests/test_relay_returning_runners.py
+++ b/tests/test_relay_returning_runners.py
@@ -69,3 +69,46 @@
         )
         check_placement(self.instance)
         self.assertEqual(['m1', 'm1'], list_ordered_ids(self.instance))
+
+
+class ReturningRunners(unittest.TestCase):
+    """A runner that is listed without layers is ordered to load some."""
+
+    def setUp(self) -> None:
+        self.instance = build_leader(relay_states.TWO_CHAINS)
+
+    def return_runner(self, name: str) -> None:
+        """List a runner that has replaced the crashed runner `m1`."""
+        returned = relay_states.build_model_runner(name, 0, 0)
+        self.instance.list_runners(
+            (
+                *relay_states.TWO_CHAINS[1:],
+                dataclasses.replace(returned, started_at_ms=2),
+            )
+        )
+        self.instance.pass_time(0)
+
+    def test_order_does_not_wait_for_the_next_check(self) -> None:
+        """Guard against a returned runner that is idle until a check."""
+        for name in ('m1', 'm9'):
+            with self.subTest(name=name):
+                self.setUp()
+                self.return_runner(name)
+                self.assertEqual([name], list_ordered_ids(self.instance))
+
+    def test_returned_runner_gets_the_lost_range(self) -> None:
+        """Guard against leaving the range of the crashed runner uncovered."""
+        self.return_runner('m9')
+        order = self.instance.list_calls(calls.PlaceLayers)[-1].call
+        self.assertEqual(0, order.layers.first)
+
+    def test_checks_are_not_multiplied(self) -> None:
+        """Guard against a second series of periodic checks."""
+        self.return_runner('m9')
+        self.return_runner('m10')
+        due = [
+            timer
+            for timer in self.instance.pending_timers
+            if timer == timers.PlacementCheckDue()
+        ]
+        self.assertEqual(1, len(due))
