--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -2,8 +2,12 @@
 
 import http.client
 import json
+import pathlib
 import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import time
 import typing
 import unittest
@@ -393,6 +397,29 @@
         self.assertEqual(0, self.site.process.wait(timeout=10))
 
 
+class StartOfTheProcess(unittest.TestCase):
+    """A process that starts is not ended by a signal to reload."""
+
+    def test_reload_signal_is_ignored_while_modules_are_imported(self) -> None:
+        """Guard against a process that ends by SIGHUP before it serves."""
+        with tempfile.TemporaryDirectory() as directory:
+            package = pathlib.Path(directory) / 'mustardvale'
+            package.mkdir()
+            (package / '__init__.py').write_text('')
+            (package / 'relay_daemon.py').write_text(
+                'import os, signal\n'
+                'os.kill(os.getpid(), signal.SIGHUP)\n'
+                'def main(): pass\n'
+            )
+            ended = subprocess.run(
+                [sys.executable, 'deploy/run_entry.py'],
+                check=False,
+                cwd=relay_site.ROOT,
+                env={'PYTHONPATH': directory},
+            )
+        self.assertEqual(0, ended.returncode)
+
+
 class InvalidSettings(unittest.TestCase):
     """Invalid settings prevent the start, and every problem is printed."""
 
