Read a request once more before it is refused as incomplete

After a delay of the process, a request whose rest lay in the socket buffer was refused with 408.

Cause: the time for the next part was compared before the input that had arrived in time was read.

Change: a connection whose time is over is read once more, and ends only if it is still over.

Measured: test_rest_of_a_request_at_the_end_of_its_time_is_read failed before with '1 != 0' requests; it passes now, with the others of the module.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -455,12 +455,16 @@
 
     def sweep(self) -> None:
         """End connections whose timeout has expired."""
-        now = time.monotonic()
         for connection in tuple(self.connections):
-            waited_seconds = now - connection.waiting_since
-            if waited_seconds >= self.compute_timeout(connection.phase, now):
+            if self.is_expired(connection):
                 self.expire_connection(connection)
 
+    def is_expired(self, connection: CallerConnection) -> bool:
+        """Return whether a connection has waited too long in its phase."""
+        now = time.monotonic()
+        waited_seconds = now - connection.waiting_since
+        return waited_seconds >= self.compute_timeout(connection.phase, now)
+
     def compute_timeout(self, phase: Phase, now: float) -> float:
         """Return for how many seconds a connection may wait in a phase."""
         match phase:
@@ -474,7 +478,15 @@
                 return LINGER_SECONDS
 
     def expire_connection(self, connection: CallerConnection) -> None:
-        """Refuse an incomplete request, or close the connection."""
+        """Refuse an incomplete request, or close the connection.
+
+        After a delay of this process, what the caller has sent in time may not
+        have been read.
+        """
+        assert connection.channel is not None, 'a connection has a channel'
+        self.channel_table.read_available(connection.channel)
+        if not self.is_expired(connection):
+            return
         if connection.phase is Phase.RECEIVING:
             self.refuse_request(
                 connection,
@@ -482,9 +494,7 @@
                 'request_timeout',
                 'the headers, or the next part of the body, took too long',
             )
-        elif connection.phase is Phase.IDLE:
-            self.close_unused(connection)
-        elif connection.channel is not None and connection.channel.output:
+        elif connection.channel.output:
             # TCP_USER_TIMEOUT ends the connection if the caller acknowledges
             # no output for too long.
             connection.waiting_since = time.monotonic()
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -155,6 +155,15 @@
         self.server.reply(self.list_request_ids()[-1], ANSWER)
         self.assertEqual(200, relay_site.read_answer(sock).status)
 
+    def test_rest_of_a_request_at_the_end_of_its_time_is_read(self) -> None:
+        """Guard against a 408 for a request that has arrived meanwhile."""
+        sock, connection = self.accept()
+        request = relay_site.encode_request('/read/x', 'a1')
+        self.deliver(connection, request[:20])
+        sock.sendall(request[20:])
+        self.pass_time(2)
+        self.assertEqual(1, len(self.list_request_ids()))
+
     def test_request_at_a_stop_is_reported(self) -> None:
         """Guard against a stop that resets a request in the socket."""
         sock = self.answer_first()
