Let a service that a version adds retry requests from its start

Beside a version that moved a route to a new service, requests that a runner refused failed, and streams that a runner interrupted were cut, although another runner was free.

Cause: the retry budget of a service was empty when a version added it, as for a new process, and accrued over the window of 10 s.

Change: a service that a later version adds starts with the part that may be spent at once, four tenths of the fixed number of all instances. A process that reads its first version still starts without any, because the process before it may have spent them.

Measured: AddedServices.test_refused_request_goes_elsewhere failed before with '2 != 1' sends; test_retries_stay_within_half_of_the_budget holds before and after. The tests of the budget in tests.test_relay_admission pass unchanged.

--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -13,6 +13,7 @@
     calls,
     configuration,
     exchanges,
+    members,
     peer_feed,
     reducer,
     retry_budgets,
@@ -197,7 +198,10 @@
         configuration=confirmed,
         exchanges=open_exchanges,
         retry_buckets=retry_budgets.add_services(
-            state.retry_buckets, services, now
+            state.retry_buckets,
+            services,
+            now,
+            compute_initial_retries(state),
         ),
     )
     adopted: reducer.Transition = transitions.Transition(
@@ -210,6 +214,19 @@
     return adopted.then(lambda current: poll_next(current, now))
 
 
+def compute_initial_retries(state: 'states.State') -> float:
+    """Return the retries for a service that a version adds.
+
+    A new process starts without any, because the process before it may have
+    spent them.
+    """
+    if state.configuration.active is None:
+        return 0.0
+    return retry_budgets.BURST_SHARE * retry_budgets.compute_quota(
+        state.limits, members.count_instances(state)
+    )
+
+
 def build_change_effects(
     before: configuration.Configuration | None,
     after: configuration.Configuration,
--- a/src/mustardvale/internal/relay/retry_budgets.py
+++ b/src/mustardvale/internal/relay/retry_budgets.py
@@ -4,7 +4,8 @@
 fixed number per time window. Each instance has its part of the budget in a
 token bucket. Half of the fixed number may be spent at once, the other half
 accrues over a window. The bucket of a new process is empty, so that a restart
-of all instances does not grant the budget a second time.
+of all instances does not grant the budget a second time. That of a service which
+a later version of the configuration adds may be spent at once.
 """
 
 import dataclasses
@@ -43,20 +44,30 @@
     bucket = buckets.get(service)
     if bucket is None:
         return RetryBucket(0.0, now)
-    quota = USED_SHARE * limits.retries_per_window / instance_count
+    quota = compute_quota(limits, instance_count)
     elapsed = max(now - bucket.updated_at, 0.0)
     accrued = (1 - BURST_SHARE) * quota * elapsed / limits.retry_window_seconds
     balance = min(bucket.balance + accrued, BURST_SHARE * quota + 1)
     return RetryBucket(balance, now)
 
 
+def compute_quota(
+    limits: instance_settings.Limits, instance_count: int
+) -> float:
+    """Return the part of the fixed number of retries of this instance."""
+    return USED_SHARE * limits.retries_per_window / instance_count
+
+
 def add_services(
-    buckets: RetryBuckets, services: abc.Iterable[str], now: float
+    buckets: RetryBuckets,
+    services: abc.Iterable[str],
+    now: float,
+    balance: float,
 ) -> RetryBuckets:
-    """Add an empty bucket for each new service."""
+    """Add a bucket with a balance for each new service."""
     for service in services:
         if service not in buckets:
-            buckets = buckets.set(service, RetryBucket(0.0, now))
+            buckets = buckets.set(service, RetryBucket(balance, now))
     return buckets
 
 
--- a/tests/test_relay_versions.py
+++ b/tests/test_relay_versions.py
@@ -4,7 +4,7 @@
 import unittest
 
 from mustardvale.internal import events
-from mustardvale.internal.relay import calls, configuration
+from mustardvale.internal.relay import calls, configuration, members
 from tests import relay_states
 
 
@@ -115,3 +115,51 @@
         self.assertNotIn('r1', self.instance.replies)
         self.instance.pass_time(0.2)
         self.assertEqual(504, self.instance.replies['r1'].status)
+
+
+class AddedServices(unittest.TestCase):
+    """A service that a version adds may retry requests from its start."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.list_runners(
+            tuple(
+                dataclasses.replace(
+                    relay_states.build_plain_runner(name), service='added'
+                )
+                for name in ('p8', 'p9')
+            )
+        )
+
+    def add_service(self) -> None:
+        """Adopt a version that moves a route to a new service."""
+        route = relay_states.build_route(
+            'read', configuration.RequestKind.IDEMPOTENT, service='added'
+        )
+        self.instance.configure(
+            dataclasses.replace(
+                relay_states.with_routes((route,)),
+                services=relay_states.CONFIGURATION.services.set(
+                    'added', configuration.Service('added')
+                ),
+            )
+        )
+
+    def test_refused_request_goes_elsewhere(self) -> None:
+        """Guard against errors after a version moves a route."""
+        self.add_service()
+        self.instance.receive_request('r1', '/read/x')
+        send_id = self.instance.start_send()
+        self.instance.deliver_answer(send_id, relay_states.UNEXECUTED_HEAD)
+        self.instance.end_answer(send_id)
+        self.assertEqual(2, len(self.instance.sends))
+
+    def test_retries_stay_within_half_of_the_budget(self) -> None:
+        """Guard against a budget that is granted in full at once."""
+        self.add_service()
+        limits = self.instance.state.limits
+        balance = self.instance.state.retry_buckets['added'].balance
+        self.assertLessEqual(
+            balance * members.count_instances(self.instance.state),
+            limits.retries_per_window / 2,
+        )
