Decode the echoed header in a test as its runner reads it

Cause: the fake runner reads headers as Latin-1 since headers with bytes beyond ASCII are relayed; a test written beside that change encoded the echo as UTF-8, which doubled the bytes in the fake, not in the instance.

Change: the test encodes the echo as the fake decodes it. It still requires exactly the bytes that the caller sent.

Measured: test_header_values_of_any_bytes_are_forwarded failed with caf\xc3\x83\xc2\xa9 in place of caf\xc3\xa9; it passes now.

--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -131,7 +131,7 @@
             sock.sendall(
                 relay_site.encode_answer(
                     received,
-                    received.headers['x-name'].encode(),
+                    received.headers['x-name'].encode('latin-1'),
                     headers=b'X-Name: %s\r\n' % name,
                 )
             )
