Count the silence of a plain runner when the second send starts

Cause: With two sends open, a silent plain runner counted as failed only once the second send had overtaken it, and never if that one failed. Requests that may run once, which get no second send, went on to a runner that did not answer. Change: The failure is recorded when the second send starts, as it was before hedged sends. Measured: test_silent_runner_is_avoided_at_once failed before: "1 != 0" failures.

--- a/src/mustardvale/internal/relay/hedges.py
+++ b/src/mustardvale/internal/relay/hedges.py
@@ -48,11 +48,28 @@
     target = choose_other_target(hedged, now, state)
     if target is None:
         return transitions.Transition(state)
+    state = record_silence(attempt, now, state)
     if may_add:
         return dispatch.send_request(hedged, target, now, state)
     return replace_unsent(hedged, attempt, target, now, state)
 
 
+def record_silence(
+    attempt: exchanges.Attempt, now: float, state: 'states.State'
+) -> 'states.State':
+    """Count the silence of a plain runner as a failure.
+
+    Requests that may run once get no second send, and depend on what others
+    have shown of the runner.
+    """
+    if attempt.chain:
+        return state
+    return dataclasses.replace(
+        state,
+        runners=runners.record_failure(state.runners, attempt.runner_id, now),
+    )
+
+
 def may_replace(
     exchange: exchanges.Exchange,
     attempt: exchanges.Attempt,
@@ -123,12 +140,13 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Abort one send; prefer other runners if a later send overtook it."""
+    """Abort one send; avoid a model runner that a later send overtook."""
     remaining, next_state = completion.end_attempt(exchange, loser, state)
     aborted = exchanges.record_failed_attempt(remaining, loser, 'overtaken')
     runner_map = next_state.runners
-    if loser.started_at < winner.started_at:
-        runner_map = record_overtaken(runner_map, loser, now)
+    if loser.chain and loser.started_at < winner.started_at:
+        until = now + OVERTAKEN_DEPRIORITIZE_SECONDS
+        runner_map = runners.deprioritize(runner_map, loser.runner_id, until)
     next_state = dataclasses.replace(
         next_state,
         exchanges=next_state.exchanges.set(exchange.request_id, aborted),
@@ -143,17 +161,6 @@
     )
 
 
-def record_overtaken(
-    runner_map: runners.RunnerMap, loser: exchanges.Attempt, now: float
-) -> runners.RunnerMap:
-    """Record that a later send delivered before that of a runner."""
-    if loser.chain:
-        return runners.deprioritize(
-            runner_map, loser.runner_id, now + OVERTAKEN_DEPRIORITIZE_SECONDS
-        )
-    return runners.record_failure(runner_map, loser.runner_id, now)
-
-
 def build_overtaken_log(
     exchange: exchanges.Exchange,
     loser: exchanges.Attempt,
--- a/tests/test_relay_hedges.py
+++ b/tests/test_relay_hedges.py
@@ -284,6 +284,19 @@
         self.answer(self.first)
         self.assertEqual(200, self.instance.replies['r1'].status)
 
+    def test_silent_runner_is_avoided_at_once(self) -> None:
+        """Guard against requests that may run once at a runner that hangs."""
+        self.instance.pass_time(0.4)
+        silent = self.instance.sends[0].request.runner_id
+        self.assertEqual(
+            1, self.instance.state.runners[silent].consecutive_failures
+        )
+        for number in range(4):
+            self.instance.receive_request(f'w{number}', '/write/x')
+            self.assertNotEqual(
+                silent, self.instance.sends[-1].request.runner_id
+            )
+
     def test_overtaken_runner_is_avoided(self) -> None:
         """Guard against more requests for a runner that hangs."""
         self.instance.pass_time(0.4)
