Drain for good where an instance that stopped first would accept again

Cause: where all instances stop in turn, each accepted requests again as soon as no other one was listed. The first ones then ended only when the time to stop was over, and a successor starts after the end: nobody served callers for four to six seconds. A draining instance also named itself in its directory.

Change: an instance drains for good if another one is listed a second after its stop. Of those that find nobody listed before, every other one of each zone drains and the rest accepts.

--- a/src/mustardvale/internal/relay/instance_settings.py
+++ b/src/mustardvale/internal/relay/instance_settings.py
@@ -45,11 +45,3 @@
     availability_zone: str
     region: str
     addresses: Addresses
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stopping:
-    """Hold when a graceful shutdown began, and whether the process exits."""
-
-    started_at: float
-    is_exiting: bool = False
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -7,7 +7,6 @@
 from mustardvale.internal.relay import (
     completion,
     configuration_feed,
-    instance_settings,
     members,
     reducer,
     requests,
@@ -103,8 +102,8 @@
 
     They are those of this zone and, where these are few, also of the readers of
     other zones. An instance that is stopping omits itself while it knows of
-    others. So does one that cannot reach the store, because it soon cannot
-    check keys.
+    others that accept requests. So does one that cannot reach the store,
+    because it soon cannot check keys.
     """
     own = state.identity.addresses.front
     addresses = members.list_other_addresses(state)
@@ -116,6 +115,8 @@
             failing_since is None or now - failing_since < STORE_OUTAGE_SECONDS
         )
     )
+    if not addresses:
+        addresses = stopping.list_last_addresses(state)
     if is_serving or not addresses:
         addresses = (own, *addresses)
     return addresses[:MAXIMUM_DIRECTORY_ADDRESSES]
@@ -141,9 +142,7 @@
     if state.stopping is not None:
         return transitions.Transition(state)
     return transitions.Transition(
-        dataclasses.replace(
-            state, stopping=instance_settings.Stopping(event.at)
-        ),
+        stopping.begin(state, event.at),
         (
             relay_effects.LogDecision(
                 'stop_requested', (('open', len(state.exchanges)),)
@@ -167,7 +166,8 @@
         waited_seconds < MINIMUM_STOP_SECONDS or state.exchanges
     ):
         return transitions.Transition(
-            state, (effects.SetTimer(timer, STOP_CHECK_PERIOD_SECONDS),)
+            stopping.update(state, event.at),
+            (effects.SetTimer(timer, STOP_CHECK_PERIOD_SECONDS),),
         )
     exiting = dataclasses.replace(
         state,
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -17,6 +17,7 @@
 from mustardvale.internal.relay import retry_budgets as retry_budget_tables
 from mustardvale.internal.relay import runner_list as runner_lists
 from mustardvale.internal.relay import runners as runner_tables
+from mustardvale.internal.relay import stopping as shutdowns
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,4 +74,4 @@
     last_check_at: float = 0.0
     check_due_at: float = 0.0
     silence_ignored_until: float = 0.0
-    stopping: instance_settings.Stopping | None = None
+    stopping: shutdowns.Stopping | None = None
--- a/src/mustardvale/internal/relay/stopping.py
+++ b/src/mustardvale/internal/relay/stopping.py
@@ -1,9 +1,11 @@
 """Decide what an instance that is stopping still accepts, and for how long.
 
-Where other instances remain, a stopping one accepts requests for a moment only.
-Where all instances stop together, it accepts for longer what can still end.
+Where other instances remain, a stopping one accepts requests for a moment and
+then drains. Where all instances stop together, about half of them drain at
+once, so that their successors start soon, and the others accept meanwhile.
 """
 
+import dataclasses
 import typing
 
 from mustardvale.internal.relay import (
@@ -40,6 +42,26 @@
 MINIMUM_SUCCESSOR_WAIT_SECONDS = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopping:
+    """Hold the progress of a graceful shutdown.
+
+    `listed` holds the instances that were known when it began, this one
+    included. A draining instance accepts nothing more, and then holds there the
+    other ones that were known last. `is_last` is true for one that accepts for
+    longer, because all others are stopping too. `alone_since` is when it found
+    that no other instance was listed, and `is_exiting` is true once the process
+    is about to end.
+    """
+
+    started_at: float
+    listed: tuple[members.Member, ...] = ()
+    is_draining: bool = False
+    is_last: bool = False
+    alone_since: float | None = None
+    is_exiting: bool = False
+
+
 def compute_abort_time(state: 'states.State') -> float:
     """Return when open requests are aborted; infinite without a stop."""
     if state.stopping is None:
@@ -55,9 +77,87 @@
     if stopping.is_exiting:
         return False
     waited_seconds = now - stopping.started_at
-    if members.list_other_addresses(state):
-        return waited_seconds <= ACCEPT_AFTER_STOP_SECONDS
-    return waited_seconds <= state.limits.stop_seconds * ACCEPT_ALONE_SHARE
+    if stopping.is_last:
+        return waited_seconds <= state.limits.stop_seconds * ACCEPT_ALONE_SHARE
+    return waited_seconds <= ACCEPT_AFTER_STOP_SECONDS
+
+
+def begin(state: 'states.State', now: float) -> 'states.State':
+    """Store that a graceful shutdown begins."""
+    others = list_other_members(state)
+    own = members.decode_members((members.encode_member(state.identity),))
+    started = Stopping(now, (*own, *others))
+    return dataclasses.replace(state, stopping=started)
+
+
+def update(state: 'states.State', now: float) -> 'states.State':
+    """Drain for good while others accept, or if others do so instead.
+
+    An instance that accepted again later would delay its successor.
+    """
+    stopping = state.stopping
+    if stopping is None or stopping.alone_since is not None:
+        return state
+    others = list_other_members(state)
+    if others:
+        waited_seconds = now - stopping.started_at
+        if waited_seconds <= ACCEPT_AFTER_STOP_SECONDS:
+            return state
+        changed = dataclasses.replace(stopping, listed=others, is_draining=True)
+    else:
+        own = state.identity.instance_id
+        is_last = own in list_last_ids(stopping.listed)
+        changed = dataclasses.replace(
+            stopping,
+            is_draining=not is_last,
+            is_last=is_last,
+            alone_since=now,
+        )
+    return dataclasses.replace(state, stopping=changed)
+
+
+def list_other_members(state: 'states.State') -> tuple[members.Member, ...]:
+    """Return the other instances that are listed."""
+    known = state.members
+    own = state.identity.instance_id
+    return tuple(
+        member
+        for member in sorted(
+            {*known.zone.listed, *known.readers.listed},
+            key=lambda listed: listed.instance_id,
+        )
+        if member.instance_id != own
+    )
+
+
+def list_last_ids(listed: tuple[members.Member, ...]) -> frozenset[str]:
+    """Return the ids of the instances that accept for longest.
+
+    They are every other one of each zone, the first included. Instances know
+    all of their zone, and of other zones at least the first ones, so that all
+    come to the same result.
+    """
+    zones: dict[str, list[str]] = {}
+    for member in sorted(listed, key=lambda known: known.instance_id):
+        zones.setdefault(member.availability_zone, []).append(
+            member.instance_id
+        )
+    return frozenset(
+        instance_id for ids in zones.values() for instance_id in ids[::2]
+    )
+
+
+def list_last_addresses(state: 'states.State') -> tuple[str, ...]:
+    """Return the addresses of others that accept while this one drains."""
+    stopping = state.stopping
+    if stopping is None or not stopping.is_draining:
+        return ()
+    last_ids = list_last_ids(stopping.listed) - {state.identity.instance_id}
+    return tuple(
+        member.front
+        for member in stopping.listed
+        if member.instance_id in last_ids
+    )
 
 
 def can_end(
@@ -159,6 +259,10 @@
     stopping = state.stopping
     if stopping is None or members.list_other_addresses(state):
         return RETRY_ELSEWHERE_SECONDS
+    accept_seconds = state.limits.stop_seconds * ACCEPT_ALONE_SHARE
+    alone_since = stopping.alone_since or now
+    if list_last_addresses(state) and now <= alone_since + accept_seconds:
+        return RETRY_ELSEWHERE_SECONDS
     waited_seconds = now - stopping.started_at
     return max(
         SUCCESSOR_SECONDS - waited_seconds, MINIMUM_SUCCESSOR_WAIT_SECONDS
