Send callers to instances that have joined

Cause: callers keep their connections. Where all instances were replaced, the first successor kept the callers of the whole site after the others had joined.

Change: when the number of listed addresses grows, an instance closes the share of its connections that belongs to those that joined, each after an answer, and not before callers had a second to ask for the new addresses.

--- a/src/mustardvale/internal/edge/relay_performer.py
+++ b/src/mustardvale/internal/edge/relay_performer.py
@@ -89,6 +89,14 @@
     runtime.callers.close_idle()
 
 
+@perform.register(effects.RebalanceCallers)
+def perform_rebalance_callers(
+    effect: effects.RebalanceCallers, runtime: 'relay_loop.RelayLoop'
+) -> None:
+    """Close a share of the callers' connections, each after an answer."""
+    runtime.callers.rebalance(effect.share, effect.delay_seconds)
+
+
 @perform.register(effects.LogDecision)
 def perform_log_decision(
     effect: effects.LogDecision, runtime: 'relay_loop.RelayLoop'
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -76,6 +76,8 @@
         self.request_id = ''
         self.is_blocked = False
         self.is_head_sent = False
+        # Answers that begin later than this close the connection.
+        self.kept_until = math.inf
 
     def on_connected(self, channel: channels.Channel) -> None:
         """Ignore the event, which only outgoing connections have."""
@@ -290,7 +292,10 @@
             return
         head, body = connection.codec.encode_reply(reply)
         closing = dataclasses.replace(
-            head, closes_connection=head.closes_connection or self.is_closing
+            head,
+            closes_connection=(
+                head.closes_connection or self.is_answer_last(connection)
+            ),
         )
         must_close = connection.protocol.their_state is h11.MUST_CLOSE
         self.write_answer(connection, closing, body)
@@ -319,7 +324,9 @@
         encoded = connection.codec.encode_head(head)
         closing = dataclasses.replace(
             encoded,
-            closes_connection=encoded.closes_connection or self.is_closing,
+            closes_connection=(
+                encoded.closes_connection or self.is_answer_last(connection)
+            ),
         )
         self.send_event(connection, build_response(closing, None))
         connection.is_head_sent = True
@@ -412,6 +419,17 @@
         self.write_answer(connection, head, body)
         self.finish_answer(connection, closes_connection=True)
 
+    def is_answer_last(self, connection: CallerConnection) -> bool:
+        """Return whether an answer that begins now closes the connection."""
+        return self.is_closing or time.monotonic() > connection.kept_until
+
+    def rebalance(self, share: float, delay_seconds: float) -> None:
+        """Close a share of the connections, each after an answer."""
+        kept_until = time.monotonic() + delay_seconds
+        count = round(len(self.connections) * share)
+        for connection in itertools.islice(self.connections, count):
+            connection.kept_until = min(connection.kept_until, kept_until)
+
     def close_idle(self) -> None:
         """Close idle connections, and the others after their answers."""
         self.is_closing = True
--- a/src/mustardvale/internal/relay/effects.py
+++ b/src/mustardvale/internal/relay/effects.py
@@ -66,6 +66,18 @@
     idle_timeout_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RebalanceCallers(effects.Effect):
+    """Close a share of the callers' connections, each after an answer.
+
+    The callers then connect again, and find other instances. Answers that
+    begin in the next `delay_seconds` close none.
+    """
+
+    share: float
+    delay_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseIdleCallers(effects.Effect):
     """Close idle connections of callers, and all others after their answer."""
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -34,6 +34,9 @@
 # A new member is listed once it owns partitions. It gets them after their owner
 # has joined twice more and the new member once.
 HANDOVER_SECONDS = 2.4
+# Callers know instances that have joined once they have asked for the addresses
+# again.
+REBALANCE_DELAY_SECONDS = 1.0
 # Number of instances assumed until they are listed. High, because a share of a
 # limit that is too small for a while does less harm than one that is too large.
 ASSUMED_INSTANCE_COUNT = 8
@@ -447,6 +450,7 @@
     return transitions.Transition(
         next_state,
         (
+            *rebalance_callers(state, next_state),
             effects.SetGauge('members', count_instances(next_state)),
             relay_effects.LogDecision(
                 'members_changed',
@@ -460,6 +464,22 @@
     )
 
 
+def rebalance_callers(
+    before: 'states.State', state: 'states.State'
+) -> tuple[effects.Effect, ...]:
+    """Return the effect that sends callers to instances that have joined.
+
+    Callers keep their connections, so that the instances that were there first
+    would keep all the load.
+    """
+    known_count = 1 + len(list_other_addresses(before))
+    count = 1 + len(list_other_addresses(state))
+    if count <= known_count or state.stopping is not None:
+        return ()
+    share = (count - known_count) / count
+    return (relay_effects.RebalanceCallers(share, REBALANCE_DELAY_SECONDS),)
+
+
 @reducer.on_failure.register(calls.JoinMembers)
 @reducer.on_failure.register(calls.ListMembers)
 def handle_failure(
