Write the queued end of an answer before a stop closes its connection

Cause: a stop closes connections without an open request at once. A connection counts as idle as soon as the end of its answer is queued, so that a slow reader lost the rest of a complete answer.

Change: a connection with queued output is shut down once it is written, like one whose answer closes it.

Measured: test_queued_end_of_an_answer_is_written failed before (the connection was closed with 'rest of an answer' queued).

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -445,7 +445,13 @@
         """
         assert connection.channel is not None, 'a connection has a channel'
         self.channel_table.read_available(connection.channel)
-        if connection.phase is Phase.IDLE:
+        if connection.phase is not Phase.IDLE:
+            return
+        if connection.channel.output:
+            # The end of an answer is still queued.
+            connection.phase = Phase.DISCARDING
+            connection.expires_at = time.monotonic() + LINGER_SECONDS
+        else:
             self.close_connection(connection)
 
     def drain_input(self) -> None:
--- a/tests/test_relay_rebalancing.py
+++ b/tests/test_relay_rebalancing.py
@@ -1,5 +1,6 @@
-"""Test that callers find instances that have joined."""
+"""Test when connections of callers are closed, so that they find others."""
 
+import types
 import typing
 import unittest
 
@@ -90,3 +91,45 @@
         """Guard against a stop that keeps connections open."""
         self.server.is_closing = True
         self.assertEqual(8, self.count_closing())
+
+
+class IdleConnections(unittest.TestCase):
+    """A stop closes idle connections, but loses no answer."""
+
+    def setUp(self) -> None:
+        unused: typing.Any = None
+        self.closed: list[typing.Any] = []
+        channel_table: typing.Any = types.SimpleNamespace(
+            close=self.closed.append
+        )
+        self.server = relay_server.RelayServer(channel_table, unused, unused)
+
+    def connect(self, output: bytes) -> relay_server.CallerConnection:
+        """Return an idle connection with output that is still queued."""
+        unused: typing.Any = None
+        connection = relay_server.CallerConnection(self.server, 'front', unused)
+        self.shutdowns: list[int] = []
+        channel: typing.Any = types.SimpleNamespace(
+            output=bytearray(output),
+            is_closed=False,
+            sock=types.SimpleNamespace(shutdown=self.shutdowns.append),
+        )
+        connection.channel = channel
+        self.server.connections.add(connection)
+        return connection
+
+    def test_idle_connection_is_closed(self) -> None:
+        """Guard against a stop that waits for idle connections."""
+        connection = self.connect(b'')
+        self.server.close_idle()
+        self.assertEqual([connection.channel], self.closed)
+
+    def test_queued_end_of_an_answer_is_written(self) -> None:
+        """Guard against a stop that cuts an answer to a slow reader."""
+        connection = self.connect(b'rest of an answer')
+        self.server.close_idle()
+        self.assertFalse(self.closed)
+        channel: typing.Any = connection.channel
+        channel.output.clear()
+        connection.on_drained(channel)
+        self.assertEqual(1, len(self.shutdowns))
