Fail a call whose answer a codec fails on

Cause: each read schedules the next one when it is answered or has failed. An exception of a decoder other than its own error ended the call neither way, so that nothing was read any more. An odd entry of another writer did this. Change: any exception of a decoder is a failed call; unexpected ones are logged. Measured: before, RecursionError left the client; now three kinds of exceptions each fail their call.

--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -2,6 +2,7 @@
 
 import errno
 import functools
+import logging
 import socket
 import time
 import typing
@@ -19,6 +20,8 @@
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
 
+logger = logging.getLogger('mustardvale')
+
 PENDING_CONNECT_CODES = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
 
 
@@ -314,11 +317,12 @@
             return
         try:
             decoded = self.codec.decode_answer(pending.call, answer)
-        except wire.DecodeError as error:
+        except Exception as error:
+            # Without a result, whatever awaits the call would wait for ever.
+            if not isinstance(error, wire.DecodeError):
+                logger.exception('answer not decoded')
             self.report_failure(
-                pending,
-                events.FailureKind.MALFORMED,
-                error.message,
+                pending, events.FailureKind.MALFORMED, str(error)
             )
             return
         self.emit_event(
