Take no number of more than 18 digits for the id of an event

Cause: the digits of an id were converted whatever their number. From 4,300 digits on the conversion raises, and the request of the stream was ended. Change: a longer number is no id; its event is forwarded without one. Measured: an event with an id of 5,000 digits raised ValueError; now it is forwarded unchanged.

--- a/src/mustardvale/internal/relay/event_stream.py
+++ b/src/mustardvale/internal/relay/event_stream.py
@@ -6,7 +6,8 @@
 # A blank line ends an event; the format allows three kinds of line endings.
 EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 COMMENT_MARK = b':'
-EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d+)')
+# Longer numbers are no ids of events, and slow or impossible to convert.
+EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d{1,18})(?!\d)')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_faulty_upstreams.py
+++ b/tests/test_faulty_upstreams.py
@@ -17,7 +17,12 @@
     relay_client,
     wire,
 )
-from mustardvale.internal.relay import calls, requests, runners
+from mustardvale.internal.relay import (
+    calls,
+    event_stream,
+    requests,
+    runners,
+)
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import events as relay_events
 from mustardvale.platform import call_codec, front_codec
@@ -338,6 +343,17 @@
         self.assertIn(send_id, self.instance.aborted_send_ids)
 
 
+class EventIds(unittest.TestCase):
+    """Only a number that can be calculated with is the id of an event."""
+
+    def test_id_with_too_many_digits(self) -> None:
+        """Guard against an id whose conversion raises for its length."""
+        event = b'id: ' + b'9' * 5000 + b'\ndata: x\n\n'
+        split = event_stream.split_events(b'', event, 3)
+        self.assertEqual(event, split.complete)
+        self.assertIsNone(split.last_event_id)
+
+
 class SlowTargets(unittest.TestCase):
     """A stream may be silent for as long as its route expects."""
 
