Leave odd entries in the list of runners in the soak

Cause: the soak had no fault of another writer of the list. Change: the kind `odd_entry` leaves one of nine entries and drops it at its end. It is drawn only if it is named, so that earlier seeds draw the same faults. A short seeded run is in the tests; it also looks for tracebacks in the logs.

--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -78,6 +78,16 @@
     usable: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveEntry(Fault):
+    """Leave an odd entry in the list of runners and drop it at the end.
+
+    `kind` is a key of `ODD_ENTRIES`.
+    """
+
+    kind: str
+
+
 def build_store_fault(**faults: typing.Any) -> DisturbStore:
     """Return a fault that activates faults of the store."""
     return DisturbStore(tuple(faults.items()))
@@ -93,6 +103,28 @@
     return DisturbLink(target, tuple(faults.items()))
 
 
+ENTRY_FIELDS = (
+    b'"service":"plain","zone":"zone-a","state":"ready","slots":4,"kind":"x"'
+)
+DEPTH = 20_000
+ODD_ENTRIES: types.MappingProxyType[str, bytes] = types.MappingProxyType(
+    {
+        'deep': b'[' * DEPTH + b']' * DEPTH,
+        'deep field': b'{%s,"address":"127.0.0.1:9","layers":%s}'
+        % (ENTRY_FIELDS, b'[' * DEPTH + b']' * DEPTH),
+        'number': b'{%s,"address":"127.0.0.1:9","born":%s}'
+        % (ENTRY_FIELDS, b'9' * 400),
+        'long number': b'{%s,"address":"127.0.0.1:9","born":%s}'
+        % (ENTRY_FIELDS, b'9' * 5000),
+        'port': b'{%s,"address":"127.0.0.1:65536"}' % ENTRY_FIELDS,
+        'line end': b'{%s,"address":"127.0.0.1:9\\n"}' % ENTRY_FIELDS,
+        'layers': b'{%s,"address":"127.0.0.1:9","layers":'
+        b'[{"source":0,"target":1000000000000}]}' % ENTRY_FIELDS,
+        'bytes': bytes(range(256)),
+        'text': b'"ready"',
+    }
+)
+
 DrawFault = abc.Callable[[RandomSource, FaultTargets], Fault]
 
 KINDS: types.MappingProxyType[str, DrawFault] = types.MappingProxyType(
@@ -181,6 +213,16 @@
     }
 )
 
+# Kinds that are drawn only if they are named, so that earlier seeds draw the
+# same faults as before.
+NAMED_KINDS: types.MappingProxyType[str, DrawFault] = types.MappingProxyType(
+    {
+        'odd_entry': lambda random_source, targets: LeaveEntry(
+            random_source.choice(tuple(ODD_ENTRIES))
+        ),
+    }
+)
+
 
 def draw_plan(
     seed: int,
@@ -198,7 +240,9 @@
     planned_faults = []
     at = period_seconds
     while at < seconds:
-        fault = KINDS[random_source.choice(kinds)](random_source, targets)
+        kind = random_source.choice(kinds)
+        draw = KINDS.get(kind) or NAMED_KINDS[kind]
+        fault = draw(random_source, targets)
         duration_seconds = random_source.uniform(
             period_seconds / 2, period_seconds * 3
         )
--- a/bench/relay_sites.py
+++ b/bench/relay_sites.py
@@ -302,18 +302,19 @@
         # Recorded before the write, since a version whose confirmation is lost
         # may still come into force.
         self.record_event('config_sent', version=self.version, keys=keys)
-        record_key = b'config'
-        record = (
-            bytes((len(record_key),))
-            + record_key
-            + json.dumps(configuration).encode()
+        self.append_record(
+            'keyed.op', 'config', json.dumps(configuration).encode()
         )
+        self.record_event('config', version=self.version, keys=keys)
+
+    def append_record(self, topic: str, key: str, content: bytes) -> None:
+        """Append a record to a topic of the store."""
+        record = bytes((len(key),)) + key.encode() + content
         self.post(
             self.store_address,
-            '/api/log-append?topic=keyed.op&part=0',
+            f'/api/log-append?topic={topic}&part=0',
             LENGTH_PREFIX.pack(len(record)) + record,
         )
-        self.record_event('config', version=self.version, keys=keys)
 
     def post(self, address: str, target: str, body: bytes) -> None:
         """Send a POST to a stand-in.
--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -54,7 +54,10 @@
         self.failed_call_count = 0
 
     def try_control(
-        self, method: abc.Callable[..., None], *names: str, **faults: typing.Any
+        self,
+        method: abc.Callable[..., None],
+        *names: typing.Any,
+        **faults: typing.Any,
     ) -> bool:
         """Call a method of the site that sets faults or the configuration.
 
@@ -165,6 +168,30 @@
     driver.try_control(driver.site.set_link_faults, fault.target)
 
 
+@fault_run.begin_fault.register(relay_faults.LeaveEntry)
+def begin_leave_entry(
+    fault: relay_faults.LeaveEntry, driver: SoakDriver
+) -> None:
+    """Leave an odd entry in the list of runners."""
+    driver.try_control(
+        driver.site.append_record,
+        'keyed.servers',
+        f'odd-{fault.kind.replace(" ", "-")}',
+        relay_faults.ODD_ENTRIES[fault.kind],
+    )
+
+
+@fault_run.end_fault.register(relay_faults.LeaveEntry)
+def end_leave_entry(fault: relay_faults.LeaveEntry, driver: SoakDriver) -> None:
+    """Drop the odd entry."""
+    driver.try_control(
+        driver.site.append_record,
+        'keyed.servers',
+        f'odd-{fault.kind.replace(" ", "-")}',
+        b'',
+    )
+
+
 @fault_run.begin_fault.register(relay_faults.Configure)
 def begin_configure(fault: relay_faults.Configure, driver: SoakDriver) -> None:
     """Write versions of the configuration without the key to revoke, if any.
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -1,5 +1,6 @@
 """Test the relay as separate processes under randomly drawn faults."""
 
+import pathlib
 import unittest
 
 from bench import relay_faults, relay_soak
@@ -21,6 +22,30 @@
                 self.assertEqual((), outcome.violations, outcome.directory)
                 self.assertGreater(outcome.outcome_counts['200'], 0)
 
+    def test_odd_entries(self) -> None:
+        """Guard against instances that odd entries of the list stop or end.
+
+        Runners drain meanwhile, so that an instance that no longer reads the
+        list sends to a runner that has left.
+        """
+        outcome = relay_soak.run(
+            5,
+            6.0,
+            (
+                'odd_entry',
+                'odd_entry',
+                'plain_runner_drains',
+                'runner_drains',
+                'runner_crashes',
+            ),
+        )
+        self.assertEqual((), outcome.violations, outcome.directory)
+        self.assertIn('LeaveEntry', str(outcome.faults))
+        self.assertIn('draining', str(outcome.faults))
+        self.assertGreater(outcome.outcome_counts['200'], 0)
+        for log in pathlib.Path(outcome.directory).glob('*.log'):
+            self.assertNotIn('Traceback', log.read_text(), log)
+
 
 class FaultPlans(unittest.TestCase):
     """Plans of faults are reproducible, complete and overlapping."""
