Count the orders of a restarted runner from zero

Cause: the number of accepted orders was kept by runner id. A runner that starts again under its id has accepted none, so that its first order named a wrong number, was refused, and was sent again only after a read of its report and at the next check, up to half a second later. Change: the number belongs to the process that accepted the orders. Measured: the test failed before: "Lists differ: [0, 0] != [0, 1]".

--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -57,11 +57,13 @@
 class OrderState:
     """Hold pending orders and the number of accepted orders, by runner.
 
-    `runners_changed_at` is when the usable runners last changed.
+    `counted_processes` has the `started_at_ms` of the processes that accepted
+    the orders. `runners_changed_at` is when the usable runners last changed.
     """
 
     pending: immutables.Map[str, PendingOrder] = immutables.Map()
     accepted_counts: immutables.Map[str, int] = immutables.Map()
+    counted_processes: immutables.Map[str, int] = immutables.Map()
     runners_changed_at: float = 0.0
     known_runner_ids: frozenset[str] = frozenset()
 
@@ -217,7 +219,7 @@
     state: 'states.State',
 ) -> tuple[effects.Effect, ...]:
     """Return the call and the log line of one order."""
-    count = state.orders.accepted_counts.get(assignment.runner_id, 0)
+    count = find_accepted_count(runner.listed, state.orders)
     call = calls.PlaceLayers(assignment.runner_id, assignment.layers, count)
     return (
         effects.Call(call, runner.listed.address, ANSWER_TIMEOUT_SECONDS),
@@ -236,6 +238,30 @@
     )
 
 
+def find_accepted_count(entry: runners.ListedRunner, orders: OrderState) -> int:
+    """Return how many orders a process has accepted; a new one has none."""
+    counted = orders.counted_processes.get(entry.runner_id, entry.started_at_ms)
+    if counted != entry.started_at_ms:
+        return 0
+    return orders.accepted_counts.get(entry.runner_id, 0)
+
+
+def record_accepted_count(
+    runner_id: str, count: int, state: 'states.State'
+) -> OrderState:
+    """Record how many orders the listed process of a runner has accepted."""
+    orders = state.orders
+    processes = orders.counted_processes
+    runner = state.runners.get(runner_id)
+    if runner is not None:
+        processes = processes.set(runner_id, runner.listed.started_at_ms)
+    return dataclasses.replace(
+        orders,
+        accepted_counts=orders.accepted_counts.set(runner_id, count),
+        counted_processes=processes,
+    )
+
+
 @reducer.on_answer.register(calls.PlaceLayers)
 def handle_order_answer(
     call: calls.PlaceLayers, event: events.CallAnswered, state: 'states.State'
@@ -252,10 +278,9 @@
     if verdict == calls.OrderVerdict.ALREADY_DONE.value:
         return transitions.Transition(state, (count_effect, log_effect))
     if verdict == calls.OrderVerdict.ACCEPTED.value:
-        counts = state.orders.accepted_counts.set(
-            call.runner_id, call.order_count + 1
+        orders = record_accepted_count(
+            call.runner_id, call.order_count + 1, state
         )
-        orders = dataclasses.replace(state.orders, accepted_counts=counts)
         return transitions.Transition(
             dataclasses.replace(state, orders=orders),
             (count_effect, log_effect),
@@ -307,12 +332,7 @@
     report = event.answer
     if not isinstance(report, calls.RunnerReport):
         return transitions.Transition(state)
-    orders = dataclasses.replace(
-        state.orders,
-        accepted_counts=state.orders.accepted_counts.set(
-            call.runner_id, report.order_count
-        ),
-    )
+    orders = record_accepted_count(call.runner_id, report.order_count, state)
     if not report.has_active_order and call.runner_id in orders.pending:
         orders = dataclasses.replace(
             orders, pending=orders.pending.delete(call.runner_id)
--- a/tests/test_relay_returning_runners.py
+++ b/tests/test_relay_returning_runners.py
@@ -96,6 +96,27 @@
                 self.return_runner(name)
                 self.assertEqual([name], list_ordered_ids(self.instance))
 
+    def test_order_to_a_new_process_counts_from_zero(self) -> None:
+        """Guard against a restarted runner that refuses its first order."""
+        self.return_runner('m1')
+        first = self.instance.list_calls(calls.PlaceLayers)[-1]
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=first.call,
+            address=first.address,
+            answer=calls.OrderAnswer(calls.OrderVerdict.ACCEPTED),
+        )
+        restarted = relay_states.build_model_runner('m1', 0, 0)
+        self.instance.list_runners(
+            (
+                *relay_states.TWO_CHAINS[1:],
+                dataclasses.replace(restarted, started_at_ms=3),
+            )
+        )
+        self.instance.pass_time(0)
+        orders = self.instance.list_calls(calls.PlaceLayers)
+        self.assertEqual([0, 0], [order.call.order_count for order in orders])
+
     def test_returned_runner_gets_the_lost_range(self) -> None:
         """Guard against leaving the range of the crashed runner uncovered."""
         self.return_runner('m9')
