--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -450,7 +450,7 @@
         if connection.channel.output:
             # The end of an answer is still queued.
             connection.phase = Phase.DISCARDING
-            connection.expires_at = time.monotonic() + LINGER_SECONDS
+            connection.waiting_since = time.monotonic()
         else:
             self.close_connection(connection)
 
