Refuse prompts with a part that crashes runners, at all instances

Cause: callers saw two thirds of all requests refused or failed while one part of some prompts crashed each runner that began to write an answer to it. Nothing was learned from a crash: the request was sent to the next runner, and the next request with the part too, 14 crashes in 22 s (class of fault: a request that kills its server is retried without memory). Change: a runner that closes the connection of a request without an event and then refuses a new one has crashed. What several crashes have in common, less the parts with which requests have begun to write since, is refused with 503 and a time to come back; open requests with it are ended before their runners begin to write. The evidence is merged in any order and goes to the readers of all zones, and from there to their followers; a new instance asks for it. A refusal is for the client accounts whose requests crashed runners, for all from two accounts on, and ends by one trial at a time. `peer_updates` moves above the layer of requests.

--- a/src/mustardvale/internal/edge/peer_feed_codec.py
+++ b/src/mustardvale/internal/edge/peer_feed_codec.py
@@ -1,5 +1,6 @@
-"""Encode and decode the feed between instances of a zone, as JSON."""
+"""Encode and decode the messages between instances, as JSON."""
 
+import types
 import typing
 
 import msgspec
@@ -8,6 +9,12 @@
 from mustardvale.internal.relay import calls, requests
 
 FEED_PATH = '/v1/news'
+CRASHES_PATH = '/v1/crashes'
+CALL_TYPES: types.MappingProxyType[str, type[typing.Any]] = (
+    types.MappingProxyType(
+        {FEED_PATH: calls.FollowPeer, CRASHES_PATH: calls.ReportCrashes}
+    )
+)
 OK_STATUS = 200
 
 
@@ -16,19 +23,30 @@
     return wire.RawCall('POST', FEED_PATH, msgspec.json.encode(call))
 
 
+def encode_crash_report(call: calls.ReportCrashes) -> wire.RawCall:
+    """Encode a report of crashes."""
+    return wire.RawCall('POST', CRASHES_PATH, msgspec.json.encode(call))
+
+
 def decode_answer(raw: wire.RawAnswer) -> calls.PeerUpdate:
     """Decode changes, or raise `msgspec.DecodeError`."""
     return msgspec.json.decode(raw.body, type=calls.PeerUpdate)
 
 
-def decode_request(received: relay_wire.ReceivedRequest) -> calls.FollowPeer:
-    """Decode a request for changes, or raise `wire.DecodeError`."""
-    if received.target != FEED_PATH:
+def decode_crash_answer(raw: wire.RawAnswer) -> calls.CrashesReported:
+    """Decode the answer to a report, or raise `msgspec.DecodeError`."""
+    return msgspec.json.decode(raw.body, type=calls.CrashesReported)
+
+
+def decode_request(received: relay_wire.ReceivedRequest) -> typing.Any:
+    """Decode a call of another instance, or raise `wire.DecodeError`."""
+    call_type = CALL_TYPES.get(received.target)
+    if call_type is None:
         raise wire.DecodeError(
-            404, 'not_found', f'the only path is {FEED_PATH}'
+            404, 'not_found', f'the paths are {", ".join(CALL_TYPES)}'
         )
     try:
-        return msgspec.json.decode(received.body, type=calls.FollowPeer)
+        return msgspec.json.decode(received.body, type=call_type)
     except (msgspec.DecodeError, RecursionError) as error:
         raise wire.DecodeError(400, 'malformed', str(error)) from error
 
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -24,6 +24,7 @@
     ('moves', 'Moved requests by what became of them', ('verdict',)),
     ('reports_lost', 'Reports of runners without an answer', ()),
     ('stray_answers', 'Answers that belonged to another request', ()),
+    ('runner_crashes', 'Crashes under requests without an event', ()),
     ('log_lines_left_out', 'Log lines that were not written', ()),
 )
 
@@ -36,4 +37,5 @@
 GAUGES = (
     ('configuration_version', 'Version of the configuration in force'),
     ('members', 'Entry instances that are taken to live'),
+    ('blocked_prompt_parts', 'Combinations of prompt parts that are refused'),
 )
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -12,6 +12,7 @@
     exchanges,
     members,
     peer_feed,
+    prompt_blocks,
     reducer,
     requests,
     retry_budgets,
@@ -101,9 +102,32 @@
     route = configuration.find_route(active, request.host, request.path)
     if route is None:
         raise build_denial(request, 404, 'not_found', now, state)
-    if route.is_public or not active.is_key_required:
-        return AdmittedRequest(route, None)
-    return AdmittedRequest(route, find_tenant(request, active, now, state))
+    tenant = None
+    if active.is_key_required and not route.is_public:
+        tenant = find_tenant(request, active, now, state)
+    check_prompt(request, tenant, now, state)
+    return AdmittedRequest(route, tenant)
+
+
+def check_prompt(
+    request: requests.ClientRequest,
+    tenant: configuration.Tenant | None,
+    now: float,
+    state: 'states.State',
+) -> None:
+    """Raise `AdmissionError` if a part of the prompt crashes runners."""
+    block = prompt_blocks.find_block(
+        request.prompt, tenant.name if tenant else None, now, state
+    )
+    if block is None:
+        return
+    refusal = requests.Refusal(
+        completion.SERVICE_UNAVAILABLE_STATUS,
+        'harmful_prompt',
+        request.attempt_id,
+        prompt_blocks.compute_retry_after_seconds(block, now, state),
+    )
+    raise AdmissionError(refusal, prompt_blocks.REFUSAL_REASON)
 
 
 def find_tenant(
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -12,6 +12,7 @@
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     completion,
+    crash_tracking,
     dispatch,
     event_stream,
     exchanges,
@@ -246,7 +247,12 @@
             ),
         )
     part = effects.StreamPart(exchange.request_id, split.complete)
-    return transitions.Transition(next_state, (*stream_effects, part))
+    forwarded = transitions.Transition(next_state, (*stream_effects, part))
+    if exchange.has_stream_started or not split.has_progress:
+        return forwarded
+    return forwarded.then(
+        lambda current: crash_tracking.note_first_event(exchange, now, current)
+    )
 
 
 def keep_partial(
@@ -552,7 +558,19 @@
     limited: reducer.Transition = transitions.Transition(state)
     if open_attempt.attempt.head is None:
         limited = idle_connections.record_reset(event.idle_seconds, state)
-    return limited.then(
+    noted = limited.then(
+        lambda current: crash_tracking.note_lost_send(
+            open_attempt.exchange,
+            open_attempt.attempt,
+            event.failure,
+            event.at,
+            current,
+        )
+    )
+    if open_attempt.exchange.request_id not in noted.state.exchanges:
+        # The request was refused because of what this crash has shown.
+        return noted
+    return noted.then(
         lambda current: retry_failed(open_attempt, problem, event.at, current)
     )
 
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -3,7 +3,12 @@
 import dataclasses
 import enum
 
-from mustardvale.internal.relay import configuration, requests, runners
+from mustardvale.internal.relay import (
+    configuration,
+    crash_evidence,
+    requests,
+    runners,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,19 +66,70 @@
     next_page: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """Hold a crash that an instance knows of, and how long ago it was."""
+
+    process: str
+    age_seconds: float
+    requests: tuple[crash_evidence.CrashedRequest, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BegunPart:
+    """Hold how long ago a request with a part began to write."""
+
+    part: str
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportCrashes:
+    """Report crashes of runners, and parts that do not crash them.
+
+    `checksum` is that of all evidence of the sender.
+    """
+
+    checksum: int
+    crashes: tuple[ReportedCrash, ...] = ()
+    begun: tuple[BegunPart, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashesReported:
+    """Confirm a report; `missing` is what the sender of it does not know."""
+
+    missing: ReportCrashes | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckRunner:
+    """Check whether a runner that closed connections has crashed.
+
+    The first check may use a connection that the crash has broken as well. It
+    shows nothing, and is repeated once.
+    """
+
+    runner_id: str
+    process: str
+    is_repeated: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowPeer:
     """Wait for the changes that another instance reads from the store.
 
-    The positions are those up to which this instance has read, and
-    `members_checksum` is that of the members that it knows. `is_store_lost` is
-    true if the store does not answer this instance either.
+    The positions are those up to which this instance has read.
+    `members_checksum` is that of the members that it knows, and
+    `crash_checksum` that of its evidence of crashes. `is_store_lost` is true if
+    the store does not answer this instance either.
     """
 
     list_position: int
     configuration_position: int
     members_checksum: int = 0
     is_store_lost: bool = False
+    crash_checksum: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +142,8 @@
     a newer one from the store.
 
     `zone_members` and `readers` are the names of the members of the zone and of
-    the readers of all zones. They are empty if the follower knows the same.
+    the readers of all zones. They are empty if the follower knows the same, and
+    so is the evidence of crashes.
     """
 
     list_position: int
@@ -96,6 +153,7 @@
     confirmed_seconds: float
     zone_members: tuple[str, ...] = ()
     readers: tuple[str, ...] = ()
+    crashes: ReportCrashes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mustardvale/internal/relay/crash_tracking.py
@@ -0,0 +1,386 @@
+"""Track crashes of runners and the requests that may have caused them.
+
+When a runner closes the connection of a request before its first event, this
+instance checks whether the runner still accepts connections. If it refuses
+them, it has crashed, and the request is evidence that all instances are told
+of. So is the first event of a request with a part that is under suspicion.
+"""
+
+import dataclasses
+import typing
+
+from mustardvale.internal import effects, events, transitions
+from mustardvale.internal.relay import (
+    calls,
+    completion,
+    crash_evidence,
+    crash_reports,
+    exchanges,
+    members,
+    peer_feed,
+    prompt_blocks,
+    reducer,
+    timers,
+)
+from mustardvale.internal.relay import effects as relay_effects
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from mustardvale.internal.relay import state as states
+
+CHECK_TIMEOUT_SECONDS = 0.25
+REPORT_TIMEOUT_SECONDS = 1.0
+EXCHANGE_PERIOD_SECONDS = 1.0
+# An instance that has just started soon gets requests, and knows of no crash.
+FIRST_EXCHANGE_PERIOD_SECONDS = 0.1
+
+
+def note_lost_send(
+    exchange: exchanges.Exchange,
+    attempt: exchanges.Attempt,
+    failure: events.Failure,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Check the runner that closed the connection of a request too early."""
+    request = describe_request(exchange)
+    runner = state.runners.get(attempt.runner_id)
+    is_lost = failure.kind is events.FailureKind.CLOSED and attempt.is_sent
+    if request is None or runner is None or not is_lost:
+        return transitions.Transition(state)
+    process = f'{attempt.runner_id}/{runner.listed.started_at_ms}'
+    if any(crash.process == process for crash in state.crashes.crashes):
+        return record_crash(process, (request,), now, state)
+    known = state.crashes.unconfirmed.get(process, ())
+    is_full = len(known) >= crash_evidence.MAXIMUM_REQUESTS_PER_CRASH
+    if is_full or request in known:
+        return transitions.Transition(state)
+    unconfirmed = state.crashes.unconfirmed.set(process, (*known, request))
+    noted = replace_crashes(state, unconfirmed=unconfirmed)
+    if known:
+        return transitions.Transition(noted)
+    call = calls.CheckRunner(attempt.runner_id, process)
+    check = effects.Call(call, runner.listed.address, CHECK_TIMEOUT_SECONDS)
+    return transitions.Transition(noted, (check,))
+
+
+def describe_request(
+    exchange: exchanges.Exchange,
+) -> crash_evidence.CrashedRequest | None:
+    """Return a model request without an event as evidence, if it is any."""
+    prompt = exchange.request.prompt
+    if prompt is None or not prompt.shared_parts or exchange.has_stream_started:
+        return None
+    return crash_evidence.CrashedRequest(
+        exchange.tenant or '', prompt.shared_parts
+    )
+
+
+def replace_crashes(
+    state: 'states.State', **changes: typing.Any
+) -> 'states.State':
+    """Return the state with changed fields of the evidence."""
+    return dataclasses.replace(
+        state, crashes=dataclasses.replace(state.crashes, **changes)
+    )
+
+
+@reducer.on_answer.register(calls.CheckRunner)
+def handle_check_answer(
+    call: calls.CheckRunner, event: events.CallAnswered, state: 'states.State'
+) -> reducer.Transition:
+    """Drop the requests of a runner that has not crashed."""
+    return transitions.Transition(drop_unconfirmed(call.process, state))
+
+
+@reducer.on_failure.register(calls.CheckRunner)
+def handle_check_failure(
+    call: calls.CheckRunner, event: events.CallFailed, state: 'states.State'
+) -> reducer.Transition:
+    """Record the crash of a runner that refuses connections."""
+    kind = event.failure.kind
+    if kind is events.FailureKind.CLOSED and not call.is_repeated:
+        repeated = dataclasses.replace(call, is_repeated=True)
+        check = effects.Call(repeated, event.address, CHECK_TIMEOUT_SECONDS)
+        return transitions.Transition(state, (check,))
+    crashed_requests = state.crashes.unconfirmed.get(call.process, ())
+    state = drop_unconfirmed(call.process, state)
+    if kind is not events.FailureKind.REFUSED or not crashed_requests:
+        return transitions.Transition(state)
+    return record_crash(call.process, crashed_requests, event.at, state)
+
+
+def drop_unconfirmed(process: str, state: 'states.State') -> 'states.State':
+    """Return the state without the unconfirmed requests of a process."""
+    if process not in state.crashes.unconfirmed:
+        return state
+    return replace_crashes(
+        state, unconfirmed=state.crashes.unconfirmed.delete(process)
+    )
+
+
+def record_crash(
+    process: str,
+    crashed_requests: tuple[crash_evidence.CrashedRequest, ...],
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Record the requests of a crash, and tell the other instances."""
+    crash = crash_evidence.Crash(process, now, crashed_requests)
+    crashes = crash_evidence.merge_crash(state.crashes.crashes, crash)
+    merged = dataclasses.replace(state.crashes, crashes=crashes)
+    updated = crash_evidence.update_conclusions(merged, now)
+    log_effect = relay_effects.LogDecision(
+        'runner_crashed',
+        (
+            ('runner', process.partition('/')[0]),
+            ('waiting', len(crashed_requests)),
+            ('parts', sorted(crash_reports.list_parts((crash,)))),
+        ),
+    )
+    return (
+        adopt(updated, now, state)
+        .with_effects(log_effect, effects.Count('runner_crashes', ()))
+        .then(lambda current: share((crash,), (), now, current))
+    )
+
+
+def adopt(
+    updated: crash_evidence.CrashState, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Store evidence, and fail the requests that are refused from now on."""
+    before = state.crashes
+    known = {(block.parts, block.crash_count) for block in before.blocks}
+    added = [
+        block
+        for block in updated.blocks
+        if (block.parts, block.crash_count) not in known
+    ]
+    adopted: reducer.Transition = transitions.Transition(
+        dataclasses.replace(state, crashes=updated),
+        (
+            effects.SetGauge('blocked_prompt_parts', len(updated.blocks)),
+            *map(build_block_log, added),
+            *build_unblock_logs(before, updated),
+        ),
+    )
+    adopted = adopted.then(lambda current: fail_refused(added, now, current))
+    if updated.checksum == before.checksum or not state.peer_feed.followers:
+        return adopted
+    return adopted.then(
+        lambda current: peer_feed.answer_followers(now, current)
+    )
+
+
+def build_block_log(block: crash_evidence.Block) -> effects.Effect:
+    """Return the log line for parts that are refused from now on."""
+    return relay_effects.LogDecision(
+        'prompt_parts_blocked',
+        (
+            ('parts', sorted(block.parts)),
+            ('accounts', sorted(block.client_accounts)),
+            ('crashes', block.crash_count),
+        ),
+    )
+
+
+def build_unblock_logs(
+    before: crash_evidence.CrashState, after: crash_evidence.CrashState
+) -> tuple[effects.Effect, ...]:
+    """Return a log line for each combination that is not refused any more."""
+    remaining = {block.parts for block in after.blocks}
+    return tuple(
+        relay_effects.LogDecision(
+            'prompt_parts_unblocked', (('parts', sorted(block.parts)),)
+        )
+        for block in before.blocks
+        if block.parts not in remaining
+    )
+
+
+def fail_refused(
+    added: 'abc.Sequence[crash_evidence.Block]',
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Fail the open requests with blocked parts that have got no event.
+
+    Their runners would crash when they begin to write. A runner drops a request
+    whose connection is closed.
+    """
+    refused = [
+        exchange
+        for exchange in state.exchanges.values()
+        if prompt_blocks.is_waiting_for_event(exchange)
+        and any(is_covered(exchange, block) for block in added)
+    ]
+    return transitions.Transition(state).then_each(
+        refused,
+        lambda exchange, current: completion.fail_exchange(
+            exchange, prompt_blocks.REFUSAL_REASON, now, current
+        ),
+    )
+
+
+def is_covered(
+    exchange: exchanges.Exchange, block: crash_evidence.Block
+) -> bool:
+    """Return whether an open request is refused because of a block."""
+    prompt = exchange.request.prompt
+    return prompt is not None and block.covers(
+        exchange.tenant or '', frozenset(prompt.shared_parts)
+    )
+
+
+def note_first_event(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Record that a request has begun to write without a crash.
+
+    If its parts are under suspicion, the other instances are told.
+    """
+    prompt = exchange.request.prompt
+    if prompt is None or not prompt.shared_parts:
+        return transitions.Transition(state)
+    known = state.crashes
+    begun = crash_evidence.record_begun(known.begun, prompt.shared_parts, now)
+    cleared = known.suspected.intersection(prompt.shared_parts)
+    if not cleared:
+        return transitions.Transition(replace_crashes(state, begun=begun))
+    updated = crash_evidence.update_conclusions(
+        dataclasses.replace(known, begun=begun), now
+    )
+    return adopt(updated, now, state).then(
+        lambda current: share((), cleared, now, current)
+    )
+
+
+def share(
+    crashes: tuple[crash_evidence.Crash, ...],
+    parts: 'abc.Iterable[str]',
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send evidence to the readers of all zones.
+
+    The other instances get it from the reader that they follow. The parts of
+    the crashes with which requests have begun are included.
+    """
+    reported_parts = {*parts, *crash_reports.list_parts(crashes)}
+    report = crash_reports.build_report(
+        state.crashes, crashes, reported_parts, now
+    )
+    return send_report(report, state.members.readers.listed, state)
+
+
+def send_report(
+    report: calls.ReportCrashes,
+    recipients: 'abc.Iterable[members.Member]',
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send a report to other instances."""
+    own_id = state.identity.instance_id
+    return transitions.Transition(
+        state,
+        tuple(
+            effects.Call(report, member.peers, REPORT_TIMEOUT_SECONDS)
+            for member in recipients
+            if member.instance_id != own_id
+        ),
+    )
+
+
+@reducer.on_request.register(calls.ReportCrashes)
+def handle_report(
+    report: calls.ReportCrashes,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Merge a report, and answer with what its sender does not know.
+
+    A reader also tells the others that requests with the reported parts have
+    begun at this instance.
+    """
+    before = state.crashes
+    merged = crash_reports.merge_report(before, report, event.at)
+    missing = None
+    if merged.checksum != report.checksum:
+        missing = crash_reports.build_full_report(merged, event.at)
+    adopted = adopt(merged, event.at, state).with_effects(
+        effects.Reply(event.request_id, calls.CrashesReported(missing))
+    )
+    return adopted.then(
+        lambda current: share_begun_parts(report, event.at, current)
+    )
+
+
+def share_begun_parts(
+    report: calls.ReportCrashes, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Tell the readers which parts of newly reported crashes are known."""
+    reported: set[str] = set()
+    for crash in report.crashes:
+        reported.update(*(request.parts for request in crash.requests))
+    reported -= {begun_part.part for begun_part in report.begun}
+    parts = {
+        part
+        for part in reported
+        if now - state.crashes.begun.find(part)
+        < crash_evidence.KNOWN_PART_SECONDS
+    }
+    if not parts or not members.is_reader(state):
+        return transitions.Transition(state)
+    return share((), parts, now, state)
+
+
+@reducer.on_answer.register(calls.ReportCrashes)
+def handle_report_answer(
+    call: calls.ReportCrashes, event: events.CallAnswered, state: 'states.State'
+) -> reducer.Transition:
+    """Merge the evidence that another instance has in addition."""
+    answer = event.answer
+    if not isinstance(answer, calls.CrashesReported) or answer.missing is None:
+        return transitions.Transition(state)
+    return apply_report(answer.missing, event.at, state)
+
+
+@reducer.on_failure.register(calls.ReportCrashes)
+def handle_report_failure(
+    call: calls.ReportCrashes, event: events.CallFailed, state: 'states.State'
+) -> reducer.Transition:
+    """Ignore the failure: the next report carries the checksum again."""
+    return transitions.Transition(state)
+
+
+def apply_report(
+    report: calls.ReportCrashes, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Merge evidence of another instance."""
+    merged = crash_reports.merge_report(state.crashes, report, now)
+    return adopt(merged, now, state)
+
+
+@reducer.on_timer.register(timers.EvidenceExchangeDue)
+def greet_new_readers(
+    timer: timers.EvidenceExchangeDue,
+    event: events.TimerFired,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Exchange evidence with readers that are listed for the first time.
+
+    An instance that has just started learns in this way what the others know.
+    """
+    listed = frozenset(state.members.readers.listed)
+    added = listed - state.crashes.greeted
+    is_needed = not state.crashes.greeted or state.crashes.crashes
+    greeted = replace_crashes(state, greeted=listed)
+    next_check = effects.SetTimer(
+        timer,
+        EXCHANGE_PERIOD_SECONDS if listed else FIRST_EXCHANGE_PERIOD_SECONDS,
+    )
+    if not added or not is_needed:
+        return transitions.Transition(greeted, (next_check,))
+    report = crash_reports.build_full_report(state.crashes, event.at)
+    recipients = sorted(added, key=lambda member: member.instance_id)
+    return send_report(report, recipients, greeted).with_effects(next_check)
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -14,6 +14,7 @@
     exchanges,
     loads,
     members,
+    prompt_blocks,
     reducer,
     requests,
     retry_budgets,
@@ -80,6 +81,10 @@
         return completion.fail_exchange(
             exchange, 'too little time is left', now, state
         )
+    if prompt_blocks.is_refused(exchange, now, state):
+        return completion.fail_exchange(
+            exchange, prompt_blocks.REFUSAL_REASON, now, state
+        )
     if exchange.send_count and not may_retry(exchange, now, state):
         return completion.fail_exchange(
             exchange, exchange.last_problem, now, state
@@ -577,7 +582,8 @@
     send counts as a run. All sends after the first that arrived, including those
     after a refusal, share the service's budget.
     """
-    if exchange.unconnected_count >= MAXIMUM_UNCONNECTED_SENDS:
+    is_unconnected = exchange.unconnected_count >= MAXIMUM_UNCONNECTED_SENDS
+    if is_unconnected or prompt_blocks.is_refused(exchange, now, state):
         return False
     if not exchange.arrival_count:
         return True
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -12,7 +12,13 @@
 import immutables
 
 from mustardvale.internal import effects, events, transitions
-from mustardvale.internal.relay import calls, members, reducer, requests
+from mustardvale.internal.relay import (
+    calls,
+    crash_reports,
+    members,
+    reducer,
+    requests,
+)
 from mustardvale.internal.relay import effects as relay_effects
 
 if typing.TYPE_CHECKING:
@@ -85,6 +91,7 @@
         configuration_position,
         state.members.checksum,
         state.runner_list.is_failing,
+        state.crashes.checksum,
     )
     return change_reader(reader.instance_id, now, state).with_effects(
         effects.Call(call, reader.peers, ANSWER_TIMEOUT_SECONDS)
@@ -178,7 +185,7 @@
     if confirmed_at is None or state.configuration.failing_since is not None:
         return refuse_followers(state)
     replies = tuple(
-        effects.Reply(request_id, build_update(call, now - confirmed_at, state))
+        effects.Reply(request_id, build_update(call, now, state))
         for request_id, call in state.peer_feed.followers.items()
     )
     feed = dataclasses.replace(state.peer_feed, followers=immutables.Map())
@@ -213,7 +220,7 @@
 
 
 def build_update(
-    call: calls.FollowPeer, confirmed_seconds: float, state: 'states.State'
+    call: calls.FollowPeer, now: float, state: 'states.State'
 ) -> calls.PeerUpdate:
     """Return the changes since a follower's position.
 
@@ -232,8 +239,13 @@
         state.runner_list.complete_from or 0,
         changes,
         state.configuration.position or 0,
-        confirmed_seconds,
+        now - (state.configuration.confirmed_at or now),
     )
+    if call.crash_checksum != state.crashes.checksum:
+        update = dataclasses.replace(
+            update,
+            crashes=crash_reports.build_full_report(state.crashes, now),
+        )
     if call.members_checksum == state.members.checksum:
         return update
     return dataclasses.replace(
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -7,6 +7,7 @@
 from mustardvale.internal.relay import (
     calls,
     configuration_feed,
+    crash_tracking,
     members,
     peer_feed,
     reducer,
@@ -40,6 +41,7 @@
     return (
         apply_runner_changes(update, event.at, state)
         .then(lambda current: apply_members(update, current))
+        .then(lambda current: apply_crashes(update, event.at, current))
         .then(lambda current: apply_confirmation(update, event.at, current))
         .then(lambda current: runner_list.read_next(event.at, current))
     )
@@ -92,6 +94,15 @@
     )
 
 
+def apply_crashes(
+    update: calls.PeerUpdate, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Merge the evidence of crashes that the reader has, if it differs."""
+    if update.crashes is None:
+        return transitions.Transition(state)
+    return crash_tracking.apply_report(update.crashes, now, state)
+
+
 def apply_confirmation(
     update: calls.PeerUpdate, now: float, state: 'states.State'
 ) -> reducer.Transition:
--- /dev/null
+++ b/src/mustardvale/internal/relay/prompt_blocks.py
@@ -0,0 +1,105 @@
+"""Refuse requests whose prompts have a part that crashes runners.
+
+A refusal ends by itself, so that a part that was blamed wrongly, or that has
+become harmless, is not refused for ever. Then the instances try one request
+each in turn. If it begins to write, the evidence against the part is void at
+all instances; if it crashes its runner, all refuse the part for twice as long.
+"""
+
+import typing
+
+from mustardvale.internal.relay import crash_evidence, exchanges, requests
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal.relay import state as states
+
+REFUSAL_REASON = 'a part of the prompt crashes runners'
+# Time for one instance to try a request with a part whose refusal has ended,
+# and to tell the others whether it has begun to write.
+TRIAL_SECONDS = 1.0
+MINIMUM_RETRY_AFTER_SECONDS = 1.0
+
+
+def find_block(
+    prompt: requests.Prompt | None,
+    client_account: str | None,
+    now: float,
+    state: 'states.State',
+) -> crash_evidence.Block | None:
+    """Return the block because of which a request is refused, if any."""
+    if prompt is None or not state.crashes.blocks:
+        return None
+    for block in list_covering_blocks(prompt, client_account, state):
+        is_over = now >= compute_trial_time(block, state)
+        if not is_over or has_open_trial(block, state):
+            return block
+    return None
+
+
+def list_covering_blocks(
+    prompt: requests.Prompt, client_account: str | None, state: 'states.State'
+) -> list[crash_evidence.Block]:
+    """Return the blocks for a prompt, whether they have ended or not."""
+    parts = frozenset(prompt.shared_parts)
+    return [
+        block
+        for block in state.crashes.blocks
+        if block.covers(client_account or '', parts)
+    ]
+
+
+def compute_trial_time(
+    block: crash_evidence.Block, state: 'states.State'
+) -> float:
+    """Return when this instance may try a request again."""
+    return block.blocked_until + compute_turn(state) * TRIAL_SECONDS
+
+
+def compute_turn(state: 'states.State') -> int:
+    """Return the position of this instance among those that try in turn."""
+    own_id = state.identity.instance_id
+    readers = [member.instance_id for member in state.members.readers.listed]
+    if own_id in readers:
+        return readers.index(own_id)
+    zone = [member.instance_id for member in state.members.zone.listed]
+    position = zone.index(own_id) if own_id in zone else len(zone)
+    return len(readers) + position
+
+
+def has_open_trial(block: crash_evidence.Block, state: 'states.State') -> bool:
+    """Return whether a request with the parts of a block waits for an event."""
+    return any(
+        exchange.attempts
+        and is_waiting_for_event(exchange)
+        and has_parts(exchange, block)
+        for exchange in state.exchanges.values()
+    )
+
+
+def is_waiting_for_event(exchange: exchanges.Exchange) -> bool:
+    """Return whether a request has not begun to write its answer."""
+    return not exchange.has_stream_started
+
+
+def has_parts(
+    exchange: exchanges.Exchange, block: crash_evidence.Block
+) -> bool:
+    """Return whether the prompt of a request has the parts of a block."""
+    prompt = exchange.request.prompt
+    return prompt is not None and block.parts <= set(prompt.shared_parts)
+
+
+def is_refused(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> bool:
+    """Return whether a request must not be sent to another runner."""
+    block = find_block(exchange.request.prompt, exchange.tenant, now, state)
+    return block is not None
+
+
+def compute_retry_after_seconds(
+    block: crash_evidence.Block, now: float, state: 'states.State'
+) -> float:
+    """Return in how many seconds a refused request may be tried again."""
+    remaining = compute_trial_time(block, state) - now
+    return max(remaining, MINIMUM_RETRY_AFTER_SECONDS)
--- a/src/mustardvale/internal/relay/requests.py
+++ b/src/mustardvale/internal/relay/requests.py
@@ -7,12 +7,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prompt:
-    """Describe the prompt of a model request and the length of its output."""
+    """Describe the prompt of a model request and the length of its output.
+
+    `shared_parts` are the ids of the parts that other prompts may share.
+    """
 
     model: str
     token_count: int
     output_limit_tokens: int
     output_hint_tokens: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def expected_output_tokens(self) -> int:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -6,6 +6,7 @@
 
 from mustardvale.internal.relay import (
     configuration,
+    crash_evidence,
     idle_connections,
     instance_settings,
 )
@@ -66,6 +67,7 @@
     mean_loads: load_tables.LoadMap = immutables.Map()
     exchanges: exchange_tables.ExchangeMap = immutables.Map()
     peer_feed: peer_feeds.PeerFeedState = peer_feeds.PeerFeedState()
+    crashes: crash_evidence.CrashState = crash_evidence.CrashState()
     request_ids_by_send: immutables.Map[str, str] = immutables.Map()
     retry_buckets: retry_budget_tables.RetryBuckets = immutables.Map()
     send_count: int = 0
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -37,6 +37,11 @@
     runner_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvidenceExchangeDue(timer_base.Timer):
+    """Exchange evidence of crashes with instances that are new."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IdleLimitRaiseDue(timer_base.Timer):
     """Raise the limit on idle connections."""
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -146,8 +146,9 @@
 
 @encode_call.register(calls.ReadRunnerReport)
 @encode_call.register(calls.ProbeRunner)
+@encode_call.register(calls.CheckRunner)
 def encode_report_read(
-    call: calls.ReadRunnerReport | calls.ProbeRunner,
+    call: calls.ReadRunnerReport | calls.ProbeRunner | calls.CheckRunner,
 ) -> wire.RawCall:
     """Encode a request for the report of a runner."""
     return wire.RawCall(
@@ -158,6 +159,7 @@
 
 
 encode_call.register(calls.FollowPeer)(peer_feed_codec.encode_call)
+encode_call.register(calls.ReportCrashes)(peer_feed_codec.encode_crash_report)
 encode_call.register(calls.PlaceLayers)(runner_codec.encode_placement)
 encode_call.register(calls.MoveRequest)(runner_codec.encode_move)
 
@@ -326,10 +328,20 @@
     return dataclasses.replace(update, changes=changes)
 
 
+@decode_success.register(calls.ReportCrashes)
+def decode_crash_answer(
+    call: calls.ReportCrashes, raw: wire.RawAnswer
+) -> calls.CrashesReported:
+    """Decode what another instance knows of crashes in addition."""
+    return peer_feed_codec.decode_crash_answer(raw)
+
+
 @decode_success.register(calls.ReadRunnerReport)
 @decode_success.register(calls.ProbeRunner)
+@decode_success.register(calls.CheckRunner)
 def decode_report(
-    call: calls.ReadRunnerReport | calls.ProbeRunner, raw: wire.RawAnswer
+    call: calls.ReadRunnerReport | calls.ProbeRunner | calls.CheckRunner,
+    raw: wire.RawAnswer,
 ) -> calls.RunnerReport:
     """Decode the report of a runner."""
     return runner_codec.decode_report(raw)
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -28,6 +28,9 @@
 MODEL = 'model'
 TOKEN_COUNT = 'token-count'
 LENGTH_HINT = 'length-hint'
+# The parts of a prompt in order, as `id:tokens` separated by commas. The last
+# one belongs to the request itself.
+PROMPT_PARTS = 'prompt-prefix'
 EXPECTED_RUNNER = 'expect-instance'
 CHAIN = 'hop-count'
 URGENCY = 'request-urgency'
@@ -63,6 +66,8 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 MILLISECONDS_PER_SECOND = 1000
 MAXIMUM_NUMBER_LENGTH = 18
+MAXIMUM_SHARED_PARTS = 16
+MAXIMUM_PART_ID_LENGTH = 64
 
 
 def decode_request(received: relay_wire.ReceivedRequest) -> typing.Any:
@@ -131,9 +136,22 @@
         decode_number(TOKEN_COUNT, prompt) or 0,
         decode_number(TOKEN_COUNT, output) or 0,
         decode_number(LENGTH_HINT, headers.get(LENGTH_HINT)),
+        decode_shared_parts(headers.get(PROMPT_PARTS, '')),
     )
 
 
+def decode_shared_parts(text: str) -> tuple[str, ...]:
+    """Decode the ids of all parts of a prompt but the last.
+
+    Ids that are too long, and those after the first 16, are left out. They only
+    serve to recognize parts, and the header itself is forwarded unchanged.
+    """
+    *shared, _ = text.split(',')
+    ids = (entry.partition(':')[0].strip().lower() for entry in shared)
+    usable = [part for part in ids if 0 < len(part) <= MAXIMUM_PART_ID_LENGTH]
+    return tuple(usable[:MAXIMUM_SHARED_PARTS])
+
+
 def decode_readiness(
     received: relay_wire.ReceivedRequest,
 ) -> requests.ReadinessRequest:
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -1,6 +1,7 @@
 """Build the state of an instance that relays requests, and drive it."""
 
 import dataclasses
+import logging
 import typing
 
 import immutables
@@ -24,6 +25,8 @@
 from tests import reducer_driver
 
 HOST = 'site.example'
+# A log line with a field of one of these names cannot be written.
+RECORD_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({})))
 KEY = 'key-of-ann'
 
 # Names for the accelerators of the benchmark that tell how they differ.
@@ -257,7 +260,9 @@
                     'a stream has only one head'
                 )
                 self.stream_heads[request_id] = stream_head
-            case relay_effects.LogDecision():
+            case relay_effects.LogDecision(_, fields):
+                taken = RECORD_ATTRIBUTES.intersection(dict(fields))
+                assert not taken, f'log records have attributes {taken}'
                 self.log_lines.append(effect)
             case _:
                 super().record_effect(effect)
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -9,16 +9,17 @@
 RELAY = SOURCE / 'mustardvale' / 'internal' / 'relay'
 PLATFORM = SOURCE / 'mustardvale' / 'platform'
 LAYERS = (
-    'instance_settings engines requests runners events effects timers',
-    'configuration calls loads retry_budgets exchanges event_stream'
-    ' placement chains',
+    'instance_settings engines requests runners events effects timers'
+    ' crash_evidence',
+    'configuration calls crash_reports loads retry_budgets exchanges'
+    ' event_stream placement chains prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping',
     'configuration_feed',
     'runner_list orders',
+    'completion crash_tracking dispatch hedges admission answers reachability'
+    ' moves monitoring lifecycle failed_events',
     'peer_updates',
-    'completion dispatch hedges admission answers reachability moves'
-    ' monitoring lifecycle failed_events',
     'state handlers',
 )
 RELAY_PACKAGE = 'mustardvale.internal.relay'
