Hold back new requests with a part that may have crashed a runner

Change: new requests with a part that was unknown before a crash are refused as not run, for a second at most. The crashed requests are retried meanwhile and show whether the part is harmful; a first event or a refused part that explains the crash ends the hold. Measured: test_new_requests_do_not_crash_a_third_runner failed before: the request was sent.

--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -120,6 +120,7 @@
         request.prompt, tenant.name if tenant else None, now, state
     )
     if block is None:
+        check_hold(request, now, state)
         return
     refusal = requests.Refusal(
         completion.SERVICE_UNAVAILABLE_STATUS,
@@ -130,6 +131,17 @@
     raise AdmissionError(refusal, prompt_blocks.REFUSAL_REASON)
 
 
+def check_hold(
+    request: requests.ClientRequest, now: float, state: 'states.State'
+) -> None:
+    """Raise `AdmissionError` while a part may have crashed a runner."""
+    hold_seconds = prompt_blocks.find_hold_seconds(request.prompt, now, state)
+    if hold_seconds:
+        raise build_unavailable_error(
+            request, prompt_blocks.HOLD_REASON, hold_seconds
+        )
+
+
 def find_tenant(
     request: requests.ClientRequest,
     active: configuration.Configuration,
--- a/src/mustardvale/internal/relay/crash_evidence.py
+++ b/src/mustardvale/internal/relay/crash_evidence.py
@@ -31,6 +31,9 @@
 INITIAL_BLOCK_SECONDS = 30.0
 MAXIMUM_BLOCK_SECONDS = 600.0
 MAXIMUM_DOUBLINGS = 8
+# New requests with an unknown part of a crash are not sent for this long. The
+# crashed requests, which are retried, show meanwhile whether it is harmful.
+HOLD_SECONDS = 1.0
 # Bounds of what is kept, whatever callers send.
 MAXIMUM_CRASHES = 32
 MAXIMUM_REQUESTS_PER_CRASH = 16
@@ -193,6 +196,28 @@
     )
 
 
+def list_held(
+    crashes: tuple[Crash, ...],
+    begun: BegunParts,
+    blocks: tuple[Block, ...],
+    now: float,
+) -> PartTimes:
+    """Return until when new requests with a part are held back.
+
+    They are the parts that were unknown before a recent crash, unless a part
+    that is refused explains it.
+    """
+    held: dict[str, float] = {}
+    for crash in crashes:
+        is_recent = now - crash.crashed_at < HOLD_SECONDS
+        if not is_recent or is_explained(crash, blocks):
+            continue
+        for part in crash.parts:
+            if crash.crashed_at - begun.find(part) >= KNOWN_PART_SECONDS:
+                held[part] = crash.crashed_at + HOLD_SECONDS
+    return immutables.Map(held)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion:
     """Hold the evidence against one part.
@@ -338,7 +363,8 @@
 class CrashState:
     """Hold the evidence of an instance, and what follows from it.
 
-    `suspected` are the parts with which no request has begun since a crash.
+    `suspected` are the parts with which no request has begun since a crash, and
+    `held` has the time until which new requests with a part are held back.
     `unconfirmed` has the requests of connections that a runner closed, by its
     process, until it is known whether it has crashed. `greeted` are the
     members with which evidence has been exchanged. `checksum` tells whether
@@ -349,6 +375,7 @@
     begun: BegunParts = BegunParts()
     suspected: frozenset[str] = frozenset()
     blocks: tuple[Block, ...] = ()
+    held: PartTimes = immutables.Map()
     unconfirmed: 'immutables.Map[str, tuple[CrashedRequest, ...]]' = (
         immutables.Map()
     )
@@ -360,11 +387,13 @@
     """Return the state with the conclusions from its evidence."""
     crashes = drop_expired(known.crashes, now)
     suspected = list_suspected(crashes, known.begun)
+    blocks = find_blocks(crashes, known.begun)
     return dataclasses.replace(
         known,
         crashes=crashes,
         suspected=suspected,
-        blocks=find_blocks(crashes, known.begun),
+        blocks=blocks,
+        held=list_held(crashes, known.begun, blocks, now),
         checksum=compute_checksum(crashes, suspected),
     )
 
--- a/src/mustardvale/internal/relay/prompt_blocks.py
+++ b/src/mustardvale/internal/relay/prompt_blocks.py
@@ -14,6 +14,7 @@
     from mustardvale.internal.relay import state as states
 
 REFUSAL_REASON = 'a part of the prompt crashes runners'
+HOLD_REASON = 'a runner has just crashed under a part of the prompt'
 # Time for one instance to try a request with a part whose refusal has ended,
 # and to tell the others whether it has begun to write.
 TRIAL_SECONDS = 1.0
@@ -103,3 +104,16 @@
     """Return in how many seconds a refused request may be tried again."""
     remaining = compute_trial_time(block, state) - now
     return max(remaining, MINIMUM_RETRY_AFTER_SECONDS)
+
+
+def find_hold_seconds(
+    prompt: requests.Prompt | None, now: float, state: 'states.State'
+) -> float:
+    """Return for how long a new request is held back, 0 if it is not."""
+    held = state.crashes.held
+    if prompt is None or not held:
+        return 0.0
+    held_until = max(
+        (held.get(part, now) for part in prompt.shared_parts), default=now
+    )
+    return max(held_until - now, 0.0)
--- a/tests/test_relay_harmful_prompts.py
+++ b/tests/test_relay_harmful_prompts.py
@@ -374,6 +374,56 @@
         self.assertFalse(self.instance.list_calls(calls.CheckRunner))
 
 
+class Holds(CrashingSite):
+    """New requests wait until retried ones show which part is harmful."""
+
+    def is_held(self, name: str) -> bool:
+        """Return whether a request was refused for a moment."""
+        reply = self.instance.replies.get(name)
+        return isinstance(reply, requests.Refusal) and (
+            reply.code == 'unavailable'
+        )
+
+    def crash_once(self) -> None:
+        """Let a request with known and unknown parts crash its runner."""
+        self.send(COMMON)
+        self.begin()
+        self.send(COMMON, HARMFUL)
+        self.crash_runner(self.instance.start_send())
+
+    def test_new_requests_do_not_crash_a_third_runner(self) -> None:
+        """Guard against a crash by each request that arrives meanwhile."""
+        self.crash_once()
+        held = self.send(HARMFUL)
+        self.assertTrue(self.is_held(held))
+        self.assertLessEqual(
+            self.instance.replies[held].retry_after_seconds,
+            crash_evidence.HOLD_SECONDS,
+        )
+
+    def test_crashed_request_is_retried(self) -> None:
+        """Guard against a hold that nothing ends."""
+        self.crash_once()
+        self.assertEqual(len(self.instance.sends), 3)
+
+    def test_known_parts_are_not_held(self) -> None:
+        """Guard against sound requests that wait after each crash."""
+        self.crash_once()
+        self.assertFalse(self.is_held(self.send(COMMON)))
+
+    def test_hold_ends_with_the_first_event(self) -> None:
+        """Guard against a hold of a part that is harmless."""
+        self.crash_once()
+        self.begin()
+        self.assertFalse(self.is_held(self.send(HARMFUL)))
+
+    def test_hold_ends_with_time(self) -> None:
+        """Guard against a hold that outlives the retried requests."""
+        self.crash_once()
+        self.instance.pass_time(crash_evidence.HOLD_SECONDS)
+        self.assertFalse(self.is_held(self.send(HARMFUL)))
+
+
 class Accounts(CrashingSite):
     """An account cannot have the requests of another one refused."""
 
