Let the fake sockets of a test have nothing to read

Cause: idle connections are read once more before a stop closes them, and two tests of test_relay_rebalancing.IdleConnections, written beside that change, have a table of sockets without that function. Change: their table reads nothing; the assertions are the same. Measured: both ended in an AttributeError before, and pass.

--- a/tests/test_relay_rebalancing.py
+++ b/tests/test_relay_rebalancing.py
@@ -100,7 +100,7 @@
         unused: typing.Any = None
         self.closed: list[typing.Any] = []
         channel_table: typing.Any = types.SimpleNamespace(
-            close=self.closed.append
+            close=self.closed.append, read_available=lambda channel: None
         )
         self.server = relay_server.RelayServer(channel_table, unused, unused)
 
