Continue a stream only by a send that delivers events

Cause: a stream counted as complete when its last send ended and the request had begun at all. A resumed send that delivered no event, for example an answer that closed after its head, ended the stream as complete; beside an open first send it also aborted that one. Callers got the beginning of a stream, framed as whole. Change: a send that ends without an event of its own has failed. Measured: both tests of test_relay_hedges.EmptySecondSends failed before: 'r1' unexpectedly found in the ended streams; b'id: 1...' != b'id: 1..5'.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -386,10 +386,14 @@
 def complete_stream(
     open_attempt: OpenAttempt, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Complete a stream, or retry it if it ended within an event."""
-    exchange = open_attempt.exchange
-    is_truncated = bool(open_attempt.attempt.partial_event)
-    if is_truncated or not exchange.has_stream_started:
+    """Complete a stream, or retry it if it ended within an event.
+
+    A send that ends without any event has not continued the stream: its answer
+    may be one that ended early, with its connection.
+    """
+    exchange, attempt = open_attempt.exchange, open_attempt.attempt
+    is_truncated = bool(attempt.partial_event)
+    if is_truncated or attempt.first_event_at is None:
         return retry_failed(
             open_attempt,
             'the stream ended within an event or without any',
--- a/tests/test_relay_hedges.py
+++ b/tests/test_relay_hedges.py
@@ -185,6 +185,44 @@
         self.assertEqual(EVENTS[0], self.join_parts())
 
 
+class EmptySecondSends(HedgeScenario):
+    """A second send that delivers no event does not end the stream."""
+
+    def test_stream_goes_on_from_the_first_runner(self) -> None:
+        """Guard against a stream that ends early and looks complete."""
+        self.instance.deliver_answer(
+            self.first,
+            relay_states.build_head(is_event_stream=True),
+            EVENTS[0],
+        )
+        self.instance.pass_time(SILENCE_SECONDS)
+        second = self.instance.start_send(1)
+        self.instance.deliver_answer(
+            second, relay_states.build_head(is_event_stream=True)
+        )
+        self.instance.end_answer(second)
+        self.instance.deliver_chunks(self.first, *EVENTS[1:])
+        self.instance.end_answer(self.first)
+        self.assertEqual(self.join_parts(), b''.join(EVENTS))
+        self.assertIn('r1', self.instance.ends)
+
+    def test_resumed_stream_without_an_event_is_not_complete(self) -> None:
+        """Guard against a resumed answer that closes after its head."""
+        self.instance.deliver_answer(
+            self.first,
+            relay_states.build_head(is_event_stream=True),
+            EVENTS[0],
+        )
+        self.instance.fail_send(self.first)
+        second = self.instance.start_send(1)
+        self.instance.deliver_answer(
+            second, relay_states.build_head(is_event_stream=True)
+        )
+        self.instance.end_answer(second)
+        self.assertNotIn('r1', self.instance.ends)
+        self.assertIn('r1', self.instance.closed)
+
+
 class SilenceBeforeTheFirstEvent(HedgeScenario):
     """A stream that begins late survives a second send that fails."""
 
