Bound what evidence of crashes can refuse, and for whom

Cause: the review of the refusals of harmful prompts showed, each by a failing test, that two unrelated parts under equal suspicion hid a stronger one; that many bystanders together explained the crashes of one known part; that one account and a bystander had a part refused to all; that a trial was sent to a second runner; that a stream which had begun was cut; that a report which was lost stayed lost; and that a peer's report could fill the memory or push evidence out. Change: weaker suspicions follow where stronger ones are ambiguous; a known part with six crashes comes first; three accounts, not two, have a part refused to all; a trial is sent once and a begun stream is resumed; evidence is exchanged again with a peer that did not answer; reports are limited and count a crash once.

--- a/src/mustardvale/internal/relay/crash_evidence.py
+++ b/src/mustardvale/internal/relay/crash_evidence.py
@@ -23,9 +23,13 @@
 MINIMUM_CRASHES = 2
 MINIMUM_CRASHES_OF_KNOWN_PART = 3
 KNOWN_PART_SECONDS = 30.0
+STRONG_CRASHES = 6
 # Runners that crash at the same moment have a common cause outside of the
 # requests, such as a lost rack.
 SAME_MOMENT_SECONDS = 0.1
+# Client accounts whose requests must have crashed runners before the requests
+# of all others are refused.
+ACCOUNTS_FOR_ALL = 3
 # A harmful part is refused for this long after its last crash, and for twice as
 # long after each further one.
 INITIAL_BLOCK_SECONDS = 30.0
@@ -37,6 +41,7 @@
 # Bounds of what is kept, whatever callers send.
 MAXIMUM_CRASHES = 32
 MAXIMUM_REQUESTS_PER_CRASH = 16
+MAXIMUM_PARTS = 16
 MAXIMUM_BEGUN_PARTS = 2048
 CRASH_RETENTION_SECONDS = 900.0
 
@@ -75,8 +80,8 @@
     """Refuse requests whose prompts have all of `parts`.
 
     The block is for the client accounts whose requests have crashed runners,
-    or for all once there are several. A single account cannot have the
-    requests of another one refused.
+    or for all once there are three. Neither a single account nor one beside a
+    bystander can have the requests of all others refused.
     """
 
     parts: frozenset[str]
@@ -87,7 +92,7 @@
     def covers(self, client_account: str, parts: abc.Set[str]) -> bool:
         """Return whether a request is to be refused."""
         is_affected = (
-            len(self.client_accounts) > 1
+            len(self.client_accounts) >= ACCOUNTS_FOR_ALL
             or client_account in self.client_accounts
         )
         return is_affected and self.parts <= parts
@@ -270,14 +275,20 @@
         for suspicion in collect_suspicions(crashes, begun)
         if suspicion.is_sufficient
     ]
-    if not suspicions:
-        return ()
-    rank = max(map(rank_suspicion, suspicions))
-    strongest = [
-        suspicion
-        for suspicion in suspicions
-        if rank_suspicion(suspicion) == rank
-    ]
+    for rank in sorted(set(map(rank_suspicion, suspicions)), reverse=True):
+        strongest = [
+            suspicion
+            for suspicion in suspicions
+            if rank_suspicion(suspicion) == rank
+        ]
+        blocks = build_blocks(strongest)
+        if blocks:
+            return blocks
+    return ()
+
+
+def build_blocks(strongest: list[Suspicion]) -> tuple[Block, ...]:
+    """Return the blocks for equally strong suspicions that are unambiguous."""
     groups: dict[frozenset[tuple[str, int]], list[Suspicion]] = {}
     for suspicion in strongest:
         groups.setdefault(suspicion.occurrences, []).append(suspicion)
@@ -306,9 +317,11 @@
     """Return the rank by which the strongest suspicion is chosen.
 
     A part that no request has begun with comes before one that is known, which
-    several harmful parts may have in common.
+    several harmful parts may have in common, unless the known one has many
+    crashes without any beginning between them.
     """
-    return not suspicion.is_known, suspicion.crash_count
+    is_first = not suspicion.is_known or suspicion.crash_count >= STRONG_CRASHES
+    return is_first, suspicion.crash_count
 
 
 def collect_suspicions(
--- a/src/mustardvale/internal/relay/crash_reports.py
+++ b/src/mustardvale/internal/relay/crash_reports.py
@@ -57,15 +57,17 @@
 ) -> crash_evidence.CrashState:
     """Return the evidence with that of a report."""
     crashes = known.crashes
-    for reported in report.crashes:
+    for reported in report.crashes[: crash_evidence.MAXIMUM_CRASHES]:
+        if not reported.requests:
+            continue
         crash = crash_evidence.Crash(
             reported.process,
             compute_time(reported.age_seconds, now),
-            reported.requests[: crash_evidence.MAXIMUM_REQUESTS_PER_CRASH],
+            limit_requests(reported.requests),
         )
         crashes = crash_evidence.merge_crash(crashes, crash)
     begun = known.begun
-    for begun_part in report.begun:
+    for begun_part in report.begun[: crash_evidence.MAXIMUM_BEGUN_PARTS]:
         begun = crash_evidence.record_begun(
             begun,
             (begun_part.part,),
@@ -76,6 +78,20 @@
     )
 
 
+def limit_requests(
+    crashed_requests: tuple[crash_evidence.CrashedRequest, ...],
+) -> tuple[crash_evidence.CrashedRequest, ...]:
+    """Return as many requests and parts as an instance records itself."""
+    kept = crashed_requests[: crash_evidence.MAXIMUM_REQUESTS_PER_CRASH]
+    return tuple(
+        dataclasses.replace(
+            request, parts=request.parts[: crash_evidence.MAXIMUM_PARTS]
+        )
+        for request in kept
+    )
+
+
 def compute_time(age_seconds: float, now: float) -> float:
     """Return the time of something that was `age_seconds` ago."""
-    return now - max(age_seconds, 0)
+    age = min(max(age_seconds, 0.0), crash_evidence.CRASH_RETENTION_SECONDS)
+    return now - age
--- a/src/mustardvale/internal/relay/crash_tracking.py
+++ b/src/mustardvale/internal/relay/crash_tracking.py
@@ -127,10 +127,14 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Record the requests of a crash, and tell the other instances."""
+    known = state.crashes.crashes
     crash = crash_evidence.Crash(process, now, crashed_requests)
-    crashes = crash_evidence.merge_crash(state.crashes.crashes, crash)
+    crashes = crash_evidence.merge_crash(known, crash)
+    if crashes == known:
+        return transitions.Transition(state)
     merged = dataclasses.replace(state.crashes, crashes=crashes)
     updated = crash_evidence.update_conclusions(merged, now)
+    is_first = all(crash.process != process for crash in known)
     log_effect = relay_effects.LogDecision(
         'runner_crashed',
         (
@@ -141,7 +145,10 @@
     )
     return (
         adopt(updated, now, state)
-        .with_effects(log_effect, effects.Count('runner_crashes', ()))
+        .with_effects(
+            log_effect,
+            *((effects.Count('runner_crashes', ()),) if is_first else ()),
+        )
         .then(lambda current: share((crash,), (), now, current))
     )
 
@@ -349,8 +356,13 @@
 def handle_report_failure(
     call: calls.ReportCrashes, event: events.CallFailed, state: 'states.State'
 ) -> reducer.Transition:
-    """Ignore the failure: the next report carries the checksum again."""
-    return transitions.Transition(state)
+    """Exchange all evidence with the receiver later, if it is still listed."""
+    greeted = frozenset(
+        member
+        for member in state.crashes.greeted
+        if member.peers != event.address
+    )
+    return transitions.Transition(replace_crashes(state, greeted=greeted))
 
 
 def apply_report(
@@ -373,7 +385,7 @@
     """
     listed = frozenset(state.members.readers.listed)
     added = listed - state.crashes.greeted
-    is_needed = not state.crashes.greeted or state.crashes.crashes
+    is_needed = not state.crashes.greeted or bool(state.crashes.crashes)
     greeted = replace_crashes(state, greeted=listed)
     next_check = effects.SetTimer(
         timer,
--- a/src/mustardvale/internal/relay/prompt_blocks.py
+++ b/src/mustardvale/internal/relay/prompt_blocks.py
@@ -64,7 +64,12 @@
         return readers.index(own_id)
     zone = [member.instance_id for member in state.members.zone.listed]
     position = zone.index(own_id) if own_id in zone else len(zone)
-    return len(readers) + position
+    zones = sorted(
+        {member.availability_zone for member in state.members.readers.listed}
+        | {state.identity.availability_zone}
+    )
+    offset = zones.index(state.identity.availability_zone)
+    return len(readers) + position * len(zones) + offset
 
 
 def has_open_trial(block: crash_evidence.Block, state: 'states.State') -> bool:
@@ -93,9 +98,16 @@
 def is_refused(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> bool:
-    """Return whether a request must not be sent to another runner."""
-    block = find_block(exchange.request.prompt, exchange.tenant, now, state)
-    return block is not None
+    """Return whether a request must not be sent to another runner.
+
+    A trial is not sent again. A stream that has begun is no danger.
+    """
+    prompt = exchange.request.prompt
+    if prompt is None or exchange.has_stream_started:
+        return False
+    if exchange.arrival_count and state.crashes.blocks:
+        return bool(list_covering_blocks(prompt, exchange.tenant, state))
+    return find_block(prompt, exchange.tenant, now, state) is not None
 
 
 def compute_retry_after_seconds(
--- a/src/mustardvale/internal/relay/stopping.py
+++ b/src/mustardvale/internal/relay/stopping.py
@@ -182,6 +182,7 @@
     """Return the time in which a request ends, with a margin."""
     active = state.configuration.active
     service = active.services.get(exchange.service) if active else None
+    service = service or exchange.admitted_service
     if service is None or service.engine is None or not chain:
         return exchange.route.target_latency_seconds * TARGET_LATENCY_COUNT
     work = estimate_work(exchange, service.engine)
--- a/tests/test_relay_harmful_prompts.py
+++ b/tests/test_relay_harmful_prompts.py
@@ -141,6 +141,21 @@
         ]
         self.assertEqual(list_blocked(know(), *crashes), [])
 
+    def test_ambiguous_parts_do_not_hide_a_known_one(self) -> None:
+        """Guard against bystanders that keep a harmful part from notice."""
+        crashes = [build_crash(1, ('s1',), ('s2',))]
+        crashes.append(build_crash(2, ('s1',), ('s2',)))
+        crashes += [build_crash(number, (COMMON,)) for number in range(3, 7)]
+        self.assertEqual(list_blocked(know(COMMON), *crashes), [{COMMON}])
+
+    def test_bystanders_do_not_explain_many_crashes(self) -> None:
+        """Guard against refusals of many sound parts for one harmful one."""
+        crashes = [
+            build_crash(number, (COMMON,), (f's{number // 2}',))
+            for number in range(10)
+        ]
+        self.assertEqual(list_blocked(know(COMMON), *crashes), [{COMMON}])
+
     def test_each_further_crash_doubles_the_refusal(self) -> None:
         """Guard against trials that crash a runner every few seconds."""
         crashes = [build_crash(number, (HARMFUL,)) for number in (1, 2, 3)]
@@ -235,8 +250,8 @@
                     relay_states.CONFIGURATION,
                     tenants_by_key=immutables.Map(
                         {
-                            relay_states.KEY: configuration.Tenant('ann', 1),
-                            'key-of-bob': configuration.Tenant('bob', 1),
+                            f'key-of-{name}': configuration.Tenant(name, 1)
+                            for name in ('ann', 'bob', 'cem', 'dan')
                         }
                     ),
                 ),
@@ -336,6 +351,31 @@
         self.crash_twice(HARMFUL)
         self.assertEqual(len(self.instance.sends), 2)
 
+    def test_stream_that_has_begun_is_resumed(self) -> None:
+        """Guard against a cut of a stream whose part is refused since."""
+        self.send(HARMFUL)
+        self.begin()
+        begun = self.instance.sends[-1].send_id
+        blocked = crash_evidence.update_conclusions(
+            crash_evidence.CrashState(
+                crashes=tuple(
+                    build_crash(
+                        number,
+                        (HARMFUL,),
+                        crashed_at=self.instance.now + number,
+                    )
+                    for number in (1, 2, 3)
+                )
+            ),
+            self.instance.now,
+        )
+        self.assertTrue(blocked.blocks)
+        self.instance.state = dataclasses.replace(
+            self.instance.state, crashes=blocked
+        )
+        self.instance.fail_send(begun)
+        self.assertEqual(len(self.instance.sends), 2)
+
     def test_closed_connection_of_a_sound_runner_is_no_crash(self) -> None:
         """Guard against evidence from runners that only close connections."""
         for _ in range(4):
@@ -438,10 +478,23 @@
     ) -> None:
         """Guard against as many crashes as there are accounts."""
         self.crash_twice(HARMFUL)
-        self.send(HARMFUL, key='key-of-bob')
-        self.crash_runner(self.instance.start_send())
+        for key in ('key-of-bob', 'key-of-cem'):
+            self.assertFalse(self.is_refused(self.send(HARMFUL, key=key)))
+            self.crash_runner(self.instance.start_send())
         self.assertTrue(self.is_refused(self.send(HARMFUL)))
-        self.assertTrue(self.is_refused(self.send(HARMFUL, key='key-of-bob')))
+        self.assertTrue(self.is_refused(self.send(HARMFUL, key='key-of-dan')))
+
+    def test_bystander_of_another_account_shuts_out_no_third_one(self) -> None:
+        """Guard against one account that has all others refused."""
+        crashes = tuple(
+            build_crash(number, (COMMON, f'bad-{number}'))
+            for number in (1, 2, 3)
+        )
+        bystander = build_crash(3, (COMMON,), account='bob')
+        merged = crash_evidence.merge_crash(crashes, bystander)
+        (block,) = crash_evidence.find_blocks(merged, know())
+        self.assertTrue(block.covers('ann', {COMMON}))
+        self.assertFalse(block.covers('cem', {COMMON}))
 
 
 class Trials(CrashingSite):
@@ -463,6 +516,14 @@
         self.assertFalse(self.is_refused(tried))
         self.assertTrue(self.is_refused(self.send(HARMFUL)))
 
+    def test_trial_is_not_sent_to_a_second_runner(self) -> None:
+        """Guard against two crashes by one trial."""
+        self.confirm()
+        self.send(HARMFUL)
+        sent = len(self.instance.sends)
+        self.instance.fail_send(self.instance.start_send())
+        self.assertEqual(len(self.instance.sends), sent)
+
     def test_part_that_begins_is_not_refused_any_more(self) -> None:
         """Guard against a part that was blamed wrongly and stays refused."""
         self.confirm()
@@ -579,6 +640,33 @@
         )
         self.assertEqual(group.count_blocking(), 6)
 
+    def test_lost_report_is_repeated(self) -> None:
+        """Guard against evidence that stays at one instance."""
+        group = instance_groups.Group(6, 3)
+        name, receiver = group.names[1], group.names[2]
+        timer = events.TimerFired(
+            at=group.now,
+            wall_time=group.now,
+            timer=crash_tracking.timers.EvidenceExchangeDue(),
+        )
+        group.reduce(name, timer)
+        self.crash(group, name, 1)
+        group.states[receiver] = dataclasses.replace(
+            group.states[receiver], crashes=crash_evidence.CrashState()
+        )
+        group.reduce(
+            name,
+            events.CallFailed(
+                at=group.now,
+                wall_time=group.now,
+                call=calls.ReportCrashes(0),
+                address=group.states[receiver].identity.addresses.peers,
+                failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+            ),
+        )
+        group.reduce(name, timer)
+        self.assertTrue(group.states[receiver].crashes.crashes)
+
 
 class Messages(unittest.TestCase):
     """Evidence and the parts of prompts pass their encodings."""
@@ -604,6 +692,33 @@
         self.assertEqual(merged.checksum, state.checksum)
         self.assertEqual(merged.crashes[0].crashed_at, 501.0)
 
+    def test_report_of_any_size_is_limited(self) -> None:
+        """Guard against a peer that fills the memory or drops evidence."""
+        known = crash_evidence.update_conclusions(
+            crash_evidence.CrashState(crashes=(build_crash(1, (HARMFUL,)),)),
+            now=102.0,
+        )
+        many = tuple(f'p{number}' for number in range(1000))
+        report = calls.ReportCrashes(
+            0,
+            (
+                *(calls.ReportedCrash(f'e{n}/1', 0, ()) for n in range(9)),
+                calls.ReportedCrash(
+                    'm2/1',
+                    -1e300,
+                    (crash_evidence.CrashedRequest('bob', many),) * 99,
+                ),
+                *(calls.ReportedCrash(f'e{n}/1', 0, ()) for n in range(9, 99)),
+            ),
+        )
+        merged = crash_reports.merge_report(known, report, 102.0)
+        self.assertEqual(
+            [crash.process for crash in merged.crashes], ['m1/1', 'm2/1']
+        )
+        self.assertLessEqual(
+            len(merged.crashes[1].parts), crash_evidence.MAXIMUM_PARTS
+        )
+
     def test_malformed_report_is_refused(self) -> None:
         """Guard against a report that ends the process of its receiver."""
         for body in (b'', b'[]', b'{"checksum": "x"}', b'[' * 100_000):
--- a/tests/test_relay_overlapping_stops.py
+++ b/tests/test_relay_overlapping_stops.py
@@ -295,7 +295,7 @@
         self.instance.pass_time(0.5)
         self.list_zone()
         self.instance.pass_time(1.5)
-        self.assertEqual(('entry-0:80',), self.ask())
+        self.assertEqual(('10.0.0.0:80',), self.ask())
 
     def test_first_to_stop_names_the_last_that_were_listed(self) -> None:
         """Guard against naming instances that have stopped before others."""
@@ -306,7 +306,7 @@
         self.instance.pass_time(0.5)
         self.list_zone()
         self.instance.pass_time(0.5)
-        self.assertEqual(('entry-3:80',), self.ask())
+        self.assertEqual(('10.0.0.3:80',), self.ask())
 
     def test_callers_of_a_draining_one_return_at_once(self) -> None:
         """Guard against a wait while the last ones still accept."""
@@ -331,4 +331,4 @@
         self.list_zone()
         self.instance.pass_time(1.0)
         self.list_zone('entry-5')
-        self.assertEqual(('entry-5:80',), self.ask())
+        self.assertEqual(('10.0.0.5:80',), self.ask())
