--- a/src/mustardvale/internal/relay/crash_evidence.py
+++ b/src/mustardvale/internal/relay/crash_evidence.py
@@ -167,10 +167,15 @@
         part
         for crash in crashes
         for part in crash.parts
-        if begun.find(part) < crash.crashed_at
+        if is_suspected(part, crash, begun)
     )
 
 
+def is_suspected(part: str, crash: Crash, begun: BegunParts) -> bool:
+    """Return whether no request with a part has begun since a crash."""
+    return begun.find(part) < crash.crashed_at
+
+
 def find_blocks(
     crashes: tuple[Crash, ...], begun: BegunParts
 ) -> tuple[Block, ...]:
@@ -332,7 +337,7 @@
     for crash in crashes:
         for position, request in enumerate(crash.requests):
             for part in set(request.parts):
-                if begun.find(part) < crash.crashed_at:
+                if is_suspected(part, crash, begun):
                     occurrences.setdefault(part, []).append((crash, position))
     return [
         build_suspicion(part, found, begun)
@@ -379,9 +384,9 @@
     `suspected` are the parts with which no request has begun since a crash, and
     `held` has the time until which new requests with a part are held back.
     `unconfirmed` has the requests of connections that a runner closed, by its
-    process, until it is known whether it has crashed. `greeted` are the
-    members with which evidence has been exchanged. `checksum` tells whether
-    two instances have the same evidence.
+    process, until it is known whether it has crashed. `synchronized` has the
+    addresses of the readers with which evidence has been exchanged. `checksum`
+    tells whether two instances have the same evidence.
     """
 
     crashes: tuple[Crash, ...] = ()
@@ -392,7 +397,7 @@
     unconfirmed: 'immutables.Map[str, tuple[CrashedRequest, ...]]' = (
         immutables.Map()
     )
-    greeted: frozenset[typing.Any] = frozenset()
+    synchronized: frozenset[str] = frozenset()
     checksum: int = 0
 
 
--- a/src/mustardvale/internal/relay/crash_tracking.py
+++ b/src/mustardvale/internal/relay/crash_tracking.py
@@ -357,12 +357,10 @@
     call: calls.ReportCrashes, event: events.CallFailed, state: 'states.State'
 ) -> reducer.Transition:
     """Exchange all evidence with the receiver later, if it is still listed."""
-    greeted = frozenset(
-        member
-        for member in state.crashes.greeted
-        if member.peers != event.address
+    synchronized = state.crashes.synchronized - {event.address}
+    return transitions.Transition(
+        replace_crashes(state, synchronized=synchronized)
     )
-    return transitions.Transition(replace_crashes(state, greeted=greeted))
 
 
 def apply_report(
@@ -374,7 +372,7 @@
 
 
 @reducer.on_timer.register(timers.EvidenceExchangeDue)
-def greet_new_readers(
+def synchronize_new_readers(
     timer: timers.EvidenceExchangeDue,
     event: events.TimerFired,
     state: 'states.State',
@@ -383,16 +381,20 @@
 
     An instance that has just started learns in this way what the others know.
     """
-    listed = frozenset(state.members.readers.listed)
-    added = listed - state.crashes.greeted
-    is_needed = not state.crashes.greeted or bool(state.crashes.crashes)
-    greeted = replace_crashes(state, greeted=listed)
+    known = state.crashes
+    listed = {member.peers: member for member in state.members.readers.listed}
+    added = [
+        member
+        for address, member in listed.items()
+        if address not in known.synchronized
+    ]
+    synchronized = replace_crashes(state, synchronized=frozenset(listed))
     next_check = effects.SetTimer(
         timer,
         EXCHANGE_PERIOD_SECONDS if listed else FIRST_EXCHANGE_PERIOD_SECONDS,
     )
+    is_needed = not known.synchronized or bool(known.crashes)
     if not added or not is_needed:
-        return transitions.Transition(greeted, (next_check,))
-    report = crash_reports.build_full_report(state.crashes, event.at)
-    recipients = sorted(added, key=lambda member: member.instance_id)
-    return send_report(report, recipients, greeted).with_effects(next_check)
+        return transitions.Transition(synchronized, (next_check,))
+    report = crash_reports.build_full_report(known, event.at)
+    return send_report(report, added, synchronized).with_effects(next_check)
