--- a/bench/instance_groups.py
+++ b/bench/instance_groups.py
@@ -26,18 +26,16 @@
 READER_COUNT = members.READERS_PER_ZONE
 
 
-@dataclasses.dataclass
 class Traffic:
     """Count the messages between instances and their bytes.
 
     `received` has the messages by instance.
     """
 
-    message_count: int = 0
-    byte_count: int = 0
-    received: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
+    def __init__(self) -> None:
+        self.message_count = 0
+        self.byte_count = 0
+        self.received: collections.Counter[str] = collections.Counter()
 
     def add(self, receiver: str, message: typing.Any) -> None:
         """Count one message."""
