List a group without members as empty

Cause: the store names no member for a partition that nobody holds. Change: rows without a name are left out. Measured: both tests of test_odd_answers.MemberLists failed before with "expected a string that is not empty, got str".

--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -297,7 +297,8 @@
 ) -> calls.MembersListed:
     """Decode the members; a row is topic, partition, member, offset.
 
-    The rows are the whole answer or the first list in it.
+    The rows are the whole answer or the first list in it. The row of a partition
+    that nobody holds names no member.
     """
     decoded = msgspec.json.decode(raw.body)
     rows = (
@@ -305,8 +306,8 @@
         if isinstance(decoded, list)
         else [rows for rows in decoded.values() if isinstance(rows, list)][0]
     )
-    names = {runner_codec.check_string(row[2]) for row in rows}
-    return calls.MembersListed(tuple(sorted(names)))
+    members = {row[2] for row in rows if isinstance(row[2], str)}
+    return calls.MembersListed(tuple(sorted(members - {''})))
 
 
 @decode_success.register(calls.FollowPeer)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -144,3 +144,27 @@
         )
         self.assertEqual(5, read.position)
         self.assertEqual(8, read.configuration.version)
+
+
+class MemberLists(unittest.TestCase):
+    """Partitions that nobody holds do not hide the list of members."""
+
+    def decode(self, *rows: list[object]) -> tuple[str, ...]:
+        """Return the members that a list of owners names."""
+        body = json.dumps({'owners': rows}).encode()
+        answer = call_codec.decode_answer(
+            calls.ListMembers('zone'), build_answer(body)
+        )
+        self.assertIsInstance(answer, calls.MembersListed)
+        return answer.members
+
+    def test_group_without_members_is_empty(self) -> None:
+        """Guard against a stopping instance that takes others for running."""
+        self.assertEqual(self.decode(['t', 0, '', 0], ['t', 1, None, 0]), ())
+
+    def test_partition_without_an_owner_is_left_out(self) -> None:
+        """Guard against a list that is lost while partitions are handed over."""
+        self.assertEqual(
+            self.decode(['t', 0, 'm', 0], ['t', 1, '', 0], ['t', 2, 7, 0]),
+            ('m',),
+        )
