--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,111 +1,122 @@
-"""Stop an instance while callers have sent their next request already."""
+"""Let a runner leave while the store rejects one instance."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'common'))
 
-import http1  # noqa: E402
 import runner as runners  # noqa: E402
 import small_site as sites  # noqa: E402
 
-CONNECTION_COUNT = 10
-# Work of one request, within its target and its time budget.
-WORK_SECONDS = 0.35
-SECOND_AFTER_SECONDS = 0.02
-STOP_AFTER_SECONDS = 0.05
-LOSS_SLACK_SECONDS = 0.2
-DEADLINE_MS = 3000
+ZONES = ('astana-a', 'astana-b', 'astana-c')
+# The store rejects one of three machines. The sheet of the portal has 0.35 of
+# them for 9 s.
+REJECTED_SECONDS = 9.0
+# The runner goes on serving for `drain-ms` and a little longer.
+SERVING_SECONDS = 4.0
+REQUEST_PERIOD_SECONDS = 0.05
 
 
 async def play(folder: pathlib.Path, has_trouble: bool) -> bool:
-    """Return whether a request that was read got no answer."""
+    """Return whether a request reached the leaving runner after the bound."""
     site = sites.Site(folder)
     plain: list[runners.Runner] = []
     try:
         await site.write_configuration(
-            [sites.build_route('page', 'idempotent', 'portal-app')]
+            [sites.build_route('filing', 'non_idempotent', 'portal-app')]
         )
         host = sites.choose_host()
-        for number in range(3):
-            runner = runners.Runner(
-                f'i-{number}', 'portal-app', 'astana-a', site.store, site.record
+        for zone in ZONES:
+            plain.append(
+                runners.Runner(
+                    f'i-{zone}', 'portal-app', zone, site.store, site.record
+                )
             )
-            runner.work_seconds = WORK_SECONDS
-            runner.slots = 30
-            plain.append(runner)
-            await runner.start(host)
+            await plain[-1].start(host)
         entries = [
-            await site.add_entry(f'entry-{number}', 'astana-a')
-            for number in range(2)
+            await site.add_entry(f'entry-{number}', zone)
+            for number, zone in enumerate(ZONES)
         ]
         for entry in entries:
             await site.start_entry(entry)
         await asyncio.sleep(sites.CONTACT_SECONDS)
-        calls = [
-            asyncio.ensure_future(call_twice(number, site))
-            for number in range(CONNECTION_COUNT)
-        ]
-        await asyncio.sleep(SECOND_AFTER_SECONDS + STOP_AFTER_SECONDS)
+        leaving = plain[0]
         if has_trouble:
-            entries[0].signal(signal.SIGTERM)
-            site.record('sigterm', entry=entries[0].name)
-        unanswered = sum(await asyncio.gather(*calls))
-        site.recorder.say(
-            f'{unanswered} of {CONNECTION_COUNT} second requests ended without'
-            ' an answer'
-        )
-        site.recorder.say('LOST is broken' if unanswered else 'LOST holds')
-        return bool(unanswered)
+            site.store.rejected.add(entries[0].name)
+            site.record('store_rejects', entry=entries[0].name)
+        left_at = await leaving.announce_draining()
+        site.record('draining', runner=leaving.runner_id)
+        requests = []
+        while time.time() < left_at + SERVING_SECONDS:
+            requests += send_to_all(site)
+            await asyncio.sleep(REQUEST_PERIOD_SECONDS)
+        # The runner ends while requests that it has accepted still run.
+        requests += [task for _ in range(4) for task in send_to_all(site)]
+        await asyncio.sleep(0.03)
+        leaving.end()
+        await leaving.deregister()
+        site.record('runner_ended', runner=leaving.runner_id)
+        await asyncio.gather(*requests)
+        return judge(site, leaving)
     finally:
         for runner in plain:
             runner.end()
         site.end()
 
 
-async def call_twice(number: int, site: sites.Site) -> bool:
-    """Send two requests on one connection; return whether one was lost."""
-    reader, writer = await asyncio.open_connection(*site.entries[0].front)
-    try:
-        first_id, second_id = f'q{number}-1', f'q{number}-2'
-        send(first_id, writer, site)
-        await asyncio.sleep(SECOND_AFTER_SECONDS)
-        sent_at = send(second_id, writer, site)
-        for attempt_id in (first_id, second_id):
-            answer = await asyncio.wait_for(
-                http1.read_message(reader), DEADLINE_MS / 1000
-            )
-            seconds = time.time() - sent_at
-            if answer is None:
-                site.record('closed_without_an_answer', id=attempt_id)
-                return seconds > LOSS_SLACK_SECONDS
-            site.record(
-                'answered',
-                id=attempt_id,
-                status=answer.status,
-                connection=answer.headers.get('connection', ''),
-            )
-        return False
-    finally:
-        writer.close()
+def send_to_all(site: sites.Site) -> list[asyncio.Future]:
+    """Send a request to each instance."""
+    return [
+        asyncio.ensure_future(site.send(entry, 'POST', '/filing/1'))
+        for entry in site.entries
+    ]
 
 
-def send(
-    attempt_id: str, writer: asyncio.StreamWriter, site: sites.Site
-) -> float:
-    """Write a request; return when its last byte was sent."""
-    headers = {
-        'Host': sites.HOST,
-        'Attempt-Id': attempt_id,
-        'Deadline-Ms': str(DEADLINE_MS),
-        'Api-Key': sites.KEY,
+def judge(site: sites.Site, leaving: runners.Runner) -> bool:
+    """Count the requests that reached the runner after the bound."""
+    lines = site.recorder.lines
+    sent = {line['id']: line for line in lines if line['event'] == 'sent'}
+    answered = {
+        line['id']: line for line in lines if line['event'] == 'answered'
     }
-    writer.write(http1.encode('GET /page/1 HTTP/1.1', headers))
-    site.record('sent', id=attempt_id)
-    return time.time()
+    arrived = [
+        line['id']
+        for line in lines
+        if line['event'] == 'arrived' and line['runner'] == leaving.runner_id
+    ]
+    is_broken = False
+    for entry in site.entries:
+        told_at = min(
+            (
+                line['at']
+                for line in answered.values()
+                if line['leaving'] and sent[line['id']]['entry'] == entry.name
+            ),
+            default=None,
+        )
+        late = [
+            attempt_id
+            for attempt_id in arrived
+            if told_at is not None
+            and sent[attempt_id]['entry'] == entry.name
+            and sent[attempt_id]['at'] > told_at + sites.DRAIN_SECONDS
+        ]
+        cut = [
+            attempt_id
+            for attempt_id in late
+            if answered[attempt_id]['status'] != 200
+        ]
+        site.recorder.say(
+            f'{entry.name}: {len(late)} requests sent later than'
+            f' {sites.DRAIN_SECONDS} s after it had passed on an answer with'
+            f' Server-Leaving reached {leaving.runner_id}; {len(cut)} of them'
+            ' were cut off when it ended'
+        )
+        is_broken = is_broken or bool(late)
+    site.recorder.say('DRAIN is broken' if is_broken else 'DRAIN holds')
+    return is_broken
 
 
 if __name__ == '__main__':
