Remember whole requests that crash runners

The only evidence was the shared parts of its prompt, which sound requests clear with each first event. Plain requests, and prompts without a shared part, left no evidence at all.

Change: two fingerprints of account, method, host, target and body, with and without the query, count as further parts that crashes may have in common. They are shared, tried again, kept to the account and bounded like parts. They are voided by a first event or a complete answer. The check whether a runner has crashed opens a connection and sends no request, which a plain service would run. The requests of a crash that are kept are chosen by a checksum, so that no account displaces another by its name.

--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -19,6 +19,7 @@
 MAXIMUM_WAITING_CALLS_PER_ADDRESS = 4096
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 RECEIVE_BYTES = 64 * 1024
+OK_STATUS = 200
 
 logger = logging.getLogger('mustardvale')
 
@@ -190,6 +191,9 @@
         self.poller.addReader(self, sock)
         pending = connection.pending
         assert pending is not None, 'a connection is opened for a call'
+        if pending.raw.is_connection_check:
+            self.complete_check(connection, pending)
+            return
         self.send_on_connection(connection, pending)
 
     @circuits.handler('_read')
@@ -265,7 +269,7 @@
                 f'answer exceeds {MAXIMUM_ANSWER_BYTES} bytes',
             )
             return
-        if not pending.raw.is_streamed or pending.status != 200:
+        if not pending.raw.is_streamed or pending.status != OK_STATUS:
             return
         *lines, rest = bytes(pending.received).split(b'\n')
         pending.received = bytearray(rest)
@@ -307,6 +311,17 @@
             self.discard_connection(connection)
         self.report_answer(pending, answer)
 
+    def complete_check(
+        self,
+        connection: connections.Connection,
+        pending: connections.PendingCall,
+    ) -> None:
+        """Report that a connection could be opened, and close it."""
+        connection.pending = None
+        self.discard_connection(connection)
+        answer = wire.RawAnswer(OK_STATUS, immutables.Map(), b'')
+        self.report_answer(pending, answer)
+
     def report_answer(
         self,
         pending: connections.PendingCall,
--- a/src/mustardvale/internal/edge/wire.py
+++ b/src/mustardvale/internal/edge/wire.py
@@ -32,7 +32,9 @@
     """Hold a request to another process.
 
     `is_streamed` asks to report the answer line by line.
-    `needs_new_connection` keeps the call off idle connections.
+    `needs_new_connection` keeps the call off idle connections. A call that
+    `is_connection_check` ends once a connection is open, and sends nothing; its
+    answer has no body.
     """
 
     method: str
@@ -41,6 +43,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     is_streamed: bool = False
     needs_new_connection: bool = False
+    is_connection_check: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -105,26 +105,26 @@
     tenant = None
     if active.is_key_required and not route.is_public:
         tenant = find_tenant(request, active, now, state)
-    check_prompt(request, tenant, now, state)
+    check_harm(request, tenant, now, state)
     return AdmittedRequest(route, tenant)
 
 
-def check_prompt(
+def check_harm(
     request: requests.ClientRequest,
     tenant: configuration.Tenant | None,
     now: float,
     state: 'states.State',
 ) -> None:
-    """Raise `AdmissionError` if a part of the prompt crashes runners."""
+    """Raise `AdmissionError` if a request or its prompt crashes runners."""
     block = prompt_blocks.find_block(
-        request.prompt, tenant.name if tenant else None, now, state
+        request, tenant.name if tenant else None, now, state
     )
     if block is None:
         check_hold(request, now, state)
         return
     refusal = requests.Refusal(
         completion.SERVICE_UNAVAILABLE_STATUS,
-        'harmful_prompt',
+        'harmful_prompt' if request.prompt else 'harmful_request',
         request.attempt_id,
         prompt_blocks.compute_retry_after_seconds(block, now, state),
     )
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -327,11 +327,29 @@
     state = update_runner(open_attempt, head, event.at, state)
     if head.is_unexecuted:
         return retry_refused(open_attempt, head, event.at, state)
+    exchange = open_attempt.exchange
+    if exchange.is_stream:
+        return end_stream(open_attempt, head, event.at, state)
+    forward = forward_answer
+    if not is_success(head, exchange):
+        forward = handle_error_answer
+    return forward(open_attempt, head, event.at, state).then(
+        lambda current: crash_tracking.note_first_event(
+            exchange, event.at, current
+        )
+    )
+
+
+def end_stream(
+    open_attempt: OpenAttempt,
+    head: requests.AnswerHead,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Handle the end of an answer to a request for a stream."""
     if is_success(head, open_attempt.exchange):
-        if open_attempt.exchange.is_stream:
-            return complete_stream(open_attempt, event.at, state)
-        return forward_answer(open_attempt, head, event.at, state)
-    return handle_error_answer(open_attempt, head, event.at, state)
+        return complete_stream(open_attempt, now, state)
+    return handle_error_answer(open_attempt, head, now, state)
 
 
 def update_runner(
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -115,6 +115,11 @@
     is_repeated: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerReachable:
+    """Report that a runner accepts connections."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowPeer:
     """Wait for the changes that another instance reads from the store.
--- a/src/mustardvale/internal/relay/crash_evidence.py
+++ b/src/mustardvale/internal/relay/crash_evidence.py
@@ -1,4 +1,4 @@
-"""Find the parts of prompts that crash runners.
+"""Find the requests and the parts of prompts that crash runners.
 
 A harmful part crashes each runner that begins to write an answer to a prompt
 with it. Evidence is therefore twofold: the requests that had got no event yet
@@ -6,6 +6,9 @@
 since. A part is harmful if several crashes have it in common, and no request
 with it has begun to write after the first of them.
 
+A whole request may be harmful too, although others share the parts of its
+prompt. Its fingerprints count as parts that only its repeats have.
+
 Everything here is a function of the evidence, so that instances that have the
 same evidence reach the same conclusion.
 """
@@ -38,10 +41,14 @@
 # New requests with an unknown part of a crash are not sent for this long. The
 # crashed requests, which are retried, show meanwhile whether it is harmful.
 HOLD_SECONDS = 1.0
-# Bounds of what is kept, whatever callers send.
+# The id of a part of a prompt contains no colon, so that no caller can give it
+# the form of a fingerprint.
+FINGERPRINT_PREFIX = 'request:'
+# Bounds of what is kept, whatever callers send. A request has up to 16 shared
+# parts and two fingerprints.
 MAXIMUM_CRASHES = 32
 MAXIMUM_REQUESTS_PER_CRASH = 16
-MAXIMUM_PARTS = 16
+MAXIMUM_PARTS = 18
 MAXIMUM_BEGUN_PARTS = 2048
 CRASH_RETENTION_SECONDS = 900.0
 
@@ -54,7 +61,7 @@
     """Describe a request that had got no event when its runner crashed.
 
     `parts` are the ids of the parts of its prompt that other requests may
-    share.
+    share, and the fingerprints of the whole request.
     """
 
     client_account: str
@@ -142,7 +149,7 @@
     merged = Crash(
         reported.process,
         min(crash.crashed_at for crash in (*known, reported)),
-        tuple(sorted(requests)[:MAXIMUM_REQUESTS_PER_CRASH]),
+        tuple(sorted(requests, key=rank_request)[:MAXIMUM_REQUESTS_PER_CRASH]),
     )
     ordered = sorted(
         (*others, merged), key=lambda crash: (crash.crashed_at, crash.process)
@@ -150,6 +157,15 @@
     return tuple(ordered[-MAXIMUM_CRASHES:])
 
 
+def rank_request(request: CrashedRequest) -> tuple[int, CrashedRequest]:
+    """Return the rank by which the requests of a crash are kept.
+
+    It depends on no name alone, so that one client account cannot always
+    displace the requests of another one.
+    """
+    return zlib.crc32(repr(request).encode()), request
+
+
 def drop_expired(crashes: tuple[Crash, ...], now: float) -> tuple[Crash, ...]:
     """Return the crashes that are recent enough to count."""
     return tuple(
@@ -217,15 +233,26 @@
     They are the parts that were unknown before a recent crash, unless a part
     that is refused explains it.
     """
-    held: dict[str, float] = {}
-    for crash in crashes:
-        is_recent = now - crash.crashed_at < HOLD_SECONDS
-        if not is_recent or is_explained(crash, blocks):
-            continue
-        for part in crash.parts:
-            if crash.crashed_at - begun.find(part) >= KNOWN_PART_SECONDS:
-                held[part] = crash.crashed_at + HOLD_SECONDS
-    return immutables.Map(held)
+    recent = [
+        crash
+        for crash in crashes
+        if now - crash.crashed_at < HOLD_SECONDS
+        and not is_explained(crash, blocks)
+    ]
+    return immutables.Map(
+        {
+            part: crash.crashed_at + HOLD_SECONDS
+            for crash in recent
+            for part in crash.parts
+            if not is_fingerprint(part)
+            and crash.crashed_at - begun.find(part) >= KNOWN_PART_SECONDS
+        }
+    )
+
+
+def is_fingerprint(part: str) -> bool:
+    """Return whether a part stands for a whole request."""
+    return part.startswith(FINGERPRINT_PREFIX)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,15 +345,19 @@
     )
 
 
-def rank_suspicion(suspicion: Suspicion) -> tuple[bool, int]:
+def rank_suspicion(suspicion: Suspicion) -> tuple[bool, int, bool]:
     """Return the rank by which the strongest suspicion is chosen.
 
     A part that no request has begun with comes before one that is known, which
     several harmful parts may have in common, unless the known one has many
-    crashes without any beginning between them.
+    crashes without any beginning between them. A whole request comes before a
+    known part, unless that one has more crashes: it has them if it is harmful,
+    because other requests crash runners with it too.
     """
-    is_first = not suspicion.is_known or suspicion.crash_count >= STRONG_CRASHES
-    return is_first, suspicion.crash_count
+    is_request = is_fingerprint(suspicion.part)
+    is_unknown_part = not suspicion.is_known and not is_request
+    is_first = is_unknown_part or suspicion.crash_count >= STRONG_CRASHES
+    return is_first, suspicion.crash_count, is_request
 
 
 def collect_suspicions(
--- a/src/mustardvale/internal/relay/crash_tracking.py
+++ b/src/mustardvale/internal/relay/crash_tracking.py
@@ -16,10 +16,12 @@
     crash_evidence,
     crash_reports,
     exchanges,
+    fingerprints,
     members,
     peer_feed,
     prompt_blocks,
     reducer,
+    runners,
     timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -34,6 +36,7 @@
 EXCHANGE_PERIOD_SECONDS = 1.0
 # An instance that has just started soon gets requests, and knows of no crash.
 FIRST_EXCHANGE_PERIOD_SECONDS = 0.1
+RESTARTED_SUFFIX = '+'
 
 
 def note_lost_send(
@@ -44,12 +47,12 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Check the runner that closed the connection of a request too early."""
-    request = describe_request(exchange)
     runner = state.runners.get(attempt.runner_id)
     is_lost = failure.kind is events.FailureKind.CLOSED and attempt.is_sent
-    if request is None or runner is None or not is_lost:
+    if runner is None or not is_lost or exchange.has_stream_started:
         return transitions.Transition(state)
-    process = f'{attempt.runner_id}/{runner.listed.started_at_ms}'
+    request = describe_request(exchange)
+    process = name_process(attempt, runner, state)
     if any(crash.process == process for crash in state.crashes.crashes):
         return record_crash(process, (request,), now, state)
     known = state.crashes.unconfirmed.get(process, ())
@@ -67,16 +70,32 @@
 
 def describe_request(
     exchange: exchanges.Exchange,
-) -> crash_evidence.CrashedRequest | None:
-    """Return a model request without an event as evidence, if it is any."""
-    prompt = exchange.request.prompt
-    if prompt is None or not prompt.shared_parts or exchange.has_stream_started:
-        return None
+) -> crash_evidence.CrashedRequest:
+    """Return a request as evidence."""
     return crash_evidence.CrashedRequest(
-        exchange.tenant or '', prompt.shared_parts
+        exchange.tenant or '',
+        fingerprints.list_parts(exchange.tenant, exchange.request),
     )
 
 
+def name_process(
+    attempt: exchanges.Attempt, runner: runners.Runner, state: 'states.State'
+) -> str:
+    """Return a name for the process of a runner that a send has reached.
+
+    A process that accepts a send after its crash is a new one, whose entry has
+    not been read yet.
+    """
+    listed = runner.listed
+    process = f'{listed.runner_id}/{listed.started_at_ms}'
+    crashed_at = {
+        crash.process: crash.crashed_at for crash in state.crashes.crashes
+    }
+    while crashed_at.get(process, attempt.started_at) < attempt.started_at:
+        process += RESTARTED_SUFFIX
+    return process
+
+
 def replace_crashes(
     state: 'states.State', **changes: typing.Any
 ) -> 'states.State':
@@ -234,10 +253,8 @@
     exchange: exchanges.Exchange, block: crash_evidence.Block
 ) -> bool:
     """Return whether an open request is refused because of a block."""
-    prompt = exchange.request.prompt
-    return prompt is not None and block.covers(
-        exchange.tenant or '', frozenset(prompt.shared_parts)
-    )
+    parts = fingerprints.list_parts(exchange.tenant, exchange.request)
+    return block.covers(exchange.tenant or '', frozenset(parts))
 
 
 def note_first_event(
@@ -245,14 +262,16 @@
 ) -> reducer.Transition:
     """Record that a request has begun to write without a crash.
 
-    If its parts are under suspicion, the other instances are told.
+    If its parts are under suspicion, the other instances are told. Fingerprints
+    are recorded only then, because almost every request has others.
     """
+    known = state.crashes
+    cleared = list_suspected_parts(exchange, known)
     prompt = exchange.request.prompt
-    if prompt is None or not prompt.shared_parts:
+    shared = prompt.shared_parts if prompt else ()
+    if not shared and not cleared:
         return transitions.Transition(state)
-    known = state.crashes
-    begun = crash_evidence.record_begun(known.begun, prompt.shared_parts, now)
-    cleared = known.suspected.intersection(prompt.shared_parts)
+    begun = crash_evidence.record_begun(known.begun, {*shared, *cleared}, now)
     if not cleared:
         return transitions.Transition(replace_crashes(state, begun=begun))
     updated = crash_evidence.update_conclusions(
@@ -263,6 +282,17 @@
     )
 
 
+def list_suspected_parts(
+    exchange: exchanges.Exchange, known: crash_evidence.CrashState
+) -> frozenset[str]:
+    """Return the parts of a request that are under suspicion."""
+    if not known.suspected:
+        return frozenset()
+    return known.suspected.intersection(
+        fingerprints.list_parts(exchange.tenant, exchange.request)
+    )
+
+
 def share(
     crashes: tuple[crash_evidence.Crash, ...],
     parts: 'abc.Iterable[str]',
--- a/src/mustardvale/internal/relay/prompt_blocks.py
+++ b/src/mustardvale/internal/relay/prompt_blocks.py
@@ -1,4 +1,4 @@
-"""Refuse requests whose prompts have a part that crashes runners.
+"""Refuse requests that crash runners, by themselves or by a part of a prompt.
 
 A refusal ends by itself, so that a part that was blamed wrongly, or that has
 become harmless, is not refused for ever. Then the instances try one request
@@ -8,12 +8,17 @@
 
 import typing
 
-from mustardvale.internal.relay import crash_evidence, exchanges, requests
+from mustardvale.internal.relay import (
+    crash_evidence,
+    exchanges,
+    fingerprints,
+    requests,
+)
 
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-REFUSAL_REASON = 'a part of the prompt crashes runners'
+REFUSAL_REASON = 'the request or a part of its prompt crashes runners'
 HOLD_REASON = 'a runner has just crashed under a part of the prompt'
 # Time for one instance to try a request with a part whose refusal has ended,
 # and to tell the others whether it has begun to write.
@@ -22,15 +27,13 @@
 
 
 def find_block(
-    prompt: requests.Prompt | None,
+    request: requests.ClientRequest,
     client_account: str | None,
     now: float,
     state: 'states.State',
 ) -> crash_evidence.Block | None:
     """Return the block because of which a request is refused, if any."""
-    if prompt is None or not state.crashes.blocks:
-        return None
-    for block in list_covering_blocks(prompt, client_account, state):
+    for block in list_covering_blocks(request, client_account, state):
         is_over = now >= compute_trial_time(block, state)
         if not is_over or has_open_trial(block, state):
             return block
@@ -38,10 +41,14 @@
 
 
 def list_covering_blocks(
-    prompt: requests.Prompt, client_account: str | None, state: 'states.State'
+    request: requests.ClientRequest,
+    client_account: str | None,
+    state: 'states.State',
 ) -> list[crash_evidence.Block]:
-    """Return the blocks for a prompt, whether they have ended or not."""
-    parts = frozenset(prompt.shared_parts)
+    """Return the blocks for a request, whether they have ended or not."""
+    if not state.crashes.blocks:
+        return []
+    parts = frozenset(fingerprints.list_parts(client_account, request))
     return [
         block
         for block in state.crashes.blocks
@@ -90,9 +97,10 @@
 def has_parts(
     exchange: exchanges.Exchange, block: crash_evidence.Block
 ) -> bool:
-    """Return whether the prompt of a request has the parts of a block."""
-    prompt = exchange.request.prompt
-    return prompt is not None and block.parts <= set(prompt.shared_parts)
+    """Return whether a request has the parts of a block."""
+    return block.parts.issubset(
+        fingerprints.list_parts(exchange.tenant, exchange.request)
+    )
 
 
 def is_refused(
@@ -102,12 +110,12 @@
 
     A trial is not sent again. A stream that has begun is no danger.
     """
-    prompt = exchange.request.prompt
-    if prompt is None or exchange.has_stream_started:
+    request, account = exchange.request, exchange.tenant
+    if exchange.has_stream_started:
         return False
-    if exchange.arrival_count and state.crashes.blocks:
-        return bool(list_covering_blocks(prompt, exchange.tenant, state))
-    return find_block(prompt, exchange.tenant, now, state) is not None
+    if exchange.arrival_count:
+        return bool(list_covering_blocks(request, account, state))
+    return find_block(request, account, now, state) is not None
 
 
 def compute_retry_after_seconds(
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -144,11 +144,21 @@
     return f'{READER_GROUP}.{zone}' if zone else READER_GROUP
 
 
+@encode_call.register(calls.CheckRunner)
+def encode_runner_check(call: calls.CheckRunner) -> wire.RawCall:
+    """Encode a check of whether a runner still accepts connections.
+
+    It sends no request, because a plain service would run it.
+    """
+    return wire.RawCall(
+        'GET', '/', needs_new_connection=True, is_connection_check=True
+    )
+
+
 @encode_call.register(calls.ReadRunnerReport)
 @encode_call.register(calls.ProbeRunner)
-@encode_call.register(calls.CheckRunner)
 def encode_report_read(
-    call: calls.ReadRunnerReport | calls.ProbeRunner | calls.CheckRunner,
+    call: calls.ReadRunnerReport | calls.ProbeRunner,
 ) -> wire.RawCall:
     """Encode a request for the report of a runner."""
     return wire.RawCall(
@@ -337,11 +347,18 @@
     return peer_feed_codec.decode_crash_answer(raw)
 
 
+@decode_success.register(calls.CheckRunner)
+def decode_runner_check(
+    call: calls.CheckRunner, raw: wire.RawAnswer
+) -> calls.RunnerReachable:
+    """Return that a runner accepts connections."""
+    return calls.RunnerReachable()
+
+
 @decode_success.register(calls.ReadRunnerReport)
 @decode_success.register(calls.ProbeRunner)
-@decode_success.register(calls.CheckRunner)
 def decode_report(
-    call: calls.ReadRunnerReport | calls.ProbeRunner | calls.CheckRunner,
+    call: calls.ReadRunnerReport | calls.ProbeRunner,
     raw: wire.RawAnswer,
 ) -> calls.RunnerReport:
     """Decode the report of a runner."""
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -12,7 +12,7 @@
     'instance_settings engines requests runners events effects timers'
     ' crash_evidence',
     'configuration calls crash_reports loads retry_budgets exchanges'
-    ' event_stream placement chains prompt_blocks',
+    ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping',
     'configuration_feed',
