Complete a list that was read in pages from the log

Cause: callers of an instance that had just started got 502 from a runner that had left: 31 requests reached it later than the bound, 3 were lost. The instance continued from the position of the last page. An entry that is removed after its page was read is in no later page, and its removal lies before that position.

Change: after the last of several pages the log is read from the position of the first one, and the list is applied as a whole. The pages are carried by the call, since two reads that are open at once mixed theirs. An answer older than the known position is dropped: it listed removed runners again.

A list of one page costs no further call.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import immutables
+
 from mustardvale.internal.relay import (
     configuration,
     crash_evidence,
@@ -32,18 +34,39 @@
     configuration: configuration.Configuration | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerPages:
+    """Hold the entries of the pages that one read of the list has got so far.
+
+    Each page is newer than the one before it. All of them have at least the
+    changes before `position`, at which the first page was read.
+    """
+
+    position: int
+    entries: immutables.Map[str, runners.ListedRunner] = immutables.Map()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadRunners:
-    """Read the page of upstream entries that follows a key."""
+    """Read the page of upstream entries that follows a key.
+
+    `earlier` has the pages before it.
+    """
 
     after: str = ''
+    earlier: RunnerPages | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowRunners:
-    """Read the changes of entries after a position."""
+    """Read the changes of entries after a position.
+
+    With `pages` the read completes them: it has what changed while they were
+    read.
+    """
 
     position: int
+    pages: RunnerPages | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -8,8 +8,6 @@
 import dataclasses
 import typing
 
-import immutables
-
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     calls,
@@ -39,14 +37,12 @@
     """Hold the position in the log of the list and what is being read.
 
     All changes after `complete_from`, the position of the first complete read,
-    are known. `paged_entries` has the entries of the pages read so far, and
-    `unconfirmed_drops` the upstreams whose entries were dropped shortly after
-    an outage of the store.
+    are known. `unconfirmed_drops` has the upstreams whose entries were dropped
+    shortly after an outage of the store.
     """
 
     position: int | None = None
     complete_from: int | None = None
-    paged_entries: immutables.Map[str, runners.ListedRunner] = immutables.Map()
     unconfirmed_drops: frozenset[str] = frozenset()
     read_at: float | None = None
     failed_at: float | None = None
@@ -88,37 +84,52 @@
 def handle_page(
     call: calls.ReadRunners, event: events.CallAnswered, state: 'states.State'
 ) -> reducer.Transition:
-    """Store a page, and apply all entries after the last page."""
-    if not isinstance(event.answer, calls.RunnersRead):
-        return record_failure(f'status {event.answer.status}', event.at, state)
-    entries = (
-        state.runner_list.paged_entries if call.after else immutables.Map()
-    )
-    for change in event.answer.changes:
+    """Read the next page, or the changes since the first one.
+
+    A page shows no change of what an earlier page has. Only the log since the
+    first page tells what was removed meanwhile.
+    """
+    answer = event.answer
+    if not isinstance(answer, calls.RunnersRead):
+        return record_failure(f'status {answer.status}', event.at, state)
+    earlier = call.earlier or calls.RunnerPages(answer.position)
+    pages = add_page(earlier, answer.changes)
+    if answer.next_page:
+        next_call: typing.Any = calls.ReadRunners(answer.next_page, pages)
+    elif call.earlier:
+        next_call = calls.FollowRunners(pages.position, pages)
+    else:
+        return apply_pages(pages, answer.position, event.at, state)
+    return transitions.Transition(state, (build_store_call(next_call, state),))
+
+
+def add_page(
+    pages: calls.RunnerPages, changes: tuple[calls.RunnerChange, ...]
+) -> calls.RunnerPages:
+    """Return the pages with newer entries, and without those dropped since."""
+    entries = pages.entries
+    for change in changes:
         if change.entry is not None:
             entries = entries.set(change.runner_id, change.entry)
-    if event.answer.next_page:
-        paged = dataclasses.replace(state.runner_list, paged_entries=entries)
-        return transitions.Transition(
-            dataclasses.replace(state, runner_list=paged),
-            (
-                build_store_call(
-                    calls.ReadRunners(event.answer.next_page), state
-                ),
-            ),
-        )
-    missing = tuple(
-        calls.RunnerChange(runner_id, None)
-        for runner_id in state.runners
-        if runner_id not in entries
-    )
+        elif change.runner_id in entries:
+            entries = entries.delete(change.runner_id)
+    return dataclasses.replace(pages, entries=entries)
+
+
+def apply_pages(
+    pages: calls.RunnerPages, position: int, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Apply all entries as of a position; the others are gone."""
     listed = tuple(
         calls.RunnerChange(runner_id, entry)
-        for runner_id, entry in entries.items()
+        for runner_id, entry in pages.entries.items()
     )
-    return apply_changes(
-        listed + missing, event.answer.position, event.at, state
+    missing = tuple(
+        calls.RunnerChange(runner_id, None)
+        for runner_id in state.runners
+        if runner_id not in pages.entries
     )
+    return apply_changes(listed + missing, position, now, state)
 
 
 @reducer.on_answer.register(calls.FollowRunners)
@@ -127,9 +138,11 @@
 ) -> reducer.Transition:
     """Apply changes, or read all entries if the log was compacted."""
     if isinstance(event.answer, calls.RunnersRead):
-        return apply_changes(
-            event.answer.changes, event.answer.position, event.at, state
-        )
+        position, changes = event.answer.position, event.answer.changes
+        if call.pages is None:
+            return apply_changes(changes, position, event.at, state)
+        pages = add_page(call.pages, changes)
+        return apply_pages(pages, position, event.at, state)
     if isinstance(event.answer, calls.HistoryCompacted):
         unknown = dataclasses.replace(state.runner_list, position=None)
         return read_next(
@@ -144,8 +157,17 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Apply changes, schedule the next read and answer the followers."""
+    """Apply changes, schedule the next read and answer the followers.
+
+    Two reads may be open at once. The answer that has the older position is
+    dropped: it would undo removals that the other one has shown.
+    """
     known = state.runner_list
+    if position < (known.position or 0):
+        next_read = effects.SetTimer(
+            timers.RunnerListReadDue(), READ_PERIOD_SECONDS
+        )
+        return transitions.Transition(state, (next_read,))
     failed_at = now if known.is_failing else known.failed_at
     is_after_outage = (
         failed_at is not None and now - failed_at < REREGISTRATION_SECONDS
