Heed what upstreams say of themselves in their answers

Cause: callers of an instance that the store rejected got 502 from a runner that had said in every answer that it leaves. The list was the only source of whether a runner stays.

Change: platform/ decodes Server-Leaving and Retry-After of every answer, interim ones and reports included. The word is kept for the process that gave it, whatever its entry says. Runner.find_obstacle is the one place that says whether an upstream may get a request now, why not and until when. If all upstreams ask to wait, callers are refused at once with the remaining wait.

--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -164,13 +164,7 @@
         """Report the head of an answer, or skip an answer to another request."""
         effect = connection.effect
         assert effect is not None, 'an answer belongs to a send'
-        received = relay_wire.ReceivedHead(
-            event.status_code,
-            tuple(
-                (name.decode('latin-1'), text.decode('latin-1'))
-                for name, text in event.headers
-            ),
-        )
+        received = read_head(event)
         if not self.codec.is_answer_to(
             effect.request, received, connection.is_reused
         ):
@@ -218,16 +212,36 @@
         )
         return False
 
-    def skip_interim_answer(self, connection: UpstreamConnection) -> bool:
+    def skip_interim_answer(
+        self,
+        connection: UpstreamConnection,
+        event: h11.InformationalResponse,
+    ) -> bool:
         """Skip an interim answer; fail a send that gets too many."""
         connection.interim_answers += 1
         if connection.interim_answers <= MAXIMUM_INTERIM_ANSWERS:
-            return True
+            return self.report_interim_answer(connection, event)
         self.fail_send(
             connection, events.FailureKind.MALFORMED, 'too many interim answers'
         )
         return False
 
+    def report_interim_answer(
+        self,
+        connection: UpstreamConnection,
+        event: h11.InformationalResponse,
+    ) -> bool:
+        """Report what an interim answer announces."""
+        effect = connection.effect
+        if effect is None:
+            return True
+        self.emit_event(
+            relay_events.InterimAnswerArrived,
+            send_id=effect.send_id,
+            announcement=self.codec.decode_announcement(read_head(event)),
+        )
+        return connection.effect is effect
+
     def handle_end(self, connection: UpstreamConnection) -> bool:
         """Report the end of an answer, and keep its connection idle."""
         effect = connection.effect
@@ -329,6 +343,19 @@
             self.channel_table.resume_reading(connection.channel)
 
 
+def read_head(
+    event: h11.Response | h11.InformationalResponse,
+) -> relay_wire.ReceivedHead:
+    """Return the status and headers of an answer as text."""
+    return relay_wire.ReceivedHead(
+        event.status_code,
+        tuple(
+            (name.decode('latin-1'), text.decode('latin-1'))
+            for name, text in event.headers
+        ),
+    )
+
+
 def serialize_request(
     protocol: h11.Connection, encoded: relay_wire.EncodedSend
 ) -> bytes:
@@ -368,7 +395,7 @@
     client: RelayClient,
 ) -> bool:
     """Skip an interim answer."""
-    return client.skip_interim_answer(connection)
+    return client.skip_interim_answer(connection, event)
 
 
 @handle_protocol_event.register(h11.Response)
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -25,6 +25,8 @@
     ('reports_lost', 'Reports of runners without an answer', ()),
     ('stray_answers', 'Answers that belonged to another request', ()),
     ('runner_crashes', 'Crashes under requests without an event', ()),
+    ('runner_announcements', 'Runners that leave or ask to wait', ('kind',)),
+    ('malformed_announcements', 'Unusable headers of runners', ('header',)),
     ('log_lines_left_out', 'Log lines that were not written', ()),
 )
 
--- a/src/mustardvale/internal/edge/relay_wire.py
+++ b/src/mustardvale/internal/edge/relay_wire.py
@@ -91,6 +91,9 @@
     ) -> typing.Any:
         """Decode the head of an answer."""
 
+    def decode_announcement(self, received: ReceivedHead) -> typing.Any:
+        """Decode what an upstream says of itself in any head."""
+
     def is_answer_to(
         self, send: typing.Any, received: ReceivedHead, is_reused: bool
     ) -> bool:
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -11,6 +11,7 @@
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
+    announcements,
     completion,
     crash_tracking,
     dispatch,
@@ -139,7 +140,10 @@
     open_attempt: OpenAttempt,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Store the head; deprioritize an upstream that closes the connection."""
+    """Store the head; note what the upstream says of itself.
+
+    An upstream that closes the connection is deprioritized.
+    """
     with_head = dataclasses.replace(
         open_attempt.attempt, head=event.head, last_received_at=event.at
     )
@@ -150,7 +154,37 @@
             next_state.runners, open_attempt.attempt.runner_id, until
         )
         next_state = dataclasses.replace(next_state, runners=runner_map)
-    return transitions.Transition(next_state)
+    return note_announcement(
+        open_attempt.attempt, event.head.announcement, event.at, next_state
+    )
+
+
+@handle_send_event.register(relay_events.InterimAnswerArrived)
+def handle_interim_answer(
+    event: relay_events.InterimAnswerArrived,
+    open_attempt: OpenAttempt,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Note what an upstream says of itself before its answer."""
+    return note_announcement(
+        open_attempt.attempt, event.announcement, event.at, state
+    )
+
+
+def note_announcement(
+    attempt: exchanges.Attempt,
+    announcement: requests.Announcement,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Record an announcement of the upstream that a send has reached."""
+    return announcements.record_announcement(
+        attempt.runner_id,
+        announcement,
+        now,
+        state,
+        process_started_at_ms=attempt.process_started_at_ms,
+    )
 
 
 def is_success(head: requests.AnswerHead, exchange: exchanges.Exchange) -> bool:
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -275,6 +275,7 @@
     has_active_order: bool
     slowdown: float = 1.0
     stalled: tuple[StalledRequest, ...] = ()
+    announcement: requests.Announcement = requests.NO_ANNOUNCEMENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -96,7 +96,12 @@
     load: loads.Load,
     now: float,
 ) -> Candidate | None:
-    """Return the candidate for a runner, or `None` if it cannot run layers."""
+    """Return the candidate for a runner, or `None` if it cannot run layers.
+
+    A runner that may get no request now is no candidate either.
+    """
+    if runner.find_obstacle(now) is not None:
+        return None
     listed = runner.listed
     layers = listed.layers
     if layers is None or not layers.count:
@@ -105,8 +110,6 @@
         return None
     if listed.accelerator not in engine.accelerators:
         return None
-    if runner.excluded_until > now:
-        return None
     capacity = (
         engines.compute_token_capacity(engine, listed.accelerator, layers.count)
         * layers.count
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -1,5 +1,6 @@
 """Choose an upstream for a request and send the request to it."""
 
+import collections
 import dataclasses
 import random
 import typing
@@ -92,7 +93,8 @@
     target = choose_target(exchange, now, state)
     if target is not None:
         return send_before_stop(exchange, target, now, state)
-    if now < compute_wait_deadline(exchange):
+    wait_seconds = estimate_wait_seconds(exchange, now, state)
+    if now + wait_seconds < compute_wait_deadline(exchange):
         waiting = dataclasses.replace(exchange, last_search_at=now)
         exchange_map = state.exchanges.set(exchange.request_id, waiting)
         return check_schedule.request_check(
@@ -103,7 +105,9 @@
         explain_no_target(exchange, now, state),
         now,
         state,
-        retry_after_seconds=choose_retry_after(exchange, now, state),
+        retry_after_seconds=max(
+            choose_retry_after(exchange, now, state), wait_seconds
+        ),
     )
 
 
@@ -176,6 +180,43 @@
     return completion.RETRY_AFTER_SECONDS
 
 
+def estimate_wait_seconds(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> float:
+    """Return for how long at least no upstream can take a request.
+
+    It is more than 0 only where all upstreams that could take the request, or
+    all that hold one of its layers, have asked to wait.
+    """
+    waits: dict[int, float] = {}
+    for runner in runners.list_service_runners(
+        state.runners, state.runner_index, exchange.service
+    ):
+        if not runner.is_usable:
+            continue
+        layers = runner.listed.layers or runners.LayerRange(0, 1)
+        seconds = max(runner.waits_until - now, 0.0)
+        for layer in range(layers.first, layers.end):
+            waits[layer] = min(waits.get(layer, seconds), seconds)
+    return max(waits.values(), default=0.0)
+
+
+def describe_obstacles(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> str:
+    """Return how many upstreams of a service may get no request, and why."""
+    obstacles = collections.Counter(
+        obstacle.kind.value
+        for runner in runners.list_service_runners(
+            state.runners, state.runner_index, exchange.service
+        )
+        if (obstacle := runner.find_obstacle(now)) is not None
+    )
+    return ', '.join(
+        f'{count} {reason}' for reason, count in sorted(obstacles.items())
+    )
+
+
 def explain_no_target(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> str:
@@ -183,8 +224,12 @@
     service = find_service(exchange, state)
     if service is None:
         return f'service {exchange.service} is not configured'
+    obstacles = describe_obstacles(exchange, now, state)
     if service.engine is None:
-        return f'service {exchange.service} has no usable runner'
+        return (
+            f'service {exchange.service} has no usable runner:'
+            f' {obstacles or "all were tried, or none is listed"}'
+        )
     held_layers: set[int] = set()
     for candidate in list_candidates(
         service.engine, exchange.service, now, state
@@ -201,7 +246,7 @@
     if missing:
         return (
             f'no usable runner holds {len(missing)} of the layers'
-            f' {missing[0]} to {missing[-1]}'
+            f' {missing[0]} to {missing[-1]}: {obstacles or "none is listed"}'
         )
     return 'all runners are full'
 
@@ -251,9 +296,8 @@
     runner: runners.Runner, exchange: exchanges.Exchange, now: float
 ) -> bool:
     """Return whether a plain request may be sent to a runner."""
-    is_excluded = runner.excluded_until > now
     is_tried = runner.listed.runner_id in exchange.tried_runner_ids
-    return runner.is_usable and not is_excluded and not is_tried
+    return not is_tried and runner.find_obstacle(now) is None
 
 
 # Assumed latency of a runner that has not answered yet.
@@ -300,8 +344,6 @@
     instance_count = members.count_instances(state)
     candidates = []
     for runner in listed:
-        if not runner.is_usable:
-            continue
         load = loads.estimate_total_load(
             runner.listed.runner_id,
             state.loads,
@@ -437,6 +479,7 @@
         chain=target.chain,
         estimated_tokens=target.estimated_tokens,
         last_received_at=now,
+        process_started_at_ms=find_process_start(target.runner_id, state),
     )
     sent = dataclasses.replace(
         exchange,
@@ -460,6 +503,12 @@
     )
 
 
+def find_process_start(runner_id: str, state: 'states.State') -> int:
+    """Return when the listed process of an upstream was started."""
+    runner = state.runners.get(runner_id)
+    return runner.listed.started_at_ms if runner else 0
+
+
 def spend_retry_budget(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> retry_budgets.RetryBuckets:
--- a/src/mustardvale/internal/relay/events.py
+++ b/src/mustardvale/internal/relay/events.py
@@ -49,6 +49,13 @@
     idle_seconds: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InterimAnswerArrived(SendEvent):
+    """Report an interim answer, which was skipped but for its announcement."""
+
+    announcement: typing.Any
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StrayAnswerArrived(SendEvent):
     """Report an answer to another request, which was skipped."""
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -15,7 +15,8 @@
     `is_sent` is true once the upstream may have received the request.
     `estimated_tokens` is the number of tokens that its chain is assumed to keep
     for it. `last_received_at` is when data last arrived, `first_event_at` when
-    the first complete event of a stream did. `partial_event` is the beginning of
+    the first complete event of a stream did. `process_started_at_ms` is that of
+    the process that was listed when the send began. `partial_event` is the beginning of
     an event that is not complete yet. `pending_chain` is the chain of an order to
     move the request that has not been answered yet.
     """
@@ -33,6 +34,7 @@
     partial_event: bytes = b''
     pending_chain: requests.Chain = ()
     move_count: int = 0
+    process_started_at_ms: int = 0
 
     @property
     def loaded_chain(self) -> requests.Chain:
--- a/src/mustardvale/internal/relay/instance_settings.py
+++ b/src/mustardvale/internal/relay/instance_settings.py
@@ -26,7 +26,8 @@
     Keys are accepted for `key_revocation_seconds` after the configuration was
     last confirmed, or without a limit if it is `None`. Each service may send
     `retry_ratio` retries per request, plus `retries_per_window` in each
-    `retry_window_seconds`.
+    `retry_window_seconds`. An upstream may ask for a wait of
+    `maximum_upstream_wait_seconds` at most.
     """
 
     key_revocation_seconds: float | None = 5.0
@@ -35,6 +36,7 @@
     retry_window_seconds: float = 10.0
     retries_per_window: float = 100.0
     maximum_directory_validity_seconds: float = 5.0
+    maximum_upstream_wait_seconds: float = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -11,6 +11,7 @@
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
+    announcements,
     answers,
     calls,
     chains,
@@ -91,17 +92,22 @@
         report.slowdown,
         event.at,
     )
-    state = dataclasses.replace(state, runners=runner_map)
+    noted = announcements.record_announcement(
+        call.runner_id,
+        report.announcement,
+        event.at,
+        dataclasses.replace(state, runners=runner_map),
+    )
     at_fault = {
-        runners.find_id_by_address(state.runners, stalled.fault_address)
+        runners.find_id_by_address(runner_map, stalled.fault_address)
         for stalled in report.stalled
     } - {None}
     if not at_fault:
-        return transitions.Transition(state)
+        return noted
     faulty = frozenset(runner_id for runner_id in at_fault if runner_id)
-    return mark_faulty(faulty, 'stalled', event.at, state).then(
-        lambda current: move_affected(faulty, event.at, current)
-    )
+    return noted.then(
+        lambda current: mark_faulty(faulty, 'stalled', event.at, current)
+    ).then(lambda current: move_affected(faulty, event.at, current))
 
 
 @reducer.on_failure.register(calls.ProbeRunner)
--- a/src/mustardvale/internal/relay/orders.py
+++ b/src/mustardvale/internal/relay/orders.py
@@ -12,6 +12,7 @@
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
+    announcements,
     calls,
     configuration,
     engines,
@@ -337,7 +338,12 @@
         orders = dataclasses.replace(
             orders, pending=orders.pending.delete(call.runner_id)
         )
-    return transitions.Transition(dataclasses.replace(state, orders=orders))
+    return announcements.record_announcement(
+        call.runner_id,
+        report.announcement,
+        event.at,
+        dataclasses.replace(state, orders=orders),
+    )
 
 
 @reducer.on_failure.register(calls.ReadRunnerReport)
--- a/src/mustardvale/internal/relay/requests.py
+++ b/src/mustardvale/internal/relay/requests.py
@@ -141,6 +141,23 @@
     last_event_id: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """Hold what an upstream says of itself in an answer.
+
+    `is_leaving` is true if its process is about to exit. For
+    `retry_after_seconds` it wants no request from this instance. `malformed`
+    names the headers with a value that cannot be used.
+    """
+
+    is_leaving: bool = False
+    retry_after_seconds: float | None = None
+    malformed: tuple[str, ...] = ()
+
+
+NO_ANNOUNCEMENT = Announcement()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Hold the status and the headers of an upstream's answer.
@@ -162,3 +179,4 @@
     is_event_stream: bool = True
     is_closing: bool = False
     fault_address: str = ''
+    announcement: Announcement = NO_ANNOUNCEMENT
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -46,12 +46,32 @@
     layers: LayerRange | None = None
 
 
+class ObstacleKind(enum.Enum):
+    """Name why an upstream may get no request, as log lines show it."""
+
+    DELISTED = 'not listed'
+    DRAINING = 'listed as draining'
+    LEAVING = 'leaving by its own word'
+    ASKED_TO_WAIT = 'asking to wait'
+    EXCLUDED = 'excluded after a failure'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Obstacle:
+    """Hold why an upstream may get no request, and until when if it ends."""
+
+    kind: ObstacleKind
+    until: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Runner:
     """Hold an entry and what this instance has observed of the upstream.
 
     `changed_position` is the position of the list at which the entry last
     changed or was dropped, and `delisted_at` the time at which it was dropped.
+    `is_leaving` is true once the process has said in an answer that it leaves,
+    and until `waits_until` it has asked to get no requests.
     Until `deprioritized_until` other upstreams are preferred, and until
     `excluded_until` the upstream is left out of new chains. `unreachable_until`
     is how long it is avoided because a probe was not answered, and 0 after an
@@ -65,6 +85,8 @@
     listed: ListedRunner
     changed_position: int = 0
     delisted_at: float | None = None
+    is_leaving: bool = False
+    waits_until: float = 0.0
     deprioritized_until: float = 0.0
     excluded_until: float = 0.0
     unreachable_until: float = 0.0
@@ -77,10 +99,23 @@
 
     @property
     def is_usable(self) -> bool:
-        """Return whether the entry is present and ready for new requests."""
-        return (
-            self.delisted_at is None and self.listed.state is ListedState.READY
-        )
+        """Return whether the process stays, by its entry and by its answers."""
+        is_ready = self.listed.state is ListedState.READY
+        return self.delisted_at is None and is_ready and not self.is_leaving
+
+    def find_obstacle(self, now: float) -> 'Obstacle | None':
+        """Return why the upstream may get no request now, if it may not."""
+        if self.is_usable:
+            if self.waits_until > now:
+                return Obstacle(ObstacleKind.ASKED_TO_WAIT, self.waits_until)
+            if self.excluded_until > now:
+                return Obstacle(ObstacleKind.EXCLUDED, self.excluded_until)
+            return None
+        if self.delisted_at is not None:
+            return Obstacle(ObstacleKind.DELISTED)
+        if self.is_leaving:
+            return Obstacle(ObstacleKind.LEAVING)
+        return Obstacle(ObstacleKind.DRAINING)
 
     @property
     def needs_layers(self) -> bool:
@@ -145,6 +180,26 @@
     )
 
 
+def record_leaving(runner_map: RunnerMap, runner_id: str) -> RunnerMap:
+    """Record that the process of an upstream has said that it leaves."""
+    known = runner_map[runner_id]
+    return runner_map.set(
+        runner_id, dataclasses.replace(known, is_leaving=True)
+    )
+
+
+def record_wait(
+    runner_map: RunnerMap, runner_id: str, until: float
+) -> RunnerMap:
+    """Record until when an upstream has asked to get no requests."""
+    known = runner_map[runner_id]
+    if known.waits_until >= until:
+        return runner_map
+    return runner_map.set(
+        runner_id, dataclasses.replace(known, waits_until=until)
+    )
+
+
 def record_failure(
     runner_map: RunnerMap, runner_id: str, now: float
 ) -> RunnerMap:
--- a/src/mustardvale/platform/front_codec.py
+++ b/src/mustardvale/platform/front_codec.py
@@ -1,6 +1,7 @@
 """Encode and decode requests of callers, their answers, and relayed requests."""
 
 import functools
+import re
 import types
 import typing
 from collections import abc
@@ -39,6 +40,9 @@
 NOT_RUN = 'not-executed'
 FAULT_ADDRESS = 'at-server'
 CONNECTION = 'connection'
+# An upstream that is about to exit says so with the value 1.
+LEAVING = 'server-leaving'
+RETRY_AFTER = 'retry-after'
 
 # Headers that apply to one connection only, or that are set again from the
 # length of the body.
@@ -63,6 +67,10 @@
 )
 OK_STATUS = 200
 MISDIRECTED_STATUS = 421
+# Statuses of refusals that may name a time to wait.
+WAIT_STATUSES = frozenset((429, 503))
+# Whole seconds or a decimal fraction, as opposed to a date.
+SECONDS_PATTERN = re.compile(r'[0-9]{1,9}([.][0-9]{1,9})?')
 EVENT_STREAM_TYPE = 'text/event-stream'
 MILLISECONDS_PER_SECOND = 1000
 MAXIMUM_NUMBER_LENGTH = 18
@@ -334,9 +342,49 @@
         and is_event_stream_type(headers.get('content-type', '')),
         is_closing=headers.get(CONNECTION, '').lower() == 'close',
         fault_address=headers.get(FAULT_ADDRESS, ''),
+        announcement=decode_announcement(received),
     )
 
 
+def decode_announcement(
+    received: relay_wire.ReceivedHead,
+) -> requests.Announcement:
+    """Decode what an upstream says of itself in the head of an answer.
+
+    A header that comes twice with different values is malformed.
+    """
+    leaving = collect_values(LEAVING, received)
+    waits = collect_values(RETRY_AFTER, received)
+    if received.status not in WAIT_STATUSES:
+        waits = frozenset()
+    if not leaving and not waits:
+        return requests.NO_ANNOUNCEMENT
+    malformed = []
+    if not leaving <= {'0'} and not leaving <= {'1'}:
+        malformed.append(LEAVING)
+    seconds = decode_seconds(waits)
+    if waits and seconds is None:
+        malformed.append(RETRY_AFTER)
+    return requests.Announcement(leaving == {'1'}, seconds, tuple(malformed))
+
+
+def collect_values(
+    name: str, received: relay_wire.ReceivedHead
+) -> frozenset[str]:
+    """Return the different values of a header."""
+    return frozenset(
+        text.strip() for header, text in received.headers if header == name
+    )
+
+
+def decode_seconds(texts: frozenset[str]) -> float | None:
+    """Decode a time in seconds, or return `None` if it cannot be used."""
+    if len(texts) != 1:
+        return None
+    text = min(texts)
+    return float(text) if SECONDS_PATTERN.fullmatch(text) else None
+
+
 def is_event_stream_type(content_type: str) -> bool:
     """Return whether a content type, if there is one, is that of events."""
     media_type = content_type.partition(';')[0].strip().lower()
--- a/src/mustardvale/platform/runner_codec.py
+++ b/src/mustardvale/platform/runner_codec.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from mustardvale.internal import addresses
-from mustardvale.internal.edge import wire
+from mustardvale.internal.edge import relay_wire, wire
 from mustardvale.internal.relay import calls, runners
 from mustardvale.platform import configuration_codec, front_codec
 
@@ -155,6 +155,9 @@
                 )
                 for row in decoded.get('stalled') or ()
             ),
+            announcement=front_codec.decode_announcement(
+                relay_wire.ReceivedHead(raw.status, tuple(raw.headers.items()))
+            ),
         )
     except DECODING_ERRORS as error:
         raise wire.DecodeError(
--- a/src/mustardvale/relay_settings.py
+++ b/src/mustardvale/relay_settings.py
@@ -52,6 +52,7 @@
     Field('retry-window-seconds', setting_rules.Seconds(1, 600), '10'),
     Field('retry-slack', setting_rules.Number(0, 1_000_000), '0'),
     Field('longest-validity-seconds', setting_rules.Seconds(0.1, 600), '5'),
+    Field('longest-upstream-wait-seconds', setting_rules.Seconds(1, 600), '60'),
 )
 
 
@@ -142,5 +143,8 @@
             maximum_directory_validity_seconds=checked[
                 'longest-validity-seconds'
             ],
+            maximum_upstream_wait_seconds=checked[
+                'longest-upstream-wait-seconds'
+            ],
         ),
     )
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -14,11 +14,11 @@
     'configuration calls crash_reports loads retry_budgets exchanges'
     ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
-    'members peer_feed idle_connections check_schedule stopping',
+    'members peer_feed idle_connections check_schedule stopping announcements',
     'configuration_feed',
     'runner_list orders',
-    'completion crash_tracking dispatch hedges admission answers reachability'
-    ' moves monitoring lifecycle failed_events',
+    'completion crash_tracking dispatch hedges admission'
+    ' answers reachability moves monitoring lifecycle failed_events',
     'peer_updates',
     'state handlers',
 )
