Bound the bodies that all open answers keep together

Cause: one of three runners answers with bodies without an end. Each answer was bounded (8 MB), all of them together were not, and each part of a body copied all earlier parts.

Change: the parts are joined at the end of the answer. Beyond 32 MB for all open answers, incomplete events included, the send with the largest buffer fails.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -35,6 +35,10 @@
 # not forwarded unless the upstream states this with a header.
 UNEXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
+# Bytes that all open answers of an instance may keep. Only answers with a large
+# buffer cause a check, because it costs time for each open request.
+MAXIMUM_BUFFERED_BYTES = 32 * 1024 * 1024
+LARGE_BUFFER_BYTES = 256 * 1024
 # Bytes of an incomplete event after which its stream fails.
 MAXIMUM_EVENT_BYTES = 1024 * 1024
 # A runner that does not hold the layers of its entry has restarted. Its next
@@ -211,8 +215,8 @@
     exchange = open_attempt.exchange
     if exchange.is_stream and is_success(head, exchange):
         return forward_events(open_attempt, head, event, state)
-    body = open_attempt.attempt.body + event.part
-    if len(body) > MAXIMUM_ANSWER_BYTES:
+    body = open_attempt.attempt.body.append(event.part)
+    if body.size > MAXIMUM_ANSWER_BYTES:
         return retry_failed(
             open_attempt,
             f'the answer is longer than {MAXIMUM_ANSWER_BYTES} bytes',
@@ -222,7 +226,30 @@
     buffered = dataclasses.replace(
         open_attempt.attempt, body=body, last_received_at=event.at
     )
-    return transitions.Transition(store_attempt(open_attempt, buffered, state))
+    return limit_buffered_bytes(
+        buffered, event.at, store_attempt(open_attempt, buffered, state)
+    )
+
+
+def limit_buffered_bytes(
+    changed: exchanges.Attempt, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Fail the send with the largest buffer if all buffers are too large.
+
+    Faulty upstreams may answer many requests at once with bytes without an end.
+    """
+    if changed.buffered_bytes < LARGE_BUFFER_BYTES:
+        return transitions.Transition(state)
+    open_attempts = [
+        OpenAttempt(exchange, attempt)
+        for exchange in state.exchanges.values()
+        for attempt in exchange.attempts
+    ]
+    sizes = [found.attempt.buffered_bytes for found in open_attempts]
+    if sum(sizes) <= MAXIMUM_BUFFERED_BYTES:
+        return transitions.Transition(state)
+    largest = open_attempts[sizes.index(max(sizes))]
+    return retry_failed(largest, 'too many bytes are buffered', now, state)
 
 
 def forward_events(
@@ -301,7 +328,9 @@
             state,
         )
     kept = dataclasses.replace(open_attempt.attempt, partial_event=partial)
-    return transitions.Transition(store_attempt(open_attempt, kept, state))
+    return limit_buffered_bytes(
+        kept, now, store_attempt(open_attempt, kept, state)
+    )
 
 
 def record_events(
@@ -503,7 +532,7 @@
         effects.Reply(
             remaining.request_id,
             requests.RelayedAnswer(
-                head.status, head.headers, open_attempt.attempt.body
+                head.status, head.headers, open_attempt.attempt.body.join()
             ),
         )
     )
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -5,7 +5,11 @@
 
 import immutables
 
-from mustardvale.internal.relay import configuration, requests
+from mustardvale.internal.relay import (
+    answer_bodies,
+    configuration,
+    requests,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +32,7 @@
     estimated_tokens: float = 0.0
     is_sent: bool = False
     head: requests.AnswerHead | None = None
-    body: bytes = b''
+    body: answer_bodies.AnswerBody = answer_bodies.EMPTY_BODY
     last_received_at: float = 0.0
     first_event_at: float | None = None
     partial_event: bytes = b''
@@ -36,6 +40,11 @@
     move_count: int = 0
     process_started_at_ms: int = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes that are kept until the answer goes on."""
+        return self.body.size + len(self.partial_event)
+
     @property
     def loaded_chain(self) -> requests.Chain:
         """Return the chain whose runners carry the load of the request."""
