Answer a request that was read behind one whose answer closes

Cause: two requests 20 ms apart on one connection, SIGTERM 50 ms later. The answer to the first one closed the connection, and the second one, which had been read, ended without an answer. The same happened to connections that are shed to other instances.

Change: an answer keeps the connection open while input behind its request was read; the last answer closes it.

--- a/bench/relay_load_main.py
+++ b/bench/relay_load_main.py
@@ -68,6 +68,9 @@
             float(retry_after) if retry_after else None,
         )
 
+    def decode_announcement(self, received: relay_wire.ReceivedHead) -> None:
+        """Return nothing: a caller hears nothing of upstreams."""
+
     def is_answer_to(
         self,
         send: relay_attempts.Attempt,
--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -231,14 +231,15 @@
         connection: UpstreamConnection,
         event: h11.InformationalResponse,
     ) -> bool:
-        """Report what an interim answer announces."""
+        """Report what an interim answer announces, if anything."""
         effect = connection.effect
-        if effect is None:
+        announcement = self.codec.decode_announcement(read_head(event))
+        if effect is None or announcement is None:
             return True
         self.emit_event(
             relay_events.InterimAnswerArrived,
             send_id=effect.send_id,
-            announcement=self.codec.decode_announcement(read_head(event)),
+            announcement=announcement,
         )
         return connection.effect is effect
 
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -420,7 +420,12 @@
         self.finish_answer(connection, closes_connection=True)
 
     def is_answer_last(self, connection: CallerConnection) -> bool:
-        """Return whether an answer that begins now closes the connection."""
+        """Return whether an answer that begins now closes the connection.
+
+        A request that was read behind it would get no answer.
+        """
+        if connection.protocol.trailing_data[0]:
+            return False
         return self.is_closing or time.monotonic() > connection.kept_until
 
     def rebalance(self, share: float, delay_seconds: float) -> None:
--- a/src/mustardvale/internal/edge/relay_wire.py
+++ b/src/mustardvale/internal/edge/relay_wire.py
@@ -92,7 +92,7 @@
         """Decode the head of an answer."""
 
     def decode_announcement(self, received: ReceivedHead) -> typing.Any:
-        """Decode what an upstream says of itself in any head."""
+        """Decode what an upstream says of itself in a head, if anything."""
 
     def is_answer_to(
         self, send: typing.Any, received: ReceivedHead, is_reused: bool
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -226,3 +226,55 @@
         self.change_limits(header_timeout_seconds=0.2)
         self.pass_time(0.9)
         self.assertIs(relay_server.Phase.RECEIVING, connection.phase)
+
+
+class PipelinedRequests(ServerCase):
+    """A request that was read behind another one is answered too."""
+
+    def read_both(
+        self, sock: socket.socket, connection: relay_server.CallerConnection
+    ) -> None:
+        """Let two pipelined requests arrive."""
+        for attempt_id in ('a1', 'a2'):
+            self.deliver(
+                connection, relay_site.encode_request('/read/x', attempt_id)
+            )
+
+    def answer_both(self, sock: socket.socket) -> list[bool]:
+        """Answer both requests; return which answer closes the connection."""
+        closes = []
+        for number in range(2):
+            self.server.reply(self.list_request_ids()[number], ANSWER)
+            answer = relay_site.read_answer(sock)
+            answer.read()
+            closes.append(answer.getheader('connection') == 'close')
+        return closes
+
+    def test_stop_behind_the_first_request(self) -> None:
+        """Guard against a request that a stop discards after reading it."""
+        sock, connection = self.accept()
+        self.read_both(sock, connection)
+        self.server.close_idle()
+        self.assertEqual([False, True], self.answer_both(sock))
+
+    def test_rebalancing_behind_the_first_request(self) -> None:
+        """Guard against a request that a closed connection discards."""
+        sock, connection = self.accept()
+        self.read_both(sock, connection)
+        self.server.rebalance(1.0, 0.0)
+        self.clock.now += 1
+        self.assertEqual([False, True], self.answer_both(sock))
+
+    def test_stream_before_the_second_request(self) -> None:
+        """Guard against a stream that ends the connection behind it."""
+        sock, connection = self.accept()
+        self.read_both(sock, connection)
+        self.server.close_idle()
+        first = self.list_request_ids()[0]
+        self.server.start_stream(first, requests.AnswerHead(200, ()))
+        self.server.stream_part(first, b'id: 1\n\n')
+        self.server.end_stream(first)
+        answer = relay_site.read_answer(sock)
+        self.assertEqual(b'id: 1\n\n', answer.read())
+        self.server.reply(self.list_request_ids()[1], ANSWER)
+        self.assertEqual(200, relay_site.read_answer(sock).status)
