Divide the retry budget by a high estimate until lists have settled

Cause: instances that start together list only the first member or two of their groups, because the store lists a member after partitions have been handed over to it. Six instances that were started at once as processes took the list as complete for 3.5 s: their shares of the retry budget added up to 3 in place of 1. This may be the overrun that the users report; it is suspected, not shown.

Change: for 4.8 s after its first join an instance divides the budget by at least the generation of its zone's group times five zones. The generation counts every join and is no less than the number of members.

--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -10,7 +10,7 @@
     configuration_feed,
     dispatch,
     exchanges,
-    members,
+    limit_shares,
     peer_feed,
     prompt_blocks,
     reducer,
@@ -69,7 +69,7 @@
         service,
         event.at,
         state.limits,
-        members.count_instances(state),
+        limit_shares.count_shares(event.at, state),
     )
     state = dataclasses.replace(
         state,
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -13,7 +13,7 @@
     calls,
     configuration,
     exchanges,
-    members,
+    limit_shares,
     peer_feed,
     reducer,
     retry_budgets,
@@ -201,7 +201,7 @@
             state.retry_buckets,
             services,
             now,
-            compute_initial_retries(state),
+            compute_initial_retries(now, state),
         ),
     )
     adopted: reducer.Transition = transitions.Transition(
@@ -214,7 +214,7 @@
     return adopted.then(lambda current: poll_next(current, now))
 
 
-def compute_initial_retries(state: 'states.State') -> float:
+def compute_initial_retries(now: float, state: 'states.State') -> float:
     """Return the retries for a service that a version adds.
 
     A new process starts without any, because the process before it may have
@@ -223,7 +223,7 @@
     if state.configuration.active is None:
         return 0.0
     return retry_budgets.BURST_SHARE * retry_budgets.compute_quota(
-        state.limits, members.count_instances(state)
+        state.limits, limit_shares.count_shares(now, state)
     )
 
 
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -13,6 +13,7 @@
     configuration,
     engines,
     exchanges,
+    limit_shares,
     loads,
     members,
     prompt_blocks,
@@ -523,7 +524,7 @@
         exchange.service,
         now,
         state.limits,
-        members.count_instances(state),
+        limit_shares.count_shares(now, state),
     )
 
 
@@ -541,7 +542,7 @@
         failed.service,
         now,
         state.limits,
-        members.count_instances(state),
+        limit_shares.count_shares(now, state),
     )
 
 
@@ -643,7 +644,7 @@
         exchange.service,
         now,
         state.limits,
-        members.count_instances(state),
+        limit_shares.count_shares(now, state),
     )
     if balance < 1:
         return False
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -80,7 +80,8 @@
     """Hold the group of this instance's zone and that of all readers.
 
     `leader_until` is when leadership ends unless it is renewed; it counts from
-    the time at which the renewal was sent. `checksum` is that of both lists.
+    the time at which the renewal was sent. `checksum` is that of both lists, and
+    `first_joined_at` is when this process first asked to join.
     """
 
     zone: GroupState = GroupState()
@@ -88,6 +89,7 @@
     leader_until: float = 0.0
     checksum: int = 0
     is_failing: bool = False
+    first_joined_at: float | None = None
 
 
 def encode_member(identity: instance_settings.Identity) -> str:
@@ -244,6 +246,11 @@
 
     An instance that is no longer a reader leaves the readers.
     """
+    if state.members.first_joined_at is None:
+        state = dataclasses.replace(
+            state,
+            members=dataclasses.replace(state.members, first_joined_at=now),
+        )
     renewed = send_join(state.identity.availability_zone, now, state)
     if is_reader(state):
         renewed = renewed.then(
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -14,7 +14,8 @@
     'configuration calls crash_reports loads retry_budgets exchanges'
     ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
-    'members peer_feed idle_connections check_schedule stopping announcements',
+    'members peer_feed idle_connections check_schedule stopping announcements'
+    ' limit_shares',
     'configuration_feed',
     'runner_list orders',
     'completion crash_tracking dispatch hedges admission'
