Read the configuration from a later page of the records

Cause: the newest records of the operator come in pages of at most 500 or 1 MB. Only the first page was read. Where it does not hold the configuration, because many other records sort before it, an instance never became ready. Found while looking for what a change between pages does to each listing.

Change: the next page is read until the configuration is found or no page is left, and the log is followed from the position of the first page.

Result: two new tests failed before (the call has no key of a page) and pass.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -15,7 +15,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadConfiguration:
-    """Read the newest configuration."""
+    """Read the newest configuration, from the page that follows a key.
+
+    `position` is that of the first page, once it is known.
+    """
+
+    after: str = ''
+    position: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,10 +34,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """Hold the newest configuration, if any, and the next position to read."""
+    """Hold the newest configuration, if any, and the next position to read.
+
+    `next_page` is the key of the next page, where this one has no configuration
+    and is not the last.
+    """
 
     position: int
     configuration: configuration.Configuration | None
+    next_page: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -158,6 +158,8 @@
 ) -> reducer.Transition:
     """Apply a read, or start again from the newest version."""
     if isinstance(event.answer, calls.ConfigurationRead):
+        if event.answer.next_page:
+            return read_next_page(call, event.answer, state)
         return apply_read(event.answer, event.at, state)
     if isinstance(event.answer, calls.HistoryCompacted):
         known = dataclasses.replace(state.configuration, position=None)
@@ -167,6 +169,30 @@
     return record_failure(f'status {event.answer.status}', event.at, state)
 
 
+def read_next_page(
+    call: calls.ReadConfiguration,
+    read: calls.ConfigurationRead,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Read the page behind one that does not have the configuration.
+
+    The log is followed from the first page on, so that no version is missed
+    that is written while the pages are read.
+    """
+    position = read.position if call.position is None else call.position
+    next_call = calls.ReadConfiguration(read.next_page, position)
+    return transitions.Transition(
+        state,
+        (
+            effects.Call(
+                next_call,
+                state.identity.addresses.store,
+                ANSWER_TIMEOUT_SECONDS,
+            ),
+        ),
+    )
+
+
 def apply_read(
     read: calls.ConfigurationRead, now: float, state: 'states.State'
 ) -> reducer.Transition:
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -72,8 +72,14 @@
 
 @encode_call.register(calls.ReadConfiguration)
 def encode_configuration_read(call: calls.ReadConfiguration) -> wire.RawCall:
-    """Encode a read of the newest record of each of the operator's keys."""
-    return wire.RawCall('GET', f'/api/log-newest?topic={OPERATOR_TOPIC}&part=0')
+    """Encode a read of a page of the newest record of each operator's key."""
+    return encode_newest_read(OPERATOR_TOPIC, call.after)
+
+
+def encode_newest_read(topic: str, after: str) -> wire.RawCall:
+    """Encode a read of the newest records whose keys follow a key."""
+    query = '&' + parse.urlencode({'after': after}) if after else ''
+    return wire.RawCall('GET', f'/api/log-newest?topic={topic}&part=0{query}')
 
 
 @encode_call.register(calls.FollowConfiguration)
@@ -92,10 +98,7 @@
 @encode_call.register(calls.ReadRunners)
 def encode_runner_read(call: calls.ReadRunners) -> wire.RawCall:
     """Encode a read of one page of the runners' entries."""
-    after = '&' + parse.urlencode({'after': call.after}) if call.after else ''
-    return wire.RawCall(
-        'GET', f'/api/log-newest?topic={RUNNER_TOPIC}&part=0{after}'
-    )
+    return encode_newest_read(RUNNER_TOPIC, call.after)
 
 
 @encode_call.register(calls.FollowRunners)
@@ -183,15 +186,16 @@
 def decode_configuration_read(
     call: calls.ReadConfiguration, raw: wire.RawAnswer
 ) -> calls.ConfigurationRead:
-    """Decode the newest configuration, if the operator has written one."""
+    """Decode the newest configuration, if the page has one."""
     decoded = msgspec.json.decode(raw.body)
-    newest_configuration = None
-    for item in decoded['items']:
+    records = decoded['items']
+    position = decoded['end'] if call.position is None else call.position
+    for item in records:
         if item['key'] == CONFIGURATION_KEY and item.get('value'):
-            newest_configuration = configuration_codec.decode(
-                base64.b64decode(item['value'])
-            )
-    return calls.ConfigurationRead(decoded['end'], newest_configuration)
+            newest = configuration_codec.decode(base64.b64decode(item['value']))
+            return calls.ConfigurationRead(position, newest)
+    next_page = records[-1]['key'] if decoded.get('has-more') else ''
+    return calls.ConfigurationRead(position, None, next_page)
 
 
 @decode_success.register(calls.FollowConfiguration)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -238,6 +238,28 @@
         self.assertEqual(6, read.position)
         self.assertEqual(7, read.configuration.version)
 
+    def test_page_without_the_configuration_names_the_next(self) -> None:
+        """Guard against an instance that never finds its configuration."""
+        body = encode_json(
+            {
+                'items': [{'key': 'band', 'value': '', 'offset': 1}],
+                'has-more': True,
+                'end': 6,
+            }
+        )
+        read = call_codec.decode_answer(
+            calls.ReadConfiguration(), build_answer(body)
+        )
+        self.assertEqual(calls.ConfigurationRead(6, None, 'band'), read)
+        later = call_codec.decode_answer(
+            calls.ReadConfiguration('band', 4), build_answer(body)
+        )
+        self.assertEqual(4, later.position)
+        target = call_codec.encode_call(
+            calls.ReadConfiguration('a&b', 4)
+        ).target
+        self.assertTrue(target.endswith('&after=a%26b'))
+
     def test_compacted_log(self) -> None:
         """Guard against taking dropped records for an outage."""
         read = call_codec.decode_answer(
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -127,6 +127,28 @@
         )
         self.assertTrue(instance.list_calls(calls.ReadConfiguration))
 
+    def test_configuration_on_a_later_page_is_read(self) -> None:
+        """Guard against an instance that never finds its configuration."""
+        instance = relay_states.Instance()
+        instance.calls.clear()
+        instance.emit_event(
+            events.CallAnswered,
+            call=calls.ReadConfiguration(),
+            address='',
+            answer=calls.ConfigurationRead(5, None, 'band'),
+        )
+        (read,) = instance.list_calls(calls.ReadConfiguration)
+        self.assertEqual(calls.ReadConfiguration('band', 5), read.call)
+        newer = dataclasses.replace(relay_states.CONFIGURATION, version=8)
+        instance.emit_event(
+            events.CallAnswered,
+            call=read.call,
+            address='',
+            answer=calls.ConfigurationRead(5, newer),
+        )
+        self.assertEqual(8, instance.state.configuration.active.version)
+        self.assertEqual(5, instance.state.configuration.position)
+
 
 class Members(unittest.TestCase):
     """The directory names the instances that accept requests."""
