Leave out listed items without a key

Cause: one record with an empty key in the runners' topic failed every first read of the list, because its key was decoded outside of what is caught for one item. After a restart no instance became ready.

Change: items without a usable key are left out, of the runners' list and of the operator's records. A page that has no usable key and is not the last fails as a whole.

The two new tests of test_odd_entries cover seven forms of such items.

--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -188,10 +188,10 @@
 ) -> calls.ConfigurationRead:
     """Decode the newest configuration, if the page has one."""
     decoded = msgspec.json.decode(raw.body)
-    records = decoded['items']
+    records = [item for item in decoded['items'] if isinstance(item, dict)]
     position = decoded['end'] if call.position is None else call.position
     for item in records:
-        if item['key'] == CONFIGURATION_KEY and item.get('value'):
+        if item.get('key') == CONFIGURATION_KEY and item.get('value'):
             newest = configuration_codec.decode(base64.b64decode(item['value']))
             return calls.ConfigurationRead(position, newest)
     next_page = records[-1]['key'] if decoded.get('has-more') else ''
@@ -220,16 +220,29 @@
 def decode_runner_read(
     call: calls.ReadRunners, raw: wire.RawAnswer
 ) -> calls.RunnersRead:
-    """Decode a page of the runners' entries."""
+    """Decode a page of the runners' entries, without items that have no key.
+
+    Raises one of `DECODING_ERRORS` for a page behind which no other can be
+    asked for.
+    """
     decoded = msgspec.json.decode(raw.body)
-    changes = tuple(map(decode_listed_item, decoded['items']))
+    changes = tuple(
+        change
+        for change in map(decode_listed_item, decoded['items'])
+        if change is not None
+    )
     next_page = changes[-1].runner_id if decoded.get('has-more') else ''
     return calls.RunnersRead(decoded['end'], changes, next_page)
 
 
-def decode_listed_item(item: dict[str, typing.Any]) -> calls.RunnerChange:
-    """Decode an item of a page; an unreadable one names no runner to use."""
-    key = runner_codec.check_string(item['key'])
+def decode_listed_item(item: typing.Any) -> calls.RunnerChange | None:
+    """Decode an item of a page, or return `None` if it has no key.
+
+    An item without a readable value names no runner to use.
+    """
+    key = item.get('key') if isinstance(item, dict) else None
+    if not isinstance(key, str) or not key:
+        return None
     try:
         encoded = base64.b64decode(item['value'], validate=True)
     except runner_codec.DECODING_ERRORS:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -198,6 +198,38 @@
                 )
                 self.assertEqual({'i-1': False, 'i-2': True}, list_usable(read))
 
+    def test_items_without_a_key(self) -> None:
+        """Guard against one item for which no instance becomes ready."""
+        for odd in (
+            {'key': ''},
+            {'key': None},
+            {'key': 7},
+            {},
+            None,
+            [],
+            'i-1',
+        ):
+            with self.subTest(odd):
+                table = json.loads(
+                    encode_page(('i-1', VALID_ENTRY), ('i-2', VALID_ENTRY))
+                )
+                table['items'] = [odd, *table['items'], odd]
+                table['has-more'] = True
+                read = call_codec.decode_answer(
+                    calls.ReadRunners(),
+                    build_answer(json.dumps(table).encode()),
+                )
+                self.assertEqual({'i-1': True, 'i-2': True}, list_usable(read))
+                self.assertEqual('i-2', read.next_page)
+
+    def test_page_of_items_without_a_key(self) -> None:
+        """Guard against a part of the list that is taken for all of it."""
+        body = json.dumps({'items': [{'key': ''}], 'has-more': True, 'end': 3})
+        with self.assertRaises(wire.DecodeError):
+            call_codec.decode_answer(
+                calls.ReadRunners(), build_answer(body.encode())
+            )
+
     def test_key_at_the_end_of_a_page(self) -> None:
         """Guard against a next page that cannot be asked for."""
         for key in ('a b', 'a&part=1', 'a\r\nX: y', '\u0663', '\x00', 'a%20b'):
