Order the entries of a runner by its count of heartbeats

Cause: the store executed a heartbeat late, after the entry of its runner was removed, and all instances sent to the runner again: 58 requests after the bound, 5 lost. An entry replaced whatever was known of its process.

Change: an entry with a lower count than the last change is dropped. After a removal, or if it is of an earlier process, an entry counts once a later heartbeat of that process has been read.

--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -178,7 +178,7 @@
         if change.entry is None:
             dropped = dropped | {change.runner_id}
         else:
-            runner_map = runners.record_listing(
+            runner_map = runners.record_heartbeat(
                 runner_map, change.entry, position
             )
             dropped = dropped - {change.runner_id}
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -31,7 +31,8 @@
 class ListedRunner:
     """Hold an entry of the platform's list of upstreams.
 
-    `started_at_ms` distinguishes processes that were started under one id. The
+    `started_at_ms` distinguishes processes that were started under one id, and
+    `sequence` rises with each heartbeat of a process, 0 if it is unknown. The
     runner of a plain service has neither an accelerator nor layers.
     """
 
@@ -44,6 +45,15 @@
     slots: int = 0
     accelerator: str = ''
     layers: LayerRange | None = None
+    sequence: int = dataclasses.field(default=0, compare=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Identify one heartbeat of one process."""
+
+    started_at_ms: int
+    sequence: int
 
 
 class ObstacleKind(enum.Enum):
@@ -70,6 +80,7 @@
 
     `changed_position` is the position of the list at which the entry last
     changed or was dropped, and `delisted_at` the time at which it was dropped.
+    `doubtful` is a heartbeat that may be that of a process that has left.
     `is_leaving` is true once the process has said in an answer that it leaves,
     and until `waits_until` it has asked to get no requests.
     Until `deprioritized_until` other upstreams are preferred, and until
@@ -85,6 +96,7 @@
     listed: ListedRunner
     changed_position: int = 0
     delisted_at: float | None = None
+    doubtful: Heartbeat | None = None
     is_leaving: bool = False
     waits_until: float = 0.0
     deprioritized_until: float = 0.0
@@ -139,6 +151,47 @@
 SLOWDOWN_VALID_SECONDS = 5.0
 
 
+def record_heartbeat(
+    runner_map: RunnerMap, entry: ListedRunner, position: int
+) -> RunnerMap:
+    """Store an entry, unless it may be older than what is known.
+
+    The store may execute a heartbeat late, after a newer one or after the entry
+    was dropped. A process that still runs shows this with its next heartbeat.
+    """
+    known = runner_map.get(entry.runner_id)
+    if known is None or not entry.sequence:
+        return record_listing(runner_map, entry, position)
+    if is_superseded(known.listed, entry):
+        return runner_map
+    if not is_doubtful(known, entry):
+        return record_listing(runner_map, entry, position)
+    seen = known.doubtful
+    if seen is None or seen.started_at_ms != entry.started_at_ms:
+        doubted = Heartbeat(entry.started_at_ms, entry.sequence)
+        return runner_map.set(
+            entry.runner_id, dataclasses.replace(known, doubtful=doubted)
+        )
+    if entry.sequence <= seen.sequence:
+        return runner_map
+    return record_listing(runner_map, entry, position)
+
+
+def is_superseded(listed: ListedRunner, entry: ListedRunner) -> bool:
+    """Return whether the same process has sent a later heartbeat."""
+    is_same = not is_different_process(listed, entry)
+    return is_same and entry.sequence < listed.sequence
+
+
+def is_doubtful(known: Runner, entry: ListedRunner) -> bool:
+    """Return whether an entry may be that of a process that has left."""
+    started_at_ms = known.listed.started_at_ms
+    if entry.started_at_ms != started_at_ms:
+        return entry.started_at_ms < started_at_ms
+    is_same = not is_different_process(known.listed, entry)
+    return is_same and known.delisted_at is not None
+
+
 def record_listing(
     runner_map: RunnerMap, entry: ListedRunner, position: int
 ) -> RunnerMap:
@@ -155,6 +208,7 @@
             listed=entry,
             changed_position=position,
             delisted_at=None,
+            doubtful=None,
             excluded_until=0.0,
             unconnected_until=0.0,
         ),
--- a/src/mustardvale/platform/runner_codec.py
+++ b/src/mustardvale/platform/runner_codec.py
@@ -41,7 +41,8 @@
 ) -> runners.ListedRunner:
     """Decode the fields of an entry, or raise one of `DECODING_ERRORS`.
 
-    `born` is the start time of the runner, in milliseconds since the epoch.
+    `born` is the start time of the runner, in milliseconds since the epoch, and
+    `seq` counts its heartbeats.
     """
     kind = decoded.get('kind', '')
     return runners.ListedRunner(
@@ -54,6 +55,7 @@
         slots=check_integer(decoded.get('slots', 0)),
         accelerator=check_string(kind) if kind else '',
         layers=decode_layers(decoded.get('layers')),
+        sequence=check_integer(decoded.get('seq', 0)),
     )
 
 
@@ -73,6 +75,7 @@
         'slots': entry.slots,
         'kind': entry.accelerator,
         'layers': layers and {'source': layers.first, 'target': layers.end},
+        'seq': entry.sequence,
     }
     try:
         return decode_entry_fields(check_runner_id(runner_id), fields)
