Split the handling of answers by what happens to them

Cause: answers.py had grown to 748 lines, with the table of open attempts, the judgement of upstreams, retries and streams beside the handlers.

Change: open_attempts, upstream_health, failed_sends and stream_answers are modules of their own; the handlers of events stay in answers (360 lines). No logic changes but the name of one local variable.

Measured: tests of answers, moves, hedges, faulty upstreams and layers pass.

--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -12,7 +12,7 @@
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     announcements,
-    answers,
+    open_attempts,
     calls,
     chains,
     completion,
@@ -171,7 +171,7 @@
 ) -> reducer.Transition:
     """Move every request whose chain has a faulty runner."""
     affected = [
-        answers.OpenAttempt(exchange, attempt)
+        open_attempts.OpenAttempt(exchange, attempt)
         for exchange in state.exchanges.values()
         for attempt in exchange.attempts
         if is_affected(attempt, faulty)
@@ -226,7 +226,7 @@
         last_received_at=now,
     )
     next_state = store_moved(
-        answers.OpenAttempt(exchange, attempt), moving, state
+        open_attempts.OpenAttempt(exchange, attempt), moving, state
     )
     call = calls.MoveRequest(
         attempt.runner_id,
@@ -346,7 +346,7 @@
 
     After a conflict the attempt stays open and the next probe may move it.
     """
-    open_attempt = answers.find_open_attempt(call.send_id, state)
+    open_attempt = open_attempts.find_open_attempt(call.send_id, state)
     if open_attempt is None:
         return transitions.Transition(state)
     answer = event.answer
@@ -389,7 +389,7 @@
 ) -> reducer.Transition:
     """Keep the attempt open: the order may have been carried out."""
     count_effect = effects.Count('moves', ('unanswered',))
-    open_attempt = answers.find_open_attempt(call.send_id, state)
+    open_attempt = open_attempts.find_open_attempt(call.send_id, state)
     if open_attempt is None:
         return transitions.Transition(state, (count_effect,))
     unmoved = dataclasses.replace(open_attempt.attempt, pending_chain=())
@@ -399,7 +399,7 @@
 
 
 def adopt_chain(
-    open_attempt: answers.OpenAttempt,
+    open_attempt: open_attempts.OpenAttempt,
     chain: requests.Chain,
     now: float,
     state: 'states.State',
@@ -426,7 +426,7 @@
 
 
 def store_moved(
-    open_attempt: answers.OpenAttempt,
+    open_attempt: open_attempts.OpenAttempt,
     moved: exchanges.Attempt,
     state: 'states.State',
 ) -> 'states.State':
@@ -441,5 +441,5 @@
         moved.estimated_tokens,
         1,
     )
-    stored = answers.store_attempt(open_attempt, moved, state)
+    stored = open_attempts.store_attempt(open_attempt, moved, state)
     return dataclasses.replace(stored, loads=load_map)
--- /dev/null
+++ b/src/mustardvale/internal/relay/stream_answers.py
@@ -0,0 +1,186 @@
+"""Forward streams, one complete event at a time."""
+
+import dataclasses
+import typing
+
+from mustardvale.internal import effects, transitions
+from mustardvale.internal.relay import (
+    completion,
+    crash_tracking,
+    event_stream,
+    exchanges,
+    failed_sends,
+    hedges,
+    open_attempts,
+    reducer,
+    requests,
+)
+from mustardvale.internal.relay import effects as relay_effects
+from mustardvale.internal.relay import events as relay_events
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal.relay import state as states
+
+# Bytes of an incomplete event after which its stream fails.
+MAXIMUM_EVENT_BYTES = 1024 * 1024
+
+
+def forward_events(
+    open_attempt: open_attempts.OpenAttempt,
+    head: requests.AnswerHead,
+    event: relay_events.PartArrived,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Forward the events that a part completes.
+
+    Comments before the first event are kept back until it arrives, because the
+    request can go to another runner only until its answer has begun. So are
+    those of a send that has another one beside it.
+    """
+    exchange, attempt = open_attempt.exchange, open_attempt.attempt
+    split = event_stream.split_events(
+        attempt.partial_event, event.part, exchange.last_event_id
+    )
+    is_undecided = not exchange.has_stream_started or len(exchange.attempts) > 1
+    if not split.has_progress and is_undecided:
+        return keep_partial(
+            open_attempt, split.complete + split.remainder, event.at, state
+        )
+    if not split.complete:
+        return keep_partial(open_attempt, split.remainder, event.at, state)
+    if len(exchange.attempts) == 1:
+        return deliver_events(open_attempt, head, split, event.at, state)
+    return hedges.abort_others(exchange, attempt, event.at, state).then(
+        lambda current: deliver_events(
+            open_attempts.OpenAttempt(
+                current.exchanges[exchange.request_id], attempt
+            ),
+            head,
+            split,
+            event.at,
+            current,
+        )
+    )
+
+
+def deliver_events(
+    open_attempt: open_attempts.OpenAttempt,
+    head: requests.AnswerHead,
+    split: event_stream.SplitEvents,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Send complete events of the only open attempt to the caller."""
+    exchange = open_attempt.exchange
+    next_state = record_events(open_attempt, split, now, state)
+    stream_effects: tuple[effects.Effect, ...] = ()
+    if not exchange.has_stream_started:
+        stream_effects = build_stream_start(exchange, head, now)
+    elif exchange.last_event_at is not None:
+        stream_effects = (
+            effects.Observe(
+                'between_events_seconds', now - exchange.last_event_at
+            ),
+        )
+    part = effects.StreamPart(exchange.request_id, split.complete)
+    forwarded = transitions.Transition(next_state, (*stream_effects, part))
+    if exchange.has_stream_started or not split.has_progress:
+        return forwarded
+    return forwarded.then(
+        lambda current: crash_tracking.note_first_event(exchange, now, current)
+    )
+
+
+def keep_partial(
+    open_attempt: open_attempts.OpenAttempt,
+    partial: bytes,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Keep the bytes of an incomplete event, which are no progress."""
+    if len(partial) > MAXIMUM_EVENT_BYTES:
+        return failed_sends.retry_failed(
+            open_attempt,
+            f'an event is longer than {MAXIMUM_EVENT_BYTES} bytes',
+            now,
+            state,
+        )
+    kept = dataclasses.replace(open_attempt.attempt, partial_event=partial)
+    return failed_sends.limit_buffered_bytes(
+        kept, now, open_attempts.store_attempt(open_attempt, kept, state)
+    )
+
+
+def record_events(
+    open_attempt: open_attempts.OpenAttempt,
+    split: event_stream.SplitEvents,
+    now: float,
+    state: 'states.State',
+) -> 'states.State':
+    """Store the progress of a stream, in as few copies as possible.
+
+    This runs for each part of every stream. A stream that sends only comments
+    makes no progress.
+    """
+    exchange, attempt = open_attempt.exchange, open_attempt.attempt
+    if not split.has_progress:
+        kept = dataclasses.replace(attempt, partial_event=split.remainder)
+        return open_attempts.store_attempt(open_attempt, kept, state)
+    first = now if attempt.first_event_at is None else attempt.first_event_at
+    received = dataclasses.replace(
+        attempt,
+        last_received_at=now,
+        first_event_at=first,
+        partial_event=split.remainder,
+    )
+    last_event = exchange.last_event_id
+    changed = dataclasses.replace(
+        exchange,
+        attempts=(received,),
+        has_stream_started=True,
+        last_event_at=now,
+        last_event_id=last_event
+        if split.last_event_id is None
+        else split.last_event_id,
+    )
+    return open_attempts.store_exchange(changed, state)
+
+
+def build_stream_start(
+    exchange: exchanges.Exchange, head: requests.AnswerHead, now: float
+) -> tuple[effects.Effect, ...]:
+    """Return the effects that precede the first event of a stream."""
+    return (
+        effects.Observe('first_event_seconds', now - exchange.arrived_at),
+        relay_effects.StartStream(exchange.request_id, head),
+    )
+
+
+def complete_stream(
+    open_attempt: open_attempts.OpenAttempt, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Complete a stream, or retry it if it ended within an event.
+
+    A send that ends without any event has not continued the stream: its answer
+    may be one that ended early, with its connection.
+    """
+    exchange, attempt = open_attempt.exchange, open_attempt.attempt
+    is_truncated = bool(attempt.partial_event)
+    if is_truncated or attempt.first_event_at is None:
+        return failed_sends.retry_failed(
+            open_attempt,
+            'the stream ended within an event or without any',
+            now,
+            state,
+        )
+    remaining, state = completion.end_attempt(
+        exchange, open_attempt.attempt, state
+    )
+    return completion.finish_exchange(
+        remaining,
+        'stream_completed',
+        (('last_event', exchange.last_event_id),),
+        now,
+        state,
+        is_routine=exchange.send_count == 1,
+    ).with_effects(effects.StreamEnd(exchange.request_id, None))
--- a/tests/test_relay_endless_bodies.py
+++ b/tests/test_relay_endless_bodies.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from mustardvale.internal.relay import answers
+from mustardvale.internal.relay import failed_sends
 from tests import relay_states
 
 PART = b'x' * 65536
@@ -43,7 +43,7 @@
             self.deliver_round()
             self.assertLessEqual(
                 self.count_buffered_bytes(),
-                answers.MAXIMUM_BUFFERED_BYTES + len(PART),
+                failed_sends.MAXIMUM_BUFFERED_BYTES + len(PART),
             )
         statuses = {
             self.instance.replies[f'e{number}'].status
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -19,7 +19,8 @@
     'configuration_feed',
     'runner_list orders',
     'completion crash_tracking dispatch hedges admission'
-    ' answers reachability moves monitoring lifecycle failed_events',
+    ' open_attempts upstream_health failed_sends stream_answers answers'
+    ' reachability moves monitoring lifecycle failed_events',
     'peer_updates',
     'state handlers',
 )
