Estimate no waits where no upstream has asked to wait

Cause: each search without a target looked at every layer of every runner, also where nobody had asked to wait.

Change: the estimate ends at once then.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -189,12 +189,17 @@
     It is more than 0 only where all upstreams that could take the request, or
     all that hold one of its layers, have asked to wait.
     """
+    usable = [
+        runner
+        for runner in runners.list_service_runners(
+            state.runners, state.runner_index, exchange.service
+        )
+        if runner.is_usable
+    ]
+    if all(runner.waits_until <= now for runner in usable):
+        return 0.0
     waits: dict[int, float] = {}
-    for runner in runners.list_service_runners(
-        state.runners, state.runner_index, exchange.service
-    ):
-        if not runner.is_usable:
-            continue
+    for runner in usable:
         layers = runner.listed.layers or runners.LayerRange(0, 1)
         seconds = max(runner.waits_until - now, 0.0)
         for layer in range(layers.first, layers.end):
