Join the tiny parts of a body

The parts of a body were kept one by one, so that a body in parts of one byte copied all references to them with each part.

Change: a part is joined to one before it that is smaller than 16 KB.

--- a/src/mustardvale/internal/relay/answer_bodies.py
+++ b/src/mustardvale/internal/relay/answer_bodies.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 
+# A part is joined to one before it that is smaller than this, so that a body
+# in tiny parts has few of them.
+SMALL_PART_BYTES = 16 * 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerBody:
     """Hold the parts of a body that have arrived, and their size in bytes.
 
-    The parts are joined once, so that the time for a body is in proportion to
+    Large parts are joined once, so that the time for a body is in proportion to
     its size.
     """
 
@@ -16,7 +20,11 @@
 
     def append(self, part: bytes) -> 'AnswerBody':
         """Return the body with one more part."""
-        return AnswerBody((*self.parts, part), self.size + len(part))
+        size = self.size + len(part)
+        if self.parts and len(self.parts[-1]) < SMALL_PART_BYTES:
+            joined = self.parts[-1] + part
+            return AnswerBody((*self.parts[:-1], joined), size)
+        return AnswerBody((*self.parts, part), size)
 
     def join(self) -> bytes:
         """Return the whole body."""
--- a/tests/test_relay_endless_bodies.py
+++ b/tests/test_relay_endless_bodies.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from mustardvale.internal.relay import failed_sends
+from mustardvale.internal.relay import answer_bodies, failed_sends
 from tests import relay_states
 
 PART = b'x' * 65536
@@ -74,3 +74,12 @@
         exchange = self.instance.state.exchanges['e0']
         for part in exchange.attempts[0].body.parts:
             self.assertIs(PART, part)
+
+    def test_tiny_parts_are_joined(self) -> None:
+        """Guard against time that grows with the square of the parts."""
+        body = answer_bodies.EMPTY_BODY
+        for _ in range(50_000):
+            body = body.append(b'x')
+        self.assertLess(len(body.parts), 10)
+        self.assertEqual(b'x' * 50_000, body.join())
+        self.assertEqual(50_000, body.size)
