Keep events of closed sockets away from new ones

Callers saw: a connection that ended right after it was opened, with a whole request on it, neither an answer nor a refusal. An upstream could count as unreachable in the same way.

Cause: one poll reports the events of many sockets. The handler of one event may close another socket of the same poll (a send that is aborted), and the kernel gives its descriptor to the next socket. The poller looked events up by descriptor when it handled them, so that the hang-up of the closed socket closed the new one. Without a new socket the poll ended with EBADF, and all events behind it waited for the next poll.

Change: events are tied to their sockets when the poll returns, and those of sockets that are no longer watched are left out.

That it is what the report saw is suspected only.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -61,6 +61,27 @@
 
     channel_table: 'ChannelTable | None' = None
 
+    def discard(self, sock: typing.Any) -> None:
+        """Stop watching a socket, and forget its descriptor."""
+        descriptor = sock.fileno()
+        super().discard(sock)
+        if self._map.get(descriptor) is sock:
+            del self._map[descriptor]
+
+    def _generate_events(self, event: typing.Any) -> None:
+        """Wait for events, and handle those of sockets that are still open.
+
+        The handler of one event may close the socket of another one. A new
+        socket may then have its descriptor.
+        """
+        reported = [
+            (self._map.get(descriptor), descriptor, flags)
+            for descriptor, flags in self._poller.poll(event.time_left)
+        ]
+        for sock, descriptor, flags in reported:
+            if self._map.get(descriptor) is sock:
+                self._process(descriptor, flags)
+
     def _process(self, fileno: int, event: int) -> None:
         """Handle an event that the kernel reports for a descriptor."""
         sock = self._map.get(fileno)
