Count the right to order from the answered join

Cause: the time of a join was kept once for each group, so that a later join overwrote it while an earlier one was open. With a store that answers after more than 0.7 s, the right to order lasted up to 0.7 s too long, and two instances could have it. A grant that arrived after a later join was refused, or after this instance had left the group, counted as well.

Change: each join has the time at which it was sent, and the right counts from it. Grants of joins from before the last answered one, or from before a leave, count nothing. The generation and the time of a list no longer overwrite the group with an older copy of it.

Tests changed: the answers in Members.join and Readers.test_former_reader_gives_up_the_leadership name the time of their join, and test_leadership_expires no longer sets it in the state.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -205,13 +205,14 @@
     """Join a group of instances, or renew the membership, for a time.
 
     There is a group for each zone, and one for the readers of all zones, which
-    has no zone.
+    has no zone. What the answer grants counts from `requested_at`.
     """
 
     zone: str
     member: str
     lifetime_seconds: float
     generation: int
+    requested_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -64,6 +64,8 @@
 
     `listed_generation` is the generation of that list, or -1 before the first.
     `is_joined` is true from the first join until this instance leaves.
+    Joins sent before `settled_at` grant nothing: one that was sent then has
+    been answered, or this instance has left.
     """
 
     generation: int = 0
@@ -71,7 +73,7 @@
     listed: tuple[Member, ...] = ()
     generation_changed_at: float = 0.0
     list_requested_at: float = 0.0
-    join_requested_at: float = 0.0
+    settled_at: float = 0.0
     is_joined: bool = False
 
 
@@ -257,7 +259,7 @@
             lambda current: send_join(READER_GROUP, now, current)
         )
     elif state.members.readers.is_joined:
-        renewed = renewed.then(leave_readers)
+        renewed = renewed.then(lambda current: leave_readers(now, current))
     return renewed.with_effects(
         effects.SetTimer(timers.MembershipRenewalDue(), JOIN_PERIOD_SECONDS)
     )
@@ -273,16 +275,19 @@
         encode_member(state.identity),
         MEMBERSHIP_LIFETIME_SECONDS,
         group.generation,
+        requested_at=now,
     )
-    joining = dataclasses.replace(group, join_requested_at=now, is_joined=True)
+    joining = dataclasses.replace(group, is_joined=True)
     return transitions.Transition(
         replace_group(zone, joining, state), (build_call(call, state),)
     )
 
 
-def leave_readers(state: 'states.State') -> reducer.Transition:
+def leave_readers(now: float, state: 'states.State') -> reducer.Transition:
     """Give up the leadership, and leave the group of the readers."""
-    left = dataclasses.replace(state.members.readers, is_joined=False)
+    left = dataclasses.replace(
+        state.members.readers, is_joined=False, settled_at=now
+    )
     known = dataclasses.replace(state.members, readers=left, leader_until=0.0)
     call = calls.LeaveMembers(READER_GROUP, encode_member(state.identity))
     return transitions.Transition(
@@ -361,12 +366,21 @@
     )
     if not is_member_list_due(call.zone, event.at, joined.state):
         return joined
-    listing = dataclasses.replace(group, list_requested_at=event.at)
     return joined.then(
-        lambda current: transitions.Transition(
-            replace_group(call.zone, listing, current),
-            (build_call(calls.ListMembers(call.zone), current),),
-        )
+        lambda current: request_list(call.zone, event.at, current)
+    )
+
+
+def request_list(
+    zone: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Send a request for the members of a group."""
+    listing = dataclasses.replace(
+        find_group(zone, state.members), list_requested_at=now
+    )
+    return transitions.Transition(
+        replace_group(zone, listing, state),
+        (build_call(calls.ListMembers(zone), state),),
     )
 
 
@@ -379,12 +393,12 @@
     """Store whether this instance leads the readers, and log a change."""
     known = dataclasses.replace(state.members, is_failing=False)
     group = known.readers
-    if call.zone or not group.is_joined:
+    if call.zone or not group.is_joined or is_outdated(call, answer, group):
         # A late answer after leaving the readers grants nothing.
         return transitions.Transition(dataclasses.replace(state, members=known))
     leader_until = 0.0
     if answer.is_leader:
-        leader_until = group.join_requested_at + MEMBERSHIP_LIFETIME_SECONDS
+        leader_until = call.requested_at + MEMBERSHIP_LIFETIME_SECONDS
     log_effects: tuple[effects.Effect, ...] = ()
     if answer.is_leader != (known.leader_until > now):
         log_effects = (
@@ -396,12 +410,26 @@
                 ),
             ),
         )
-    led = dataclasses.replace(known, leader_until=leader_until)
+    settled = dataclasses.replace(
+        group, settled_at=max(group.settled_at, call.requested_at)
+    )
+    led = dataclasses.replace(known, readers=settled, leader_until=leader_until)
     return transitions.Transition(
         dataclasses.replace(state, members=led), log_effects
     )
 
 
+def is_outdated(
+    call: calls.JoinMembers, answer: calls.MembersJoined, group: GroupState
+) -> bool:
+    """Return whether an answer grants what a later one may have taken away.
+
+    An answer that grants nothing counts whenever it arrives, because the store
+    may have handled its join last.
+    """
+    return answer.is_leader and call.requested_at < group.settled_at
+
+
 def is_member_list_due(zone: str, now: float, state: 'states.State') -> bool:
     """Return whether to list the members of a group again.
 
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -162,7 +162,7 @@
         """Deliver the store's answer to a join of a zone or the readers."""
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.JoinMembers(zone, '', 3.0, 0),
+            call=calls.JoinMembers(zone, '', 3.0, 0, self.instance.now),
             address='',
             answer=calls.MembersJoined(generation, is_leader),
         )
@@ -236,9 +236,7 @@
             self.instance.state,
             members=dataclasses.replace(
                 self.instance.state.members,
-                readers=members.GroupState(
-                    join_requested_at=self.instance.now, is_joined=True
-                ),
+                readers=members.GroupState(is_joined=True),
             ),
         )
         self.join(4, is_leader=True, zone=members.READER_GROUP)
@@ -326,7 +324,9 @@
         self.renew()
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.JoinMembers(members.READER_GROUP, '', 3.0, 0),
+            call=calls.JoinMembers(
+                members.READER_GROUP, '', 3.0, 0, self.instance.now
+            ),
             address='',
             answer=calls.MembersJoined(1, is_leader=True),
         )
@@ -338,7 +338,9 @@
         self.assertEqual(1, len(self.instance.list_calls(calls.LeaveMembers)))
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.JoinMembers(members.READER_GROUP, '', 3.0, 0),
+            call=calls.JoinMembers(
+                members.READER_GROUP, '', 3.0, 0, self.instance.now
+            ),
             address='',
             answer=calls.MembersJoined(1, is_leader=True),
         )
@@ -376,6 +378,100 @@
         self.assertEqual(5, len(set(answer.addresses)))
 
 
+class LateJoins(unittest.TestCase):
+    """The right to order counts from the join that the store has answered."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.state = dataclasses.replace(
+            self.instance.state,
+            members=members.MemberState(
+                zone=members.GroupState(
+                    listed_generation=1,
+                    listed=(
+                        members.Member(
+                            'entry-1',
+                            '10.0.0.1:80',
+                            ZONE,
+                            'region',
+                            '10.0.0.1:84',
+                        ),
+                    ),
+                ),
+            ),
+        )
+
+    def renew(self) -> calls.JoinMembers:
+        """Fire the timer of the renewal; return the join of the readers."""
+        self.instance.emit_event(
+            events.TimerFired, timer=relay_states.timers.MembershipRenewalDue()
+        )
+        return self.instance.list_calls(calls.JoinMembers)[-1].call
+
+    def answer(self, call: calls.JoinMembers, is_leader: bool) -> None:
+        """Deliver the store's answer to a join."""
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=call,
+            address='',
+            answer=calls.MembersJoined(1, is_leader),
+        )
+
+    def is_leader(self) -> bool:
+        """Return whether the instance may send orders now."""
+        return members.is_leader(self.instance.state, self.instance.now)
+
+    def test_right_counts_from_the_answered_join(self) -> None:
+        """Guard against a right that is counted from a later, open join."""
+        first = self.renew()
+        self.instance.now += members.JOIN_PERIOD_SECONDS
+        self.renew()
+        self.instance.now += 0.2
+        self.answer(first, is_leader=True)
+        self.assertTrue(self.is_leader())
+        self.instance.now += 1.3
+        self.assertFalse(self.is_leader())
+
+    def test_older_grant_after_a_refusal(self) -> None:
+        """Guard against a right that another instance has got meanwhile."""
+        first = self.renew()
+        self.instance.now += members.JOIN_PERIOD_SECONDS
+        self.answer(self.renew(), is_leader=False)
+        self.answer(first, is_leader=True)
+        self.assertFalse(self.is_leader())
+
+    def test_grant_from_before_this_instance_left(self) -> None:
+        """Guard against a right that was given up with the membership."""
+        first = self.renew()
+        self.instance.now += members.JOIN_PERIOD_SECONDS
+        joined = self.instance.state.members
+        self.instance.state = dataclasses.replace(
+            self.instance.state,
+            members=dataclasses.replace(
+                joined, zone=members.GroupState(listed_generation=1)
+            ),
+        )
+        self.renew()
+        self.assertTrue(self.instance.list_calls(calls.LeaveMembers))
+        left = self.instance.state.members
+        self.instance.state = dataclasses.replace(
+            self.instance.state,
+            members=dataclasses.replace(left, zone=joined.zone),
+        )
+        self.instance.now += 0.1
+        self.renew()
+        self.answer(first, is_leader=True)
+        self.assertFalse(self.is_leader())
+
+    def test_older_refusal_ends_the_right(self) -> None:
+        """Guard against a right that the store's last answer has ended."""
+        first = self.renew()
+        self.instance.now += members.JOIN_PERIOD_SECONDS
+        self.answer(self.renew(), is_leader=True)
+        self.answer(first, is_leader=False)
+        self.assertFalse(self.is_leader())
+
+
 class Orders(unittest.TestCase):
     """Only the leader orders runners, only empty ones, and each once."""
 
