Let callers who still send read their refusal

Cause: input was discarded for 1.0 s after the last answer of a connection, however much still came. Then the connection was closed with unread input, and the reset destroyed the answer at a caller who reads only after it has sent everything. A refusal never shut its output down either.

Change: `lingering_close` decides from times, bytes and counts whether a connection goes on discarding, and `request_rest` follows the request to its end without keeping it. Once the rest of the request has arrived, 1.0 s remain, as before. The output is shut down behind each last answer (RFC 9112, 9.6).

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -20,16 +20,16 @@
 from mustardvale.internal.edge import (
     caller_limits,
     channels,
+    lingering_close,
     relay_wire,
+    request_rest,
     wire,
 )
 
 BACKLOG = 512
 MAXIMUM_ACCEPTS_PER_EVENT = 64
 SWEEP_PERIOD_SECONDS = 0.25
-# Input is discarded for this long after the last answer of a connection. Closing
-# a socket with unread input resets it, and the caller may lose the answer.
-LINGER_SECONDS = 1.0
+LINGER_LIMITS = lingering_close.Limits()
 # Queued output of one caller above which the upstream's answer is paused.
 MAXIMUM_QUEUED_BYTES = 64 * 1024
 # Pipelined input above which reading is paused until the answer is complete.
@@ -76,6 +76,7 @@
         self.request_id = ''
         self.is_blocked = False
         self.is_head_sent = False
+        self.discard: lingering_close.Discard | None = None
         # Answers that begin later than this close the connection.
         self.kept_until = math.inf
 
@@ -117,6 +118,8 @@
         self.is_closing = False
         self.request_numbers = itertools.count(1)
         self.connections: set[CallerConnection] = set()
+        # Connections that wait for their callers to close them, oldest first.
+        self.lingering: dict[CallerConnection, None] = {}
         self.requests: dict[str, CallerConnection] = {}
 
     @property
@@ -168,6 +171,7 @@
     def remove_connection(self, connection: CallerConnection) -> None:
         """Remove a closed connection, and report it if a request was open."""
         self.connections.discard(connection)
+        self.lingering.pop(connection, None)
         if self.requests.pop(connection.request_id, None) is not None:
             self.emit_event(events.CallerLeft, request_id=connection.request_id)
 
@@ -185,6 +189,7 @@
             self.close_connection(connection)
             return
         if connection.phase is Phase.DISCARDING:
+            self.discard_input(connection, received)
             return
         if connection.phase is Phase.IDLE:
             renew_protocol(connection, self.limits.maximum_header_bytes)
@@ -268,13 +273,44 @@
     ) -> None:
         """Answer an invalid request with an error, and discard what follows."""
         head, body = connection.codec.encode_error(status, code, message)
-        connection.phase = Phase.DISCARDING
-        connection.waiting_since = time.monotonic()
         if connection.protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             closing = dataclasses.replace(head, closes_connection=True)
             self.send_event(connection, build_response(closing, len(body)))
             if connection.method != b'HEAD':
                 self.send_event(connection, h11.Data(data=body))
+        self.discard_rest(connection)
+
+    def discard_rest(self, connection: CallerConnection) -> None:
+        """Discard what follows the last answer of a connection."""
+        connection.phase = Phase.DISCARDING
+        connection.protocol = request_rest.renew_parser(
+            connection.protocol, connection.maximum_header_bytes
+        )
+        connection.discard = request_rest.start(
+            connection.protocol,
+            connection.head,
+            len(connection.body),
+            time.monotonic(),
+        )
+        connection.head = None
+        connection.body.clear()
+        self.shut_down_output(connection)
+
+    def discard_input(
+        self, connection: CallerConnection, received: bytes
+    ) -> None:
+        """Discard input, up to a limit."""
+        assert connection.channel is not None, 'input needs a channel'
+        assert connection.discard is not None, 'the phase has a discard'
+        connection.discard = request_rest.skip(
+            connection.protocol, connection.discard, received, time.monotonic()
+        )
+        if not lingering_close.is_full(connection.discard, LINGER_LIMITS):
+            return
+        if connection.channel.output:
+            self.channel_table.pause_reading(connection.channel)
+        else:
+            self.close_connection(connection)
 
     def send_event(
         self, connection: CallerConnection, event: typing.Any
@@ -363,11 +399,7 @@
         connection.request_id = ''
         connection.is_blocked = False
         if closes_connection or connection.protocol.their_state is not h11.DONE:
-            # Closing a socket with unread input resets it, and the caller may
-            # lose the answer, so input is discarded for a while.
-            connection.phase = Phase.DISCARDING
-            connection.waiting_since = time.monotonic()
-            self.shut_down_output(connection)
+            self.discard_rest(connection)
             return
         connection.protocol.start_next_cycle()
         connection.phase = Phase.IDLE
@@ -388,6 +420,18 @@
         except OSError:
             # The connection is closed already.
             self.close_connection(connection)
+            return
+        self.begin_linger(connection)
+
+    def begin_linger(self, connection: CallerConnection) -> None:
+        """Wait for the caller's close; close the oldest of too many."""
+        assert connection.discard is not None, 'the phase has a discard'
+        connection.discard = lingering_close.restart(
+            connection.discard, time.monotonic()
+        )
+        self.lingering[connection] = None
+        if lingering_close.has_surplus(len(self.lingering), LINGER_LIMITS):
+            self.close_connection(next(iter(self.lingering)))
 
     def close_caller(self, request_id: str) -> None:
         """Abort an answer, so that it does not look complete."""
@@ -454,8 +498,7 @@
             return
         if connection.channel.output:
             # The end of an answer is still queued.
-            connection.phase = Phase.DISCARDING
-            connection.waiting_since = time.monotonic()
+            self.discard_rest(connection)
         else:
             self.close_connection(connection)
 
@@ -491,6 +534,10 @@
     def is_expired(self, connection: CallerConnection) -> bool:
         """Return whether a connection has waited too long in its phase."""
         now = time.monotonic()
+        if connection.discard is not None:
+            return not lingering_close.may_continue(
+                connection.discard, now, LINGER_LIMITS
+            )
         waited_seconds = now - connection.waiting_since
         return waited_seconds >= self.compute_timeout(connection.phase, now)
 
@@ -501,10 +548,8 @@
                 return self.limit_history.compute_idle_seconds(now)
             case Phase.RECEIVING:
                 return self.limit_history.compute_header_seconds(now)
-            case Phase.ANSWERING:
+            case Phase.ANSWERING | Phase.DISCARDING:
                 return math.inf
-            case Phase.DISCARDING:
-                return LINGER_SECONDS
 
     def expire_connection(self, connection: CallerConnection) -> None:
         """Refuse an incomplete request, or close the connection.
@@ -526,10 +571,18 @@
         elif connection.channel.output:
             # TCP_USER_TIMEOUT ends the connection if the caller acknowledges
             # no output for too long.
-            connection.waiting_since = time.monotonic()
+            self.extend_wait(connection)
         else:
             self.close_connection(connection)
 
+    def extend_wait(self, connection: CallerConnection) -> None:
+        """Begin the time limit of a phase again."""
+        connection.waiting_since = time.monotonic()
+        if connection.discard is not None:
+            connection.discard = lingering_close.restart(
+                connection.discard, connection.waiting_since
+            )
+
 
 def build_protocol(maximum_header_bytes: int) -> h11.Connection:
     """Return the protocol state of a new connection."""
--- /dev/null
+++ b/tests/test_lingering_close.py
@@ -0,0 +1,153 @@
+"""Test that callers who are still sending can read their last answer."""
+
+import socket
+import unittest
+from unittest import mock
+
+import h11
+
+from mustardvale.internal.edge import (
+    lingering_close,
+    relay_server,
+    request_rest,
+)
+from tests import relay_site, test_relay_server
+
+PART = b'x' * 3000
+PART_COUNT = 40
+
+
+class LingerCase(test_relay_server.ServerCase):
+    """Provide uploads whose server lets time pass."""
+
+    def upload(
+        self, start: bytes
+    ) -> tuple[socket.socket, relay_server.CallerConnection]:
+        """Let the start of an upload arrive."""
+        sock, connection = self.accept()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.deliver(connection, start)
+        return sock, connection
+
+    def announce(self, count: int) -> bytes:
+        """Return the head of an upload that is refused with 413."""
+        head = relay_site.encode_request('/read/x', 'a1')
+        return head.replace(b'Length: 0', b'Length: %d' % count)
+
+    def send_part(
+        self,
+        sock: socket.socket,
+        connection: relay_server.CallerConnection,
+        part: bytes = PART,
+        seconds: float = 0.2,
+    ) -> None:
+        """Let a part of an upload arrive some time after the last one."""
+        self.pass_time(seconds)
+        sock.sendall(part)
+        assert connection.channel is not None
+        self.table.read_available(connection.channel)
+
+    def check_closed(self, seconds: float) -> None:
+        """Check that the connection is closed no sooner and no later."""
+        self.pass_time(seconds - 0.1)
+        self.assertEqual(1, len(self.server.connections))
+        self.pass_time(0.2)
+        self.assertEqual(0, len(self.server.connections))
+
+
+class SlowUploads(LingerCase):
+    """A caller reads its refusal after it has sent everything."""
+
+    def send_all(self, start: bytes, end: bytes = b'') -> None:
+        """Send an upload in 8 s, and check that its refusal is read."""
+        sock, connection = self.upload(start)
+        for _ in range(PART_COUNT):
+            self.send_part(sock, connection)
+        self.send_part(sock, connection, end)
+        self.assertEqual(413, relay_site.read_answer(sock).status)
+        self.assertEqual(b'', bytes(connection.protocol.trailing_data[0]))
+        self.check_closed(1.0)
+
+    def test_announced_length(self) -> None:
+        """Guard against a reset 1 s after the refusal of a longer upload."""
+        count = len(PART) * PART_COUNT
+        self.send_all(self.announce(count + 1), b'x')
+
+    def test_chunks(self) -> None:
+        """Guard against a missed end of an upload without a length."""
+        head = self.announce(0).replace(
+            b'Content-Length: 0', b'Transfer-Encoding: chunked'
+        )
+        size = len(PART) * (PART_COUNT + 1)
+        start = head + b'%x\r\n' % size + PART
+        self.send_all(start, b'\r\n0\r\n\r\n')
+
+    def test_lowered_limit_in_the_middle(self) -> None:
+        """Guard against a reset of uploads that a new version refuses."""
+        sock, connection = self.upload(self.announce(900) + b'x' * 300)
+        self.change_limits(maximum_body_bytes=100)
+        for _ in range(6):
+            self.send_part(sock, connection, b'x' * 100, 0.9)
+        self.assertEqual(413, relay_site.read_answer(sock).status)
+        self.check_closed(1.0)
+
+    def test_head_that_took_too_long(self) -> None:
+        """Guard against a missed end behind a refusal within the head."""
+        start = self.announce(len(PART))
+        sock, connection = self.upload(start[:60])
+        self.pass_time(1.1)
+        self.send_part(sock, connection, start[60:], 2.0)
+        self.send_part(sock, connection, PART, 2.0)
+        self.assertEqual(408, relay_site.read_answer(sock).status)
+        self.check_closed(1.0)
+
+
+class Bounds(LingerCase):
+    """Callers who send without end hold neither memory nor connections."""
+
+    def test_time_without_input(self) -> None:
+        """Guard against a connection that a silent caller holds."""
+        self.upload(self.announce(5000))
+        self.check_closed(3.0)
+
+    def test_whole_time(self) -> None:
+        """Guard against a connection that slow input holds for ever."""
+        sock, connection = self.upload(self.announce(10**9))
+        for _ in range(14):
+            self.send_part(sock, connection, b'x', 1.0)
+        self.check_closed(1.0)
+
+    def test_bytes(self) -> None:
+        """Guard against input that is discarded without a limit."""
+        self.upload(self.announce(10**9))
+        (connection,) = self.server.connections
+        for _ in range(64):
+            self.assertEqual(1, len(self.server.connections))
+            self.deliver(connection, b'x' * 65536)
+        self.assertEqual(0, len(self.server.connections))
+
+    def test_oldest_connection_goes_first(self) -> None:
+        """Guard against connections that are held without a limit."""
+        limits = lingering_close.Limits(connections=2)
+        with mock.patch.object(relay_server, 'LINGER_LIMITS', limits):
+            made = [self.upload(self.announce(5000))[1] for _ in range(3)]
+        self.assertEqual(set(made[1:]), self.server.connections)
+
+
+class MalformedInput(unittest.TestCase):
+    """Input whose end cannot be found is discarded too."""
+
+    def test_malformed_chunk(self) -> None:
+        """Guard against an error of the parser behind the last answer."""
+        protocol = h11.Connection(h11.SERVER)
+        protocol.receive_data(
+            b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        head = protocol.next_event()
+        discard = request_rest.start(protocol, head, 0, 10.0)
+        for now in (11.0, 12.0):
+            discard = request_rest.skip(protocol, discard, b'?\r\n', now)
+        self.assertEqual(
+            (6, None), (discard.received_bytes, discard.rest_bytes)
+        )
+        self.assertIsNone(discard.completed_at)
