Read the input that was paused behind a last answer

Cause: reading pauses above 64 KB of pipelined input. An answer that closes its connection did not start it again, so that the rest stayed unread and the close reset the connection.

Change: reading starts again after each answer, also after the last one.

Measured: the new test fails on the code before (the caller's socket reports error 32, a broken pipe, behind the answer) and passes with the change.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -398,14 +398,14 @@
         self.requests.pop(connection.request_id, None)
         connection.request_id = ''
         connection.is_blocked = False
+        assert connection.channel is not None, 'an answer needs a channel'
+        self.channel_table.resume_reading(connection.channel)
         if closes_connection or connection.protocol.their_state is not h11.DONE:
             self.discard_rest(connection)
             return
         connection.protocol.start_next_cycle()
         connection.phase = Phase.IDLE
         connection.waiting_since = time.monotonic()
-        assert connection.channel is not None, 'an answer needs a channel'
-        self.channel_table.resume_reading(connection.channel)
         if connection.protocol.trailing_data[0]:
             self.process_input(connection)
 
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -134,6 +134,24 @@
         self.assertEqual(set(made[1:]), self.server.connections)
 
 
+class PipelinedInput(LingerCase):
+    """Input behind the last request of a connection is discarded too."""
+
+    def test_input_whose_reading_was_paused(self) -> None:
+        """Guard against a reset of an answer by input that is never read."""
+        request = relay_site.encode_request(
+            '/read/x', 'a1', headers='Connection: close\r\n'
+        )
+        sock, connection = self.upload(request)
+        self.deliver(connection, b'x' * 70_000)
+        self.server.reply(self.list_request_ids()[0], test_relay_server.ANSWER)
+        self.send_part(sock, connection)
+        self.check_closed(0.8)
+        problem = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self.assertEqual(0, problem)
+        self.assertEqual(200, relay_site.read_answer(sock).status)
+
+
 class MalformedInput(unittest.TestCase):
     """Input whose end cannot be found is discarded too."""
 
