Free the input behind the end of a request at its last answer

Cause: a connection that only discards kept its parser, which holds what had been read behind the request, up to 128 KB, until the connection was closed.

Change: the parser is replaced by an empty one when the request has ended.

Measured: with 70,000 bytes behind a request, the parser keeps all of them on the code before, and none with the change (test_lingering_close).

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -292,6 +292,7 @@
             len(connection.body),
             time.monotonic(),
         )
+        connection.protocol = request_rest.release(connection.protocol)
         connection.head = None
         connection.body.clear()
         self.shut_down_output(connection)
@@ -305,6 +306,7 @@
         connection.discard = request_rest.skip(
             connection.protocol, connection.discard, received, time.monotonic()
         )
+        connection.protocol = request_rest.release(connection.protocol)
         if not lingering_close.is_full(connection.discard, LINGER_LIMITS):
             return
         if connection.channel.output:
--- a/src/mustardvale/internal/edge/request_rest.py
+++ b/src/mustardvale/internal/edge/request_rest.py
@@ -58,6 +58,16 @@
     return renewed
 
 
+def release(protocol: h11.Connection) -> h11.Connection:
+    """Replace a parser that holds input behind the end of the request."""
+    if protocol.their_state in PARSED_STATES or not protocol.trailing_data[0]:
+        return protocol
+    ended = h11.Connection(h11.SERVER)
+    ended.receive_data(b'')
+    ended.next_event()
+    return ended
+
+
 def skip(
     protocol: h11.Connection,
     discard: lingering_close.Discard,
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -145,6 +145,7 @@
         sock, connection = self.upload(request)
         self.deliver(connection, b'x' * 70_000)
         self.server.reply(self.list_request_ids()[0], test_relay_server.ANSWER)
+        self.assertEqual(b'', connection.protocol.trailing_data[0])
         self.send_part(sock, connection)
         self.check_closed(0.8)
         problem = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
