Reuse no connection whose upstream has ended it

Callers saw: 502 `upstream_failed` for requests that had waited for a place at an upstream, while that upstream answered each request that it read.

Cause: an answer without a length ends with its connection. For HTTP/1.1 h11 leaves this connection in the state of one that may be reused, and it was kept as idle. The request that waited for the place was sent on it at once, before the poller had reported the end once more. The end was then taken for an end of the new send, whose request may have run, so that it counted as failed.

Change: a connection on which the end of the input has been read is closed.

--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -284,9 +284,13 @@
         is_complete = (
             protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         )
-        has_unsent_or_unread = channel.output or protocol.trailing_data[0]
+        # An answer without a length ends with its connection, but leaves h11 in
+        # the same state as one after which the connection may be reused.
+        unread, has_ended = protocol.trailing_data
+        has_unsent_or_unread = channel.output or unread
         is_reusable = (
             is_complete
+            and not has_ended
             and not has_unsent_or_unread
             and connection.reusable_until > time.monotonic()
         )
