Read any number as the idle time of an upstream

Callers saw: no answer until the time of the route was over, although the upstream had answered.

Cause: a number of more than 308 digits in `Keep-Alive: timeout=` does not fit into a float, and one of more than 4,300 is not converted. The exception left the handler of the input, so that the head of the answer was never reported. The events behind it in the same poll waited for the next one.

Change: the first nine digits count.

Evidence: the test fails without the change (OverflowError, ValueError).

--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -22,6 +22,7 @@
 # margin covers the rounding.
 DEFAULT_IDLE_SECONDS = 4.0
 IDLE_MARGIN_SECONDS = 1.0
+MAXIMUM_IDLE_DIGITS = 9
 MAXIMUM_IDLE_CONNECTIONS = 32
 MAXIMUM_SKIPPED_ANSWERS = 4
 # Bytes of skipped answers after which a send fails. A faulty upstream may send
@@ -381,7 +382,7 @@
     for field in keep_alive.split(b','):
         name, _, number = field.strip().partition(b'=')
         if name.lower() == b'timeout' and number.isdigit():
-            return int(number) - IDLE_MARGIN_SECONDS
+            return int(number[:MAXIMUM_IDLE_DIGITS]) - IDLE_MARGIN_SECONDS
     return DEFAULT_IDLE_SECONDS - IDLE_MARGIN_SECONDS
 
 
--- a/tests/test_upstream_connections.py
+++ b/tests/test_upstream_connections.py
@@ -25,3 +25,22 @@
         self.assertTrue(upstream.list_events(relay_events.SendEnded))
         upstream.start_send('a2')
         self.assertEqual(2, len(upstream.table.owners))
+
+
+class KeepAliveTimes(unittest.TestCase):
+    """The time that an upstream states may be any number."""
+
+    def test_numbers_that_are_too_long(self) -> None:
+        """Guard against an answer that never ends because of its header.
+
+        Such numbers do not fit into a float, or are not converted at all.
+        """
+        for digits in (400, 5000):
+            with self.subTest(digits=digits):
+                upstream = test_faulty_upstreams.UpstreamClient()
+                upstream.start_send('a1')
+                upstream.receive(
+                    b'%sKeep-Alive: timeout=%s\r\nContent-Length: 0\r\n\r\n'
+                    % (HEAD, b'9' * digits)
+                )
+                self.assertTrue(upstream.list_events(relay_events.SendEnded))
