Ignore empty lines before a request

Callers saw: 400 on a connection on which they had no request open, and its close, after the body of a request that ends with an empty line. Their next request met the close. A line of its own on an idle connection was refused too.

Cause: RFC 9112 (2.2) asks a server to ignore an empty line before a request. h11 takes it for the end of a head without a request line.

Change: empty lines are dropped where a request may begin, on an idle connection and behind a request that has been answered. They keep no connection open that is to be closed.

Evidence: the three tests fail without the change (no second request; no request at all) and pass with it.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -34,6 +34,8 @@
 MAXIMUM_QUEUED_BYTES = 64 * 1024
 # Pipelined input above which reading is paused until the answer is complete.
 MAXIMUM_PIPELINED_BYTES = 64 * 1024
+# Callers may send empty lines before a request; h11 does not skip them.
+LINE_END_BYTES = b'\r\n'
 VERSIONS_WITHOUT_CHUNKS = frozenset((b'0.9', b'1.0'))
 
 Address = tuple[str, int]
@@ -187,6 +189,9 @@
         if connection.phase is Phase.DISCARDING:
             return
         if connection.phase is Phase.IDLE:
+            received = received.lstrip(LINE_END_BYTES)
+            if not received:
+                return
             renew_protocol(connection, self.limits.maximum_header_bytes)
         connection.protocol.receive_data(received)
         if connection.phase is Phase.ANSWERING:
@@ -374,7 +379,21 @@
         connection.waiting_since = time.monotonic()
         assert connection.channel is not None, 'an answer needs a channel'
         self.channel_table.resume_reading(connection.channel)
-        if connection.protocol.trailing_data[0]:
+        unread = connection.protocol.trailing_data[0]
+        if unread:
+            self.process_pipelined_input(connection, unread)
+
+    def process_pipelined_input(
+        self, connection: CallerConnection, unread: bytes
+    ) -> None:
+        """Parse the input behind a request, without leading empty lines."""
+        pipelined = unread.lstrip(LINE_END_BYTES)
+        if len(pipelined) == len(unread):
+            self.process_input(connection)
+            return
+        connection.protocol = build_protocol(connection.maximum_header_bytes)
+        if pipelined:
+            connection.protocol.receive_data(pipelined)
             self.process_input(connection)
 
     def shut_down_output(self, connection: CallerConnection) -> None:
@@ -424,7 +443,7 @@
 
         A request that was read behind it would get no answer.
         """
-        if connection.protocol.trailing_data[0]:
+        if connection.protocol.trailing_data[0].lstrip(LINE_END_BYTES):
             return False
         return self.is_closing or time.monotonic() > connection.kept_until
 
--- /dev/null
+++ b/tests/test_relay_input.py
@@ -0,0 +1,37 @@
+"""Test unusual input of callers, with sockets but without processes."""
+
+from tests import relay_site, test_relay_server
+
+REQUEST = relay_site.encode_request('/read/x', 'a1')
+
+
+class EmptyLines(test_relay_server.ServerCase):
+    """Empty lines before a request are ignored, as RFC 9112 (2.2) asks."""
+
+    def test_line_behind_a_body(self) -> None:
+        """Guard against a refusal that nobody asked for, and a close.
+
+        Some callers end the body of a request with an empty line.
+        """
+        sock, connection = self.accept()
+        self.deliver(connection, b'%s\r\n' % REQUEST)
+        self.server.reply(self.list_request_ids()[0], test_relay_server.ANSWER)
+        answer = relay_site.read_answer(sock)
+        self.assertEqual(b'read', answer.read())
+        self.deliver(connection, REQUEST)
+        self.assertEqual(2, len(self.list_request_ids()))
+
+    def test_line_that_arrives_in_parts(self) -> None:
+        """Guard against an empty line whose end arrives with the request."""
+        _, connection = self.accept()
+        self.deliver(connection, b'\r')
+        self.deliver(connection, b'\n\r\n%s' % REQUEST)
+        self.assertEqual(1, len(self.list_request_ids()))
+
+    def test_line_on_an_idle_connection(self) -> None:
+        """Guard against a 408 where no request was begun."""
+        _, connection = self.accept()
+        self.deliver(connection, b'\r\n')
+        self.pass_time(2)
+        self.deliver(connection, REQUEST)
+        self.assertEqual(1, len(self.list_request_ids()))
