Send whole refusals behind a HEAD request

Callers saw: a refusal whose announced body never came, so that its connection ended in the middle of an answer.

Cause: a request whose head cannot be read has no method. The method of the request before it counted, and the body of a refusal is left out for HEAD.

Change: the method of a request is forgotten with its answer.

Evidence: the test fails without the change (the body does not arrive).

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -366,6 +366,7 @@
         """Wait for the next request, or shut the connection down."""
         self.requests.pop(connection.request_id, None)
         connection.request_id = ''
+        connection.method = b''
         connection.is_blocked = False
         if closes_connection or connection.protocol.their_state is not h11.DONE:
             # Closing a socket with unread input resets it, and the caller may
--- a/tests/test_relay_input.py
+++ b/tests/test_relay_input.py
@@ -1,5 +1,7 @@
 """Test unusual input of callers, with sockets but without processes."""
 
+import http.client
+
 from tests import relay_site, test_relay_server
 
 REQUEST = relay_site.encode_request('/read/x', 'a1')
@@ -35,3 +37,19 @@
         self.pass_time(2)
         self.deliver(connection, REQUEST)
         self.assertEqual(1, len(self.list_request_ids()))
+
+
+class Methods(test_relay_server.ServerCase):
+    """Each method gets a complete answer."""
+
+    def test_malformed_request_behind_a_head_request(self) -> None:
+        """Guard against a refusal whose body is announced and left out."""
+        sock, connection = self.accept()
+        self.deliver(connection, REQUEST.replace(b'POST', b'HEAD'))
+        self.server.reply(self.list_request_ids()[0], test_relay_server.ANSWER)
+        head = http.client.HTTPResponse(sock, method='HEAD')
+        head.begin()
+        self.deliver(connection, b'nonsense\r\n\r\n')
+        answer = relay_site.read_answer(sock)
+        self.assertEqual(400, answer.status)
+        self.assertIn(b'malformed_request', answer.read())
