Refuse CONNECT requests

Callers saw: a closed connection in place of an answer, after an upstream had answered a `CONNECT` request with success.

Cause: such an answer opens a tunnel, so that h11 does not write the end of an answer. The effect failed, and the request was ended without one.

Change: `CONNECT` is refused with 501 when its head is read, at all listeners.

Evidence: the test fails without the change (the request is relayed).

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -594,6 +594,7 @@
     """Store the head of a request, and check the announced length."""
     connection.head = event
     connection.method = event.method
+    check_method(event.method)
     length = dict(event.headers).get(b'content-length', b'0')
     check_body_length(int(length), server.limits)
     server.send_continue(connection)
@@ -620,6 +621,17 @@
     return False
 
 
+def check_method(method: bytes) -> None:
+    """Check the method of a request, or raise `wire.DecodeError`.
+
+    The success of `CONNECT` opens a tunnel, and is no answer that ends.
+    """
+    if method == b'CONNECT':
+        raise wire.DecodeError(
+            501, 'not_implemented', 'tunnels are not supported'
+        )
+
+
 def check_body_length(length: int, limits: caller_limits.CallerLimits) -> None:
     """Check the length of a body, or raise `wire.DecodeError`."""
     if length > limits.maximum_body_bytes:
--- a/tests/test_relay_input.py
+++ b/tests/test_relay_input.py
@@ -53,3 +53,10 @@
         answer = relay_site.read_answer(sock)
         self.assertEqual(400, answer.status)
         self.assertIn(b'malformed_request', answer.read())
+
+    def test_tunnel(self) -> None:
+        """Guard against `CONNECT`, whose success has no end of an answer."""
+        sock, connection = self.accept()
+        self.deliver(connection, REQUEST.replace(b'POST', b'CONNECT'))
+        self.assertEqual(501, relay_site.read_answer(sock).status)
+        self.assertFalse(self.list_request_ids())
