--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -34,6 +34,8 @@
 MAXIMUM_QUEUED_BYTES = 64 * 1024
 # Pipelined input above which reading is paused until the answer is complete.
 MAXIMUM_PIPELINED_BYTES = 64 * 1024
+# Callers may send empty lines before a request; h11 does not skip them.
+LINE_END_BYTES = b'\r\n'
 VERSIONS_WITHOUT_CHUNKS = frozenset((b'0.9', b'1.0'))
 
 Address = tuple[str, int]
@@ -192,6 +194,9 @@
             self.discard_input(connection, received)
             return
         if connection.phase is Phase.IDLE:
+            received = received.lstrip(LINE_END_BYTES)
+            if not received:
+                return
             renew_protocol(connection, self.limits.maximum_header_bytes)
         connection.protocol.receive_data(received)
         if connection.phase is Phase.ANSWERING:
@@ -399,6 +404,7 @@
         """Wait for the next request, or shut the connection down."""
         self.requests.pop(connection.request_id, None)
         connection.request_id = ''
+        connection.method = b''
         connection.is_blocked = False
         assert connection.channel is not None, 'an answer needs a channel'
         self.channel_table.resume_reading(connection.channel)
@@ -408,7 +414,21 @@
         connection.protocol.start_next_cycle()
         connection.phase = Phase.IDLE
         connection.waiting_since = time.monotonic()
-        if connection.protocol.trailing_data[0]:
+        unread = connection.protocol.trailing_data[0]
+        if unread:
+            self.process_pipelined_input(connection, unread)
+
+    def process_pipelined_input(
+        self, connection: CallerConnection, unread: bytes
+    ) -> None:
+        """Parse the input behind a request, without leading empty lines."""
+        pipelined = unread.lstrip(LINE_END_BYTES)
+        if len(pipelined) == len(unread):
+            self.process_input(connection)
+            return
+        connection.protocol = build_protocol(connection.maximum_header_bytes)
+        if pipelined:
+            connection.protocol.receive_data(pipelined)
             self.process_input(connection)
 
     def shut_down_output(self, connection: CallerConnection) -> None:
@@ -470,7 +490,7 @@
 
         A request that was read behind it would get no answer.
         """
-        if connection.protocol.trailing_data[0]:
+        if connection.protocol.trailing_data[0].lstrip(LINE_END_BYTES):
             return False
         return self.is_closing or time.monotonic() > connection.kept_until
 
@@ -629,6 +649,7 @@
     """Store the head of a request, and check the announced length."""
     connection.head = event
     connection.method = event.method
+    check_method(event.method)
     length = dict(event.headers).get(b'content-length', b'0')
     check_body_length(int(length), server.limits)
     server.send_continue(connection)
@@ -655,6 +676,17 @@
     return False
 
 
+def check_method(method: bytes) -> None:
+    """Check the method of a request, or raise `wire.DecodeError`.
+
+    The success of `CONNECT` opens a tunnel, and is no answer that ends.
+    """
+    if method == b'CONNECT':
+        raise wire.DecodeError(
+            501, 'not_implemented', 'tunnels are not supported'
+        )
+
+
 def check_body_length(length: int, limits: caller_limits.CallerLimits) -> None:
     """Check the length of a body, or raise `wire.DecodeError`."""
     if length > limits.maximum_body_bytes:
