Count a confirmation from the read that it answers

Cause: the time of the latest read of the configuration was kept once, and any answer confirmed the configuration as of it. With two reads open, a revoked key could be used for as long as lies between them. No order of events was found that opens two reads, so that no promise was broken.

Change: each read of the configuration has the time at which it was requested, and an older confirmation does not replace a newer one, such as that of a reader. The request of a follower keeps its time in the state, because one read of the list is open at a time; a test with drawn events shows it.

Tests changed: the answers in relay_states.Instance.configure, test_age_counts_from_when_the_poll_was_sent and test_steps_change_nothing name the time of their read in place of the state's.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -17,19 +17,25 @@
 class ReadConfiguration:
     """Read the newest configuration, from the page that follows a key.
 
-    `position` is that of the first page, once it is known.
+    `position` is that of the first page, once it is known, and `requested_at`
+    the time at which the first page was requested.
     """
 
     after: str = ''
     position: int | None = None
+    requested_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowConfiguration:
-    """Wait up to `wait_seconds` for a configuration after a position."""
+    """Wait up to `wait_seconds` for a configuration after a position.
+
+    The answer confirms the configuration as of `requested_at`.
+    """
 
     position: int
     wait_seconds: float
+    requested_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -90,13 +90,13 @@
     Without a known position it reads the newest version at once.
     """
     known = state.configuration
-    polling = dataclasses.replace(known, requested_at=now, is_reading=True)
+    polling = dataclasses.replace(known, is_reading=True)
     next_state = dataclasses.replace(state, configuration=polling)
     if known.position is None:
-        call: typing.Any = calls.ReadConfiguration()
+        call: typing.Any = calls.ReadConfiguration(requested_at=now)
         wait_seconds = 0.0
     else:
-        call = calls.FollowConfiguration(known.position, wait_seconds)
+        call = calls.FollowConfiguration(known.position, wait_seconds, now)
     return transitions.Transition(
         next_state,
         (
@@ -160,7 +160,7 @@
     if isinstance(event.answer, calls.ConfigurationRead):
         if event.answer.next_page:
             return read_next_page(call, event.answer, state)
-        return apply_read(event.answer, event.at, state)
+        return apply_read(call, event.answer, event.at, state)
     if isinstance(event.answer, calls.HistoryCompacted):
         known = dataclasses.replace(state.configuration, position=None)
         return poll_next(
@@ -180,7 +180,9 @@
     that is written while the pages are read.
     """
     position = read.position if call.position is None else call.position
-    next_call = calls.ReadConfiguration(read.next_page, position)
+    next_call = calls.ReadConfiguration(
+        read.next_page, position, call.requested_at
+    )
     return transitions.Transition(
         state,
         (
@@ -194,9 +196,15 @@
 
 
 def apply_read(
-    read: calls.ConfigurationRead, now: float, state: 'states.State'
+    call: typing.Any,
+    read: calls.ConfigurationRead,
+    now: float,
+    state: 'states.State',
 ) -> reducer.Transition:
-    """Activate a newer version, inform the followers and poll again."""
+    """Activate a newer version, inform the followers and poll again.
+
+    A confirmation that another instance has given meanwhile may be newer.
+    """
     known = state.configuration
     active = known.active
     change_effects = build_recovery_log(known, now)
@@ -212,7 +220,7 @@
         known,
         active=active,
         position=read.position,
-        confirmed_at=known.requested_at,
+        confirmed_at=max(known.confirmed_at or 0, call.requested_at),
         failing_since=None,
     )
     services = () if active is None else active.services
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -34,7 +34,6 @@
     active: configuration.Configuration | None = None
     position: int | None = None
     confirmed_at: float | None = None
-    requested_at: float = 0.0
     is_reading: bool = False
     failing_since: float | None = None
 
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -269,13 +269,9 @@
 
     def configure(self, active: configuration.Configuration | None) -> None:
         """Deliver the store's answer to a read of the configuration."""
-        known = dataclasses.replace(
-            self.state.configuration, requested_at=self.now
-        )
-        self.state = dataclasses.replace(self.state, configuration=known)
         self.emit_event(
             events.CallAnswered,
-            call=calls.ReadConfiguration(),
+            call=calls.ReadConfiguration(requested_at=self.now),
             address='',
             answer=calls.ConfigurationRead(1, active),
         )
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -45,7 +45,9 @@
             if number % 2:
                 instance.emit_event(
                     events.CallAnswered,
-                    call=calls.FollowConfiguration(1, 2.0),
+                    call=instance.list_calls(calls.FollowConfiguration)[
+                        -1
+                    ].call,
                     address='',
                     answer=calls.ConfigurationRead(1, None),
                 )
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -47,7 +47,7 @@
         self.instance.now = requested_at + 4
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.FollowConfiguration(1, 2.0),
+            call=calls.FollowConfiguration(1, 2.0, requested_at),
             address='',
             answer=calls.ConfigurationRead(1, None),
         )
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -150,6 +150,41 @@
         self.assertEqual(5, instance.state.configuration.position)
 
 
+class LatePolls(unittest.TestCase):
+    """A configuration is confirmed as of the poll that was answered."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.instance.now += 1
+        self.instance.emit_event(
+            events.TimerFired,
+            timer=relay_states.timers.ConfigurationRetryDue(),
+        )
+        self.polls = [
+            sent.call
+            for sent in self.instance.list_calls(calls.FollowConfiguration)
+        ]
+
+    def answer(self, call: calls.FollowConfiguration) -> float | None:
+        """Answer a poll; return when the configuration was confirmed."""
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=call,
+            address='',
+            answer=calls.ConfigurationRead(1, None),
+        )
+        return self.instance.state.configuration.confirmed_at
+
+    def test_answer_to_an_earlier_poll(self) -> None:
+        """Guard against a revoked key that is accepted for too long."""
+        self.assertEqual(self.instance.now - 1, self.answer(self.polls[0]))
+
+    def test_earlier_poll_is_answered_last(self) -> None:
+        """Guard against refusing keys after an older confirmation."""
+        self.answer(self.polls[1])
+        self.assertEqual(self.instance.now, self.answer(self.polls[0]))
+
+
 class Members(unittest.TestCase):
     """The directory names the instances that accept requests."""
 
--- a/tests/test_relay_peer_feed.py
+++ b/tests/test_relay_peer_feed.py
@@ -1,9 +1,13 @@
 """Test how the instances of a zone share their reads of the store."""
 
 import dataclasses
+import types
 import typing
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from mustardvale.internal import events
 from mustardvale.internal.edge import peer_feed_codec, wire
 from mustardvale.internal.relay import (
@@ -13,6 +17,7 @@
     peer_feed,
     runner_list,
     runners,
+    timers,
 )
 from mustardvale.platform import call_codec
 from tests import relay_states
@@ -232,6 +237,113 @@
         self.assertIn('reader_changed', names)
 
 
+LIST_READS = (calls.ReadRunners, calls.FollowRunners, calls.FollowPeer)
+CONFIGURATION_READS = (calls.ReadConfiguration, calls.FollowConfiguration)
+ANSWERS: types.MappingProxyType[type[typing.Any], tuple[typing.Any, ...]] = (
+    types.MappingProxyType(
+        {
+            calls.ReadRunners: (
+                calls.RunnersRead(1, ()),
+                calls.RunnersRead(1, (), 'next'),
+            ),
+            calls.FollowRunners: (
+                calls.RunnersRead(2, ()),
+                calls.HistoryCompacted(),
+            ),
+            calls.FollowPeer: (
+                calls.PeerUpdate(2, 0, (), 1, 0.0),
+                calls.PeerUpdate(2, 9, (), 1, 0.0),
+                calls.PeerUpdate(2, 0, (), 2, 0.0),
+            ),
+            calls.ReadConfiguration: (
+                calls.ConfigurationRead(1, None),
+                calls.ConfigurationRead(1, None, 'next'),
+            ),
+            calls.FollowConfiguration: (
+                calls.ConfigurationRead(1, None),
+                calls.HistoryCompacted(),
+            ),
+        }
+    )
+)
+
+
+class SingleReads(unittest.TestCase):
+    """A time that is kept for the open read is never that of another one."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        set_members(self.instance, READER, SECOND, OWN)
+        self.open_calls: list[typing.Any] = []
+        self.instance.calls = self.instance.calls[-1:]
+
+    def end_call(self, number: int, outcome: int) -> None:
+        """Answer one of the open reads, or fail it."""
+        self.open_calls += [
+            sent.call
+            for sent in self.instance.calls
+            if isinstance(sent.call, LIST_READS + CONFIGURATION_READS)
+        ]
+        self.instance.calls.clear()
+        if not self.open_calls:
+            return
+        call = self.open_calls.pop(number % len(self.open_calls))
+        answers = (*ANSWERS[type(call)], calls.CallRefused(503))
+        if outcome < len(answers):
+            self.instance.emit_event(
+                events.CallAnswered,
+                call=call,
+                address='',
+                answer=answers[outcome],
+            )
+            return
+        self.instance.emit_event(
+            events.CallFailed,
+            call=call,
+            address='',
+            failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+        )
+
+    def count_reads(
+        self, kinds: tuple[type[typing.Any], ...], timer: typing.Any
+    ) -> int:
+        """Return how many reads are open or wait for a timer."""
+        sent = [call.call for call in self.instance.calls]
+        open_reads = [
+            call for call in self.open_calls + sent if isinstance(call, kinds)
+        ]
+        return len(open_reads) + (timer in self.instance.pending_timers)
+
+    @hypothesis.settings(max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from((0.0, 0.1, 0.8, 6.0)),
+                strategies.integers(0, 1),
+                strategies.integers(0, 4),
+            ),
+            max_size=30,
+        )
+    )
+    def test_reads_never_overlap(
+        self, steps: list[tuple[float, int, int]]
+    ) -> None:
+        """Guard against a confirmation that counts from a later request."""
+        self.setUp()
+        for seconds, number, outcome in steps:
+            self.instance.pass_time(seconds)
+            self.end_call(number, outcome)
+            self.assertEqual(
+                1, self.count_reads(LIST_READS, timers.RunnerListReadDue())
+            )
+            self.assertLessEqual(
+                self.count_reads(
+                    CONFIGURATION_READS, timers.ConfigurationRetryDue()
+                ),
+                1,
+            )
+
+
 class Readers(unittest.TestCase):
     """A reader sends its changes to the followers of its zone."""
 
