Settle the shares of a start once the store has answered

Cause: the time in which the lists of a new instance settle counted from the first join that it sent. With a store that answered later than that time, the first, incomplete lists divided the budget of retries.

Change: until a join of the zone's group has been answered, the time begins again with each join.

Measured: test_store_that_answers_late. Before the change 348, 2,320 and 7,518 retries may be spent within one window at 6, 58 and 195 instances, where 198 are allowed; after it fewer than 198 at each.

Tests changed: the body of test_shares_add_up_to_the_limit is a function that both tests use, and renews the membership once more before the first answer.

--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -83,7 +83,8 @@
 
     `leader_until` is when leadership ends unless it is renewed; it counts from
     the time at which the renewal was sent. `checksum` is that of both lists, and
-    `first_joined_at` is when this process first asked to join.
+    `first_joined_at` is when this process last asked to join before the store
+    first answered.
     """
 
     zone: GroupState = GroupState()
@@ -248,7 +249,7 @@
 
     An instance that is no longer a reader leaves the readers.
     """
-    if state.members.first_joined_at is None:
+    if not state.members.zone.generation:
         state = dataclasses.replace(
             state,
             members=dataclasses.replace(state.members, first_joined_at=now),
--- a/tests/test_relay_limit_shares.py
+++ b/tests/test_relay_limit_shares.py
@@ -56,6 +56,14 @@
 
     def test_shares_add_up_to_the_limit(self) -> None:
         """Guard against a retry budget that each instance spends as a whole."""
+        self.check_shares(seconds_without_store=0.0)
+
+    def test_store_that_answers_late(self) -> None:
+        """Guard against lists that count before they can have settled."""
+        self.check_shares(seconds_without_store=6.0)
+
+    def check_shares(self, seconds_without_store: float) -> None:
+        """Check the retries of sites whose store answers after a time."""
         for instance_count, zone_count in SITES:
             with self.subTest(instance_count=instance_count):
                 started = [
@@ -65,6 +73,10 @@
                     for number in range(instance_count)
                 ]
                 for number, instance in enumerate(started):
+                    instance.now += seconds_without_store
+                    instance.emit_event(
+                        events.TimerFired, timer=timers.MembershipRenewalDue()
+                    )
                     join(instance, number // zone_count + 1)
                 accrued = self.accrue(started, JOIN_SECONDS)
                 for instance in started:
