Answer requests that arrive behind a queued answer at a stop

Cause: at a stop, an idle connection whose last answer was still queued began to discard its input. Nothing had told the caller that the answer was the last one, so that a request behind it was read and not answered.

Change: such a connection stays idle and is closed once the answer is written. A request that arrives before is reported, and its answer closes the connection.

Measured: both new tests fail on the code before (1 of 2 requests reported; the connection is still open after its answer) and pass with the change.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -92,9 +92,11 @@
         self.server.remove_connection(self)
 
     def on_drained(self, channel: channels.Channel) -> None:
-        """Report that the caller has caught up, or shut the output down."""
+        """Report that the caller has caught up, or close the connection."""
         if self.phase is Phase.DISCARDING:
             self.server.shut_down_output(self)
+        if self.phase is Phase.IDLE and self.server.is_closing:
+            self.server.close_unused(self)
         if self.is_blocked:
             self.is_blocked = False
             self.server.emit_event(
@@ -496,12 +498,8 @@
         """
         assert connection.channel is not None, 'a connection has a channel'
         self.channel_table.read_available(connection.channel)
-        if connection.phase is not Phase.IDLE:
-            return
-        if connection.channel.output:
-            # The end of an answer is still queued.
-            self.discard_rest(connection)
-        else:
+        # The connection is closed later if the end of an answer is queued.
+        if connection.phase is Phase.IDLE and not connection.channel.output:
             self.close_connection(connection)
 
     def drain_input(self) -> None:
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -11,6 +11,7 @@
     relay_server,
     request_rest,
 )
+from mustardvale.internal.relay import requests
 from tests import relay_site, test_relay_server
 
 PART = b'x' * 3000
@@ -153,6 +154,35 @@
         self.assertEqual(200, relay_site.read_answer(sock).status)
 
 
+class QueuedAnswers(LingerCase):
+    """A stop waits for an answer that its caller has not read yet."""
+
+    def test_request_behind_a_queued_answer(self) -> None:
+        """Guard against a request that a stop reads and does not answer."""
+        request = relay_site.encode_request('/read/x', 'a1')
+        sock, connection = self.upload(request)
+        size = 8 * 1024 * 1024
+        answer = requests.RelayedAnswer(200, (), b'x' * size)
+        self.server.reply(self.list_request_ids()[0], answer)
+        self.server.close_idle()
+        self.deliver(connection, request)
+        self.assertEqual(2, len(self.list_request_ids()))
+
+    def test_close_behind_a_queued_answer(self) -> None:
+        """Guard against a connection that stays open after its answer."""
+        sock, connection = self.upload(
+            relay_site.encode_request('/read/x', 'a1')
+        )
+        channel = connection.channel
+        assert channel is not None
+        channel.output += b'end'
+        self.table.poller.addWriter(self.table, channel.sock)
+        self.server.reply(self.list_request_ids()[0], test_relay_server.ANSWER)
+        self.server.close_idle()
+        self.table.on_writable(channel.sock)
+        self.assertEqual(set(), self.server.connections)
+
+
 class MalformedInput(unittest.TestCase):
     """Input whose end cannot be found is discarded too."""
 
