Withdraw sends to upstreams that want no requests

Cause: a send that waited for its connection when its upstream said that it leaves, or asked to wait, was written as soon as the connection opened, however much later. An upstream that turns requests away may be slow to accept connections too.

Change: the word of an upstream requests a check of the open requests. It aborts sends of which nothing was written and whose upstream, or a part of whose chain, wants no requests, and chooses again. They cost no retry.

--- a/src/mustardvale/internal/relay/announcements.py
+++ b/src/mustardvale/internal/relay/announcements.py
@@ -11,7 +11,12 @@
 
 from mustardvale.internal import draws, effects, transitions
 from mustardvale.internal.relay import effects as relay_effects
-from mustardvale.internal.relay import reducer, requests, runners
+from mustardvale.internal.relay import (
+    check_schedule,
+    reducer,
+    requests,
+    runners,
+)
 
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
@@ -38,7 +43,7 @@
         return transitions.Transition(state)
     ignored = ignore_malformed(runner_id, announcement, state)
     return ignored.then(
-        lambda current: record_leaving(runner, announcement, current)
+        lambda current: record_leaving(runner, announcement, now, current)
     ).then(lambda current: record_wait(runner, announcement, now, current))
 
 
@@ -62,6 +67,7 @@
 def record_leaving(
     runner: runners.Runner,
     announcement: requests.Announcement,
+    now: float,
     state: 'states.State',
 ) -> reducer.Transition:
     """Record that the process of an upstream leaves."""
@@ -69,17 +75,17 @@
         return transitions.Transition(state)
     runner_id = runner.listed.runner_id
     runner_map = runners.record_leaving(state.runners, runner_id)
-    return transitions.Transition(
-        dataclasses.replace(state, runners=runner_map),
-        (
-            effects.Count('runner_announcements', ('leaving',)),
-            relay_effects.LogDecision(
-                'runner_leaving',
-                (
-                    ('runner', runner_id),
-                    ('listed_state', runner.listed.state.value),
-                    ('listed', runner.delisted_at is None),
-                ),
+    # The check withdraws the sends that still wait for a connection.
+    return check_schedule.request_check(
+        now, dataclasses.replace(state, runners=runner_map)
+    ).with_effects(
+        effects.Count('runner_announcements', ('leaving',)),
+        relay_effects.LogDecision(
+            'runner_leaving',
+            (
+                ('runner', runner_id),
+                ('listed_state', runner.listed.state.value),
+                ('listed', runner.delisted_at is None),
             ),
         ),
     )
@@ -108,17 +114,14 @@
     )
     if runner.waits_until > now:
         return transitions.Transition(waiting)
-    return transitions.Transition(
-        waiting,
-        (
-            effects.Count('runner_announcements', ('wait',)),
-            relay_effects.LogDecision(
-                'runner_asks_to_wait',
-                (
-                    ('runner', runner_id),
-                    ('asked_ms', int(asked_seconds * 1000)),
-                    ('wait_ms', int(seconds * 1000)),
-                ),
+    return check_schedule.request_check(now, waiting).with_effects(
+        effects.Count('runner_announcements', ('wait',)),
+        relay_effects.LogDecision(
+            'runner_asks_to_wait',
+            (
+                ('runner', runner_id),
+                ('asked_ms', int(asked_seconds * 1000)),
+                ('wait_ms', int(seconds * 1000)),
             ),
         ),
     )
--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -1,7 +1,8 @@
 """Check all open requests.
 
 Waiting requests search for an upstream again, requests without time left
-fail, and silent attempts are probed or hedged. One timer for all of them
+fail, sends that their upstream does not want any more are withdrawn, and silent
+attempts are probed or hedged. One timer for all of them
 replaces several timers for each request.
 """
 
@@ -21,6 +22,7 @@
     reducer,
     runners,
     timers,
+    withdrawals,
 )
 
 if typing.TYPE_CHECKING:
@@ -123,6 +125,16 @@
         if not dispatch.is_search_due(exchange, now):
             return transitions.Transition(state)
         return dispatch.try_send(exchange, now, state)
+    unwanted = withdrawals.list_unwanted(exchange, now, state)
+    if unwanted:
+        return withdrawals.withdraw_each(request_id, unwanted, now, state)
+    return check_silence(exchange, now, state)
+
+
+def check_silence(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Probe or hedge a request whose newest send is silent."""
     may_not_retry = (
         exchange.is_caller_blocked or not exchange.route.is_retryable
     )
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -115,6 +115,10 @@
         is_ready = self.listed.state is ListedState.READY
         return self.delisted_at is None and is_ready and not self.is_leaving
 
+    def wants_no_requests(self, now: float) -> bool:
+        """Return whether the process has asked for none in its answers."""
+        return self.is_leaving or self.waits_until > now
+
     def find_obstacle(self, now: float) -> 'Obstacle | None':
         """Return why the upstream may get no request now, if it may not."""
         if self.is_usable:
--- a/tests/test_relay_announcements.py
+++ b/tests/test_relay_announcements.py
@@ -347,6 +347,120 @@
         self.assertLessEqual(refusals, 1)
 
 
+class OpenSends(AnnouncingSite):
+    """Whatever is on its way to an upstream when it asks for nothing."""
+
+    announced = (LEAVING, WAIT)
+
+    def begin(self, path: str, count: int) -> None:
+        """Receive requests whose sends wait for their connections."""
+        for number in range(count):
+            self.instance.receive_request(f'{path[1]}{number}', path)
+
+    def count_arrivals(self, runner_id: str, from_send: int = 0) -> int:
+        """Let all connections open now; return what reaches an upstream."""
+        arrived = 0
+        for send in self.instance.sends[from_send:]:
+            if send.send_id in self.instance.aborted_send_ids:
+                continue
+            self.instance.emit_event(
+                relay_events.SendStarted, send_id=send.send_id
+            )
+            arrived += send.request.runner_id == runner_id
+        return arrived
+
+    def test_connections_that_open_late_carry_nothing(self) -> None:
+        """Guard against requests written a second after a refusal."""
+        for path, runner_id, count in (
+            ('/write/x', 'p1', 60),
+            ('/read/x', 'p1', 60),
+            ('/model/x', 'm1', 4),
+        ):
+            for announcement in self.announced:
+                with self.subTest(path=path, announcement=announcement):
+                    self.setUp()
+                    self.begin(path, count)
+                    self.announce(runner_id, announcement)
+                    self.instance.pass_time(1 / 10)
+                    self.assertEqual(0, self.count_arrivals(runner_id))
+                    self.assertEqual({}, self.instance.replies)
+
+    def test_written_requests_keep_their_sends(self) -> None:
+        """Guard against a second run of what the upstream may run already."""
+        self.begin('/write/x', 30)
+        self.count_arrivals('p1')
+        sent = len(self.instance.sends)
+        self.announce('p1', WAIT)
+        self.instance.pass_time(1 / 10)
+        self.assertEqual([], self.instance.aborted_send_ids)
+        self.assertEqual(sent, len(self.instance.sends))
+
+    def test_second_sends_go_elsewhere(self) -> None:
+        """Guard against silent requests that are sent to the upstream too."""
+        self.begin('/read/x', 30)
+        self.count_arrivals('p1')
+        sent = len(self.instance.sends)
+        self.announce('p1', WAIT)
+        self.instance.pass_time(1.0)
+        self.assertGreater(len(self.instance.sends), sent)
+        self.assertEqual(0, self.count_arrivals('p1', sent))
+
+    def test_moves_go_elsewhere(self) -> None:
+        """Guard against an order that brings running requests there."""
+        self.instance = relay_states.Instance(
+            (
+                *relay_states.TWO_CHAINS[:4],
+                relay_states.build_model_runner('m5', 40, 80),
+            )
+        )
+        self.begin('/model/x', 4)
+        self.count_arrivals('m1')
+        chain = self.instance.sends[0].request.chain
+        waiting = next(
+            name for name in ('m2', 'm4') if name != chain[1].runner_id
+        )
+        self.announce(waiting, WAIT)
+        stalled = calls.StalledRequest('x', chain[1].address)
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.ProbeRunner(chain[0].runner_id),
+            address='',
+            answer=calls.RunnerReport(0, False, stalled=(stalled,)),
+        )
+        moves = self.instance.list_calls(calls.MoveRequest)
+        self.assertTrue(moves)
+        used = {part.runner_id for call in moves for part in call.call.chain}
+        self.assertNotIn(waiting, used)
+
+    def test_retries_of_refused_requests_go_elsewhere(self) -> None:
+        """Guard against a burst of refusals that comes back as retries."""
+        self.begin('/write/x', 60)
+        self.count_arrivals('p1')
+        refused = [
+            send.send_id
+            for send in self.instance.sends
+            if send.request.runner_id == 'p1'
+        ]
+        sent = len(self.instance.sends)
+        head = relay_states.build_head(
+            503, announcement=WAIT, is_unexecuted=True
+        )
+        for send_id in refused:
+            self.instance.deliver_answer(send_id, head)
+            self.instance.end_answer(send_id)
+        self.assertGreater(len(refused), 5)
+        self.assertEqual(sent + len(refused), len(self.instance.sends))
+        self.assertEqual(0, self.count_arrivals('p1', sent))
+
+    def test_withdrawn_sends_cost_no_retry(self) -> None:
+        """Guard against a budget that is spent on what has reached nobody."""
+        self.begin('/write/x', 30)
+        before = self.instance.state.retry_buckets
+        self.announce('p1', WAIT)
+        self.instance.pass_time(1 / 10)
+        self.assertEqual(before, self.instance.state.retry_buckets)
+
+
 class CommonWaits(unittest.TestCase):
     """Instances that were asked to wait together do not return together."""
 
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -20,7 +20,7 @@
     'runner_list orders',
     'completion crash_tracking dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
-    ' reachability moves monitoring lifecycle failed_events',
+    ' reachability moves monitoring withdrawals lifecycle failed_events',
     'peer_updates',
     'state handlers',
 )
