Wait at a stop for callers who announce how much they still send

Cause: an instance that stops ended once its output was written. The exit of the process reset the connections of callers who still sent, and destroyed their refusals. The flush could also take 5 s after nine tenths of the time to stop, which is longer than the grace period.

Change: the exit waits for the rest of a request that announces its length, if it is within the bounds of the discard. Chunked, endless and silent uploads do not delay it. `StopLoop` says how long the flush may take; it ends at 0.96 of the time to stop.

Test changed: test_request_after_the_end_is_refused compared the effect with `StopLoop()`. It now requires exactly one `StopLoop`, with exit code 0; its `flush_seconds` has a test of its own.

--- a/src/mustardvale/internal/edge/loop.py
+++ b/src/mustardvale/internal/edge/loop.py
@@ -19,7 +19,6 @@
     from mustardvale.internal.edge import http_client, peer_socket
 
 STOP_POLL_SECONDS = 0.02
-STOP_FLUSH_SECONDS = 5.0
 
 logger = logging.getLogger('mustardvale')
 
@@ -33,6 +32,7 @@
     """Identify the timer that checks for queued output before a stop."""
 
     started_at: float
+    flush_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,7 +47,7 @@
         """Answer a request whose event the reducer failed to handle."""
 
     def is_flushed(self) -> bool:
-        """Return whether no output is queued."""
+        """Return whether no output is queued, and no answer can be lost."""
 
 
 class Perform(typing.Protocol):
@@ -177,10 +177,10 @@
         self.timer_queue.set_timer(StopSignal(), 0)
         self.poller.resume()
 
-    def begin_stop(self, exit_code: int) -> None:
+    def begin_stop(self, exit_code: int, flush_seconds: float) -> None:
         """Stop the loop after the queued output has been written."""
         self.exit_code = exit_code
-        self.stop_when_flushed(FlushCheck(time.monotonic()))
+        self.stop_when_flushed(FlushCheck(time.monotonic(), flush_seconds))
 
     def stop_when_flushed(self, check: FlushCheck) -> None:
         """Stop the loop, or check again later while output is queued."""
@@ -189,7 +189,7 @@
         # circuits and reaches the output of the server only after this call.
         is_flushed = self.server is None or self.server.is_flushed()
         if waited >= STOP_POLL_SECONDS and (
-            is_flushed or waited > STOP_FLUSH_SECONDS
+            is_flushed or waited > check.flush_seconds
         ):
             raise SystemExit(self.exit_code)
         self.timer_queue.set_timer(check, STOP_POLL_SECONDS)
--- a/src/mustardvale/internal/edge/performer.py
+++ b/src/mustardvale/internal/edge/performer.py
@@ -200,4 +200,4 @@
     runtime: 'runtimes.Runtime',
 ) -> None:
     """Stop the loop after queued output has been written."""
-    runtime.begin_stop(effect.exit_code)
+    runtime.begin_stop(effect.exit_code, effect.flush_seconds)
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -519,10 +519,13 @@
                 )
 
     def is_flushed(self) -> bool:
-        """Return whether no output is queued."""
+        """Return whether no output is queued, and no announced rest missing.
+
+        The exit of the process resets connections whose callers still send.
+        """
+        now = time.monotonic()
         return not any(
-            connection.channel is not None and connection.channel.output
-            for connection in self.connections
+            is_delaying_stop(connection, now) for connection in self.connections
         )
 
     def sweep(self) -> None:
@@ -584,6 +587,15 @@
             )
 
 
+def is_delaying_stop(connection: CallerConnection, now: float) -> bool:
+    """Return whether the process waits for a connection before it exits."""
+    if connection.channel is not None and connection.channel.output:
+        return True
+    return connection.discard is not None and lingering_close.may_delay_stop(
+        connection.discard, now, LINGER_LIMITS
+    )
+
+
 def build_protocol(maximum_header_bytes: int) -> h11.Connection:
     """Return the protocol state of a new connection."""
     return h11.Connection(
--- a/src/mustardvale/internal/effects.py
+++ b/src/mustardvale/internal/effects.py
@@ -143,6 +143,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopLoop(Effect):
-    """Stop the loop once all queued output has been written."""
+    """Stop the loop once all queued output has been written.
+
+    After `flush_seconds` it stops in any case.
+    """
 
     exit_code: int = 0
+    flush_seconds: float = 5.0
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -188,7 +188,9 @@
                 ('seconds', round(waited_seconds, 3)),
             ),
         ),
-        effects.StopLoop(),
+        effects.StopLoop(
+            flush_seconds=stopping.compute_flush_seconds(state, event.at)
+        ),
     )
 
 
--- a/src/mustardvale/internal/relay/stopping.py
+++ b/src/mustardvale/internal/relay/stopping.py
@@ -30,6 +30,9 @@
 # Share of the time to stop after which open requests are aborted, so that the
 # callers receive their errors before the process ends.
 ABORT_SHARE = 0.9
+# Share of the time to stop in which the last answers are written. The rest is
+# for the exit of the process.
+FLUSH_SHARE = 0.96
 # Other requests slow a stream down after it has begun.
 STREAM_TIME_FACTOR = 1.5
 # A plain request is expected to end within this many target latencies.
@@ -69,6 +72,15 @@
     return state.stopping.started_at + state.limits.stop_seconds * ABORT_SHARE
 
 
+def compute_flush_seconds(state: 'states.State', now: float) -> float:
+    """Return for how long the last answers may be written."""
+    assert state.stopping is not None, 'a flush belongs to a stop'
+    flush_until = (
+        state.stopping.started_at + state.limits.stop_seconds * FLUSH_SHARE
+    )
+    return max(flush_until - now, 0.0)
+
+
 def is_accepting(state: 'states.State', now: float) -> bool:
     """Return whether new requests are accepted, also during a stop."""
     stopping = state.stopping
--- a/tests/refused_uploads.py
+++ b/tests/refused_uploads.py
@@ -50,11 +50,15 @@
 async def disturb(site: relay_site.RelaySite, kind: str) -> None:
     """Lower the limit or stop the instance while the uploads are open."""
     await asyncio.sleep(CHANGE_AFTER_SECONDS)
+    started_at = time.monotonic()
     if kind == 'version':
         site.store.append_record('keyed.op', 'config', build(3, 20_000))
     if kind == 'stop':
         assert site.process is not None, 'the instance was started'
         site.process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(site.process.wait, timeout=READ_SECONDS)
+        seconds = time.monotonic() - started_at
+        print(f'the process ended after {seconds:.2f} s')
 
 
 def build(version: int, body_bytes: int) -> dict[str, object]:
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -12,6 +12,7 @@
     request_rest,
 )
 from mustardvale.internal.relay import requests
+from mustardvale.platform import front_codec
 from tests import relay_site, test_relay_server
 
 PART = b'x' * 3000
@@ -154,6 +155,40 @@
         self.assertEqual(200, relay_site.read_answer(sock).status)
 
 
+class PlannedStops(LingerCase):
+    """A stop waits for callers who announce how much they still send."""
+
+    def refuse_at_stop(self, start: bytes) -> relay_server.CallerConnection:
+        """Stop the server while an upload is open."""
+        _, connection = self.upload(start)
+        self.server.close_idle()
+        self.server.drain_input()
+        return connection
+
+    def test_announced_rest(self) -> None:
+        """Guard against an exit that resets a caller who still sends."""
+        connection = self.refuse_at_stop(self.announce(900) + b'x' * 300)
+        self.assertFalse(self.server.is_flushed())
+        self.deliver(connection, b'x' * 600)
+        self.assertTrue(self.server.is_flushed())
+
+    def test_silent_caller(self) -> None:
+        """Guard against a caller who stops sending and delays the exit."""
+        self.refuse_at_stop(self.announce(900) + b'x' * 300)
+        self.pass_time(3.1)
+        self.assertTrue(self.server.is_flushed())
+
+    def test_rest_without_an_end(self) -> None:
+        """Guard against callers without an announced end who delay a stop."""
+        chunked = self.announce(0).replace(
+            b'Content-Length: 0', b'Transfer-Encoding: chunked'
+        )
+        for start in (chunked, self.announce(10**9), b'POST / HTTP/1.1\r\n'):
+            self.refuse_at_stop(start)
+            self.assertTrue(self.server.is_flushed(), start)
+            self.server.listen(front_codec.FRONT, self.address)
+
+
 class QueuedAnswers(LingerCase):
     """A stop waits for an answer that its caller has not read yet."""
 
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -387,6 +387,25 @@
         instance.receive_request('r2', '/read/x')
         self.assertEqual(503, instance.replies['r2'].status)
 
+    def find_stop(self, instance: relay_states.Instance) -> effects.StopLoop:
+        """Return the only effect that stops the loop."""
+        (stop,) = (
+            effect
+            for effect in instance.others
+            if isinstance(effect, effects.StopLoop)
+        )
+        return stop
+
+    def test_last_answers_are_written_within_the_time_to_stop(self) -> None:
+        """Guard against a flush that the end of the grace period cuts."""
+        instance = relay_states.Instance()
+        instance.emit_event(events.StopRequested)
+        instance.pass_time(3.2)
+        flush_seconds = self.find_stop(instance).flush_seconds
+        self.assertLess(0, flush_seconds)
+        stop_seconds = instance.state.limits.stop_seconds
+        self.assertLess(3.2 + flush_seconds, stop_seconds)
+
     def test_request_after_the_end_is_refused(self) -> None:
         """Guard against a request that is sent while the process exits.
 
@@ -395,7 +414,7 @@
         instance = relay_states.Instance()
         instance.emit_event(events.StopRequested)
         instance.pass_time(3.2)
-        self.assertIn(effects.StopLoop(), instance.others)
+        self.assertEqual(0, self.find_stop(instance).exit_code)
         instance.receive_request('r1', '/read/x')
         self.assertEqual(503, instance.replies['r1'].status)
         self.assertEqual([], instance.sends)
