Let callers of the guard who still send read their last answer

Cause: the same fault in the front end that does not relay. The guard closed a connection 1.0 s after a refusal, whatever still came, and never shut its output down. circuits.web closed a connection as soon as its last answer was written, also with unread input behind the request.

Change: the guard decides with `lingering_close` and `request_rest`, as the relaying front end does, and shuts the output down once it is written. It keeps connections open that circuits.web closes behind a last answer, up to the same bounds. Half of the connections at most discard input. Paused reading starts again behind a last answer. `discard_seconds` limits the whole time (15 s).

Tests: the site of test_http_guard keeps its limit of 0.2 s in all, and a new class has 5 s. No check of an existing test is changed.

--- a/src/mustardvale/internal/edge/http_checks.py
+++ b/src/mustardvale/internal/edge/http_checks.py
@@ -29,8 +29,9 @@
 
     `request_seconds` is the time from the first byte of a request to its last.
     `linger_seconds` is the time for which input is discarded after the last
-    answer of a connection: closing at once would reset the connection, and the
-    caller could lose the answer. Callers get about half of the 1,024
+    answer of a connection and the end of its request, and `discard_seconds` the
+    time in all: closing at once would reset the connection, and the caller
+    could lose the answer. Callers get about half of the 1,024
     descriptors that a process usually has and that `select` supports; upstreams
     and peers need the others. Up to `refused_connections` further connections
     get an error reply before they are closed; any others are closed at once.
@@ -41,6 +42,7 @@
     request_seconds: float = 10.0
     idle_seconds: float = 60.0
     linger_seconds: float = 1.0
+    discard_seconds: float = 15.0
     sweep_seconds: float = 1.0
     connections: int = 512
     refused_connections: int = 64
--- a/src/mustardvale/internal/edge/http_guard.py
+++ b/src/mustardvale/internal/edge/http_guard.py
@@ -20,7 +20,13 @@
 from circuits.net import sockets
 
 from mustardvale import errors
-from mustardvale.internal.edge import http_checks, timer_queue, wire
+from mustardvale.internal.edge import (
+    http_checks,
+    lingering_close,
+    request_rest,
+    timer_queue,
+    wire,
+)
 
 RETRY_AFTER = ('Retry-After', '1')
 MAXIMUM_ACCEPTS_PER_ITERATION = 64
@@ -60,6 +66,7 @@
         self.pipelined_bytes = 0
         self.is_paused = False
         self.must_close = False
+        self.discard: lingering_close.Discard | None = None
 
 
 class checked_read(net_events.read):  # noqa: N801
@@ -68,9 +75,17 @@
     name = 'read'
 
 
+class finish_output(circuits.Event):  # noqa: N801
+    """Shut down the sending side of a connection once it is written."""
+
+
 class CallerListener(sockets.TCPServer):
     """Accept callers and write to them."""
 
+    def __init__(self, *arguments: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*arguments, **options)
+        self.finishing: set[socket.socket] = set()
+
     @circuits.handler('_read', priority=1, override=True)
     def _on_read(self, sock: socket.socket) -> None:
         """Read from a caller, or accept pending connections.
@@ -109,6 +124,41 @@
         if sock is not None and sock in self._closeq:
             self._poller.removeReader(sock)
 
+    def _close(self, sock: socket.socket) -> None:
+        """Close a socket at once."""
+        self.finishing.discard(sock)
+        super()._close(sock)
+
+    @circuits.handler('finish_output')
+    def finish_output(self, sock: socket.socket) -> None:
+        """Shut down the sending side, at once or after the queued output."""
+        if sock.fileno() < 0:
+            return
+        self.finishing.add(sock)
+        self.shut_down_finished(sock)
+
+    @circuits.handler('_write', priority=1, override=True)
+    def _on_write(self, sock: socket.socket) -> None:
+        """Write queued output, and shut the output down behind the last."""
+        super()._on_write(sock)
+        if sock in self.finishing:
+            self.shut_down_finished(sock)
+
+    def shut_down_finished(self, sock: socket.socket) -> None:
+        """Shut down the sending side if no output is queued."""
+        if self.has_output(sock):
+            return
+        self.finishing.discard(sock)
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The connection is closed already.
+            self._close(sock)
+
+    def has_output(self, sock: socket.socket) -> bool:
+        """Return whether output of a connection is queued."""
+        return bool(self._buffers.get(sock))
+
 
 class HttpGuard(circuits.Component):
     """Forward one complete request at a time on each connection."""
@@ -126,6 +176,14 @@
         self.encode_error = encode_error
         self.limits = limits
         self.connections: dict[socket.socket, GuardedConnection] = {}
+        # Connections that discard their input, oldest first.
+        self.lingering: dict[socket.socket, None] = {}
+        # Half of the connections remain for callers who are served.
+        self.linger_limits = lingering_close.Limits(
+            linger_seconds=limits.linger_seconds,
+            total_seconds=limits.discard_seconds,
+            connections=limits.connections // 2,
+        )
         self.timer_queue = timer_queue.TimerQueue(self.sweep).register(self)
         self.timer_queue.set_timer(ConnectionSweep(), limits.sweep_seconds)
 
@@ -147,6 +205,7 @@
     def on_disconnect(self, sock: socket.socket) -> None:
         """Stop tracking a closed connection."""
         self.connections.pop(sock, None)
+        self.lingering.pop(sock, None)
 
     @circuits.handler('read', priority=1)
     def on_read(
@@ -160,7 +219,10 @@
             return
         event.stop()
         connection = self.connections.get(sock)
-        if connection is None or connection.phase is Phase.DISCARDING:
+        if connection is None:
+            return
+        if connection.phase is Phase.DISCARDING:
+            self.discard_input(connection, received)
             return
         connection.protocol.receive_data(received)
         if connection.phase is Phase.ANSWERING:
@@ -176,16 +238,24 @@
         if sock.fileno() < 0:
             event.stop()
 
+    @circuits.handler('close', priority=1)
+    def on_close(
+        self, event: typing.Any, sock: socket.socket | None = None
+    ) -> None:
+        """Keep a connection open whose input is discarded.
+
+        circuits.web closes a connection as soon as its last answer is written.
+        """
+        if sock in self.lingering:
+            event.stop()
+
     @circuits.handler('response', priority=-1)
     def on_response(self, response: typing.Any) -> None:
         """Continue with the next request after a complete answer.
 
-        circuits.web never marks the answer to HEAD as done, so its connection
-        is closed instead.
+        circuits.web never marks the answer to HEAD as done.
         """
-        if response.request.method == 'HEAD':
-            self.fire(net_events.close(response.request.sock))
-        elif response.done:
+        if response.done or response.request.method == 'HEAD':
             self.complete_answer(response)
 
     @circuits.handler('stream', priority=-1)
@@ -209,13 +279,8 @@
     ) -> None:
         """Stop reading when pipelined input reaches the size of one body."""
         connection.pipelined_bytes += count
-        if (
-            connection.is_paused
-            or connection.pipelined_bytes < self.limits.body_bytes
-        ):
-            return
-        connection.is_paused = True
-        self.tcp._poller.removeReader(connection.sock)
+        if connection.pipelined_bytes >= self.limits.body_bytes:
+            self.pause_reading(connection)
 
     def receive_request(self, connection: GuardedConnection) -> None:
         """Parse the input of a connection that has no open request."""
@@ -270,17 +335,11 @@
         if connection is None or connection.phase is not Phase.ANSWERING:
             return
         if connection.must_close or response.close:
-            self.enter_phase(
-                connection,
-                Phase.DISCARDING,
-                self.limits.linger_seconds,
-            )
+            self.discard_rest(connection)
             return
         complete_cycle(connection.protocol)
         self.enter_phase(connection, Phase.IDLE, self.limits.idle_seconds)
-        if connection.is_paused:
-            connection.is_paused = False
-            self.tcp._poller.addReader(self.tcp, connection.sock)
+        self.resume_reading(connection)
         if connection.protocol.trailing_data[0]:
             self.receive_request(connection)
 
@@ -315,9 +374,67 @@
         )
         encoded = connection.protocol.send(head) or b''
         self.fire(net_events.write(connection.sock, encoded + body))
+        self.discard_rest(connection)
+
+    def discard_rest(self, connection: GuardedConnection) -> None:
+        """Discard what follows the last answer of a connection."""
         self.enter_phase(
-            connection, Phase.DISCARDING, self.limits.linger_seconds
+            connection, Phase.DISCARDING, self.linger_limits.total_seconds
+        )
+        connection.protocol = request_rest.renew_parser(
+            connection.protocol, self.limits.header_bytes
+        )
+        connection.discard = request_rest.start(
+            connection.protocol,
+            connection.head,
+            len(connection.body),
+            time.monotonic(),
+        )
+        connection.protocol = request_rest.release(connection.protocol)
+        connection.head = None
+        connection.body.clear()
+        self.resume_reading(connection)
+        self.fire(finish_output(connection.sock))
+        self.begin_linger(connection)
+
+    def begin_linger(self, connection: GuardedConnection) -> None:
+        """Wait for the caller's close; close the oldest of too many."""
+        self.lingering[connection.sock] = None
+        if lingering_close.has_surplus(len(self.lingering), self.linger_limits):
+            self.close_lingering(next(iter(self.lingering)))
+
+    def close_lingering(self, sock: socket.socket) -> None:
+        """Close a connection whose input was discarded."""
+        self.lingering.pop(sock, None)
+        self.tcp._close(sock)
+
+    def discard_input(
+        self, connection: GuardedConnection, received: bytes
+    ) -> None:
+        """Discard input, up to a limit."""
+        assert connection.discard is not None, 'the phase has a discard'
+        connection.discard = request_rest.skip(
+            connection.protocol, connection.discard, received, time.monotonic()
         )
+        connection.protocol = request_rest.release(connection.protocol)
+        if not lingering_close.is_full(connection.discard, self.linger_limits):
+            return
+        if self.tcp.has_output(connection.sock):
+            self.pause_reading(connection)
+        else:
+            self.close_lingering(connection.sock)
+
+    def pause_reading(self, connection: GuardedConnection) -> None:
+        """Stop reading, so that TCP flow control slows the caller down."""
+        if not connection.is_paused:
+            connection.is_paused = True
+            self.tcp._poller.removeReader(connection.sock)
+
+    def resume_reading(self, connection: GuardedConnection) -> None:
+        """Start reading again after a pause."""
+        if connection.is_paused:
+            connection.is_paused = False
+            self.tcp._poller.addReader(self.tcp, connection.sock)
 
     def sweep(self, timer: ConnectionSweep) -> None:
         """Handle connections whose time limit has passed.
@@ -327,10 +444,25 @@
         """
         now = time.monotonic()
         for connection in tuple(self.connections.values()):
-            if 0 < connection.expires_at <= now:
+            if self.is_expired(connection, now):
                 self.expire_connection(connection)
         self.timer_queue.set_timer(timer, self.limits.sweep_seconds)
 
+    def is_expired(self, connection: GuardedConnection, now: float) -> bool:
+        """Return whether the time limit of a connection has passed.
+
+        The last answer may be written until the limit for the whole discard.
+        """
+        if 0 < connection.expires_at <= now:
+            return True
+        return (
+            connection.discard is not None
+            and not self.tcp.has_output(connection.sock)
+            and not lingering_close.may_continue(
+                connection.discard, now, self.linger_limits
+            )
+        )
+
     def expire_connection(self, connection: GuardedConnection) -> None:
         """Reject an incomplete request, or close an idle connection."""
         if connection.phase is Phase.RECEIVING:
--- a/tests/guarded_entry.py
+++ b/tests/guarded_entry.py
@@ -15,6 +15,8 @@
     request_seconds: float = 10,
     idle_seconds: float = 60,
     connections: int = 512,
+    linger_seconds: float = 0.2,
+    discard_seconds: float = 0.2,
 ) -> None:
     """Serve callers at `host:port`."""
     logs.configure('INFO', instance_id)
@@ -34,7 +36,8 @@
         http_checks.Limits(
             request_seconds=request_seconds,
             idle_seconds=idle_seconds,
-            linger_seconds=0.2,
+            linger_seconds=linger_seconds,
+            discard_seconds=discard_seconds,
             sweep_seconds=0.1,
             connections=connections,
         ),
--- a/tests/refused_uploads.py
+++ b/tests/refused_uploads.py
@@ -1,7 +1,7 @@
 """Measure how many callers of an instance read the refusal of an upload.
 
 The callers send uploads at the same time, and read only after they have sent
-everything: `python -m tests.refused_uploads limit|version|stop`.
+everything: `python -m tests.refused_uploads limit|version|stop|guard`.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 
 import fire
 
-from tests import relay_site
+from tests import relay_site, site_processes
 
 UPLOAD_COUNT = 200
 UPLOAD_BYTES = 120_000
@@ -24,14 +24,14 @@
 APPLY_SECONDS = 1.0
 
 
-async def upload(address: str, number: int) -> str:
+async def upload(address: str, number: int, headers: str = '') -> str:
     """Send one upload; return the status of its answer, or the error."""
     host, _, port = address.rpartition(':')
     seconds = SHORTEST_SECONDS + (LONGEST_SECONDS - SHORTEST_SECONDS) * (
         number / (UPLOAD_COUNT - 1)
     )
     request = relay_site.encode_request(
-        '/read/x', f'a{number}', b'x' * UPLOAD_BYTES
+        '/read/x', f'a{number}', b'x' * UPLOAD_BYTES, headers
     )
     size = len(request) // PART_COUNT + 1
     try:
@@ -75,17 +75,42 @@
     return outcomes
 
 
-def main(kind: str = 'limit') -> None:
-    """Start an instance, and print how often each outcome occurred."""
+async def refuse_all(address: str) -> list[str]:
+    """Send uploads whose encoding the entry instance refuses."""
+    return await asyncio.gather(
+        *(
+            upload(address, number, 'Content-Encoding: gzip\r\n')
+            for number in range(UPLOAD_COUNT)
+        )
+    )
+
+
+def run_guard() -> list[str]:
+    """Start an entry instance that does not relay, and return the outcomes."""
+    site = site_processes.Site()
+    try:
+        site.start(linger_seconds=1, discard_seconds=15)
+        return asyncio.run(refuse_all(site.address))
+    finally:
+        site.stop()
+
+
+def run_relay(kind: str) -> list[str]:
+    """Start an instance that relays, and return the outcomes."""
     site = relay_site.RelaySite()
     limit = 100_000 if kind == 'limit' else 130_000
     try:
         site.start(**{'stop-seconds': STOP_SECONDS})
         site.store.append_record('keyed.op', 'config', build(2, limit))
         time.sleep(APPLY_SECONDS)
-        outcomes = asyncio.run(run_all(site, kind))
+        return asyncio.run(run_all(site, kind))
     finally:
         site.stop()
+
+
+def main(kind: str = 'limit') -> None:
+    """Print how often each outcome occurred."""
+    outcomes = run_guard() if kind == 'guard' else run_relay(kind)
     print(kind, dict(collections.Counter(outcomes)))
 
 
--- a/tests/test_http_guard.py
+++ b/tests/test_http_guard.py
@@ -41,6 +41,7 @@
     """Run one entry instance for all tests of a class."""
 
     site: site_processes.Site
+    discard_seconds = 0.2
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -52,6 +53,7 @@
             request_seconds=REQUEST_SECONDS,
             idle_seconds=IDLE_SECONDS,
             connections=CONNECTION_LIMIT,
+            discard_seconds=cls.discard_seconds,
         )
 
     def setUp(self) -> None:
@@ -406,6 +408,53 @@
         self.assertEqual((status, body.count(b'"token"')), (200, tokens))
 
 
+class UnreadInput(GuardedCase):
+    """A caller who still sends can read its last answer."""
+
+    discard_seconds = 5.0
+
+    def get_problem(self, sock: socket.socket) -> int:
+        """Return the error of a connection after a moment."""
+        time.sleep(0.05)
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def test_refused_upload(self) -> None:
+        """Guard against a reset of a caller who reads after its upload."""
+        part = b'x' * 75_000
+        sock = self.connect()
+        head = post(b'').replace(b'Length: 0', b'Length: %d' % (16 * len(part)))
+        sock.sendall(head)
+        for _ in range(16):
+            sock.sendall(part)
+            time.sleep(0.05)
+        self.check_refused(self.read_all(sock), 413, 'payload_too_large')
+
+    def test_input_behind_a_last_answer(self) -> None:
+        """Guard against a reset behind an answer that closes."""
+        for method in (b'GET', b'HEAD'):
+            sock = self.connect()
+            request = LIVENESS_REQUEST.replace(b'GET', method)
+            sock.sendall(
+                request.replace(b'x\r\n', b'x\r\nConnection: close\r\n')
+            )
+            self.assertIn(b' 200 ', self.read_all(sock))
+            sock.sendall(b'x')
+            self.assertEqual(0, self.get_problem(sock), method)
+
+    def test_oldest_connection_goes_first(self) -> None:
+        """Guard against callers who hold all connections by sending on."""
+        head = post(b'').replace(b'Length: 0', b'Length: 9000000')
+        made = [self.connect() for _ in range(CONNECTION_LIMIT // 2 + 1)]
+        for sock in made:
+            sock.sendall(head)
+            self.assertIn(b' 413 ', self.read_all(sock))
+        for sock in made:
+            sock.sendall(b'x')
+        problems = [self.get_problem(sock) for sock in made]
+        self.assertNotEqual(0, problems[0])
+        self.assertEqual([0], list(set(problems[1:])))
+
+
 class ConnectionLimit(GuardedCase):
     """The number of connections is bounded."""
 
