Request lists of instances until they are answered

Cause: the time of the latest request for a list was taken for that of the known list. When the list after the hand-over of partitions failed, none was requested until the group changed again, so that a new instance stayed unknown. An older list that was answered last replaced a newer one.

Change: the request has its time, and the known list has that of its request. A list that is due is requested at each renewal until it is answered, and an older list is dropped.

Tests changed: Members.list_members names the time of its request, and test_members_are_listed_again_when_partitions_have_moved answers the lists.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -248,9 +248,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListMembers:
-    """Read the members of a zone, or the readers of all zones."""
+    """Read the members of a zone, or the readers of all zones.
+
+    The list is no older than `requested_at`.
+    """
 
     zone: str
+    requested_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -62,7 +62,8 @@
 class GroupState:
     """Hold the generation of a group and its members as last listed.
 
-    `listed_generation` is the generation of that list, or -1 before the first.
+    `listed_generation` is the generation of that list, or -1 before the first,
+    and `listed_at` the time at which it was requested from the store.
     `is_joined` is true from the first join until this instance leaves.
     Joins sent before `settled_at` grant nothing: one that was sent then has
     been answered, or this instance has left.
@@ -72,7 +73,7 @@
     listed_generation: int = -1
     listed: tuple[Member, ...] = ()
     generation_changed_at: float = 0.0
-    list_requested_at: float = 0.0
+    listed_at: float = 0.0
     settled_at: float = 0.0
     is_joined: bool = False
 
@@ -323,11 +324,11 @@
     """Renew the memberships, or only list the others while stopping."""
     if state.stopping is None:
         return renew_memberships(state, event.at)
-    return list_remaining(timer, state)
+    return list_remaining(timer, event.at, state)
 
 
 def list_remaining(
-    timer: timers.MembershipRenewalDue, state: 'states.State'
+    timer: timers.MembershipRenewalDue, now: float, state: 'states.State'
 ) -> reducer.Transition:
     """List the other instances again while this one is stopping.
 
@@ -341,8 +342,8 @@
     return transitions.Transition(
         state,
         (
-            build_call(calls.ListMembers(zone), state),
-            build_call(calls.ListMembers(READER_GROUP), state),
+            request_list(zone, now, state),
+            request_list(READER_GROUP, now, state),
             effects.SetTimer(timer, JOIN_PERIOD_SECONDS),
         ),
     )
@@ -367,22 +368,14 @@
     )
     if not is_member_list_due(call.zone, event.at, joined.state):
         return joined
-    return joined.then(
-        lambda current: request_list(call.zone, event.at, current)
-    )
+    return joined.with_effects(request_list(call.zone, event.at, joined.state))
 
 
 def request_list(
     zone: str, now: float, state: 'states.State'
-) -> reducer.Transition:
-    """Send a request for the members of a group."""
-    listing = dataclasses.replace(
-        find_group(zone, state.members), list_requested_at=now
-    )
-    return transitions.Transition(
-        replace_group(zone, listing, state),
-        (build_call(calls.ListMembers(zone), state),),
-    )
+) -> effects.Effect:
+    """Return the effect of a request for the members of a group."""
+    return build_call(calls.ListMembers(zone, now), state)
 
 
 def record_leadership(
@@ -435,8 +428,8 @@
     """Return whether to list the members of a group again.
 
     They are listed when the generation changes, and once more after the time
-    in which all partitions have been handed over. A follower receives the
-    lists from its reader.
+    in which all partitions have been handed over. A list that is not answered
+    is requested again. A follower receives the lists from its reader.
     """
     group = find_group(zone, state.members)
     if state.peer_feed.reader_id and group.listed_generation >= 0:
@@ -444,7 +437,7 @@
     if group.listed_generation != group.generation:
         return True
     handed_over_at = group.generation_changed_at + HANDOVER_SECONDS
-    return group.list_requested_at < handed_over_at <= now
+    return group.listed_at < handed_over_at <= now
 
 
 @reducer.on_answer.register(calls.ListMembers)
@@ -457,7 +450,16 @@
     """
     if not isinstance(event.answer, calls.MembersListed):
         return record_failure(f'status {event.answer.status}', state)
-    recorded = record_members(call.zone, event.answer.members, state)
+    group = find_group(call.zone, state.members)
+    if call.requested_at < group.listed_at:
+        # An older list may lack members that are known.
+        return transitions.Transition(state)
+    listed = dataclasses.replace(group, listed_at=call.requested_at)
+    recorded = record_members(
+        call.zone,
+        event.answer.members,
+        replace_group(call.zone, listed, state),
+    )
     known = recorded.state
     if known.members.readers.is_joined or known.stopping is not None:
         return recorded
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -206,7 +206,7 @@
         """Deliver the store's list of the members of a zone or the readers."""
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.ListMembers(zone),
+            call=calls.ListMembers(zone, self.instance.now),
             address='',
             answer=calls.MembersListed(names),
         )
@@ -237,8 +237,42 @@
         for _ in range(8):
             self.instance.now += 0.7
             self.join(4)
+            self.list_members()
         self.assertEqual(2, len(self.instance.list_calls(calls.ListMembers)))
 
+    def test_list_that_failed_is_requested_again(self) -> None:
+        """Guard against a new member that is missed with one failed call."""
+        self.join(4)
+        self.list_members()
+        for _ in range(2):
+            self.instance.now += members.HANDOVER_SECONDS
+            self.join(4)
+            self.instance.emit_event(
+                events.CallFailed,
+                call=self.instance.list_calls(calls.ListMembers)[-1].call,
+                address='',
+                failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+            )
+        self.assertEqual(3, len(self.instance.list_calls(calls.ListMembers)))
+
+    def test_older_list_is_dropped(self) -> None:
+        """Guard against a late list without the members that are known."""
+        for generation in (4, 5):
+            self.join(generation)
+            self.instance.now += members.JOIN_PERIOD_SECONDS
+        asked = [
+            sent.call for sent in self.instance.list_calls(calls.ListMembers)
+        ]
+        name = 'entry-2|10.0.0.2:80|zone-a|region|10.0.0.2:84'
+        for call, names in zip(reversed(asked), ((name,), ()), strict=True):
+            self.instance.emit_event(
+                events.CallAnswered,
+                call=call,
+                address='',
+                answer=calls.MembersListed(names),
+            )
+        self.assertEqual(1, len(self.instance.state.members.zone.listed))
+
     def test_directory_has_all_members(self) -> None:
         """Guard against directing all callers to one instance."""
         self.join(4)
