Repeat a poll on a silent connection in time

Cause: a poll of the configuration waited 2 s, or 10 s without a limit for revoked keys, and was repeated 0.25 s after it had failed. On a connection that went silent right after it was sent, the next poll was sent after 3.25 s, or 11.25 s. An instance counts as in touch 3 s after its links are whole again, and then acted on an older version.

Change: a poll waits 1.5 s at most. With its time-out and the delay it is repeated after 2.75 s, which leaves 0.25 s for the answer.

Measured: test_silent_poll_is_repeated_in_time finds no second poll within 2.8 s without the change, and one with it, with no limit, 5 s and 60 s; 327 tests of 17 modules and test_relay_processes.Platform pass. By the constants, instances that read the store send 0.67 polls each second in place of 0.5, or of 0.1 without a limit; nothing changes where others follow and the limit is 5 s.

--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -26,11 +26,14 @@
 
 # Wait of a poll, as a share of the time for which a configuration may be used.
 # Below one half, so that a second poll is possible if the first gets no answer.
-POLL_SHARE = 0.4
+POLL_SHARE = 0.3
 # The same share if there may be followers. They receive a confirmation up
 # to two reads of the runner list later and need time to notice a failed reader.
 FOLLOWED_POLL_SHARE = 0.2
-MAXIMUM_POLL_SECONDS = 10.0
+# A poll on a connection that has gone silent, and the next one, take less than
+# the three seconds after which an instance whose links were cut is expected to
+# know the newest version.
+MAXIMUM_POLL_SECONDS = 1.5
 ANSWER_TIMEOUT_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.25
 # Requests with keys are refused this long before the limit, so that a request
--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -8,6 +8,7 @@
 from mustardvale.internal import effects, events
 from mustardvale.internal.relay import (
     calls,
+    instance_settings,
     members,
     requests,
     runner_list,
@@ -17,6 +18,8 @@
 
 
 ZONE = relay_states.IDENTITY.availability_zone
+# An instance counts as in touch this long after its links were cut.
+CONTACT_SECONDS = 3.0
 
 
 class UpstreamList(unittest.TestCase):
@@ -116,6 +119,29 @@
         poll = instance.list_calls(calls.FollowConfiguration)[-1]
         self.assertEqual(0, poll.call.wait_seconds)
 
+    def test_silent_poll_is_repeated_in_time(self) -> None:
+        """Guard against an older version three seconds after a cut link."""
+        for limit in (None, 5.0, 60.0):
+            with self.subTest(limit=limit):
+                instance = relay_states.Instance(
+                    limits=instance_settings.Limits(
+                        key_revocation_seconds=limit
+                    )
+                )
+                poll = instance.list_calls(calls.FollowConfiguration)[-1]
+                sent_at = instance.now
+                instance.pass_time(poll.timeout_seconds)
+                instance.emit_event(
+                    events.CallFailed,
+                    call=poll.call,
+                    address='',
+                    failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+                )
+                instance.pass_time(CONTACT_SECONDS - poll.timeout_seconds - 0.2)
+                self.assertLess(instance.now, sent_at + CONTACT_SECONDS)
+                (_, repeated) = instance.list_calls(calls.FollowConfiguration)
+                self.assertEqual(0, repeated.call.wait_seconds)
+
     def test_compacted_log_causes_a_read_of_the_newest(self) -> None:
         """Guard against polling for records that the log no longer has."""
         instance = relay_states.Instance()
