Show that a break behind the last event is no end

Cause: a stream that was delivered whole, but broke before the end of its answer, is sent again, gets no further event and ends as cut. By reading it was not clear whether that breaks a promise.

Nothing but the end of the answer tells that a stream is whole, no event says that it is the last one, and an answer without events may be one that was cut. A cut stream does not look complete, and no event comes twice.

Measured: test_break_between_the_last_event_and_the_end passes without a change, and fails in its three forms if an answer without events completes the stream.

--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -199,6 +199,33 @@
         self.assertNotIn('r1', self.instance.ends)
         self.assertIn('r1', self.instance.closed)
 
+    def test_break_between_the_last_event_and_the_end(self) -> None:
+        """Guard against a break that is taken for the end of a stream.
+
+        No event says that it is the last one, and an answer without a new event
+        may be cut as well.
+        """
+        for repeated in ((), EVENTS[-1:], EVENTS):
+            with self.subTest(repeated=repeated):
+                self.setUp()
+                first = self.instance.start_send()
+                self.instance.deliver_answer(
+                    first, relay_states.build_head(), *EVENTS
+                )
+                self.instance.fail_send(first)
+                second = self.instance.start_send()
+                self.assertEqual(
+                    len(EVENTS), self.instance.sends[1].request.last_event_id
+                )
+                self.instance.deliver_answer(
+                    second, relay_states.build_head(), *repeated
+                )
+                self.instance.end_answer(second)
+                self.assertEqual(b''.join(EVENTS), self.join_parts())
+                self.assertNotIn('r1', self.instance.ends)
+                self.assertEqual(['r1'], self.instance.closed)
+                self.assertEqual(2, len(self.instance.sends))
+
     def test_late_parts_of_an_abandoned_run_are_dropped(self) -> None:
         """Guard against mixing the events of two runs."""
         first = self.instance.start_send()
