--- a/tests/test_relay_feeds.py
+++ b/tests/test_relay_feeds.py
@@ -8,6 +8,7 @@
 from mustardvale.internal import effects, events
 from mustardvale.internal.relay import (
     calls,
+    instance_settings,
     members,
     requests,
     runner_list,
@@ -17,6 +18,8 @@
 
 
 ZONE = relay_states.IDENTITY.availability_zone
+# An instance counts as in touch this long after its links were cut.
+CONTACT_SECONDS = 3.0
 
 
 class UpstreamList(unittest.TestCase):
@@ -116,6 +119,29 @@
         poll = instance.list_calls(calls.FollowConfiguration)[-1]
         self.assertEqual(0, poll.call.wait_seconds)
 
+    def test_silent_poll_is_repeated_in_time(self) -> None:
+        """Guard against an older version three seconds after a cut link."""
+        for limit in (None, 5.0, 60.0):
+            with self.subTest(limit=limit):
+                instance = relay_states.Instance(
+                    limits=instance_settings.Limits(
+                        key_revocation_seconds=limit
+                    )
+                )
+                poll = instance.list_calls(calls.FollowConfiguration)[-1]
+                sent_at = instance.now
+                instance.pass_time(poll.timeout_seconds)
+                instance.emit_event(
+                    events.CallFailed,
+                    call=poll.call,
+                    address='',
+                    failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+                )
+                instance.pass_time(CONTACT_SECONDS - poll.timeout_seconds - 0.2)
+                self.assertLess(instance.now, sent_at + CONTACT_SECONDS)
+                (_, repeated) = instance.list_calls(calls.FollowConfiguration)
+                self.assertEqual(0, repeated.call.wait_seconds)
+
     def test_compacted_log_causes_a_read_of_the_newest(self) -> None:
         """Guard against polling for records that the log no longer has."""
         instance = relay_states.Instance()
@@ -206,7 +232,7 @@
         """Deliver the store's list of the members of a zone or the readers."""
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.ListMembers(zone),
+            call=calls.ListMembers(zone, self.instance.now),
             address='',
             answer=calls.MembersListed(names),
         )
@@ -237,8 +263,42 @@
         for _ in range(8):
             self.instance.now += 0.7
             self.join(4)
+            self.list_members()
         self.assertEqual(2, len(self.instance.list_calls(calls.ListMembers)))
 
+    def test_list_that_failed_is_requested_again(self) -> None:
+        """Guard against a new member that is missed with one failed call."""
+        self.join(4)
+        self.list_members()
+        for _ in range(2):
+            self.instance.now += members.HANDOVER_SECONDS
+            self.join(4)
+            self.instance.emit_event(
+                events.CallFailed,
+                call=self.instance.list_calls(calls.ListMembers)[-1].call,
+                address='',
+                failure=events.Failure(events.FailureKind.TIMED_OUT, True),
+            )
+        self.assertEqual(3, len(self.instance.list_calls(calls.ListMembers)))
+
+    def test_older_list_is_dropped(self) -> None:
+        """Guard against a late list without the members that are known."""
+        for generation in (4, 5):
+            self.join(generation)
+            self.instance.now += members.JOIN_PERIOD_SECONDS
+        asked = [
+            sent.call for sent in self.instance.list_calls(calls.ListMembers)
+        ]
+        name = 'entry-2|10.0.0.2:80|zone-a|region|10.0.0.2:84'
+        for call, names in zip(reversed(asked), ((name,), ()), strict=True):
+            self.instance.emit_event(
+                events.CallAnswered,
+                call=call,
+                address='',
+                answer=calls.MembersListed(names),
+            )
+        self.assertEqual(1, len(self.instance.state.members.zone.listed))
+
     def test_directory_has_all_members(self) -> None:
         """Guard against directing all callers to one instance."""
         self.join(4)
