Let the soak's runners leave and ask to wait by their own word

Cause: no stand-in sent either header, so that neither rule was tested between processes.

Change: a runner stand-in says that it leaves in its answers to requests and reports, and asks to wait in its refusals, when its faults say so. What restarts, frozen instances and disturbed links explain is left out.

A fault of a runner that another one replaces no longer ends that one early: the stand-in took a drain back that the checks still counted, and reported runs "long after the drain".

--- a/bench/relay_attempts.py
+++ b/bench/relay_attempts.py
@@ -31,7 +31,8 @@
     Times are in monotonic seconds. The caller aborts the attempt at
     `aborts_at`. `attempt_number` counts the attempts of a request from 1. A
     retry of a stream continues after `resumed_after_event`. `stamp` is the
-    Server-Stamp header of the answer, `last_received_at` the time of its last
+    Server-Stamp header of the answer, `is_leaving` whether its runner says in it
+    that it leaves, `last_received_at` the time of its last
     part, or of the send before the first one.
     """
 
@@ -49,6 +50,7 @@
     status: int = 0
     stamp: str = ''
     retry_after: float | None = None
+    is_leaving: bool = False
     received: bytes = b''
     last_received_at: float = 0.0
 
--- a/bench/relay_checks.py
+++ b/bench/relay_checks.py
@@ -3,12 +3,15 @@
 The event of a history line is one of:
 
 - of callers: `ask` for an attempt, and its end: `answer`, `lost` for a failed
-  connection or `left` for an attempt that the caller aborted;
-- of runners: `run`, `refusal` and `move`, the new chain of a running request;
+  connection or `left` for an attempt that the caller aborted. An answer is
+  `leaving` if its runner says in it that it leaves;
+- of runners: `run`, `refusal`, with the seconds of `retry_after` if the runner
+  asks to wait, and `move`, the new chain of a running request;
 - of the operator: `config_sent` for a configuration and `config` for its
-  confirmation, `draining` and `returned` for a runner, `plan` for a planned
-  fault, `fault` where a fault begins or ends, and `settled` when all faults
-  have ended.
+  confirmation, `draining` and `returned` for a runner, `restarted` before its
+  process ends or another one begins, `plan` for a planned fault, `fault` where
+  a fault begins or ends at its `target`, and `settled` when all faults have
+  ended.
 
 Times are in seconds since the epoch.
 """
@@ -40,6 +43,12 @@
 # The bound on draining runners holds only where no fault began or ended from
 # this long before the drain until the run.
 UNDISTURBED_SECONDS = 3.0
+# A request that arrives this long after a refusal was not sent before it.
+REFUSAL_ARRIVAL_SECONDS = 0.5
+MAXIMUM_ARRIVALS_IN_A_WAIT = 2
+# A fault that began this long before may still last.
+LONGEST_FAULT_SECONDS = 4.0
+MISDIRECTED_STATUS = 421
 # The site recovers within this time after all faults have ended.
 RECOVERY_SECONDS = 12.0
 MINIMUM_SERVED_SHARE = 0.25
@@ -265,6 +274,83 @@
                 )
 
 
+def check_leaving_upstreams(history: History) -> abc.Iterator[Violation]:
+    """Find arrivals at a runner that has said to a caller that it leaves."""
+    attempts = history.index_attempts()
+    run_times: dict[tuple[str, str], float] = {
+        (run['id'], run['runner']): run['at'] for run in history.select('run')
+    }
+    for answer in history.select('answer'):
+        if not answer.get('leaving'):
+            continue
+        runner = answer['stamp'].partition('.')[0]
+        entry = attempts[answer['id']]['entry']
+        # The answer may arrive after the process that made it has ended.
+        said_at = run_times.get((answer['id'], runner), float(answer['at']))
+        for arrival in list_arrivals(runner, entry, history):
+            asked_at = attempts[arrival['id']]['at']
+            if asked_at <= answer['at'] + DRAIN_SECONDS:
+                continue
+            if not is_excused(runner, entry, said_at, arrival, history):
+                yield Violation(
+                    'leaving by its own word', arrival['id'], runner
+                )
+
+
+def check_waits(history: History) -> abc.Iterator[Violation]:
+    """Find runners that get requests in the time for which they want none."""
+    attempts = history.index_attempts()
+    for refusal in history.select('refusal'):
+        attempt = attempts.get(refusal['id'])
+        if attempt is None or not refusal.get('retry_after'):
+            continue
+        runner, entry = refusal['runner'], attempt['entry']
+        begins_at = refusal['at'] + REFUSAL_ARRIVAL_SECONDS
+        ends_at = refusal['at'] + refusal['retry_after']
+        arrivals = [
+            arrival
+            for arrival in list_arrivals(runner, entry, history)
+            if begins_at < arrival['at'] < ends_at
+            and not is_excused(runner, entry, refusal['at'], arrival, history)
+        ]
+        if len(arrivals) > MAXIMUM_ARRIVALS_IN_A_WAIT:
+            yield Violation(
+                'waits', arrivals[-1]['id'], f'{len(arrivals)} at {runner}'
+            )
+
+
+def list_arrivals(
+    runner: str, entry: str, history: History
+) -> abc.Iterator[Line]:
+    """Return the requests at a runner that callers sent to an instance."""
+    attempts = history.index_attempts()
+    for line in history.select('run', 'refusal'):
+        if line['runner'] != runner or line['id'] not in attempts:
+            continue
+        is_misdirected = line.get('status') == MISDIRECTED_STATUS
+        if attempts[line['id']]['entry'] == entry and not is_misdirected:
+            yield line
+
+
+def is_excused(
+    runner: str, entry: str, since: float, arrival: Line, history: History
+) -> bool:
+    """Return whether an arrival may follow from a fault.
+
+    An instance that has restarted knows nothing of a runner, one whose link to
+    it was disturbed may hear or arrive late, and a restarted runner is another.
+    """
+    for fault in history.select('fault'):
+        may_last = since - LONGEST_FAULT_SECONDS < fault['at'] < arrival['at']
+        is_of_all = fault['kind'] == 'KillAll'
+        if may_last and (is_of_all or fault['target'] in {runner, entry}):
+            return True
+    return any(
+        line['runner'] == runner and since < line['at'] < arrival['at']
+        for line in history.select('restarted')
+    )
+
+
 def check_recovery(history: History) -> abc.Iterator[Violation]:
     """Find a site that serves too few attempts after all faults have ended."""
     for settled in history.select('settled'):
@@ -300,5 +386,7 @@
     check_deadlines,
     check_revoked_keys,
     check_draining_runners,
+    check_leaving_upstreams,
+    check_waits,
     check_recovery,
 )
--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -12,6 +12,10 @@
 RandomSource = random.Random
 LINK_SIDES = ('caller', 'target')
 FAULT_DELAY_SECONDS = 0.4
+# Faults of runners after which another process runs under the same id.
+RESTARTING_FAULTS = frozenset(('down', 'dark', 'draining', 'leaving'))
+# What runners ask for that want no requests.
+ASKED_WAITS_SECONDS = (0.7, 1.5, 3.0, 6.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +26,11 @@
     model_runners: tuple[str, ...]
     plain_runners: tuple[str, ...]
 
+    @property
+    def runners(self) -> tuple[str, ...]:
+        """Return the names of all runners."""
+        return (*self.model_runners, *self.plain_runners)
+
     @property
     def links(self) -> tuple[str, ...]:
         """Return the names of all links of the proxy."""
@@ -45,7 +54,7 @@
 class DisturbRunner(fault_plans.Disturb):
     """Activate faults of a runner and clear them at the end.
 
-    A runner that was down, dark or draining then restarts without layers.
+    After the faults `RESTARTING_FAULTS`, it then restarts without layers.
     """
 
 
@@ -220,10 +229,34 @@
         'odd_entry': lambda random_source, targets: LeaveEntry(
             random_source.choice(tuple(ODD_ENTRIES))
         ),
+        'runner_leaves': lambda random_source, targets: build_runner_fault(
+            random_source.choice(targets.runners), leaving=True
+        ),
+        'runner_leaves_as_listed': lambda random_source, targets: (
+            build_runner_fault(
+                random_source.choice(targets.runners),
+                leaving=True,
+                draining=True,
+            )
+        ),
+        'runner_asks_to_wait': lambda random_source, targets: (
+            build_runner_fault(
+                random_source.choice(targets.runners),
+                full=True,
+                retry_after_seconds=random_source.choice(ASKED_WAITS_SECONDS),
+            )
+        ),
     }
 )
 
 
+def choose_kinds(names: str) -> tuple[str, ...]:
+    """Return the kinds of names joined by `+`, of `all`, or the unnamed."""
+    if names == 'all':
+        return (*KINDS, *NAMED_KINDS)
+    return tuple(names.split('+')) if names else tuple(KINDS)
+
+
 def draw_plan(
     seed: int,
     seconds: float,
--- a/bench/relay_load.py
+++ b/bench/relay_load.py
@@ -71,6 +71,7 @@
     status: int
     stamp: str
     retry_after: float | None
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -295,6 +296,7 @@
         resumed_after_event=relay_attempts.get_last_event_id(attempt),
         status=0,
         stamp='',
+        is_leaving=False,
         received=b'',
     )
     timer = RetryDue(next_attempt.attempt_id, next_attempt)
@@ -394,6 +396,7 @@
         status=event.head.status,
         stamp=event.head.stamp,
         retry_after=event.head.retry_after,
+        is_leaving=event.head.is_leaving,
         last_received_at=event.at,
     )
     return replace_attempt(updated, state)
@@ -434,6 +437,7 @@
                 ('id', attempt.attempt_id),
                 ('status', attempt.status),
                 ('stamp', attempt.stamp),
+                ('leaving', attempt.is_leaving),
                 (
                     'whole',
                     attempt.received
--- a/bench/relay_load_main.py
+++ b/bench/relay_load_main.py
@@ -66,6 +66,7 @@
             received.status,
             headers.get('server-stamp', ''),
             float(retry_after) if retry_after else None,
+            headers.get('server-leaving') == '1',
         )
 
     def decode_announcement(self, received: relay_wire.ReceivedHead) -> None:
--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -46,12 +46,15 @@
     """Begin and end the faults of a site that relays requests.
 
     `failed_call_count` counts the calls to stand-ins that failed.
+    `runner_faults` has the last fault of each runner, which replaces earlier
+    ones.
     """
 
     def __init__(self, site: relay_sites.RelaySite) -> None:
         super().__init__(site)
         self.site = site
         self.failed_call_count = 0
+        self.runner_faults: dict[str, fault_plans.Fault] = {}
 
     def try_control(
         self,
@@ -80,7 +83,11 @@
     def record_fault(self, fault: fault_plans.Fault) -> None:
         """Record faults of instances, the store or links in the history."""
         if isinstance(fault, DISTURBING_FAULTS):
-            self.site.record_event('fault', kind=type(fault).__name__)
+            target = getattr(fault, 'target', '')
+            addresses = self.site.entry_addresses.get(target, (target,))
+            self.site.record_event(
+                'fault', kind=type(fault).__name__, target=addresses[0]
+            )
 
     def end_all_faults(self) -> None:
         """Resume, restart and clear everything, and record it as settled."""
@@ -127,8 +134,13 @@
 def begin_runner_fault(
     fault: relay_faults.DisturbRunner, driver: SoakDriver
 ) -> None:
-    """Activate faults of a runner and record if it drains."""
+    """Activate faults of a runner and record if it drains or ends."""
     faults = dict(fault.faults)
+    driver.runner_faults[fault.target] = fault
+    if faults.get('down'):
+        driver.site.record_event('restarted', runner=fault.target)
+    if not faults.get('draining'):
+        driver.site.record_event('returned', runner=fault.target)
     is_confirmed = driver.try_control(
         driver.site.set_runner_faults, fault.target, **faults
     )
@@ -140,12 +152,16 @@
 def end_runner_fault(
     fault: relay_faults.DisturbRunner, driver: SoakDriver
 ) -> None:
-    """Clear the faults of a runner.
+    """Clear the faults of a runner, unless later ones have replaced them.
 
-    A runner that was down, dark or draining restarts without layers.
+    A runner that was down, dark, draining or leaving restarts without layers.
     """
+    if driver.runner_faults.get(fault.target) is not fault:
+        return
     faults = dict(fault.faults)
-    is_restarted = bool(faults.keys() & {'down', 'dark', 'draining'})
+    is_restarted = bool(faults.keys() & relay_faults.RESTARTING_FAULTS)
+    if is_restarted:
+        driver.site.record_event('restarted', runner=fault.target)
     driver.try_control(
         driver.site.set_runner_faults, fault.target, **{'born': is_restarted}
     )
@@ -311,13 +327,14 @@
     kinds: str = '',
     rate: float = 30,
 ) -> None:
-    """Run one or more seeds in sequence; seed 0 draws the first at random."""
+    """Run one or more seeds in sequence; seed 0 draws the first at random.
+
+    `kinds` has names joined by `+`, or is `all`.
+    """
     # A soak that is stopped by a signal would otherwise leave its processes.
     signal.signal(signal.SIGTERM, demo.exit_on_signal)
     first_seed = seed or random.SystemRandom().randrange(1, 1_000_000)
-    chosen_kinds = (
-        tuple(kinds.split('+')) if kinds else tuple(relay_faults.KINDS)
-    )
+    chosen_kinds = relay_faults.choose_kinds(kinds)
     violation_count = 0
     for number in range(first_seed, first_seed + runs):
         result = run(number, seconds, chosen_kinds, rate)
--- a/standins/layered_runner_codec.py
+++ b/standins/layered_runner_codec.py
@@ -123,6 +123,9 @@
     )
     if reply.attempt_id:
         headers += (('Attempt-Id', reply.attempt_id),)
+    if reply.retry_after_seconds:
+        headers += (('Retry-After', str(reply.retry_after_seconds)),)
+    headers += build_leaving_headers(reply.is_leaving)
     return relay_wire.ReplyHead(reply.status, headers), b''
 
 
@@ -160,14 +163,24 @@
             for attempt_id, address in reply.stalled
         ],
     }
-    return relay_wire.ReplyHead(OK_STATUS), json.dumps(fields).encode()
+    headers = build_leaving_headers(reply.runner.faults.leaving)
+    return relay_wire.ReplyHead(OK_STATUS, headers), json.dumps(fields).encode()
+
+
+def build_leaving_headers(is_leaving: bool) -> relay_wire.Headers:
+    """Return the header with which a runner says that it leaves, if it does."""
+    return (('Server-Leaving', '1'),) if is_leaving else ()
 
 
 def build_answer_headers(
     reply: runner_messages.WholeAnswer | runner_messages.StreamHead,
 ) -> tuple[tuple[str, str], ...]:
     """Return the headers that tell which attempt and runner made an answer."""
-    return (('Attempt-Id', reply.attempt_id), ('Server-Stamp', reply.stamp))
+    return (
+        ('Attempt-Id', reply.attempt_id),
+        ('Server-Stamp', reply.stamp),
+        *build_leaving_headers(reply.is_leaving),
+    )
 
 
 def encode_head(head: runner_messages.StreamHead) -> relay_wire.ReplyHead:
--- a/standins/layered_runner_main.py
+++ b/standins/layered_runner_main.py
@@ -109,10 +109,23 @@
             'layers': [[part.first, part.end] for part in effect.chain],
             'last_event': run.last_event,
             'at': effect.wall_time,
+            **describe_refusal(effect.refusal),
         }
     )
 
 
+def describe_refusal(
+    refusal: runner_messages.Refusal | None,
+) -> dict[str, typing.Any]:
+    """Return the fields of a refusal in the history, if it is one."""
+    if refusal is None:
+        return {}
+    return {
+        'status': refusal.status,
+        'retry_after': refusal.retry_after_seconds,
+    }
+
+
 def serve(plan: str, history: str) -> None:
     """Serve until the process is stopped."""
     logs.configure('INFO', 'runners')
--- a/standins/layered_runners.py
+++ b/standins/layered_runners.py
@@ -51,6 +51,7 @@
     run: runner_messages.RunRequest
     chain: tuple[runner_messages.ChainPart, ...]
     wall_time: float
+    refusal: runner_messages.Refusal | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,7 +148,12 @@
         return transitions.Transition(state)
     if request.expected_runner not in ('', runner.runner_id):
         attempt_id = getattr(request, 'attempt_id', '')
-        refused = runner_messages.Refusal(421, runner.address, attempt_id)
+        refused = runner_messages.Refusal(
+            421,
+            runner.address,
+            attempt_id,
+            is_leaving=runner.faults.leaving,
+        )
         return answer(event.request_id, refused, state)
     return on_request(request, runner, event, state)
 
@@ -188,9 +194,7 @@
     """Start a run, or refuse it before anything is run."""
     refused = find_refusal(request, runner, state)
     if refused is not None:
-        return answer(event.request_id, refused, state).with_effects(
-            RecordRun('refusal', request, request.chain, event.wall_time)
-        )
+        return refuse_run(request, refused, runner, event, state)
     first = 1 if request.last_event is None else request.last_event + 1
     running = ActiveRun(request, request.chain, first)
     state = dataclasses.replace(
@@ -206,6 +210,20 @@
     )
 
 
+def refuse_run(
+    request: runner_messages.RunRequest,
+    refused: runner_messages.Refusal,
+    runner: runner_messages.Runner,
+    event: events.CallerRequested,
+    state: State,
+) -> Transition:
+    """Refuse a request and record the refusal."""
+    refusal = dataclasses.replace(refused, is_leaving=runner.faults.leaving)
+    return answer(event.request_id, refusal, state).with_effects(
+        RecordRun('refusal', request, request.chain, event.wall_time, refusal)
+    )
+
+
 def find_refusal(
     request: runner_messages.RunRequest,
     runner: runner_messages.Runner,
@@ -219,7 +237,12 @@
         for active_run in state.active_runs.values()
     )
     if runner.faults.full or busy >= runner.slots:
-        return runner_messages.Refusal(503, runner.address, request.attempt_id)
+        return runner_messages.Refusal(
+            503,
+            runner.address,
+            request.attempt_id,
+            runner.faults.retry_after_seconds,
+        )
     if not runner.accelerator:
         return None
     chain = request.chain
@@ -350,6 +373,7 @@
         run.attempt_id,
         build_stamp(run),
         reference_text.build_whole_body(run.digest),
+        is_leaving=runner.faults.leaving,
     )
     return answer(request_id, complete_answer, state)
 
@@ -369,7 +393,9 @@
     run = running.run
     head_effects: tuple[effects.Effect, ...] = ()
     if not running.begun:
-        head = runner_messages.StreamHead(run.attempt_id, build_stamp(run))
+        head = runner_messages.StreamHead(
+            run.attempt_id, build_stamp(run), runner.faults.leaving
+        )
         head_effects = (StartStream(request_id, head),)
     number = running.next_event
     last = reference_text.count_events(run.digest)
--- a/standins/runner_messages.py
+++ b/standins/runner_messages.py
@@ -13,7 +13,10 @@
     not answer. One that is `full` refuses runs, and one that is `draining`
     refuses chains. The connections of the next `lose_answers` runs without a
     chain are closed instead of an answer. The next `cut` streams are closed in
-    the middle of an event. `born` restarts the runner without layers.
+    the middle of an event. One that is `leaving` says so in its answers to
+    requests and reports. Refusals because a runner is full ask to wait for
+    `retry_after_seconds`, unless that is 0. `born` restarts the runner without
+    layers.
     """
 
     runner_id: str
@@ -23,6 +26,8 @@
     full: bool = False
     lose_answers: int = 0
     cut: int = 0
+    leaving: bool = False
+    retry_after_seconds: float = 0
     born: bool = False
 
 
@@ -129,12 +134,15 @@
 class Refusal:
     """Refuse a request of which nothing was run.
 
-    `at_fault` is the address of the runner that caused the refusal.
+    `at_fault` is the address of the runner that caused the refusal. It asks to
+    get no requests for `retry_after_seconds`, unless that is 0.
     """
 
     status: int
     at_fault: str = ''
     attempt_id: str = ''
+    retry_after_seconds: float = 0
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +152,7 @@
     attempt_id: str
     stamp: str
     body: bytes
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +161,7 @@
 
     attempt_id: str
     stamp: str
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_relay_checks.py
+++ b/tests/test_relay_checks.py
@@ -19,6 +19,7 @@
         'kind': 'write',
         'digest': DIGEST,
         'tenant': 'ann',
+        'entry': 'e0',
         'key': 'k',
         'at': 100.0,
         **fields,
@@ -317,6 +318,71 @@
             set(), find_broken_promises(build_config(1, 'k'), *lines)
         )
 
+    def build_leaving(self, **later: typing.Any) -> tuple[typing.Any, ...]:
+        """Return a history in which a leaving runner gets a later request."""
+        return (
+            build_attempt(kind='read', at=97.0),
+            build_run(at=97.1),
+            build_answer(leaving=True, at=97.2),
+            build_attempt('a2', at=99.3, **later),
+            build_run('a2', at=99.4),
+            build_answer('a2', at=99.5),
+        )
+
+    def test_runner_that_leaves_by_its_own_word(self) -> None:
+        """Guard against missing a request long after the word."""
+        lines = self.build_leaving()
+        self.assert_violation('leaving by its own word', *lines)
+        elsewhere = self.build_leaving(entry='e1')
+        self.assertEqual(
+            set(), find_broken_promises(build_config(1, 'k'), *elsewhere)
+        )
+
+    def test_excused_requests_to_a_leaving_runner(self) -> None:
+        """Guard against reporting what a fault explains, and only that."""
+        lines = self.build_leaving()
+        for excuse in (
+            {'event': 'fault', 'kind': 'Freeze', 'target': 'e0', 'at': 98.0},
+            {'event': 'fault', 'kind': 'KillAll', 'target': '', 'at': 98.0},
+            {'event': 'restarted', 'runner': 'p0', 'at': 98.0},
+            {'event': 'restarted', 'runner': 'p0', 'at': 97.15},
+        ):
+            found = find_broken_promises(build_config(1, 'k'), *lines, excuse)
+            self.assertEqual(set(), found)
+        for other in (
+            {'event': 'fault', 'kind': 'Freeze', 'target': 'e1', 'at': 98.0},
+            {'event': 'fault', 'kind': 'Freeze', 'target': 'e0', 'at': 99.6},
+            {'event': 'restarted', 'runner': 'p1', 'at': 98.0},
+            {'event': 'restarted', 'runner': 'p0', 'at': 97.0},
+        ):
+            self.assert_violation('leaving by its own word', *lines, other)
+
+    def build_wait(
+        self, count: int, at: float = 100.0, entry: str = 'e0'
+    ) -> tuple[typing.Any, ...]:
+        """Return a history of a wait from 99 to 101 with requests in it."""
+        lines: list[typing.Any] = [
+            build_attempt('w', kind='read', at=98.9),
+            build_run('w', event='refusal', at=99.0, retry_after=2.0),
+        ]
+        for number in range(count):
+            name = f'w{number}'
+            lines.append(build_attempt(name, kind='read', at=at, entry=entry))
+            lines.append(build_run(name, event='refusal', at=at))
+        return tuple(lines)
+
+    def test_requests_in_a_wait(self) -> None:
+        """Guard against missing the third request of a wait."""
+        self.assert_violation('waits', *self.build_wait(3))
+        for allowed in (
+            self.build_wait(2),
+            self.build_wait(9, at=99.4),
+            self.build_wait(9, at=101.1),
+            self.build_wait(9, entry='e1'),
+        ):
+            found = find_broken_promises(build_config(1, 'k'), *allowed)
+            self.assertEqual(set(), found)
+
     def test_missing_recovery(self) -> None:
         """Guard against missing a site that serves nothing after faults."""
         settled = {'event': 'settled', 'at': 80.0}
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -1,6 +1,7 @@
 """Test the relay as separate processes under randomly drawn faults."""
 
 import pathlib
+import re
 import unittest
 
 from bench import relay_faults, relay_soak
@@ -10,6 +11,12 @@
 # was in force.
 SEEDS_AND_SECONDS = ((1, 6.0), (49, 12.0))
 
+ANNOUNCING_KINDS = (
+    'runner_leaves',
+    'runner_leaves_as_listed',
+    'runner_asks_to_wait',
+)
+
 
 class SeededRuns(unittest.TestCase):
     """No promise is broken while faults overlap."""
@@ -46,6 +53,20 @@
         for log in pathlib.Path(outcome.directory).glob('*.log'):
             self.assertNotIn('Traceback', log.read_text(), log)
 
+    def test_runners_that_announce(self) -> None:
+        """Guard against runners that leave or ask to wait and get requests."""
+        outcome = relay_soak.run(4202, 12.0, ANNOUNCING_KINDS)
+        self.assertEqual((), outcome.violations, outcome.directory)
+        self.assertIn('leaving', str(outcome.faults))
+        self.assertIn('retry_after_seconds', str(outcome.faults))
+        self.assertGreater(outcome.outcome_counts['200'], 0)
+        heard = set()
+        for log in pathlib.Path(outcome.directory).glob('entry-*.log'):
+            heard.update(
+                re.findall(r'"message": "(runner_\w+)', log.read_text())
+            )
+        self.assertLessEqual({'runner_leaving', 'runner_asks_to_wait'}, heard)
+
 
 class FaultPlans(unittest.TestCase):
     """Plans of faults are reproducible, complete and overlapping."""
