Spread the return of callers after a common wait

Cause: callers that are refused because all upstreams have asked to wait were told the moment at which the first of them is usable again. With many upstreams that is close to the announced end, however their ends are spread, and the callers of the whole wait came back in that moment.

Change: a refusal adds a share of the spread, drawn for each caller, to the remaining wait. The spread follows the wait that the upstream had asked for, so that callers refused late in it return over the same time.

--- a/src/mustardvale/internal/relay/announcements.py
+++ b/src/mustardvale/internal/relay/announcements.py
@@ -21,8 +21,9 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-# The instances that an upstream has asked to wait return at different moments
-# within this share of the wait after its end.
+# The instances that an upstream has asked to wait, and the callers that they
+# refuse meanwhile, return at different moments within this share of the wait
+# after its end.
 RETURN_SPREAD_SHARE = 0.2
 MAXIMUM_RETURN_SPREAD_SECONDS = 2.0
 
@@ -102,15 +103,20 @@
     if not asked_seconds:
         return transitions.Transition(state)
     drawn = draws.draw(state.seed)
-    seconds = compute_wait_seconds(
-        min(asked_seconds, state.limits.maximum_upstream_wait_seconds),
-        drawn.fraction,
+    granted_seconds = min(
+        asked_seconds, state.limits.maximum_upstream_wait_seconds
     )
+    seconds = compute_wait_seconds(granted_seconds, drawn.fraction)
     runner_id = runner.listed.runner_id
     waiting = dataclasses.replace(
         state,
         seed=drawn.seed,
-        runners=runners.record_wait(state.runners, runner_id, now + seconds),
+        runners=runners.record_wait(
+            state.runners,
+            runner_id,
+            now + seconds,
+            compute_return_spread(granted_seconds),
+        ),
     )
     if runner.waits_until > now:
         return transitions.Transition(waiting)
@@ -129,7 +135,12 @@
 
 def compute_wait_seconds(asked_seconds: float, random_fraction: float) -> float:
     """Return the time to wait, `random_fraction` of the spread longer."""
-    spread = min(
+    spread = compute_return_spread(asked_seconds)
+    return asked_seconds + spread * random_fraction
+
+
+def compute_return_spread(asked_seconds: float) -> float:
+    """Return for how long after a wait instances and callers return."""
+    return min(
         asked_seconds * RETURN_SPREAD_SHARE, MAXIMUM_RETURN_SPREAD_SECONDS
     )
-    return asked_seconds + spread * random_fraction
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -68,6 +68,17 @@
     estimated_tokens: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class UpstreamWait:
+    """Hold for how long no upstream can take a request.
+
+    Callers that are refused return within `return_spread_seconds` after it.
+    """
+
+    seconds: float = 0.0
+    return_spread_seconds: float = 0.0
+
+
 def build_flow_control_effect(send_id: str, is_blocked: bool) -> effects.Effect:
     """Return the effect that pauses or resumes the answer to a send."""
     if is_blocked:
@@ -94,20 +105,35 @@
     target = choose_target(exchange, now, state)
     if target is not None:
         return send_before_stop(exchange, target, now, state)
-    wait_seconds = estimate_wait_seconds(exchange, now, state)
-    if now + wait_seconds < compute_wait_deadline(exchange):
+    wait = estimate_wait(exchange, now, state)
+    if now + wait.seconds < compute_wait_deadline(exchange):
         waiting = dataclasses.replace(exchange, last_search_at=now)
         exchange_map = state.exchanges.set(exchange.request_id, waiting)
         return check_schedule.request_check(
             now, dataclasses.replace(state, exchanges=exchange_map)
         )
+    return refuse_for_now(exchange, wait, now, state)
+
+
+def refuse_for_now(
+    exchange: exchanges.Exchange,
+    wait: UpstreamWait,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Refuse a request that no upstream can take, until one may.
+
+    Callers that are refused in the same wait return at different moments.
+    """
+    drawn = draws.draw(state.seed)
+    return_seconds = wait.seconds + wait.return_spread_seconds * drawn.fraction
     return completion.fail_exchange(
         exchange,
         explain_no_target(exchange, now, state),
         now,
-        state,
+        dataclasses.replace(state, seed=drawn.seed),
         retry_after_seconds=max(
-            choose_retry_after(exchange, now, state), wait_seconds
+            choose_retry_after(exchange, now, state), return_seconds
         ),
     )
 
@@ -181,9 +207,9 @@
     return completion.RETRY_AFTER_SECONDS
 
 
-def estimate_wait_seconds(
+def estimate_wait(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
-) -> float:
+) -> UpstreamWait:
     """Return for how long at least no upstream can take a request.
 
     It is more than 0 only where all upstreams that could take the request, or
@@ -197,14 +223,21 @@
         if runner.is_usable
     ]
     if all(runner.waits_until <= now for runner in usable):
-        return 0.0
-    waits: dict[int, float] = {}
+        return UpstreamWait()
+    waits: dict[int, UpstreamWait] = {}
     for runner in usable:
         layers = runner.listed.layers or runners.LayerRange(0, 1)
-        seconds = max(runner.waits_until - now, 0.0)
+        wait = find_wait(runner, now)
         for layer in range(layers.first, layers.end):
-            waits[layer] = min(waits.get(layer, seconds), seconds)
-    return max(waits.values(), default=0.0)
+            waits[layer] = min(waits.get(layer, wait), wait)
+    return max(waits.values(), default=UpstreamWait())
+
+
+def find_wait(runner: runners.Runner, now: float) -> UpstreamWait:
+    """Return for how long an upstream has asked to get no requests."""
+    if runner.waits_until <= now:
+        return UpstreamWait()
+    return UpstreamWait(runner.waits_until - now, runner.return_spread_seconds)
 
 
 def describe_obstacles(
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -82,7 +82,8 @@
     changed or was dropped, and `delisted_at` the time at which it was dropped.
     `doubtful` is a heartbeat that may be that of a process that has left.
     `is_leaving` is true once the process has said in an answer that it leaves,
-    and until `waits_until` it has asked to get no requests.
+    and until `waits_until` it has asked to get no requests. Callers that are
+    refused meanwhile return within `return_spread_seconds` after that.
     Until `deprioritized_until` other upstreams are preferred, and until
     `excluded_until` the upstream is left out of new chains. `unreachable_until`
     is how long it is avoided because a probe was not answered, and 0 after an
@@ -99,6 +100,7 @@
     doubtful: Heartbeat | None = None
     is_leaving: bool = False
     waits_until: float = 0.0
+    return_spread_seconds: float = 0.0
     deprioritized_until: float = 0.0
     excluded_until: float = 0.0
     unreachable_until: float = 0.0
@@ -250,14 +252,22 @@
 
 
 def record_wait(
-    runner_map: RunnerMap, runner_id: str, until: float
+    runner_map: RunnerMap,
+    runner_id: str,
+    until: float,
+    return_spread_seconds: float,
 ) -> RunnerMap:
     """Record until when an upstream has asked to get no requests."""
     known = runner_map[runner_id]
     if known.waits_until >= until:
         return runner_map
     return runner_map.set(
-        runner_id, dataclasses.replace(known, waits_until=until)
+        runner_id,
+        dataclasses.replace(
+            known,
+            waits_until=until,
+            return_spread_seconds=return_spread_seconds,
+        ),
     )
 
 
--- a/tests/test_relay_announcements.py
+++ b/tests/test_relay_announcements.py
@@ -8,6 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from bench import common_waits
 from mustardvale.internal import events
 from mustardvale.internal.edge import relay_wire
 from mustardvale.internal.relay import (
@@ -483,6 +484,34 @@
                 most = max(tenths.count(tenth) for tenth in set(tenths))
                 self.assertLessEqual(most, max(instance_count / 4, 4))
 
+    def test_refused_callers_return_spread(self) -> None:
+        """Guard against callers that all return in the same instant."""
+        instance = relay_states.Instance(PLAIN_RUNNERS[:1])
+        instance.emit_event(
+            events.CallAnswered,
+            call=calls.ProbeRunner('p1'),
+            address='',
+            answer=calls.RunnerReport(0, False, announcement=WAIT),
+        )
+        for number in range(40):
+            instance.receive_request(f'r{number}', '/write/x')
+        wait = instance.state.runners['p1'].waits_until - instance.now
+        later = sorted(
+            reply.retry_after_seconds - wait
+            for reply in instance.replies.values()
+        )
+        spread = announcements.compute_return_spread(WAIT_SECONDS)
+        self.assertGreaterEqual(later[0], 0)
+        self.assertLessEqual(later[-1], spread)
+        self.assertLess(later[len(later) // 4], spread / 2)
+        self.assertGreater(later[len(later) * 3 // 4], spread / 2)
+
+    def test_load_after_a_common_wait(self) -> None:
+        """Guard against a peak when all upstreams of a range return."""
+        load = common_waits.measure(1, instance_count=20, request_rate=40.0)
+        self.assertEqual(0, load['sends_in_the_wait'])
+        self.assertLess(load['peak_over_mean'], 1.5)
+
 
 class Connections(unittest.TestCase):
     """Both headers are heard over real connections."""
