Keep streams waiting while only silence excludes their runners

Cause: when all model runners are silent, the probes of their streams time out after 0.4 s and each first runner is excluded for 2 s, as if its fault were known. No chain is left then, and a new stream is refused 0.05 s later (a tenth of its target), although nothing shows that a runner is gone.

Change: an exclusion notes whether silence is all that is known. While silent runners are all that is missing, a request that was not sent waits, at most for nine tenths of the time after which its caller disconnects, and for nine tenths of its own. 512 requests wait at one instance, and one client account takes at most as many places as are free. A refused or broken connection, a dropped or draining entry are knowledge and refuse as before. One search for each service notices the return; the waiting requests are then sent over one second, least time left first, and silence is ignored for 0.5 s, so that streams continue instead of getting a second send each. A refusal names the silent runners and how long ago they were excluded.

--- a/bench/relay_load.py
+++ b/bench/relay_load.py
@@ -41,7 +41,8 @@
     """Describe the load to send.
 
     `keys` are pairs of an API key and its tenant. `rate` is the mean number of
-    requests per second.
+    requests per second. Callers abort a stream that pauses for
+    `maximum_gap_seconds`.
     """
 
     run_id: str
@@ -50,6 +51,7 @@
     rate: float = 30
     duration_seconds: float = 10
     seed: int = 1
+    maximum_gap_seconds: float = MAXIMUM_GAP_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,7 +320,7 @@
     """Abort the attempts that their callers give up."""
     transition: Transition = transitions.Transition(state)
     for attempt in state.attempts.values():
-        if is_abandoned(attempt, event.at):
+        if is_abandoned(attempt, state.plan, event.at):
             transition = transition.then(
                 functools.partial(abort_attempt, attempt, event)
             )
@@ -327,13 +329,15 @@
     )
 
 
-def is_abandoned(attempt: relay_attempts.Attempt, now: float) -> bool:
+def is_abandoned(
+    attempt: relay_attempts.Attempt, plan: LoadPlan, now: float
+) -> bool:
     """Return whether the caller gives up an attempt.
 
     It does so at the time that was drawn for the attempt, or when nothing has
     been received for too long.
     """
-    limit_seconds = MAXIMUM_GAP_SECONDS
+    limit_seconds = plan.maximum_gap_seconds
     if not attempt.kind.is_streamed:
         limit_seconds = DEADLINE_SECONDS + DEADLINE_MARGIN_SECONDS
     return (
--- a/bench/relay_sites.py
+++ b/bench/relay_sites.py
@@ -402,8 +402,11 @@
         )
         return placed == sum('accelerator' in row for row in self.runners)
 
-    def build_load_process(self) -> processes.Process:
-        """Return the process of the callers, which is not started yet."""
+    def build_load_process(self, **fields: typing.Any) -> processes.Process:
+        """Return the process of the callers, which is not started yet.
+
+        `fields` replaces those of the plan of the load.
+        """
         self.write_plan(
             'load',
             {
@@ -415,6 +418,7 @@
                 'rate': self.rate,
                 'duration_seconds': self.seconds,
                 'seed': self.seed,
+                **fields,
             },
         )
         spec = processes.ProcessSpec(
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -21,6 +21,7 @@
     requests,
     retry_budgets,
     runners,
+    silence_waits,
     stopping,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -94,6 +95,15 @@
     target = choose_target(exchange, now, state)
     if target is not None:
         return send_before_stop(exchange, target, now, state)
+    return wait_or_fail(exchange, now, state)
+
+
+def wait_or_fail(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Keep a request waiting for an upstream, or fail it."""
+    if may_wait_for_silent(exchange, now, state):
+        return silence_waits.begin_wait(exchange, now, state)
     wait_seconds = estimate_wait_seconds(exchange, now, state)
     if now + wait_seconds < compute_wait_deadline(exchange):
         waiting = dataclasses.replace(exchange, last_search_at=now)
@@ -112,6 +122,18 @@
     )
 
 
+def may_wait_for_silent(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> bool:
+    """Return whether a model request waits for runners that are silent."""
+    service = find_service(exchange, state)
+    if service is None or service.engine is None:
+        return False
+    return silence_waits.may_wait(
+        exchange, service.engine.layer_count, now, state
+    )
+
+
 def send_before_stop(
     exchange: exchanges.Exchange,
     target: Target,
@@ -140,6 +162,8 @@
 
 def is_search_due(exchange: exchanges.Exchange, now: float) -> bool:
     """Return whether to search for an upstream again."""
+    if exchange.next_search_at is not None:
+        return now >= exchange.next_search_at
     searched_at = exchange.last_search_at
     if searched_at is None or exchange.last_event_at is None:
         return True
@@ -218,9 +242,22 @@
         )
         if (obstacle := runner.find_obstacle(now)) is not None
     )
-    return ', '.join(
+    described = [
         f'{count} {reason}' for reason, count in sorted(obstacles.items())
-    )
+    ]
+    silent_since = [
+        runner.silent_since
+        for runner in runners.list_service_runners(
+            state.runners, state.runner_index, exchange.service
+        )
+        if runner.silent_since and runner.find_obstacle(now) is not None
+    ]
+    if silent_since:
+        described.append(
+            f'the silent ones excluded {compute_age_ms(max(silent_since), now)}'
+            f' to {compute_age_ms(min(silent_since), now)} ms ago'
+        )
+    return ', '.join(described)
 
 
 def explain_no_target(
@@ -491,6 +528,7 @@
         exchange,
         attempts=(*exchange.attempts, attempt),
         send_count=exchange.send_count + 1,
+        next_search_at=None,
     )
     next_state = dataclasses.replace(
         state,
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -60,7 +60,8 @@
     `unconnected_count` those that ended before a byte was sent. The others are
     assumed to have arrived at an upstream. `tried_runner_ids` names the
     upstreams that refused or failed the request. `last_search_at` is when a
-    search last found no upstream, and `last_problem` why the last send failed
+    search last found no upstream, `next_search_at` when a request that waits
+    for silent upstreams searches again, and `last_problem` why the last send failed
     or got a second one beside it. `admitted_service` describes the service in
     the version that admitted the request, for the case that a later version
     drops it.
@@ -85,6 +86,7 @@
     last_event_at: float | None = None
     is_caller_blocked: bool = False
     last_search_at: float | None = None
+    next_search_at: float | None = None
     last_problem: str = ''
 
     @property
--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -21,6 +21,7 @@
     reducer,
     runners,
     timers,
+    wait_release,
 )
 
 if typing.TYPE_CHECKING:
@@ -70,6 +71,7 @@
                 ),
             )
         )
+        .then(lambda current: wait_release.release_waiting(event.at, current))
         .then_each(
             state.exchanges,
             lambda request_id, current: check_exchange(
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -47,6 +47,8 @@
 # no other runner is available.
 FAULT_EXCLUSION_SECONDS = 2.0
 MAXIMUM_MOVES = 4
+# A runner that closes or refuses a connection is not silent.
+SILENCE_REASONS = frozenset(('stalled', 'unreachable'))
 
 
 def probe_first_runner(
@@ -125,9 +127,11 @@
     if is_streaming or event.at < state.silence_ignored_until:
         return transitions.Transition(state)
     faulty = frozenset((call.runner_id,))
+    is_silent_call = event.failure.kind is events.FailureKind.TIMED_OUT
+    reason = 'unreachable' if is_silent_call else 'failed'
     until = event.at + FAULT_DEPRIORITIZE_SECONDS
     return (
-        mark_faulty(faulty, 'unreachable', event.at, state)
+        mark_faulty(faulty, reason, event.at, state)
         .then(
             lambda current: reachability.record_unreachable(
                 call.runner_id, until, current
@@ -147,14 +151,12 @@
     known = sorted(runner_id for runner_id in faulty if runner_id in runner_map)
     for runner_id in known:
         runner = runner_map[runner_id]
-        if runner.deprioritized_until < now + FAULT_DEPRIORITIZE_SECONDS / 2:
+        if is_newly_faulty(runner, reason, now):
             newly_faulty.append(runner_id)
             runner_map = runners.deprioritize(
                 runner_map, runner_id, now + FAULT_DEPRIORITIZE_SECONDS
             )
-            runner_map = runners.exclude(
-                runner_map, runner_id, now + FAULT_EXCLUSION_SECONDS
-            )
+            runner_map = exclude_faulty(runner_map, runner_id, reason, now)
     log_effects = tuple(
         relay_effects.LogDecision(
             'runner_blamed', (('runner', runner_id), ('reason', reason))
@@ -166,6 +168,23 @@
     )
 
 
+def is_newly_faulty(runner: runners.Runner, reason: str, now: float) -> bool:
+    """Return whether a fault of a runner tells more than what is known."""
+    if runner.silent_since and reason not in SILENCE_REASONS:
+        return True
+    return runner.deprioritized_until < now + FAULT_DEPRIORITIZE_SECONDS / 2
+
+
+def exclude_faulty(
+    runner_map: runners.RunnerMap, runner_id: str, reason: str, now: float
+) -> runners.RunnerMap:
+    """Exclude a faulty runner; note whether only its silence shows that."""
+    until = now + FAULT_EXCLUSION_SECONDS
+    if reason in SILENCE_REASONS:
+        return runners.exclude_silent(runner_map, runner_id, now, until)
+    return runners.exclude(runner_map, runner_id, until)
+
+
 def move_affected(
     faulty: frozenset[str], now: float, state: 'states.State'
 ) -> reducer.Transition:
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -64,6 +64,7 @@
     LEAVING = 'leaving by its own word'
     ASKED_TO_WAIT = 'asking to wait'
     EXCLUDED = 'excluded after a failure'
+    SILENT = 'silent'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,6 +88,8 @@
     `excluded_until` the upstream is left out of new chains. `unreachable_until`
     is how long it is avoided because a probe was not answered, and 0 after an
     answer. Until `unconnected_until` its process is assumed to have ended.
+    `silent_since` is when it was excluded for its silence alone, which does not
+    show that it is gone, and 0 if something else is known of it.
 
     `mean_latency_seconds` and `failure_rate` are exponential moving averages.
     `slowdown` is the factor by which the runner reports to be slower than
@@ -103,6 +106,7 @@
     excluded_until: float = 0.0
     unreachable_until: float = 0.0
     unconnected_until: float = 0.0
+    silent_since: float = 0.0
     consecutive_failures: int = 0
     mean_latency_seconds: float = 0.0
     failure_rate: float = 0.0
@@ -121,7 +125,12 @@
             if self.waits_until > now:
                 return Obstacle(ObstacleKind.ASKED_TO_WAIT, self.waits_until)
             if self.excluded_until > now:
-                return Obstacle(ObstacleKind.EXCLUDED, self.excluded_until)
+                kind = (
+                    ObstacleKind.SILENT
+                    if self.silent_since
+                    else ObstacleKind.EXCLUDED
+                )
+                return Obstacle(kind, self.excluded_until)
             return None
         if self.delisted_at is not None:
             return Obstacle(ObstacleKind.DELISTED)
@@ -211,6 +220,7 @@
             doubtful=None,
             excluded_until=0.0,
             unconnected_until=0.0,
+            silent_since=0.0,
         ),
     )
 
@@ -323,10 +333,39 @@
 def exclude(runner_map: RunnerMap, runner_id: str, until: float) -> RunnerMap:
     """Leave an upstream out of new chains until a time or a changed entry."""
     known = runner_map.get(runner_id)
+    if known is None:
+        return runner_map
+    if known.excluded_until >= until and not known.silent_since:
+        return runner_map
+    return runner_map.set(
+        runner_id,
+        dataclasses.replace(
+            known,
+            excluded_until=max(until, known.excluded_until),
+            silent_since=0.0,
+        ),
+    )
+
+
+def exclude_silent(
+    runner_map: RunnerMap, runner_id: str, now: float, until: float
+) -> RunnerMap:
+    """Leave out a silent upstream, unless more than silence excludes it."""
+    known = runner_map.get(runner_id)
     if known is None or known.excluded_until >= until:
         return runner_map
+    is_known_gone = known.excluded_until > now and not known.silent_since
+    if is_known_gone:
+        return exclude(runner_map, runner_id, until)
     return runner_map.set(
-        runner_id, dataclasses.replace(known, excluded_until=until)
+        runner_id,
+        dataclasses.replace(
+            known,
+            excluded_until=until,
+            silent_since=known.silent_since
+            if known.excluded_until > now
+            else now,
+        ),
     )
 
 
@@ -357,6 +396,7 @@
         dataclasses.replace(
             known,
             unreachable_until=0.0,
+            silent_since=0.0,
             deprioritized_until=0.0
             if known.deprioritized_until <= until
             else known.deprioritized_until,
--- a/src/mustardvale/internal/relay/upstream_health.py
+++ b/src/mustardvale/internal/relay/upstream_health.py
@@ -88,7 +88,9 @@
     connections too.
     """
     runner = state.runners.get(attempt.runner_id)
-    if not attempt.chain or runner is None or runner.excluded_until > now:
+    if not attempt.chain or runner is None:
+        return state
+    if runner.excluded_until > now and not runner.silent_since:
         return state
     seconds = estimate_outage_seconds(attempt.runner_id, now, state)
     runner_map = runners.exclude(
--- /dev/null
+++ b/src/mustardvale/internal/relay/wait_release.py
@@ -0,0 +1,89 @@
+"""Send the requests that waited for silent runners, spread over time."""
+
+import dataclasses
+import typing
+from collections import abc
+
+from mustardvale.internal import draws, transitions
+from mustardvale.internal.relay import (
+    dispatch,
+    exchanges,
+    reducer,
+    silence_waits,
+)
+
+if typing.TYPE_CHECKING:
+    from mustardvale.internal.relay import state as states
+
+# Waiting requests are sent over this time, beside the new ones.
+RELEASE_SECONDS = 1.0
+# One search serves all waiting requests of a service.
+SEARCH_PERIOD_SECONDS = 0.1
+# Runners that were silent together take a moment to continue their streams.
+CONTINUATION_SECONDS = 0.5
+
+
+def release_waiting(now: float, state: 'states.State') -> reducer.Transition:
+    """Release the waiting requests of each service that has upstreams again."""
+    waiting: dict[str, list[exchanges.Exchange]] = {}
+    for exchange in state.exchanges.values():
+        if is_held(exchange):
+            waiting.setdefault(exchange.service, []).append(exchange)
+    return transitions.Transition(state).then_each(
+        waiting.values(),
+        lambda group, current: release_group(group, now, current),
+    )
+
+
+def is_held(exchange: exchanges.Exchange) -> bool:
+    """Return whether a request waits and has not been released."""
+    if not silence_waits.is_waiting(exchange):
+        return False
+    return exchange.next_search_at == silence_waits.compute_wait_end(exchange)
+
+
+def release_group(
+    group: abc.Sequence[exchanges.Exchange], now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Schedule the sends of waiting requests, least time left first."""
+    ordered = sorted(group, key=silence_waits.compute_wait_end)
+    first = ordered[0]
+    if now - (first.last_search_at or 0.0) < SEARCH_PERIOD_SECONDS:
+        return transitions.Transition(state)
+    any_runner = dataclasses.replace(first, tried_runner_ids=frozenset())
+    if dispatch.choose_target(any_runner, now, state) is None:
+        searched = dataclasses.replace(first, last_search_at=now)
+        exchange_map = state.exchanges.set(first.request_id, searched)
+        return transitions.Transition(
+            dataclasses.replace(state, exchanges=exchange_map)
+        )
+    return transitions.Transition(schedule_sends(ordered, now, state))
+
+
+def schedule_sends(
+    ordered: abc.Sequence[exchanges.Exchange],
+    now: float,
+    state: 'states.State',
+) -> 'states.State':
+    """Return the state in which each request is sent at its own time.
+
+    The random offset spreads the sends of instances with few requests.
+    """
+    drawn = draws.draw(state.seed)
+    exchange_map = state.exchanges
+    for place, exchange in enumerate(ordered):
+        share = (place + drawn.fraction) / len(ordered)
+        send_at = min(
+            now + share * RELEASE_SECONDS,
+            silence_waits.compute_wait_end(exchange),
+        )
+        released = dataclasses.replace(exchange, next_search_at=send_at)
+        exchange_map = exchange_map.set(exchange.request_id, released)
+    return dataclasses.replace(
+        state,
+        seed=drawn.seed,
+        exchanges=exchange_map,
+        silence_ignored_until=max(
+            state.silence_ignored_until, now + CONTINUATION_SECONDS
+        ),
+    )
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -15,12 +15,12 @@
     ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
-    ' limit_shares',
+    ' limit_shares silence_waits',
     'configuration_feed',
     'runner_list orders',
     'completion crash_tracking dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
-    ' reachability moves monitoring lifecycle failed_events',
+    ' reachability moves wait_release monitoring lifecycle failed_events',
     'peer_updates',
     'state handlers',
 )
--- /dev/null
+++ b/tests/test_relay_silent_runners.py
@@ -0,0 +1,264 @@
+"""Test requests while all runners of a model are silent at once.
+
+The pattern: a short pause of a switch or a zone. No runner is gone, and all of
+them go on after a second or two.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import typing
+import unittest
+
+from mustardvale.internal import effects, events
+from mustardvale.internal.relay import calls, reachability, silence_waits
+from mustardvale.internal.relay import effects as relay_effects
+from tests import relay_states
+
+STEP_SECONDS = 0.02
+SILENCE_BEGINS = 1.0
+FIRST_EVENT_SECONDS = 0.06
+EVENT_SECONDS = 0.04
+EVENT_COUNT = 5
+STREAMS_PER_INSTANCE = 20
+ARRIVAL_SECONDS = 4.0
+BIN_SECONDS = 0.2
+RUNNERS = tuple(
+    relay_states.build_model_runner(f'm{number}', first, first + 40)
+    for number, first in enumerate((0, 40) * 4, start=1)
+)
+
+
+class PausedInstance(relay_states.Instance):
+    """Drive an instance beside runners that pause and go on."""
+
+    def __init__(self, number: int, silent_until: float) -> None:
+        super().__init__(RUNNERS)
+        self.state = dataclasses.replace(self.state, seed=number + 1)
+        self.began = self.now
+        self.silent_until = self.began + silent_until
+        self.due: list[tuple[float, int, typing.Any]] = []
+        self.order = itertools.count()
+        self.sent_at: list[float] = []
+
+    def is_silent(self) -> bool:
+        """Return whether the runners pause now."""
+        return self.began + SILENCE_BEGINS <= self.now < self.silent_until
+
+    def record_effect(self, effect: effects.Effect) -> None:
+        """Let the runners answer sends and probes later."""
+        super().record_effect(effect)
+        match effect:
+            case relay_effects.StartSend(send_id):
+                self.sent_at.append(self.now - self.began)
+                self.plan(FIRST_EVENT_SECONDS, ('event', send_id, 0))
+            case effects.Call(calls.ProbeRunner()):
+                kind = 'unanswered' if self.is_silent() else 'report'
+                self.plan(STEP_SECONDS, (kind, effect.call, self.now))
+
+    def plan(self, delay: float, action: typing.Any) -> None:
+        """Do something later."""
+        heapq.heappush(self.due, (self.now + delay, next(self.order), action))
+
+    def step(self) -> None:
+        """Pass a short time and do what is due."""
+        self.pass_time(STEP_SECONDS)
+        while self.due and self.due[0][0] <= self.now:
+            kind, subject, detail = heapq.heappop(self.due)[2]
+            if kind == 'event':
+                self.run_stream(subject, detail)
+            else:
+                self.end_probe(kind, subject, detail)
+
+    def run_stream(self, send_id: str, number: int) -> None:
+        """Deliver the next event of a stream, after a pause if there is one."""
+        if send_id in self.aborted_send_ids:
+            return
+        if self.is_silent():
+            self.plan(self.silent_until - self.now, ('event', send_id, number))
+            return
+        if not number:
+            self.deliver_answer(send_id, relay_states.build_head())
+        if number == EVENT_COUNT:
+            self.end_answer(send_id)
+            return
+        self.deliver_chunks(send_id, b'id: %d\ndata: x\n\n' % (number + 1))
+        self.plan(EVENT_SECONDS, ('event', send_id, number + 1))
+
+    def end_probe(
+        self, kind: str, call: calls.ProbeRunner, asked_at: float
+    ) -> None:
+        """Answer a probe, or let it time out."""
+        waited = self.now - asked_at
+        if kind == 'report' or not self.is_silent():
+            self.emit_event(
+                events.CallAnswered,
+                call=call,
+                address='',
+                answer=calls.RunnerReport(1, False),
+            )
+        elif waited < reachability.PROBE_TIMEOUT_SECONDS:
+            self.plan(STEP_SECONDS, (kind, call, asked_at))
+        else:
+            fail_probe(self, call.runner_id, events.FailureKind.TIMED_OUT)
+
+
+def fail_probe(
+    instance: relay_states.Instance, runner_id: str, kind: events.FailureKind
+) -> None:
+    """Let a probe of a runner fail."""
+    instance.emit_event(
+        events.CallFailed,
+        call=calls.ProbeRunner(runner_id),
+        address='',
+        failure=events.Failure(kind, was_sent=True),
+    )
+
+
+def play(instance_count: int, silent_seconds: float) -> list[PausedInstance]:
+    """Let instances receive streams beside a pause of all runners."""
+    instances = [
+        PausedInstance(number, SILENCE_BEGINS + silent_seconds)
+        for number in range(instance_count)
+    ]
+    for number, instance in enumerate(instances):
+        arrivals = iter(range(STREAMS_PER_INSTANCE))
+        period = ARRIVAL_SECONDS / STREAMS_PER_INSTANCE
+        next_at = period * number / instance_count
+        end = instance.began + ARRIVAL_SECONDS + 2
+        while instance.now < end:
+            if instance.now - instance.began >= next_at:
+                arrival = next(arrivals, None)
+                next_at += period
+                if arrival is not None:
+                    instance.receive_request(f'r{arrival}', '/model/x')
+            instance.step()
+            start_sends(instance)
+    return instances
+
+
+def start_sends(instance: PausedInstance) -> None:
+    """Report the sends of a step as written."""
+    for attempt in [
+        attempt
+        for exchange in instance.state.exchanges.values()
+        for attempt in exchange.attempts
+        if not attempt.is_sent
+    ]:
+        instance.emit_event(
+            relay_states.relay_events.SendStarted, send_id=attempt.send_id
+        )
+
+
+class CommonSilence(unittest.TestCase):
+    """Streams outlast a silence of all their runners."""
+
+    def check(self, instance_count: int, silent_seconds: float) -> None:
+        """Check how many streams are whole and when they are sent."""
+        instances = play(instance_count, silent_seconds)
+        whole = sum(len(instance.ends) for instance in instances)
+        share = whole / (instance_count * STREAMS_PER_INSTANCE)
+        self.assertGreaterEqual(share, 0.97 if silent_seconds < 2 else 0.9)
+        returned_at = SILENCE_BEGINS + silent_seconds
+        bins = collections.Counter(
+            int((sent_at - returned_at) / BIN_SECONDS)
+            for instance in instances
+            for sent_at in instance.sent_at
+            if 0 <= sent_at - returned_at < 1
+        )
+        mean = sum(bins.values()) * BIN_SECONDS
+        self.assertLess(max(bins.values()) / mean, 1.5)
+
+    def test_6_instances(self) -> None:
+        """Guard against refusals and a rush at a small site."""
+        self.check(6, 1.3)
+
+    def test_58_instances(self) -> None:
+        """Guard against refusals and a rush at a site of middle size."""
+        self.check(58, 1.3)
+
+    def test_195_instances(self) -> None:
+        """Guard against refusals and a rush at a large site."""
+        self.check(195, 1.3)
+
+    def test_longer_silence(self) -> None:
+        """Guard against refusals shortly before the runners go on."""
+        self.check(6, 2.4)
+
+
+class SilentModel(unittest.TestCase):
+    """All runners of a model are silent."""
+
+    def setUp(self) -> None:
+        self.instance = relay_states.Instance()
+        self.exclude_all(events.FailureKind.TIMED_OUT)
+
+    def exclude_all(self, kind: events.FailureKind) -> None:
+        """Let the probes of all model runners fail."""
+        for runner_id in ('m1', 'm2', 'm3', 'm4'):
+            fail_probe(self.instance, runner_id, kind)
+
+    def test_wait_ends_before_the_caller_leaves(self) -> None:
+        """Guard against a refusal that nobody reads, and one without reason."""
+        self.instance.receive_request('r1', '/model/x', deadline_seconds=1.5)
+        self.instance.pass_time(1.2)
+        self.assertNotIn('r1', self.instance.replies)
+        self.instance.pass_time(0.25)
+        reply = self.instance.replies['r1']
+        self.assertEqual((503, 'not_run'), (reply.status, reply.code))
+        self.assertGreater(reply.retry_after_seconds, 0)
+        problem = dict(self.instance.log_lines[-1].fields)['problem']
+        self.assertIn('4 silent', problem)
+        self.assertRegex(problem, r'excluded 1\d\d\d to 1\d\d\d ms ago')
+
+    def test_known_failure_refuses_soon(self) -> None:
+        """Guard against waiting for runners that are known to be gone."""
+        self.exclude_all(events.FailureKind.REFUSED)
+        self.instance.receive_request('r1', '/model/x')
+        self.instance.pass_time(0.1)
+        self.assertEqual(503, self.instance.replies['r1'].status)
+
+    def test_answer_of_a_runner_ends_the_wait(self) -> None:
+        """Guard against waiting until the exclusion expires."""
+        self.instance.receive_request('r1', '/model/x')
+        self.instance.pass_time(0.5)
+        self.assertFalse(self.instance.sends)
+        self.answer_probes()
+        self.instance.pass_time(1.2)
+        self.assertEqual(1, len(self.instance.sends))
+
+    def answer_probes(self) -> None:
+        """Answer a probe as one runner of each range."""
+        for runner_id in ('m1', 'm2'):
+            self.instance.emit_event(
+                events.CallAnswered,
+                call=calls.ProbeRunner(runner_id),
+                address='',
+                answer=calls.RunnerReport(1, False),
+            )
+
+    def test_least_time_left_goes_first(self) -> None:
+        """Guard against a request that expires behind those with more time."""
+        for number, seconds in enumerate((20.0, 1.6, 1.9)):
+            self.instance.receive_request(
+                f'r{number}', '/model/x', deadline_seconds=seconds
+            )
+        self.instance.pass_time(0.5)
+        self.answer_probes()
+        self.instance.pass_time(1.2)
+        self.assertEqual(
+            ['a-r1', 'a-r2', 'a-r0'],
+            [sent.request.request.attempt_id for sent in self.instance.sends],
+        )
+
+    def test_one_account_leaves_places_to_others(self) -> None:
+        """Guard against unbounded memory and one account that takes it all."""
+        limit = silence_waits.MAXIMUM_WAITING_REQUESTS
+        for number in range(limit):
+            self.instance.receive_request(f'r{number}', '/model/x')
+        self.instance.pass_time(0.2)
+        waiting = self.instance.state.exchanges
+        self.assertEqual(limit // 2, len(waiting))
+        other = dataclasses.replace(waiting['r0'], tenant='bob')
+        self.assertTrue(silence_waits.has_place(other, self.instance.state))
