End the exclusion of silent runners at their first sign of life

Cause: after a common silence only the next probe, up to 0.65 s later, showed that a runner had returned, although its streams had delivered events before, and a runner that other runners reported as stalled stayed excluded for 2 s.

Change: the first event of a send, or an event after a pause, ends the exclusion of all runners of its chain that are excluded for silence alone. A new heartbeat in the list causes a probe at once; it does not end the exclusion, because it may be read late or come from a runner that reaches the store and not this instance. Events in quick succession cost one comparison.

--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -201,11 +201,29 @@
     )
     return (
         replace_runners(remove_expired(runner_map, now), list_state, state)
-        .with_effects(next_read)
+        .with_effects(next_read, *probe_returned(changes, now, state))
         .then(lambda current: peer_feed.answer_followers(now, current))
     )
 
 
+def probe_returned(
+    changes: tuple[calls.RunnerChange, ...], now: float, state: 'states.State'
+) -> tuple[effects.Effect, ...]:
+    """Return the effects that probe silent upstreams with a new heartbeat.
+
+    A heartbeat may be read late, or reach the store from an upstream that this
+    instance does not reach, so that it does not end the exclusion itself.
+    """
+    return tuple(
+        effects.SetTimer(timers.RecoveryProbeDue(change.runner_id), 0)
+        for change in changes
+        if change.entry is not None
+        and (known := state.runners.get(change.runner_id)) is not None
+        and known.unreachable_until
+        and known.excluded_until > now
+    )
+
+
 def replace_runners(
     runner_map: runners.RunnerMap,
     list_state: RunnerListState,
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -407,6 +407,15 @@
     )
 
 
+def record_activity(runner_map: RunnerMap, runner_id: str) -> RunnerMap:
+    """Use an upstream again through which a silent stream has continued."""
+    known = runner_map.get(runner_id)
+    if known is None or not known.silent_since:
+        return runner_map
+    active = dataclasses.replace(known, silent_since=0.0, excluded_until=0.0)
+    return record_reachable(runner_map.set(runner_id, active), runner_id)
+
+
 def record_unconnected(
     runner_map: RunnerMap, runner_id: str, until: float
 ) -> RunnerMap:
--- a/src/mustardvale/internal/relay/stream_answers.py
+++ b/src/mustardvale/internal/relay/stream_answers.py
@@ -14,6 +14,7 @@
     open_attempts,
     reducer,
     requests,
+    runners,
 )
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import events as relay_events
@@ -21,6 +22,8 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
+# An event after a shorter pause tells nothing new of the runners of a stream.
+SILENCE_SECONDS = 0.15
 # Bytes of an incomplete event after which its stream fails.
 MAXIMUM_EVENT_BYTES = 1024 * 1024
 
@@ -73,6 +76,8 @@
     """Send complete events of the only open attempt to the caller."""
     exchange = open_attempt.exchange
     next_state = record_events(open_attempt, split, now, state)
+    if is_after_silence(open_attempt.attempt, now):
+        next_state = record_return(open_attempt.attempt, next_state)
     stream_effects: tuple[effects.Effect, ...] = ()
     if not exchange.has_stream_started:
         stream_effects = build_stream_start(exchange, head, now)
@@ -91,6 +96,22 @@
     )
 
 
+def is_after_silence(attempt: exchanges.Attempt, now: float) -> bool:
+    """Return whether an event may show that silent runners have returned."""
+    is_first = attempt.first_event_at is None
+    return is_first or now - attempt.last_received_at >= SILENCE_SECONDS
+
+
+def record_return(
+    attempt: exchanges.Attempt, state: 'states.State'
+) -> 'states.State':
+    """End the exclusion of silent runners through which an event came."""
+    runner_map = state.runners
+    for part in attempt.chain:
+        runner_map = runners.record_activity(runner_map, part.runner_id)
+    return dataclasses.replace(state, runners=runner_map)
+
+
 def keep_partial(
     open_attempt: open_attempts.OpenAttempt,
     partial: bytes,
--- a/tests/test_relay_silent_runners.py
+++ b/tests/test_relay_silent_runners.py
@@ -238,6 +238,14 @@
                 answer=calls.RunnerReport(1, False),
             )
 
+    def test_heartbeat_causes_a_probe(self) -> None:
+        """Guard against noticing a return later than the list does."""
+        before = len(self.instance.list_calls(calls.ProbeRunner))
+        self.instance.list_runners(relay_states.TWO_CHAINS)
+        self.instance.pass_time(0.01)
+        probes = self.instance.list_calls(calls.ProbeRunner)[before:]
+        self.assertEqual(4, len(probes))
+
     def test_least_time_left_goes_first(self) -> None:
         """Guard against a request that expires behind those with more time."""
         for number, seconds in enumerate((20.0, 1.6, 1.9)):
@@ -262,3 +270,25 @@
         self.assertEqual(limit // 2, len(waiting))
         other = dataclasses.replace(waiting['r0'], tenant='bob')
         self.assertTrue(silence_waits.has_place(other, self.instance.state))
+
+
+class ContinuedStream(unittest.TestCase):
+    """A stream goes on through runners that were silent."""
+
+    def test_event_ends_the_exclusion(self) -> None:
+        """Guard against leaving out runners that deliver events."""
+        instance = relay_states.Instance(relay_states.TWO_CHAINS[:2])
+        instance.receive_request('r1', '/model/x')
+        send_id = instance.start_send()
+        instance.pass_time(0.2)
+        for runner_id in ('m1', 'm2'):
+            fail_probe(instance, runner_id, events.FailureKind.TIMED_OUT)
+        self.assertIsNotNone(self.find_obstacle(instance))
+        instance.deliver_answer(
+            send_id, relay_states.build_head(), b'id: 1\ndata: x\n\n'
+        )
+        self.assertIsNone(self.find_obstacle(instance))
+
+    def find_obstacle(self, instance: relay_states.Instance) -> typing.Any:
+        """Return why the second runner of the chain gets no request."""
+        return instance.state.runners['m2'].find_obstacle(instance.now)
