--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -22,6 +22,7 @@
     reducer,
     runners,
     timers,
+    wait_release,
     withdrawals,
 )
 
@@ -72,6 +73,7 @@
                 ),
             )
         )
+        .then(lambda current: wait_release.release_waiting(event.at, current))
         .then_each(
             state.exchanges,
             lambda request_id, current: check_exchange(
