Answer a request that arrived unread behind a closing answer

Callers saw: two requests on one connection of a stopping instance; the second one, whole and in the socket before the first answer was written, ended with the connection. So it would on connections that are shed to other instances.

Cause: the last answer of a connection was chosen by the input that had been read. After a delay of the process, the upstream's answer may be handled before the caller's input, which was then read and discarded.

Change: an answer closes the connection only if the socket has no unread input either. The input stays in the socket and is handled by the next poll.

Measured: the test fails without the change (1 request reported in place of 2) and passes with it.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -253,6 +253,16 @@
         """Read input that the poller has not reported yet."""
         self.on_readable(channel.sock)
 
+    def has_unread_input(self, channel: Channel) -> bool:
+        """Return whether input waits that the poller has not reported yet."""
+        if channel.is_closed:
+            return False
+        try:
+            return bool(channel.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # Nothing has arrived, or the connection is broken.
+            return False
+
     def on_writable(self, sock: socket.socket) -> None:
         """Complete the connection, or write queued output."""
         channel = self.channels.get(sock)
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -422,11 +422,17 @@
     def is_answer_last(self, connection: CallerConnection) -> bool:
         """Return whether an answer that begins now closes the connection.
 
-        A request that was read behind it would get no answer.
+        A request that has arrived behind it would get no answer. After a delay
+        of this process, it may not have been read.
         """
+        if not self.is_closing and time.monotonic() <= connection.kept_until:
+            return False
         if connection.protocol.trailing_data[0]:
             return False
-        return self.is_closing or time.monotonic() > connection.kept_until
+        channel = connection.channel
+        return channel is None or not self.channel_table.has_unread_input(
+            channel
+        )
 
     def rebalance(self, share: float, delay_seconds: float) -> None:
         """Close a share of the connections, each after an answer."""
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -1,6 +1,7 @@
 """Test the connections of callers, with sockets but without processes."""
 
 import dataclasses
+import select
 import socket
 import typing
 import unittest
@@ -240,6 +241,13 @@
                 connection, relay_site.encode_request('/read/x', attempt_id)
             )
 
+    def await_input(self, connection: relay_server.CallerConnection) -> None:
+        """Wait until the kernel has delivered input of a caller."""
+        readable, _, _ = select.select(
+            [connection.channel.sock], [], [], DELIVERY_SECONDS
+        )
+        self.assertTrue(readable)
+
     def answer_both(self, sock: socket.socket) -> list[bool]:
         """Answer both requests; return which answer closes the connection."""
         closes = []
@@ -265,6 +273,25 @@
         self.clock.now += 1
         self.assertEqual([False, True], self.answer_both(sock))
 
+    def test_stop_before_the_second_request_is_read(self) -> None:
+        """Guard against a request that arrived before a stop's last answer.
+
+        After a delay of this process, the upstream's answer may be handled
+        before the input of the caller.
+        """
+        sock, connection = self.accept()
+        self.deliver(connection, relay_site.encode_request('/read/x', 'a1'))
+        self.server.close_idle()
+        sock.sendall(relay_site.encode_request('/read/x', 'a2'))
+        self.await_input(connection)
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        self.table.read_available(connection.channel)
+        self.assertEqual(2, len(self.list_request_ids()))
+        self.server.reply(self.list_request_ids()[1], ANSWER)
+        answers = relay_site.read_pipelined_answers(sock, 2)
+        self.assertEqual([200, 200], [status for status, _ in answers])
+        self.assertEqual(b'', sock.recv(1))
+
     def test_stream_before_the_second_request(self) -> None:
         """Guard against a stream that ends the connection behind it."""
         sock, connection = self.accept()
