Drop requests that were read on a connection that has failed

Runners saw: a request whose caller had left before it was passed on, without an abort later.

Cause: an answer whose write fails ends its connection. The request that was read behind it was reported nevertheless, on a closed connection, whose end is reported only once.

Change: after an answer that could not be written, nothing behind it is handled.

Measured: the test fails without the change (the second request is reported after its caller has left) and passes with it.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -362,6 +362,12 @@
         self.requests.pop(connection.request_id, None)
         connection.request_id = ''
         connection.is_blocked = False
+        assert connection.channel is not None, 'an answer needs a channel'
+        if connection.channel.is_closed:
+            # The answer could not be written. What was read behind its request
+            # must not run for a caller that has left.
+            connection.phase = Phase.DISCARDING
+            return
         if closes_connection or connection.protocol.their_state is not h11.DONE:
             # Closing a socket with unread input resets it, and the caller may
             # lose the answer, so input is discarded for a while.
@@ -372,7 +378,6 @@
         connection.protocol.start_next_cycle()
         connection.phase = Phase.IDLE
         connection.waiting_since = time.monotonic()
-        assert connection.channel is not None, 'an answer needs a channel'
         self.channel_table.resume_reading(connection.channel)
         if connection.protocol.trailing_data[0]:
             self.process_input(connection)
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -292,6 +292,23 @@
         self.assertEqual([200, 200], [status for status, _ in answers])
         self.assertEqual(b'', sock.recv(1))
 
+    def test_reset_before_the_first_answer(self) -> None:
+        """Guard against a run for a caller that has left.
+
+        An answer may be handled before the reset of its caller is.
+        """
+        sock, connection = self.accept()
+        self.read_both(sock, connection)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, channels.RESET_ON_CLOSE
+        )
+        sock.close()
+        self.await_input(connection)
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        self.assertIsInstance(self.events[-1], events.CallerLeft)
+        self.assertEqual(1, len(self.list_request_ids()))
+        self.assertEqual({}, self.server.requests)
+
     def test_stream_before_the_second_request(self) -> None:
         """Guard against a stream that ends the connection behind it."""
         sock, connection = self.accept()
