Leave out due timers that an earlier one cancels

Cause: after a delay of the process many timers are due at once. They were all taken from the queue before the first was reported, so that a handler that cancelled or replaced another one of them had no effect: the other was reported nevertheless, and at its earlier time. The handlers of today check what their timer belongs to, so that no caller was seen to be affected.

Change: whether a timer is still valid is checked when it is reported.

--- a/src/mustardvale/internal/edge/timer_queue.py
+++ b/src/mustardvale/internal/edge/timer_queue.py
@@ -50,13 +50,18 @@
             )
 
     def report_due(self, now: float) -> bool:
-        """Report due timers; return whether there were any."""
+        """Report due timers; return whether there were any.
+
+        The handler of one may cancel or replace another one. A timer that it
+        sets is left to the next call.
+        """
         due = []
         while self.heap and self.heap[0][0] <= now:
-            _, number, timer = heapq.heappop(self.heap)
+            due.append(heapq.heappop(self.heap))
+        has_reported = False
+        for _, number, timer in due:
             if self.current.get(timer) == number:
                 del self.current[timer]
-                due.append(timer)
-        for timer in due:
-            self.report(timer)
-        return bool(due)
+                has_reported = True
+                self.report(timer)
+        return has_reported
