Send the body of a refusal behind a HEAD request

Callers saw: a refusal (408, 431, 400, 503) with a length and without a body, which is incomplete, on a connection whose request before was HEAD.

Cause: whether a refusal has a body was decided by the method of the last request whose head was complete. A request that is refused before that has none yet.

Change: the method is cleared when the next request begins.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -208,6 +208,7 @@
         if connection.phase is Phase.IDLE:
             connection.phase = Phase.RECEIVING
             connection.waiting_since = time.monotonic()
+            connection.method = b''
         try:
             has_more = True
             while has_more:
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -197,6 +197,23 @@
         self.assertEqual('close', answer.headers['connection'])
 
 
+class RefusalsOnKeptConnections(ServerCase):
+    """A refusal is complete, whatever the request before it was."""
+
+    def test_timeout_behind_a_head_request(self) -> None:
+        """Guard against a refusal whose announced body is never sent."""
+        sock, connection = self.accept()
+        request = relay_site.encode_request('/read/x', 'a1')
+        self.deliver(connection, request.replace(b'POST', b'HEAD', 1))
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        sock.recv(1000)
+        self.deliver(connection, request[:20])
+        self.pass_time(2)
+        answer = relay_site.read_answer(sock)
+        self.assertEqual(408, answer.status)
+        self.assertIn(b'request_timeout', answer.read())
+
+
 class LimitsOfOpenConnections(ServerCase):
     """An open connection follows the limits of the newest version."""
 
