Count the idle time of a caller from the end of its answer

Callers saw: a kept connection that was closed before its idle timeout, if the answer before was large and was read slowly. A request sent at that moment ends with a reset.

Cause: the idle time began when the answer was queued, not when the socket had taken all of it.

Change: it begins again when the queued output has been written.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -91,7 +91,12 @@
         self.server.remove_connection(self)
 
     def on_drained(self, channel: channels.Channel) -> None:
-        """Report that the caller has caught up, or shut the output down."""
+        """Report that the caller has caught up, or shut the output down.
+
+        A caller is idle only from the end of its answer on.
+        """
+        if self.phase is Phase.IDLE:
+            self.waiting_since = time.monotonic()
         if self.phase is Phase.DISCARDING:
             self.server.shut_down_output(self)
         if self.is_blocked:
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -21,6 +21,9 @@
     idle_timeout_seconds=4.0,
 )
 ANSWER = requests.RelayedAnswer(200, (), b'read')
+# An answer that the socket buffers of the loopback interface cannot hold.
+LARGE_BODY = bytes(32 * 1024 * 1024)
+READ_BYTES = 1024 * 1024
 # The kernel delivers on the loopback interface within this time.
 DELIVERY_SECONDS = 1.0
 
@@ -143,6 +146,23 @@
         self.pass_time(1.1)
         self.assertEqual(0, len(self.server.connections))
 
+    def test_idle_time_begins_when_the_answer_is_written(self) -> None:
+        """Guard against a close under a caller that has just read an answer."""
+        sock, connection = self.accept()
+        self.deliver(connection, relay_site.encode_request('/read/x', 'a1'))
+        answer = requests.RelayedAnswer(200, (), LARGE_BODY)
+        self.server.reply(self.list_request_ids()[0], answer)
+        self.assertTrue(connection.channel.output)
+        self.pass_time(3)
+        read = relay_site.read_answer(sock)
+        while connection.channel.output:
+            read.read(READ_BYTES)
+            self.table.on_writable(connection.channel.sock)
+        self.pass_time(3)
+        self.assertEqual(1, len(self.server.connections))
+        self.pass_time(1.1)
+        self.assertEqual(0, len(self.server.connections))
+
 
 class UnreadInput(ServerCase):
     """A connection is closed only after its input has been read."""
