--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -94,7 +94,12 @@
         self.server.remove_connection(self)
 
     def on_drained(self, channel: channels.Channel) -> None:
-        """Report that the caller has caught up, or close the connection."""
+        """Report that the caller has caught up, or close the connection.
+
+        A caller is idle only from the end of its answer on.
+        """
+        if self.phase is Phase.IDLE:
+            self.waiting_since = time.monotonic()
         if self.phase is Phase.DISCARDING:
             self.server.shut_down_output(self)
         if self.phase is Phase.IDLE and self.server.is_closing:
@@ -220,6 +225,7 @@
         if connection.phase is Phase.IDLE:
             connection.phase = Phase.RECEIVING
             connection.waiting_since = time.monotonic()
+            connection.method = b''
         try:
             has_more = True
             while has_more:
@@ -406,9 +412,13 @@
         """Wait for the next request, or shut the connection down."""
         self.requests.pop(connection.request_id, None)
         connection.request_id = ''
-        connection.method = b''
         connection.is_blocked = False
         assert connection.channel is not None, 'an answer needs a channel'
+        if connection.channel.is_closed:
+            # The answer could not be written. What was read behind its request
+            # must not run for a caller that has left.
+            connection.phase = Phase.DISCARDING
+            return
         self.channel_table.resume_reading(connection.channel)
         if closes_connection or connection.protocol.their_state is not h11.DONE:
             self.discard_rest(connection)
@@ -490,11 +500,17 @@
     def is_answer_last(self, connection: CallerConnection) -> bool:
         """Return whether an answer that begins now closes the connection.
 
-        A request that was read behind it would get no answer.
+        A request that has arrived behind it would get no answer. After a delay
+        of this process, it may not have been read.
         """
+        if not self.is_closing and time.monotonic() <= connection.kept_until:
+            return False
         if connection.protocol.trailing_data[0].lstrip(LINE_END_BYTES):
             return False
-        return self.is_closing or time.monotonic() > connection.kept_until
+        channel = connection.channel
+        return channel is None or not self.channel_table.has_unread_input(
+            channel
+        )
 
     def rebalance(self, share: float, delay_seconds: float) -> None:
         """Close a share of the connections, each after an answer."""
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -1,6 +1,7 @@
 """Test the connections of callers, with sockets but without processes."""
 
 import dataclasses
+import select
 import socket
 import typing
 import unittest
@@ -20,6 +21,9 @@
     idle_timeout_seconds=4.0,
 )
 ANSWER = requests.RelayedAnswer(200, (), b'read')
+# An answer that the socket buffers of the loopback interface cannot hold.
+LARGE_BODY = bytes(32 * 1024 * 1024)
+READ_BYTES = 1024 * 1024
 # The kernel delivers on the loopback interface within this time.
 DELIVERY_SECONDS = 1.0
 
@@ -142,6 +146,23 @@
         self.pass_time(1.1)
         self.assertEqual(0, len(self.server.connections))
 
+    def test_idle_time_begins_when_the_answer_is_written(self) -> None:
+        """Guard against a close under a caller that has just read an answer."""
+        sock, connection = self.accept()
+        self.deliver(connection, relay_site.encode_request('/read/x', 'a1'))
+        answer = requests.RelayedAnswer(200, (), LARGE_BODY)
+        self.server.reply(self.list_request_ids()[0], answer)
+        self.assertTrue(connection.channel.output)
+        self.pass_time(3)
+        read = relay_site.read_answer(sock)
+        while connection.channel.output:
+            read.read(READ_BYTES)
+            self.table.on_writable(connection.channel.sock)
+        self.pass_time(3)
+        self.assertEqual(1, len(self.server.connections))
+        self.pass_time(1.1)
+        self.assertEqual(0, len(self.server.connections))
+
 
 class UnreadInput(ServerCase):
     """A connection is closed only after its input has been read."""
@@ -196,6 +217,23 @@
         self.assertEqual('close', answer.headers['connection'])
 
 
+class RefusalsOnKeptConnections(ServerCase):
+    """A refusal is complete, whatever the request before it was."""
+
+    def test_timeout_behind_a_head_request(self) -> None:
+        """Guard against a refusal whose announced body is never sent."""
+        sock, connection = self.accept()
+        request = relay_site.encode_request('/read/x', 'a1')
+        self.deliver(connection, request.replace(b'POST', b'HEAD', 1))
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        sock.recv(1000)
+        self.deliver(connection, request[:20])
+        self.pass_time(2)
+        answer = relay_site.read_answer(sock)
+        self.assertEqual(408, answer.status)
+        self.assertIn(b'request_timeout', answer.read())
+
+
 class LimitsOfOpenConnections(ServerCase):
     """An open connection follows the limits of the newest version."""
 
@@ -240,6 +278,13 @@
                 connection, relay_site.encode_request('/read/x', attempt_id)
             )
 
+    def await_input(self, connection: relay_server.CallerConnection) -> None:
+        """Wait until the kernel has delivered input of a caller."""
+        readable, _, _ = select.select(
+            [connection.channel.sock], [], [], DELIVERY_SECONDS
+        )
+        self.assertTrue(readable)
+
     def answer_both(self, sock: socket.socket) -> list[bool]:
         """Answer both requests; return which answer closes the connection."""
         closes = []
@@ -265,6 +310,42 @@
         self.clock.now += 1
         self.assertEqual([False, True], self.answer_both(sock))
 
+    def test_stop_before_the_second_request_is_read(self) -> None:
+        """Guard against a request that arrived before a stop's last answer.
+
+        After a delay of this process, the upstream's answer may be handled
+        before the input of the caller.
+        """
+        sock, connection = self.accept()
+        self.deliver(connection, relay_site.encode_request('/read/x', 'a1'))
+        self.server.close_idle()
+        sock.sendall(relay_site.encode_request('/read/x', 'a2'))
+        self.await_input(connection)
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        self.table.read_available(connection.channel)
+        self.assertEqual(2, len(self.list_request_ids()))
+        self.server.reply(self.list_request_ids()[1], ANSWER)
+        answers = relay_site.read_pipelined_answers(sock, 2)
+        self.assertEqual([200, 200], [status for status, _ in answers])
+        self.assertEqual(b'', sock.recv(1))
+
+    def test_reset_before_the_first_answer(self) -> None:
+        """Guard against a run for a caller that has left.
+
+        An answer may be handled before the reset of its caller is.
+        """
+        sock, connection = self.accept()
+        self.read_both(sock, connection)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, channels.RESET_ON_CLOSE
+        )
+        sock.close()
+        self.await_input(connection)
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        self.assertIsInstance(self.events[-1], events.CallerLeft)
+        self.assertEqual(1, len(self.list_request_ids()))
+        self.assertEqual({}, self.server.requests)
+
     def test_stream_before_the_second_request(self) -> None:
         """Guard against a stream that ends the connection behind it."""
         sock, connection = self.accept()
