Refuse incomplete requests at a stop in front of circuits.web

Cause: an entry instance that does not relay ended without a word to callers whose requests were incomplete. The exit of the process reset them.

Change: as in the relaying front end, incomplete requests are refused with 503 `stopping` before the exit, and the exit waits for the announced rest of a request, for the 5 s of `StopLoop` at most. Each server of a loop has `drain_input`, so that the loop of the relay needs no step of its own.

--- a/src/mustardvale/internal/edge/http_guard.py
+++ b/src/mustardvale/internal/edge/http_guard.py
@@ -436,6 +436,25 @@
             connection.is_paused = False
             self.tcp._poller.addReader(self.tcp, connection.sock)
 
+    def refuse_incomplete(self) -> None:
+        """Refuse incomplete requests before the loop stops."""
+        for connection in tuple(self.connections.values()):
+            if connection.phase is Phase.RECEIVING:
+                self.reject_with_code(
+                    connection, errors.STOPPING, 'the instance stops'
+                )
+
+    def is_delaying_stop(self) -> bool:
+        """Return whether the announced rest of a request is missing."""
+        now = time.monotonic()
+        return any(
+            connection.discard is not None
+            and lingering_close.may_delay_stop(
+                connection.discard, now, self.linger_limits
+            )
+            for connection in self.connections.values()
+        )
+
     def sweep(self, timer: ConnectionSweep) -> None:
         """Handle connections whose time limit has passed.
 
--- a/src/mustardvale/internal/edge/http_server.py
+++ b/src/mustardvale/internal/edge/http_server.py
@@ -68,8 +68,9 @@
         self.request_ids: dict[socket.socket, str] = {}
         self.tcp = http_guard.CallerListener(bind, channel='web').register(self)
         self.http = http.HTTP(self.tcp, channel='web').register(self)
+        self.guard: http_guard.HttpGuard | None = None
         if limits is not None:
-            http_guard.HttpGuard(
+            self.guard = http_guard.HttpGuard(
                 self.tcp,
                 codec.encode_error,
                 limits,
@@ -213,8 +214,15 @@
             self.request_ids.pop(exchange.request.sock, None)
         return exchange
 
+    def drain_input(self) -> None:
+        """Refuse incomplete requests before the loop stops."""
+        if self.guard is not None:
+            self.guard.refuse_incomplete()
+
     def is_flushed(self) -> bool:
-        """Return whether no output is queued for any caller."""
+        """Return whether no output is queued, and no announced rest missing."""
+        if self.guard is not None and self.guard.is_delaying_stop():
+            return False
         return not any(self.tcp._buffers.values())
 
 
--- a/src/mustardvale/internal/edge/loop.py
+++ b/src/mustardvale/internal/edge/loop.py
@@ -46,6 +46,9 @@
     def fail_request(self, request_id: str) -> None:
         """Answer a request whose event the reducer failed to handle."""
 
+    def drain_input(self) -> None:
+        """Refuse incomplete requests before the loop stops."""
+
     def is_flushed(self) -> bool:
         """Return whether no output is queued, and no answer can be lost."""
 
@@ -184,6 +187,8 @@
 
     def stop_when_flushed(self, check: FlushCheck) -> None:
         """Stop the loop, or check again later while output is queued."""
+        if self.server is not None:
+            self.server.drain_input()
         waited = time.monotonic() - check.started_at
         # A reply that was sent just before the stop is still in the queue of
         # circuits and reaches the output of the server only after this call.
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -122,11 +122,6 @@
         """End the request or the send of an effect that failed."""
         relay_performer.end_failed(effect, self)
 
-    def stop_when_flushed(self, check: loop.FlushCheck) -> None:
-        """Answer what has arrived before the loop stops."""
-        self.callers.drain_input()
-        super().stop_when_flushed(check)
-
     def watch_settings(
         self, path: str, read_settings: abc.Callable[[], typing.Any]
     ) -> None:
--- a/standins/engine_servers.py
+++ b/standins/engine_servers.py
@@ -91,6 +91,11 @@
         """Close the connection of a caller."""
         self.find_server(request_id).close_caller(request_id)
 
+    def drain_input(self) -> None:
+        """Refuse incomplete requests before the loop stops."""
+        for server in self.servers.values():
+            server.drain_input()
+
     def is_flushed(self) -> bool:
         """Return whether no output is queued for any caller."""
         return all(server.is_flushed() for server in self.servers.values())
--- a/tests/guarded_entry.py
+++ b/tests/guarded_entry.py
@@ -17,6 +17,7 @@
     connections: int = 512,
     linger_seconds: float = 0.2,
     discard_seconds: float = 0.2,
+    address_validity_seconds: float = 10,
 ) -> None:
     """Serve callers at `host:port`."""
     logs.configure('INFO', instance_id)
@@ -32,6 +33,7 @@
             list_address=list_address,
             log_level='INFO',
             seed=1,
+            address_validity_seconds=address_validity_seconds,
         ),
         http_checks.Limits(
             request_seconds=request_seconds,
--- a/tests/test_http_guard.py
+++ b/tests/test_http_guard.py
@@ -1,6 +1,7 @@
 """Test the HTTP edge against malformed and hostile requests."""
 
 import json
+import signal
 import socket
 import time
 import unittest
@@ -455,6 +456,30 @@
         self.assertEqual([0], list(set(problems[1:])))
 
 
+class PlannedStop(unittest.TestCase):
+    """A stop refuses incomplete requests, and its callers read the refusal."""
+
+    def test_upload_during_a_stop(self) -> None:
+        """Guard against an exit that resets a caller who still sends."""
+        site = site_processes.Site()
+        self.addCleanup(site.stop)
+        site.start(address_validity_seconds=1, discard_seconds=5)
+        assert site.entry is not None
+        host, _, port = site.address.rpartition(':')
+        with socket.create_connection((host, int(port)), timeout=5) as sock:
+            part = b'x' * 1000
+            head = post(b'').replace(b'Length: 0', b'Length: 25000')
+            sock.sendall(head)
+            site.entry.send_signal(signal.SIGTERM)
+            for _ in range(25):
+                sock.sendall(part)
+                time.sleep(0.1)
+            received = sock.recv(65536)
+        self.assertTrue(received.startswith(b'HTTP/1.1 503'), received)
+        self.assertIn(b'"stopping"', received)
+        self.assertEqual(0, site.entry.wait(timeout=5))
+
+
 class ConnectionLimit(GuardedCase):
     """The number of connections is bounded."""
 
