Limit the parts of a retry that instances save up

Callers saw nothing: all instances together sent more repeats in a window than the budget of a service allows.

Cause: each instance could save up its half of the fixed number of retries and one whole retry beyond it, so that the parts of a retry are not lost. Where there are many instances for the fixed number, these whole retries are more than the reserve of a fifth: 7 instances with 20 retries in a window could send 28 where 27.5 are allowed, 30 with 60 could send 90 where 80 are.

Change: all instances together save up no more than a tenth of the fixed number beyond their halves, half of the reserve. An instance may still save up one whole retry. Sites with ten retries an instance or more save up as much as before.

--- a/src/mustardvale/internal/relay/retry_budgets.py
+++ b/src/mustardvale/internal/relay/retry_budgets.py
@@ -18,6 +18,9 @@
 # Share of the budget that instances may spend. The rest is a reserve for times
 # at which they disagree on the number of members.
 USED_SHARE = 0.8
+# Share of the budget for the parts of a retry that instances save up. It is half
+# of the reserve.
+ROUNDING_SHARE = 0.1
 # Share of the fixed number of retries that may be spent at once.
 BURST_SHARE = 0.5
 
@@ -47,8 +50,22 @@
     quota = compute_quota(limits, instance_count)
     elapsed = max(now - bucket.updated_at, 0.0)
     accrued = (1 - BURST_SHARE) * quota * elapsed / limits.retry_window_seconds
-    balance = min(bucket.balance + accrued, BURST_SHARE * quota + 1)
-    return RetryBucket(balance, now)
+    maximum = compute_maximum(limits, instance_count)
+    return RetryBucket(min(bucket.balance + accrued, maximum), now)
+
+
+def compute_maximum(
+    limits: instance_settings.Limits, instance_count: int
+) -> float:
+    """Return how many retries this instance may save up.
+
+    Whole retries are sent, so that a part of one would be lost at each instance.
+    All instances together may save up no more for it than `ROUNDING_SHARE`. One
+    that could not save up a whole retry would never send any.
+    """
+    burst = BURST_SHARE * compute_quota(limits, instance_count)
+    rounding = ROUNDING_SHARE * limits.retries_per_window / instance_count
+    return max(burst + min(rounding, 1.0), 1.0)
 
 
 def compute_quota(
