Count the connections that close with a request on them

No line and no counter told a request that its caller gave up from one whose connection failed or was cut here, nor whether it had been read as a whole. The hypotheses about lost requests differ in just this.

Change: closes in the phases of a request are counted by phase and reason, as `caller_closes`. One line a second, `callers_closed`, has the counts of those since the last one; there is none without such closes.

--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -160,10 +160,22 @@
             return
         self.emit_event(relay_events.SettingsRead, limits=limits)
 
+    def report_closes(self) -> None:
+        """Count and log the closes of callers' connections with a request."""
+        counts = {
+            f'{close.phase.value}_{close.reason.value}': count
+            for close, count in self.callers.take_closes().items()
+        }
+        for kind, count in counts.items():
+            self.metrics.count('caller_closes', (kind,), count)
+        if counts:
+            logger.info('callers_closed', extra=counts)
+
     def run_maintenance(self) -> None:
-        """Reload changed settings, and report log lines not written."""
+        """Reload changed settings, and report closes and lines left out."""
         if read_file_version(self.settings_path) != self.settings_version:
             self.reload()
+        self.report_closes()
         suppressed = self.log_budget.take_suppressed_count()
         dropped_lines = 0
         if self.output is not None:
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -27,6 +27,7 @@
     ('runner_crashes', 'Crashes under requests without an event', ()),
     ('runner_announcements', 'Runners that leave or ask to wait', ('kind',)),
     ('malformed_announcements', 'Unusable headers of runners', ('header',)),
+    ('caller_closes', 'Connections closed with a request', ('kind',)),
     ('log_lines_left_out', 'Log lines that were not written', ()),
 )
 
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -4,6 +4,7 @@
 relay requests and answers unchanged.
 """
 
+import collections
 import dataclasses
 import enum
 import functools
@@ -50,6 +51,24 @@
     DISCARDING = 'discarding'
 
 
+REQUEST_PHASES = frozenset((Phase.RECEIVING, Phase.ANSWERING))
+
+
+class CloseReason(enum.Enum):
+    """Name why a connection was closed with a request on it."""
+
+    ENDED = 'ended'
+    FAILED = 'failed'
+    CUT = 'cut'
+
+
+class Close(typing.NamedTuple):
+    """Describe a connection that was closed with a request on it."""
+
+    phase: Phase
+    reason: CloseReason
+
+
 class CallerConnection:
     """Track one connection of a caller.
 
@@ -90,6 +109,7 @@
 
     def on_error(self, channel: channels.Channel, problem: str) -> None:
         """Remove the connection."""
+        self.server.count_close(self, CloseReason.FAILED)
         self.server.remove_connection(self)
 
     def on_drained(self, channel: channels.Channel) -> None:
@@ -120,6 +140,7 @@
         self.request_numbers = itertools.count(1)
         self.connections: set[CallerConnection] = set()
         self.requests: dict[str, CallerConnection] = {}
+        self.closes: collections.Counter[Close] = collections.Counter()
 
     @property
     def limits(self) -> caller_limits.CallerLimits:
@@ -167,6 +188,19 @@
                 accepted, connection
             )
 
+    def count_close(
+        self, connection: CallerConnection, reason: CloseReason
+    ) -> None:
+        """Count a connection that closes with a request on it."""
+        if connection.phase in REQUEST_PHASES:
+            self.closes[Close(connection.phase, reason)] += 1
+
+    def take_closes(self) -> collections.Counter[Close]:
+        """Return the connections closed with a request since the last call."""
+        closes = self.closes
+        self.closes = collections.Counter()
+        return closes
+
     def remove_connection(self, connection: CallerConnection) -> None:
         """Remove a closed connection, and report it if a request was open."""
         self.connections.discard(connection)
@@ -184,6 +218,7 @@
     ) -> None:
         """Handle input according to the phase of its connection."""
         if not received:
+            self.count_close(connection, CloseReason.ENDED)
             self.close_connection(connection)
             return
         if connection.phase is Phase.DISCARDING:
@@ -415,6 +450,7 @@
         if connection is None:
             return
         connection.request_id = ''
+        self.count_close(connection, CloseReason.CUT)
         assert connection.channel is not None, 'a request has a channel'
         self.connections.discard(connection)
         if connection.protocol.their_http_version in VERSIONS_WITHOUT_CHUNKS:
--- a/tests/test_relay_input.py
+++ b/tests/test_relay_input.py
@@ -60,3 +60,30 @@
         self.deliver(connection, REQUEST.replace(b'POST', b'CONNECT'))
         self.assertEqual(501, relay_site.read_answer(sock).status)
         self.assertFalse(self.list_request_ids())
+
+
+class ClosesWithARequest(test_relay_server.ServerCase):
+    """Connections that are closed with a request on them are counted."""
+
+    def test_each_kind_is_counted_once(self) -> None:
+        """Guard against a request without an end that no line shows."""
+        _, receiving = self.accept()
+        self.deliver(receiving, REQUEST[:20])
+        self.deliver(receiving, b'')
+        _, failed = self.accept()
+        self.deliver(failed, REQUEST)
+        failed.on_error(failed.channel, 'reset')
+        _, cut = self.accept()
+        self.deliver(cut, REQUEST)
+        self.server.close_caller(self.list_request_ids()[-1])
+        _, idle = self.accept()
+        self.deliver(idle, b'')
+        kinds = [
+            (close.phase.value, close.reason.value)
+            for close in self.server.take_closes().elements()
+        ]
+        self.assertEqual(
+            [('receiving', 'ended'), ('answering', 'failed')], kinds[:2]
+        )
+        self.assertEqual([('answering', 'cut')], kinds[2:])
+        self.assertFalse(self.server.take_closes())
