Draw suspended runners and stops after SIGHUP in the soak

Cause: reports of other operators name runners that are silent for a second or two and go on, plain runners that refuse at once, and stops that overlap with a SIGHUP; the soak had none of them.

Change: a runner stand-in that is suspended keeps its runs and the requests that arrive, and goes on with both; one, half or all runners of a service are suspended at once. Up to half of the instances get a SIGHUP and are stopped. A plain runner may be full. All three are drawn if they are named, or by `all`.

--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -63,6 +63,13 @@
     """Activate faults of a link and clear them at the end."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Together(Fault):
+    """Begin several faults one right after the other, and end them so."""
+
+    faults: tuple[Fault, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configure(Fault):
     """Write `count` versions of the configuration in quick succession.
@@ -107,6 +114,40 @@
     return DisturbRunner(target, tuple(faults.items()))
 
 
+def draw_suspensions(
+    random_source: RandomSource, targets: FaultTargets
+) -> Together:
+    """Draw suspensions of one, half or all runners of a service."""
+    names = random_source.choice((targets.model_runners, targets.plain_runners))
+    count = random_source.choice((1, (len(names) + 1) // 2, len(names)))
+    return Together(
+        tuple(
+            build_runner_fault(name, suspended=True)
+            for name in random_source.sample(names, count)
+        )
+    )
+
+
+def draw_reloaded_stops(
+    random_source: RandomSource, targets: FaultTargets
+) -> Together:
+    """Draw stops of up to half of the instances, each after a SIGHUP."""
+    most = (len(targets.entries) + 1) // 2
+    names = random_source.sample(
+        targets.entries, random_source.randint(1, most)
+    )
+    return Together(
+        tuple(
+            fault
+            for name in names
+            for fault in (
+                ChangeSettings(name, signalled=True, usable=True),
+                fault_plans.Stop(name),
+            )
+        )
+    )
+
+
 def build_link_fault(target: str, **faults: typing.Any) -> DisturbLink:
     """Return a fault that activates faults of a link."""
     return DisturbLink(target, tuple(faults.items()))
@@ -246,6 +287,11 @@
                 retry_after_seconds=random_source.choice(ASKED_WAITS_SECONDS),
             )
         ),
+        'plain_runner_full': lambda random_source, targets: build_runner_fault(
+            random_source.choice(targets.plain_runners), full=True
+        ),
+        'runners_suspended': draw_suspensions,
+        'reloaded_stops': draw_reloaded_stops,
     }
 )
 
--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -114,6 +114,20 @@
         driver.start_if_ended(name)
 
 
+@fault_run.begin_fault.register(relay_faults.Together)
+def begin_together(fault: relay_faults.Together, driver: SoakDriver) -> None:
+    """Begin several faults."""
+    for member in fault.faults:
+        fault_run.apply_change(fault_run.begin_fault, member, driver)
+
+
+@fault_run.end_fault.register(relay_faults.Together)
+def end_together(fault: relay_faults.Together, driver: SoakDriver) -> None:
+    """End several faults."""
+    for member in fault.faults:
+        fault_run.apply_change(fault_run.end_fault, member, driver)
+
+
 @fault_run.begin_fault.register(relay_faults.DisturbStore)
 def begin_store_fault(
     fault: relay_faults.DisturbStore, driver: SoakDriver
--- a/standins/layered_runners.py
+++ b/standins/layered_runners.py
@@ -98,13 +98,15 @@
 class State:
     """Hold the runners by id and the active runs by request id.
 
-    `layer_count` is the number of layers of the model.
+    `layer_count` is the number of layers of the model. `held` has the requests
+    to suspended runners.
     """
 
     store_address: str
     layer_count: int
     runners: immutables.Map[str, runner_messages.Runner]
     active_runs: immutables.Map[str, ActiveRun] = immutables.Map()
+    held: tuple[events.CallerRequested, ...] = ()
 
 
 Transition = transitions.Transition[State]
@@ -128,7 +130,14 @@
 @dispatch.reduce.register(events.CallerLeft)
 def stop_run(event: events.CallerLeft, state: State) -> Transition:
     """Stop a run whose caller has disconnected."""
-    return transitions.Transition(remove_run(event.request_id, state))
+    held = tuple(
+        waiting
+        for waiting in state.held
+        if waiting.request_id != event.request_id
+    )
+    return transitions.Transition(
+        remove_run(event.request_id, dataclasses.replace(state, held=held))
+    )
 
 
 @dispatch.reduce.register(events.CallerRequested)
@@ -146,6 +155,9 @@
         return transitions.Transition(state, (close,))
     if runner.faults.dark:
         return transitions.Transition(state)
+    if runner.faults.suspended:
+        held = (*state.held, event)
+        return transitions.Transition(dataclasses.replace(state, held=held))
     if request.expected_runner not in ('', runner.runner_id):
         attempt_id = getattr(request, 'attempt_id', '')
         refused = runner_messages.Refusal(
@@ -296,7 +308,7 @@
 def write_entries(state: State) -> Transition:
     """Write the entries of responsive runners to the store."""
     responsive = tuple(
-        runner for runner in state.runners.values() if runner.is_responsive
+        runner for runner in state.runners.values() if runner.makes_progress
     )
     return transitions.Transition(
         state,
@@ -320,6 +332,9 @@
     if running is None:
         return transitions.Transition(state)
     runner = state.runners[running.run.runner_id]
+    if runner.faults.suspended:
+        rearm = effects.SetTimer(timer, EVENT_INTERVAL_SECONDS)
+        return transitions.Transition(state, (rearm,))
     if not running.chain:
         return finish_plain_run(timer.request_id, running, runner, state)
     if is_stalled(running, state):
@@ -335,7 +350,7 @@
 def is_unresponsive(part: runner_messages.ChainPart, state: State) -> bool:
     """Return whether the runner of a part does not answer."""
     runner = find_runner(part.address, state)
-    return runner is None or not runner.is_responsive
+    return runner is None or not runner.makes_progress
 
 
 def stall_run(
@@ -568,7 +583,21 @@
                 state = remove_run(request_id, state)
                 closed.append(effects.CloseCaller(request_id))
     done = effects.Reply(event.request_id, json_codec.Done())
-    return write_entries(state).with_effects(*closed, done)
+    return (
+        write_entries(state)
+        .with_effects(*closed, done)
+        .then(lambda current: resume_held(request.runner_id, current))
+    )
+
+
+def resume_held(runner_id: str, state: State) -> Transition:
+    """Handle the requests that a runner got while it was suspended."""
+    if state.runners[runner_id].faults.suspended:
+        return transitions.Transition(state)
+    held = state.held
+    return transitions.Transition(
+        dataclasses.replace(state, held=())
+    ).then_each(held, reduce_request)
 
 
 @dispatch.reduce.register(events.CallAnswered)
--- a/standins/runner_messages.py
+++ b/standins/runner_messages.py
@@ -10,7 +10,8 @@
     """Hold the active faults of one runner.
 
     A runner that is `down` closes all connections, and one that is `dark` does
-    not answer. One that is `full` refuses runs, and one that is `draining`
+    not answer. One that is `suspended` goes on afterwards with the runs and the
+    requests that it has got. One that is `full` refuses runs, and one that is `draining`
     refuses chains. The connections of the next `lose_answers` runs without a
     chain are closed instead of an answer. The next `cut` streams are closed in
     the middle of an event. One that is `leaving` says so in its answers to
@@ -22,6 +23,7 @@
     runner_id: str
     down: bool = False
     dark: bool = False
+    suspended: bool = False
     draining: bool = False
     full: bool = False
     lose_answers: int = 0
@@ -53,9 +55,14 @@
 
     @property
     def is_responsive(self) -> bool:
-        """Return whether the runner answers requests."""
+        """Return whether the runner answers requests, at once or later."""
         return not self.faults.down and not self.faults.dark
 
+    @property
+    def makes_progress(self) -> bool:
+        """Return whether the runner answers requests at once."""
+        return self.is_responsive and not self.faults.suspended
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChainPart:
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -92,6 +92,15 @@
             {'KillAll', 'DisturbStore', 'Configure', 'ChangeSettings'}, drawn
         )
 
+    def test_named_kinds_are_drawn(self) -> None:
+        """Guard against kinds that `all` leaves out or that cannot be drawn."""
+        kinds = relay_faults.choose_kinds('all')
+        for kind in kinds:
+            with self.subTest(kind=kind):
+                plan = relay_faults.draw_plan(1, 20, self.targets, (kind,))
+                self.assertGreater(len(plan), 5)
+        self.assertLess(set(relay_faults.KINDS), set(kinds))
+
     def test_faults_overlap(self) -> None:
         """Guard against faults that only occur one after the other."""
         plan = relay_faults.draw_plan(3, 20, self.targets)
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -176,6 +176,26 @@
         self.runners.pass_time(5)
         self.assertIn('r1', self.runners.ends)
 
+    def test_suspended_runner_goes_on(self) -> None:
+        """Guard against a suspension that loses or refuses what came in it."""
+        for name in ('m0', 'm1'):
+            with self.subTest(suspended=name):
+                self.setUp()
+                self.set_faults(name, suspended=True)
+                self.assertIsNone(self.run_chain(('m0', 0, 4), ('m1', 4, 8)))
+                self.runners.pass_time(2)
+                self.assertNotIn('r1', self.runners.ends)
+                self.runners.ask('end', runner_messages.Faults(name))
+                self.runners.pass_time(5)
+                self.assertIn('r1', self.runners.ends)
+
+    def test_words_of_a_runner(self) -> None:
+        """Guard against faults that no answer of the runner shows."""
+        self.set_faults('m0', full=True, retry_after_seconds=3, leaving=True)
+        refusal = self.run_chain(('m0', 0, 4), ('m1', 4, 8))
+        self.assertEqual(3, refusal.retry_after_seconds)
+        self.assertTrue(refusal.is_leaving)
+
     def test_layers_that_are_not_held(self) -> None:
         """Guard against a chain with layers that a runner does not hold."""
         refused = self.run_chain(('m0', 0, 4), ('m2', 4, 8))
