Do not watch listeners while no descriptor is left

Callers and operators saw: an instance without free descriptors used the processor without a pause, and the exchange of its open connections became slow with it.

Cause: a connection that cannot be accepted keeps its listener readable, and the poller reports it at each poll.

Measured: the test fails without the change.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -12,6 +12,10 @@
 from mustardvale.internal import addresses
 
 PENDING_CONNECT_CODES = frozenset((0, errno.EINPROGRESS, errno.EWOULDBLOCK))
+# No connection can be accepted, so that the listener stays readable.
+EXHAUSTED_CODES = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
 RECEIVE_BYTES = 64 * 1024
 # Events of one listener that are handled at once before it is closed; each
 # accepts several connections.
@@ -131,6 +135,26 @@
         self.listeners[sock] = accept
         self.poller.addReader(self, sock)
 
+    def accept(self, listener: socket.socket) -> socket.socket | None:
+        """Accept a connection, if there is one.
+
+        A listener is not watched while the process can open no socket, because
+        the poller would report its pending connections without end.
+        """
+        try:
+            accepted, _ = listener.accept()
+        except OSError as error:
+            if error.errno in EXHAUSTED_CODES:
+                self.poller.removeReader(listener)
+            return None
+        return accepted
+
+    def watch_listeners(self) -> None:
+        """Watch the listeners again that were left out."""
+        for listener in self.listeners:
+            if not self.poller.isReading(listener):
+                self.poller.addReader(self, listener)
+
     def accept_pending(self) -> None:
         """Accept the connections that the poller has not reported yet."""
         for sock, accept in tuple(self.listeners.items()):
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -94,10 +94,10 @@
 
     def sweep(self) -> None:
         """End connections of callers whose timeout has expired."""
-        self.callers.sweep()
         self.timer_queue.set_timer(
             ConnectionSweep(), relay_server.SWEEP_PERIOD_SECONDS
         )
+        self.callers.sweep()
 
     def end_failed_event(self, event: events.Event) -> None:
         """Let the reducer end what the event belongs to, or do it here."""
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -187,10 +187,8 @@
     ) -> None:
         """Accept pending connections, up to a limit per event."""
         for _ in range(MAXIMUM_ACCEPTS_PER_EVENT):
-            try:
-                accepted, _ = sock.accept()
-            except OSError:
-                # No connection is pending, or the caller has reset it.
+            accepted = self.channel_table.accept(sock)
+            if accepted is None:
                 return
             connection = CallerConnection(self, listener, codec)
             self.connections.add(connection)
@@ -601,7 +599,8 @@
         )
 
     def sweep(self) -> None:
-        """End connections whose timeout has expired."""
+        """End connections whose timeout has expired, and accept others."""
+        self.channel_table.watch_listeners()
         for connection in tuple(self.connections):
             if self.is_expired(connection):
                 self.expire_connection(connection)
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -1,6 +1,7 @@
 """Test the connections of callers, with sockets but without processes."""
 
 import dataclasses
+import errno
 import select
 import socket
 import typing
@@ -164,6 +165,27 @@
         self.assertEqual(0, len(self.server.connections))
 
 
+class ExhaustedDescriptors(ServerCase):
+    """A process that can open no socket waits until it can."""
+
+    def test_listener_is_left_out_until_the_next_sweep(self) -> None:
+        """Guard against a loop that spins and a caller that is not accepted."""
+        sock = self.connect()
+        (listener,) = self.table.listeners
+        exhausted = OSError(errno.EMFILE, 'too many open files')
+        with mock.patch.object(socket.socket, 'accept', side_effect=exhausted):
+            self.table.on_readable(listener)
+        self.assertFalse(self.table.poller.isReading(listener))
+        self.pass_time(relay_server.SWEEP_PERIOD_SECONDS)
+        self.assertTrue(self.table.poller.isReading(listener))
+        self.table.on_readable(listener)
+        (connection,) = self.server.connections
+        self.addCleanup(self.server.close_connection, connection)
+        self.deliver(connection, relay_site.encode_request('/read/x', 'a1'))
+        self.server.reply(self.list_request_ids()[0], ANSWER)
+        self.assertEqual(200, relay_site.read_answer(sock).status)
+
+
 class UnreadInput(ServerCase):
     """A connection is closed only after its input has been read."""
 
