Write the end of a last answer to callers who have stopped sending

Cause: the end of a caller's output closed its connection at once, also behind the last answer, whose queued end was dropped.

Change: behind the last answer the connection is closed once it is written.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -188,7 +188,7 @@
     ) -> None:
         """Handle input according to the phase of its connection."""
         if not received:
-            self.close_connection(connection)
+            self.handle_end(connection)
             return
         if connection.phase is Phase.DISCARDING:
             self.discard_input(connection, received)
@@ -201,6 +201,14 @@
         else:
             self.process_input(connection)
 
+    def handle_end(self, connection: CallerConnection) -> None:
+        """Close a connection without input, once its last answer is written."""
+        assert connection.channel is not None, 'input needs a channel'
+        if connection.phase is Phase.DISCARDING and connection.channel.output:
+            self.channel_table.pause_reading(connection.channel)
+        else:
+            self.close_connection(connection)
+
     def limit_pipelined_input(
         self, connection: CallerConnection, count: int
     ) -> None:
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -218,6 +218,27 @@
         self.assertEqual(set(), self.server.connections)
 
 
+class HalfClosedCallers(LingerCase):
+    """A caller may shut its output down before it has read the last answer."""
+
+    def test_end_of_a_queued_answer(self) -> None:
+        """Guard against an answer whose queued end is dropped."""
+        size = 8 * 1024 * 1024
+        request = relay_site.encode_request(
+            '/read/x', 'a1', headers='Connection: close\r\n'
+        )
+        sock, connection = self.upload(request)
+        answer = requests.RelayedAnswer(200, (), b'x' * size)
+        self.server.reply(self.list_request_ids()[0], answer)
+        self.deliver(connection, b'')
+        received = 0
+        while part := sock.recv(1024 * 1024):
+            received += len(part)
+            assert connection.channel is not None
+            self.table.on_writable(connection.channel.sock)
+        self.assertLess(size, received)
+
+
 class MalformedInput(unittest.TestCase):
     """Input whose end cannot be found is discarded too."""
 
