Leave waiting requests time for their first event

Cause: the sends of requests that waited for silent runners are spread over a second. One request alone waits for a random part of it, which may end just before its caller leaves, so that the first event comes too late. Besides, a request counted as released once a new version extended its deadline, and then waited until its former wait had ended.

Change: each waiting request is sent within half of the time that it has left. Whether it is still held is no longer concluded from its deadline.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -163,7 +163,7 @@
 def is_search_due(exchange: exchanges.Exchange, now: float) -> bool:
     """Return whether to search for an upstream again."""
     if exchange.next_search_at is not None:
-        return now >= exchange.next_search_at
+        return silence_waits.is_search_due(exchange, now)
     searched_at = exchange.last_search_at
     if searched_at is None or exchange.last_event_at is None:
         return True
--- a/src/mustardvale/internal/relay/silence_waits.py
+++ b/src/mustardvale/internal/relay/silence_waits.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from mustardvale.internal.relay import (
@@ -91,6 +92,18 @@
     return exchange.next_search_at is not None and not exchange.attempts
 
 
+def is_held(exchange: exchanges.Exchange) -> bool:
+    """Return whether a request waits and has not been released."""
+    return is_waiting(exchange) and exchange.next_search_at == math.inf
+
+
+def is_search_due(exchange: exchanges.Exchange, now: float) -> bool:
+    """Return whether a waiting request was released or has no more time."""
+    released_at = exchange.next_search_at
+    is_released = released_at is not None and now >= released_at
+    return is_released or now >= compute_wait_end(exchange)
+
+
 def has_place(exchange: exchanges.Exchange, state: 'states.State') -> bool:
     """Return whether one more request of a client account may wait.
 
@@ -109,7 +122,7 @@
 ) -> reducer.Transition:
     """Keep a request until its upstreams answer or its wait ends."""
     waiting = dataclasses.replace(
-        exchange, last_search_at=now, next_search_at=compute_wait_end(exchange)
+        exchange, last_search_at=now, next_search_at=math.inf
     )
     exchange_map = state.exchanges.set(exchange.request_id, waiting)
     return check_schedule.request_check(
--- a/src/mustardvale/internal/relay/wait_release.py
+++ b/src/mustardvale/internal/relay/wait_release.py
@@ -17,6 +17,8 @@
 
 # Waiting requests are sent over this time, beside the new ones.
 RELEASE_SECONDS = 1.0
+# The first event takes some of the time that a waiting request has left.
+RELEASE_LEFT_SHARE = 0.5
 # One search serves all waiting requests of a service.
 SEARCH_PERIOD_SECONDS = 0.1
 # Runners that were silent together take a moment to continue their streams.
@@ -27,7 +29,7 @@
     """Release the waiting requests of each service that has upstreams again."""
     waiting: dict[str, list[exchanges.Exchange]] = {}
     for exchange in state.exchanges.values():
-        if is_held(exchange):
+        if silence_waits.is_held(exchange):
             waiting.setdefault(exchange.service, []).append(exchange)
     return transitions.Transition(state).then_each(
         waiting.values(),
@@ -35,13 +37,6 @@
     )
 
 
-def is_held(exchange: exchanges.Exchange) -> bool:
-    """Return whether a request waits and has not been released."""
-    if not silence_waits.is_waiting(exchange):
-        return False
-    return exchange.next_search_at == silence_waits.compute_wait_end(exchange)
-
-
 def release_group(
     group: abc.Sequence[exchanges.Exchange], now: float, state: 'states.State'
 ) -> reducer.Transition:
@@ -73,11 +68,9 @@
     exchange_map = state.exchanges
     for place, exchange in enumerate(ordered):
         share = (place + drawn.fraction) / len(ordered)
-        send_at = min(
-            now + share * RELEASE_SECONDS,
-            silence_waits.compute_wait_end(exchange),
-        )
-        released = dataclasses.replace(exchange, next_search_at=send_at)
+        left_seconds = silence_waits.compute_wait_end(exchange) - now
+        delay = min(share * RELEASE_SECONDS, left_seconds * RELEASE_LEFT_SHARE)
+        released = dataclasses.replace(exchange, next_search_at=now + delay)
         exchange_map = exchange_map.set(exchange.request_id, released)
     return dataclasses.replace(
         state,
--- a/tests/test_relay_silent_runners.py
+++ b/tests/test_relay_silent_runners.py
@@ -31,7 +31,12 @@
 
 
 class PausedInstance(relay_states.Instance):
-    """Drive an instance beside runners that pause and go on."""
+    """Drive an instance beside runners that pause and go on.
+
+    Its callers leave after `patience_seconds` without an event.
+    """
+
+    patience_seconds = 2.0
 
     def __init__(self, number: int, silent_until: float) -> None:
         super().__init__(RUNNERS)
@@ -135,9 +140,21 @@
                     instance.receive_request(f'r{arrival}', '/model/x')
             instance.step()
             start_sends(instance)
+            if silent_seconds < PausedInstance.patience_seconds:
+                leave_silent(instance)
     return instances
 
 
+def leave_silent(instance: PausedInstance) -> None:
+    """Let the callers leave that have got no event for too long."""
+    for exchange in instance.state.exchanges.values():
+        last_sign = exchange.last_event_at or exchange.arrived_at
+        if instance.now - last_sign > instance.patience_seconds:
+            instance.emit_event(
+                events.CallerLeft, request_id=exchange.request_id
+            )
+
+
 def start_sends(instance: PausedInstance) -> None:
     """Report the sends of a step as written."""
     for attempt in [
@@ -228,6 +245,19 @@
         self.instance.pass_time(1.2)
         self.assertEqual(1, len(self.instance.sends))
 
+    def test_release_leaves_time_for_the_first_event(self) -> None:
+        """Guard against a send just before the caller leaves."""
+        for seed in range(8):
+            self.setUp()
+            self.instance.state = dataclasses.replace(
+                self.instance.state, seed=seed
+            )
+            self.instance.receive_request('r1', '/model/x')
+            self.instance.pass_time(1.3)
+            self.answer_probes()
+            self.instance.pass_time(0.4)
+            self.assertEqual(1, len(self.instance.sends), seed)
+
     def answer_probes(self) -> None:
         """Answer a probe as one runner of each range."""
         for runner_id in ('m1', 'm2'):
@@ -260,6 +290,21 @@
             [sent.request.request.attempt_id for sent in self.instance.sends],
         )
 
+    def test_longer_timeout_does_not_delay_the_release(self) -> None:
+        """Guard against a release that depends on the deadline at arrival."""
+        routes = [
+            dataclasses.replace(route, timeout_seconds=1.0)
+            for route in relay_states.ROUTES
+        ]
+        self.instance.configure(relay_states.with_routes(tuple(routes)))
+        self.instance.receive_request('r1', '/model/x')
+        newest = relay_states.with_routes(relay_states.ROUTES)
+        self.instance.configure(
+            dataclasses.replace(newest, version=newest.version + 1)
+        )
+        waiting = self.instance.state.exchanges['r1']
+        self.assertTrue(silence_waits.is_held(waiting))
+
     def test_one_account_leaves_places_to_others(self) -> None:
         """Guard against unbounded memory and one account that takes it all."""
         limit = silence_waits.MAXIMUM_WAITING_REQUESTS
