Keep a request that crosses a stop's close from resetting the last answer

Change: the output is shut down, and the connection is closed after the short linger. Its input stays unread meanwhile, because nothing can be answered any more: a request that is read and dropped would be worse. `Close` is a frozen data class.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -62,7 +62,8 @@
     CUT = 'cut'
 
 
-class Close(typing.NamedTuple):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Close:
     """Describe a connection that was closed with a request on it."""
 
     phase: Phase
@@ -123,7 +124,7 @@
         if self.phase is Phase.DISCARDING:
             self.server.shut_down_output(self)
         if self.phase is Phase.IDLE and self.server.is_closing:
-            self.server.close_unused(self)
+            self.server.end_unused(self)
         if self.is_blocked:
             self.is_blocked = False
             self.server.emit_event(
@@ -580,6 +581,24 @@
         if connection.phase is Phase.IDLE and not connection.channel.output:
             self.close_connection(connection)
 
+    def end_unused(self, connection: CallerConnection) -> None:
+        """Shut down a connection whose last answer has just been written.
+
+        Input that arrives from now on stays unread: nothing can be answered any
+        more, and a reset must not reach a caller that still reads.
+        """
+        assert connection.channel is not None, 'a connection has a channel'
+        self.channel_table.read_available(connection.channel)
+        if connection.phase is not Phase.IDLE:
+            return
+        self.channel_table.pause_reading(connection.channel)
+        connection.phase = Phase.DISCARDING
+        now = time.monotonic()
+        connection.discard = lingering_close.complete(
+            lingering_close.start(now), now
+        )
+        self.shut_down_output(connection)
+
     def drain_input(self) -> None:
         """Read all requests that have arrived, and accept no more callers.
 
