--- a/bench/chain_cost.py
+++ b/bench/chain_cost.py
@@ -19,8 +19,8 @@
 from bench import chain_placement, measurements
 from mustardvale.internal.relay import (
     chains,
+    choices,
     configuration,
-    dispatch,
     exchanges,
     instance_settings,
     loads,
@@ -122,11 +122,11 @@
     engine = chain_placement.ENGINE
     return chains.find_chain(
         engine,
-        dispatch.list_candidates(engine, SERVICE, now, state),
+        choices.list_candidates(engine, SERVICE, now, state),
         WORK,
         chains.LayerSpan(0, engine.layer_count, ''),
         state.seed,
-        dispatch.build_link_load_lookup(state),
+        choices.build_link_load_lookup(state),
     )
 
 
@@ -161,7 +161,7 @@
     for zone_count in ZONE_COUNTS:
         state = build_state(zone_count)
         results[f'{len(state.runners)} runners in {zone_count} zones'] = {
-            'zones': measure(dispatch.choose_target, state),
+            'zones': measure(choices.choose_target, state),
             'all': measure(search_all, state),
         }
     print(results)
--- a/bench/chain_placement.py
+++ b/bench/chain_placement.py
@@ -22,7 +22,7 @@
 from bench import measurements
 from mustardvale.internal.relay import (
     chains,
-    dispatch,
+    choices,
     engines,
     loads,
     placement,
@@ -330,7 +330,7 @@
             max(random_source.gauss(220, 150), 10),
         )
         tokens = (
-            work.prompt_tokens + work.output_tokens * dispatch.MEAN_OUTPUT_SHARE
+            work.prompt_tokens + work.output_tokens * choices.MEAN_OUTPUT_SHARE
         )
         chosen_chain = CHOICES[trial.choice](
             site.build_candidates(instance),
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -12,6 +12,7 @@
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     announcements,
+    choices,
     completion,
     crash_tracking,
     dispatch,
@@ -307,7 +308,7 @@
     )
     if (
         should_retry
-        and dispatch.choose_target(remaining, now, next_state) is not None
+        and choices.choose_target(remaining, now, next_state) is not None
     ):
         return dispatch.try_send(
             remaining, now, open_attempts.store_exchange(remaining, next_state)
--- a/src/mustardvale/internal/relay/hedges.py
+++ b/src/mustardvale/internal/relay/hedges.py
@@ -10,6 +10,7 @@
 
 from mustardvale.internal import effects, transitions
 from mustardvale.internal.relay import (
+    choices,
     completion,
     dispatch,
     exchanges,
@@ -83,19 +84,19 @@
 
 def choose_other_target(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
-) -> dispatch.Target | None:
+) -> choices.Target | None:
     """Return a target without the first runners of the open sends."""
     open_runner_ids = {attempt.runner_id for attempt in exchange.attempts}
     elsewhere = dataclasses.replace(
         exchange, tried_runner_ids=exchange.tried_runner_ids | open_runner_ids
     )
-    return dispatch.choose_target(elsewhere, now, state)
+    return choices.choose_target(elsewhere, now, state)
 
 
 def replace_unsent(
     exchange: exchanges.Exchange,
     attempt: exchanges.Attempt,
-    target: dispatch.Target,
+    target: choices.Target,
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -12,14 +12,15 @@
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     announcements,
-    open_attempts,
     calls,
     chains,
+    choices,
     completion,
     dispatch,
     exchanges,
     hedges,
     loads,
+    open_attempts,
     reachability,
     reducer,
     requests,
@@ -291,14 +292,14 @@
     state: 'states.State',
 ) -> requests.Chain | None:
     """Return a chain with substitutes for faulty runners, if one exists."""
-    service = dispatch.find_service(exchange, state)
+    service = choices.find_service(exchange, state)
     if service is None or service.engine is None:
         return None
     candidates = exclude_runners(
-        dispatch.list_candidates(service.engine, exchange.service, now, state),
+        choices.list_candidates(service.engine, exchange.service, now, state),
         attempt.chain,
     )
-    work = dispatch.estimate_work(exchange, service.engine)
+    work = choices.estimate_work(exchange, service.engine)
     repaired: tuple[requests.ChainPart, ...] = ()
     for span in split_at_faults(attempt.chain, faulty):
         first, last = span[0], span[-1]
@@ -314,7 +315,7 @@
             work,
             missing,
             state.seed,
-            dispatch.build_link_load_lookup(state),
+            choices.build_link_load_lookup(state),
         )
         if not substitutes:
             return None
--- a/src/mustardvale/internal/relay/wait_release.py
+++ b/src/mustardvale/internal/relay/wait_release.py
@@ -6,7 +6,7 @@
 
 from mustardvale.internal import draws, transitions
 from mustardvale.internal.relay import (
-    dispatch,
+    choices,
     exchanges,
     reducer,
     silence_waits,
@@ -46,7 +46,7 @@
     if now - (first.last_search_at or 0.0) < SEARCH_PERIOD_SECONDS:
         return transitions.Transition(state)
     any_runner = dataclasses.replace(first, tried_runner_ids=frozenset())
-    if dispatch.choose_target(any_runner, now, state) is None:
+    if choices.choose_target(any_runner, now, state) is None:
         searched = dataclasses.replace(first, last_search_at=now)
         exchange_map = state.exchanges.set(first.request_id, searched)
         return transitions.Transition(
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -18,7 +18,7 @@
     ' limit_shares silence_waits',
     'configuration_feed',
     'runner_list orders',
-    'completion crash_tracking dispatch hedges admission'
+    'completion crash_tracking choices shortages dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
     ' reachability moves wait_release monitoring withdrawals lifecycle'
     ' failed_events',
--- a/tests/test_zone_choice.py
+++ b/tests/test_zone_choice.py
@@ -10,7 +10,7 @@
 
 import immutables
 
-from mustardvale.internal.relay import chains, dispatch, loads, runners
+from mustardvale.internal.relay import chains, choices, loads, runners
 from tests import relay_states
 
 ZONES = tuple(f'zone-{letter}' for letter in 'abcde')
@@ -107,9 +107,9 @@
         """Guard against a cost of a choice that grows with the zones."""
         for seed in range(20):
             state = dataclasses.replace(self.instance.state, seed=seed)
-            picked = dispatch.pick_zones('model', state)
+            picked = choices.pick_zones('model', state)
             self.assertIn('zone-a', picked)
-            self.assertEqual(dispatch.SEARCHED_ZONE_COUNT, len(set(picked)))
+            self.assertEqual(choices.SEARCHED_ZONE_COUNT, len(set(picked)))
 
 
 class CheapestChain(unittest.TestCase):
@@ -132,11 +132,11 @@
             exchange = instance.state.exchanges['r1']
             cheapest = chains.find_chain(
                 engine,
-                dispatch.list_candidates(engine, 'model', instance.now, state),
-                dispatch.estimate_work(exchange, engine),
+                choices.list_candidates(engine, 'model', instance.now, state),
+                choices.estimate_work(exchange, engine),
                 chains.LayerSpan(0, engine.layer_count, ''),
                 seed,
-                dispatch.build_link_load_lookup(state),
+                choices.build_link_load_lookup(state),
             )
             assert cheapest is not None
             zones = {part.zone for part in cheapest}
