Wait for silence only where nothing else explains it

Cause: three conclusions of the wait for silent runners went too far. Sound runners that had refused a request counted as missing, so that it waited for silent ones. A part that a responsive first runner reports as stalled counted as silent, though the network is whole then. And the release of waiting requests put off second sends of all streams, also while the silent runner stayed silent.

Change: a request waits only for layers that no runner but silent ones holds; a stalled part is a fault, as before; silence is ignored after a release only if no runner of the service is silent any more.

--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -48,8 +48,9 @@
 # no other runner is available.
 FAULT_EXCLUSION_SECONDS = 2.0
 MAXIMUM_MOVES = 4
-# A runner that closes or refuses a connection is not silent.
-SILENCE_REASONS = frozenset(('stalled', 'unreachable'))
+# A probe without an answer may be due to the network or to this instance. A
+# part that a first runner reports as stalled is at fault by itself.
+SILENCE_REASON = 'unreachable'
 
 
 def probe_first_runner(
@@ -129,7 +130,7 @@
         return transitions.Transition(state)
     faulty = frozenset((call.runner_id,))
     is_silent_call = event.failure.kind is events.FailureKind.TIMED_OUT
-    reason = 'unreachable' if is_silent_call else 'failed'
+    reason = SILENCE_REASON if is_silent_call else 'failed'
     until = event.at + FAULT_DEPRIORITIZE_SECONDS
     return (
         mark_faulty(faulty, reason, event.at, state)
@@ -171,7 +172,7 @@
 
 def is_newly_faulty(runner: runners.Runner, reason: str, now: float) -> bool:
     """Return whether a fault of a runner tells more than what is known."""
-    if runner.silent_since and reason not in SILENCE_REASONS:
+    if runner.silent_since and reason != SILENCE_REASON:
         return True
     return runner.deprioritized_until < now + FAULT_DEPRIORITIZE_SECONDS / 2
 
@@ -181,7 +182,7 @@
 ) -> runners.RunnerMap:
     """Exclude a faulty runner; note whether only its silence shows that."""
     until = now + FAULT_EXCLUSION_SECONDS
-    if reason in SILENCE_REASONS:
+    if reason == SILENCE_REASON:
         return runners.exclude_silent(runner_map, runner_id, now, until)
     return runners.exclude(runner_map, runner_id, until)
 
--- a/src/mustardvale/internal/relay/silence_waits.py
+++ b/src/mustardvale/internal/relay/silence_waits.py
@@ -75,7 +75,7 @@
         state.runners, state.runner_index, exchange.service
     ):
         layers = runner.listed.layers
-        if not layers or runner.listed.runner_id in exchange.tried_runner_ids:
+        if not layers:
             continue
         obstacle = runner.find_obstacle(now)
         kind = obstacle.kind if obstacle else None
--- a/src/mustardvale/internal/relay/wait_release.py
+++ b/src/mustardvale/internal/relay/wait_release.py
@@ -9,6 +9,7 @@
     choices,
     exchanges,
     reducer,
+    runners,
     silence_waits,
 )
 
@@ -72,11 +73,24 @@
         delay = min(share * RELEASE_SECONDS, left_seconds * RELEASE_LEFT_SHARE)
         released = dataclasses.replace(exchange, next_search_at=now + delay)
         exchange_map = exchange_map.set(exchange.request_id, released)
+    next_state = dataclasses.replace(
+        state, seed=drawn.seed, exchanges=exchange_map
+    )
+    if has_silent_runner(ordered[0].service, now, state):
+        return next_state
     return dataclasses.replace(
-        state,
-        seed=drawn.seed,
-        exchanges=exchange_map,
+        next_state,
         silence_ignored_until=max(
             state.silence_ignored_until, now + CONTINUATION_SECONDS
         ),
     )
+
+
+def has_silent_runner(service: str, now: float, state: 'states.State') -> bool:
+    """Return whether a runner of a service is still silent."""
+    return any(
+        runner.silent_since and runner.find_obstacle(now) is not None
+        for runner in runners.list_service_runners(
+            state.runners, state.runner_index, service
+        )
+    )
