Keep the other due timers when the handler of one raises

Cause: timers that are due together leave the heap before the first of them is reported. If the check of open requests is among them, it is never set again, because the state holds that it is due.

Change: timers that were not reported go back into the heap.

--- a/src/mustardvale/internal/edge/timer_queue.py
+++ b/src/mustardvale/internal/edge/timer_queue.py
@@ -1,5 +1,6 @@
 """Schedule the timers of a process on its event loop."""
 
+import collections
 import heapq
 import itertools
 import time
@@ -53,13 +54,25 @@
         """Report due timers; return whether there were any.
 
         The handler of one may cancel or replace another one. A timer that it
-        sets is left to the next call.
+        sets is left to the next call, and so are the remaining ones if it
+        raises an exception.
         """
-        due = []
+        due = collections.deque[tuple[float, int, typing.Any]]()
         while self.heap and self.heap[0][0] <= now:
             due.append(heapq.heappop(self.heap))
+        try:
+            return self.report_each(due)
+        finally:
+            for entry in due:
+                heapq.heappush(self.heap, entry)
+
+    def report_each(
+        self, due: collections.deque[tuple[float, int, typing.Any]]
+    ) -> bool:
+        """Report timers, and remove them; return whether any was valid."""
         has_reported = False
-        for _, number, timer in due:
+        while due:
+            _, number, timer = due.popleft()
             if self.current.get(timer) == number:
                 del self.current[timer]
                 has_reported = True
--- a/tests/test_timer_queue.py
+++ b/tests/test_timer_queue.py
@@ -48,3 +48,15 @@
         self.react = lambda: self.queue.set_timer('first', 0)
         self.report_due()
         self.assertEqual(['first', 'second'], self.reported)
+
+    def test_exception_leaves_the_others_due(self) -> None:
+        """Guard against an open request that is never checked again.
+
+        The state of the reducer holds that its timer is set.
+        """
+        self.react = self.fail
+        with self.assertRaises(self.failureException):
+            self.report_due()
+        self.react = bool
+        self.report_due()
+        self.assertEqual(['first', 'second'], self.reported)
