Let the lists that a reader passes on settle without the store

Cause: the time in which the first lists settle begins again at each join until the store answers. An instance that reaches the reader of its zone, but never the store, divides the retry budget by the highest estimate for as long.

Change: a list that a reader has passed on ends this too.

Measured: the new test divides by 320 without the change, and by the listed instances with it; 38 tests of limit shares and of the peer feed pass.

--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -85,7 +85,7 @@
     `leader_until` is when leadership ends unless it is renewed; it counts from
     the time at which the renewal was sent. `checksum` is that of both lists, and
     `first_joined_at` is when this process last asked to join before the store
-    first answered.
+    first answered, or a reader first passed on a list.
     """
 
     zone: GroupState = GroupState()
@@ -250,7 +250,9 @@
 
     An instance that is no longer a reader leaves the readers.
     """
-    if not state.members.zone.generation:
+    zone = state.members.zone
+    # A list that a reader has passed on settles like one of the store.
+    if not zone.generation and zone.listed_generation < 0:
         state = dataclasses.replace(
             state,
             members=dataclasses.replace(state.members, first_joined_at=now),
--- a/tests/test_relay_limit_shares.py
+++ b/tests/test_relay_limit_shares.py
@@ -9,6 +9,7 @@
     instance_settings,
     limit_shares,
     members,
+    peer_updates,
     retry_budgets,
     timers,
 )
@@ -131,6 +132,23 @@
             limit_shares.count_shares(instance.now, instance.state),
         )
 
+    def test_list_of_a_reader_counts_without_the_store(self) -> None:
+        """Guard against an instance that retries too little for good.
+
+        It reaches the reader of its zone, but not the store.
+        """
+        instance = build_starting_instance(1, 'zone-a')
+        own = members.encode_member(instance.state.identity)
+        update = calls.PeerUpdate(1, 0, (), 1, 0.0, (own,), (own,))
+        instance.state = peer_updates.apply_members(
+            update, instance.state
+        ).state
+        instance.pass_time(limit_shares.SETTLING_SECONDS + 1)
+        self.assertEqual(
+            members.count_instances(instance.state),
+            limit_shares.count_shares(instance.now, instance.state),
+        )
+
     def test_requests_earn_retries_at_once(self) -> None:
         """Guard against callers of a new instance without any retry."""
         instance = build_starting_instance(1, 'zone-a')
