End the wait for silent runners when another wait follows it

Cause: a released stream whose runners are gone or full by then goes on waiting for an upstream, but kept the time of its release. It searched at each check instead of every 200 ms, and kept its place among the requests that wait for silent runners.

Change: the wait for a free upstream clears the time of the release.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -81,7 +81,9 @@
         return silence_waits.begin_wait(exchange, now, state)
     wait = shortages.estimate_wait(exchange, now, state)
     if now + wait.seconds < compute_wait_deadline(exchange):
-        waiting = dataclasses.replace(exchange, last_search_at=now)
+        waiting = dataclasses.replace(
+            exchange, last_search_at=now, next_search_at=None
+        )
         exchange_map = state.exchanges.set(exchange.request_id, waiting)
         return check_schedule.request_check(
             now, dataclasses.replace(state, exchanges=exchange_map)
--- a/tests/test_relay_silent_runners.py
+++ b/tests/test_relay_silent_runners.py
@@ -12,7 +12,12 @@
 import unittest
 
 from mustardvale.internal import effects, events
-from mustardvale.internal.relay import calls, reachability, silence_waits
+from mustardvale.internal.relay import (
+    calls,
+    dispatch,
+    reachability,
+    silence_waits,
+)
 from mustardvale.internal.relay import effects as relay_effects
 from tests import relay_states
 
@@ -334,6 +339,33 @@
         )
         self.assertIsNone(self.find_obstacle(instance))
 
+    def test_waiting_without_silence(self) -> None:
+        """Guard against a search at each check, and a place that stays taken.
+
+        The runners of a stream were silent, answered, and are now full or gone.
+        """
+        instance = relay_states.Instance(relay_states.TWO_CHAINS[:2])
+        instance.receive_request('r1', '/model/x')
+        send_id = instance.start_send()
+        instance.deliver_answer(
+            send_id, relay_states.build_head(), b'id: 1\ndata: x\n\n'
+        )
+        instance.pass_time(0.2)
+        for kind in (events.FailureKind.TIMED_OUT, events.FailureKind.REFUSED):
+            for runner_id in ('m1', 'm2'):
+                fail_probe(instance, runner_id, kind)
+            if instance.state.exchanges['r1'].attempts:
+                instance.fail_send(send_id)
+        self.assertTrue(silence_waits.is_held(instance.state.exchanges['r1']))
+        now = instance.now
+        waiting = dataclasses.replace(
+            instance.state.exchanges['r1'], next_search_at=now
+        )
+        transition = dispatch.try_send(waiting, now, instance.state)
+        searched = transition.state.exchanges['r1']
+        self.assertFalse(silence_waits.is_waiting(searched))
+        self.assertFalse(dispatch.is_search_due(searched, now + 0.1))
+
     def find_obstacle(self, instance: relay_states.Instance) -> typing.Any:
         """Return why the second runner of the chain gets no request."""
         return instance.state.runners['m2'].find_obstacle(instance.now)
