Do not let a stop wait for callers who have shut their output down

Cause: a caller that ends its output while its last answer is queued sends no rest of its request. The announced rest stayed missing, so that a stop waited three seconds for it after the answer was written.

Change: the end of the input completes what is discarded.

Measured: the new test fails without the change, as the stop still waits; 45 tests of callers' connections pass with it.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -248,6 +248,10 @@
         """Close a connection without input, once its last answer is written."""
         assert connection.channel is not None, 'input needs a channel'
         if connection.phase is Phase.DISCARDING and connection.channel.output:
+            assert connection.discard is not None, 'the phase has a discard'
+            connection.discard = lingering_close.complete(
+                connection.discard, time.monotonic()
+            )
             self.channel_table.pause_reading(connection.channel)
         else:
             self.count_close(connection, CloseReason.ENDED)
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -248,6 +248,20 @@
             self.table.on_writable(connection.channel.sock)
         self.assertLess(size, received)
 
+    def test_end_of_an_incomplete_upload(self) -> None:
+        """Guard against a stop that waits for what the caller cannot send."""
+        sock, connection = self.accept()
+        channel = connection.channel
+        assert channel is not None
+        channel.output += b'end'
+        self.table.poller.addWriter(self.table, channel.sock)
+        self.deliver(connection, self.announce(2000))
+        sock.shutdown(socket.SHUT_WR)
+        self.table.read_available(channel)
+        self.table.on_writable(channel.sock)
+        self.assertTrue(self.server.is_flushed())
+        self.check_closed(1.0)
+
 
 class MalformedInput(unittest.TestCase):
     """Input whose end cannot be found is discarded too."""
