Let waiting requests take turns in the search for an upstream

Cause: requests that wait for silent runners were released only once the one with the least time left found an upstream. One that needs more than the runners that have answered can take kept the others waiting until its own wait ended.

Change: the request that has searched least recently searches for the group. A group searches at each check at most, and each request every 100 ms.

The processor time of the additional searches was not measured.

--- a/src/mustardvale/internal/relay/wait_release.py
+++ b/src/mustardvale/internal/relay/wait_release.py
@@ -20,7 +20,8 @@
 RELEASE_SECONDS = 1.0
 # The first event takes some of the time that a waiting request has left.
 RELEASE_LEFT_SHARE = 0.5
-# One search serves all waiting requests of a service.
+# One search serves all waiting requests of a service. Each of them searches no
+# more often than this.
 SEARCH_PERIOD_SECONDS = 0.1
 # Runners that were silent together take a moment to continue their streams.
 CONTINUATION_SECONDS = 0.5
@@ -41,21 +42,30 @@
 def release_group(
     group: abc.Sequence[exchanges.Exchange], now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Schedule the sends of waiting requests, least time left first."""
+    """Schedule the sends of waiting requests, least time left first.
+
+    They take turns in the search. One of them may need more than the upstreams
+    that have answered can take.
+    """
     ordered = sorted(group, key=silence_waits.compute_wait_end)
-    first = ordered[0]
-    if now - (first.last_search_at or 0.0) < SEARCH_PERIOD_SECONDS:
+    candidate = min(ordered, key=get_search_time)
+    if now - get_search_time(candidate) < SEARCH_PERIOD_SECONDS:
         return transitions.Transition(state)
-    any_runner = dataclasses.replace(first, tried_runner_ids=frozenset())
+    any_runner = dataclasses.replace(candidate, tried_runner_ids=frozenset())
     if choices.choose_target(any_runner, now, state) is None:
-        searched = dataclasses.replace(first, last_search_at=now)
-        exchange_map = state.exchanges.set(first.request_id, searched)
+        searched = dataclasses.replace(candidate, last_search_at=now)
+        exchange_map = state.exchanges.set(candidate.request_id, searched)
         return transitions.Transition(
             dataclasses.replace(state, exchanges=exchange_map)
         )
     return transitions.Transition(schedule_sends(ordered, now, state))
 
 
+def get_search_time(exchange: exchanges.Exchange) -> float:
+    """Return when a waiting request last searched for an upstream."""
+    return exchange.last_search_at or 0.0
+
+
 def schedule_sends(
     ordered: abc.Sequence[exchanges.Exchange],
     now: float,
--- a/tests/test_relay_silent_runners.py
+++ b/tests/test_relay_silent_runners.py
@@ -16,6 +16,7 @@
     calls,
     dispatch,
     reachability,
+    requests,
     silence_waits,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -295,6 +296,25 @@
             [sent.request.request.attempt_id for sent in self.instance.sends],
         )
 
+    def test_request_that_is_too_large_for_all_runners(self) -> None:
+        """Guard against requests that wait behind one that cannot be sent."""
+        self.instance.receive_request('r0', '/model/x', deadline_seconds=1.9)
+        self.instance.receive_request('r1', '/model/x')
+        waiting = self.instance.state.exchanges['r0']
+        large = dataclasses.replace(
+            waiting.request, prompt=requests.Prompt('x', 10**9, 1)
+        )
+        self.instance.state = dataclasses.replace(
+            self.instance.state,
+            exchanges=self.instance.state.exchanges.set(
+                'r0', dataclasses.replace(waiting, request=large)
+            ),
+        )
+        self.instance.pass_time(0.3)
+        self.answer_probes()
+        self.instance.pass_time(1.1)
+        self.assertEqual(1, len(self.instance.sends))
+
     def test_longer_timeout_does_not_delay_the_release(self) -> None:
         """Guard against a release that depends on the deadline at arrival."""
         routes = [
