Return the charge of a retry that is replaced before it is sent

Cause: a send that had not reached its upstream and was replaced kept its charge to the retry budget, and the send in its place was charged too. The withdrawal of such a send returns the charge.

Change: replacing returns it as well.

--- a/src/mustardvale/internal/relay/hedges.py
+++ b/src/mustardvale/internal/relay/hedges.py
@@ -105,6 +105,8 @@
     replaced = exchanges.record_failed_attempt(
         remaining, attempt, exchange.last_problem
     )
+    buckets = dispatch.return_retry_charge(replaced, attempt, now, next_state)
+    next_state = dataclasses.replace(next_state, retry_buckets=buckets)
     sent = dispatch.send_request(replaced, target, now, next_state)
     abort = relay_effects.AbortSend(attempt.send_id)
     return transitions.Transition(sent.state, (abort, *sent.effects))
--- a/tests/test_relay_hedges.py
+++ b/tests/test_relay_hedges.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies
 
 from mustardvale.internal import events
-from mustardvale.internal.relay import calls
+from mustardvale.internal.relay import (
+    calls,
+    instance_settings,
+    limit_shares,
+    retry_budgets,
+)
 from tests import relay_states
 
 EVENTS = tuple(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
@@ -379,6 +384,33 @@
         instance.pass_time(1)
         self.assertEqual(2, len(instance.sends))
 
+    def test_replaced_send_is_charged_once(self) -> None:
+        """Guard against a retry budget that is spent without a retry."""
+        limits = instance_settings.Limits(retry_window_seconds=1e6)
+        instance = relay_states.Instance(
+            (
+                *relay_states.TWO_CHAINS,
+                relay_states.build_plain_runner('p3'),
+            ),
+            limits,
+        )
+        instance.receive_request('r1', '/read/x')
+        instance.fail_send(instance.start_send())
+        before = self.compute_balance(instance)
+        instance.pass_time(0.4)
+        self.assertEqual(3, len(instance.sends))
+        self.assertAlmostEqual(before, self.compute_balance(instance), 2)
+
+    def compute_balance(self, instance: relay_states.Instance) -> float:
+        """Return how many retries of the plain service are left."""
+        return retry_budgets.compute_balance(
+            instance.state.retry_buckets,
+            'plain',
+            instance.now,
+            instance.state.limits,
+            limit_shares.count_shares(instance.now, instance.state),
+        )
+
     def test_send_that_never_started_is_replaced(self) -> None:
         """Guard against waiting for a runner that cannot be reached.
 
