Return the charge of a second send that is overtaken before it is sent

Cause: a second send that had not reached its upstream when the first one was answered kept its charge to the retry budget.

Change: ending the overtaken send returns the charge.

Measured: the new test finds one retry less in the budget of a plain service and of a model without the change; the 23 tests of second sends pass with it.

--- a/src/mustardvale/internal/relay/hedges.py
+++ b/src/mustardvale/internal/relay/hedges.py
@@ -154,6 +154,9 @@
         next_state,
         exchanges=next_state.exchanges.set(exchange.request_id, aborted),
         runners=runner_map,
+        retry_buckets=dispatch.return_retry_charge(
+            aborted, loser, now, next_state
+        ),
     )
     return transitions.Transition(
         next_state,
--- a/tests/test_relay_hedges.py
+++ b/tests/test_relay_hedges.py
@@ -401,11 +401,39 @@
         self.assertEqual(3, len(instance.sends))
         self.assertAlmostEqual(before, self.compute_balance(instance), 2)
 
-    def compute_balance(self, instance: relay_states.Instance) -> float:
-        """Return how many retries of the plain service are left."""
+    def test_overtaken_send_that_never_started_is_not_charged(self) -> None:
+        """Guard against a retry budget that is spent without a retry."""
+        limits = instance_settings.Limits(retry_window_seconds=1e6)
+        for path, service in (('/read/x', 'plain'), ('/model/x', 'model')):
+            with self.subTest(path=path):
+                instance = relay_states.Instance(
+                    (
+                        *relay_states.TWO_CHAINS,
+                        relay_states.build_plain_runner('p3'),
+                    ),
+                    limits,
+                )
+                instance.receive_request('r1', path)
+                first = instance.start_send()
+                before = self.compute_balance(instance, service)
+                instance.pass_time(1.3)
+                self.assertEqual(2, len(instance.sends))
+                instance.deliver_answer(
+                    first, relay_states.build_head(), EVENTS[0]
+                )
+                instance.end_answer(first)
+                self.assertEqual(1, len(instance.aborted_send_ids))
+                self.assertAlmostEqual(
+                    before, self.compute_balance(instance, service), 2
+                )
+
+    def compute_balance(
+        self, instance: relay_states.Instance, service: str = 'plain'
+    ) -> float:
+        """Return how many retries of a service are left."""
         return retry_budgets.compute_balance(
             instance.state.retry_buckets,
-            'plain',
+            service,
             instance.now,
             instance.state.limits,
             limit_shares.count_shares(instance.now, instance.state),
