--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -61,10 +61,10 @@
     assumed to have arrived at an upstream. `tried_runner_ids` names the
     upstreams that refused or failed the request. `last_search_at` is when a
     search last found no upstream, `next_search_at` when a request that waits
-    for silent upstreams searches again (infinite until one answers), and `last_problem` why the last send failed
-    or got a second one beside it. `admitted_service` describes the service in
-    the version that admitted the request, for the case that a later version
-    drops it.
+    for silent upstreams searches again (infinite until one answers), and
+    `last_problem` why the last send failed or got a second one beside it.
+    `admitted_service` describes the service in the version that admitted the
+    request, for the case that a later version drops it.
     """
 
     request_id: str
--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -2,8 +2,8 @@
 
 Waiting requests search for an upstream again, requests without time left
 fail, sends that their upstream does not want any more are withdrawn, and silent
-attempts are probed or hedged. One timer for all of them
-replaces several timers for each request.
+attempts are probed or hedged. One timer for all of them replaces several timers
+for each request.
 """
 
 import dataclasses
