Follow other instances while the store does not answer this one

An instance that is partitioned from the store asked the same reader again and again, also where that one was partitioned as well: each failed read of the store made it forget which readers had not answered. It tried the store every 0.25 to 1.2 s instead, and its list and its keys became old although other instances could have told it.

Now it asks the other reader of its zone, then those of other zones, keeps one that answers, and tries the store again after two seconds. A reader that has lost the store does the same until the store answers it. A newer version that cannot be read is fetched every two seconds in place of at each update.

--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -36,6 +36,9 @@
 MAXIMUM_POLL_SECONDS = 1.5
 ANSWER_TIMEOUT_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.25
+# A follower that the store does not answer fetches a newer version no more often
+# than this, while its reader keeps telling it of one.
+FETCH_RETRY_SECONDS = 2.0
 # Requests with keys are refused this long before the limit, so that a request
 # that was just admitted does not run past it.
 REVOCATION_MARGIN_SECONDS = 0.3
@@ -121,7 +124,11 @@
 
 def fetch_newest(now: float, state: 'states.State') -> reducer.Transition:
     """Read a newer version that a reader has reported, without a wait."""
-    if state.configuration.is_reading:
+    known = state.configuration
+    retry_at = 0.0
+    if known.failing_since is not None and known.failed_at is not None:
+        retry_at = known.failed_at + FETCH_RETRY_SECONDS
+    if known.is_reading or now < retry_at:
         return transitions.Transition(state)
     return send_poll(0.0, now, state)
 
@@ -329,6 +336,7 @@
         failing_since=now
         if known.failing_since is None
         else known.failing_since,
+        failed_at=now,
     )
     return transitions.Transition(
         dataclasses.replace(state, configuration=failing), failure_effects
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -28,6 +28,16 @@
 ANSWER_TIMEOUT_SECONDS = 1.2
 # A reader that did not answer is skipped for this long.
 FAILED_READER_SECONDS = 5.0
+# So is one that waited for the store together with this instance. It may be
+# sound, and is asked again soon.
+WAITING_READER_SECONDS = 2.0
+# An instance that the store does not answer asks other instances for this long
+# before it tries the store again.
+STORE_RETRY_SECONDS = 2.0
+# For this long after the store was lost, readers of other zones may be followed,
+# and one that answers is kept: those that this instance would prefer may have
+# lost the store as well.
+STORE_DOUBT_SECONDS = 10.0
 MAXIMUM_FOLLOWER_COUNT = 256
 UNAVAILABLE_STATUS = 503
 
@@ -38,13 +48,15 @@
 
     `followers` is keyed by request id, and `reader_id` is empty if this
     instance reads the store. `failed_until` has the readers that did not
-    answer and the time until which they are skipped.
+    answer and the time until which they are skipped. `store_failed_at` is when
+    the store last did not answer this instance, and `None` once it has.
     """
 
     followers: immutables.Map[str, calls.FollowPeer] = immutables.Map()
     reader_id: str = ''
     requested_at: float = 0.0
     failed_until: immutables.Map[str, float] = immutables.Map()
+    store_failed_at: float | None = None
 
 
 def choose_reader(now: float, state: 'states.State') -> members.Member | None:
@@ -53,19 +65,86 @@
     has_no_members = state.members.zone.listed_generation < 0
     if None in positions or has_no_members or state.stopping is not None:
         return None
-    if members.is_reader(state):
+    if members.is_reader(state) and not has_lost_store(now, state):
         return None
-    readers = members.list_zone_readers(state)
-    # A checksum of this instance's address spreads the followers over the
-    # readers.
-    own_address = state.identity.addresses.peers
-    first = sum(own_address.encode()) % max(len(readers), 1)
-    for member in (*readers[first:], *readers[:first]):
+    for member in list_sources(now, state):
         if state.peer_feed.failed_until.get(member.instance_id, 0.0) <= now:
             return member
     return None
 
 
+def list_sources(
+    now: float, state: 'states.State'
+) -> tuple[members.Member, ...]:
+    """Return the readers that this instance may follow, the preferred first.
+
+    Those of other zones are a substitute where the store answers neither this
+    instance nor the readers of its zone.
+    """
+    readers = rotate(members.list_zone_readers(state), state)
+    is_doubtful = is_store_doubtful(now, state)
+    if is_doubtful:
+        zone = state.identity.availability_zone
+        readers += rotate(
+            tuple(
+                member
+                for member in state.members.readers.listed
+                if member.availability_zone != zone
+            ),
+            state,
+        )
+    own_id = state.identity.instance_id
+    others = (member for member in readers if member.instance_id != own_id)
+    if not is_doubtful:
+        return tuple(others)
+    kept_id = state.peer_feed.reader_id
+    return tuple(
+        sorted(others, key=lambda member: member.instance_id != kept_id)
+    )
+
+
+def rotate(
+    readers: tuple[members.Member, ...], state: 'states.State'
+) -> tuple[members.Member, ...]:
+    """Return readers in an order that spreads the followers over them."""
+    own_address = state.identity.addresses.peers
+    first = sum(own_address.encode()) % max(len(readers), 1)
+    return readers[first:] + readers[:first]
+
+
+def has_lost_store(now: float, state: 'states.State') -> bool:
+    """Return whether the store has just not answered this instance."""
+    failed_at = state.peer_feed.store_failed_at
+    return failed_at is not None and now - failed_at < STORE_RETRY_SECONDS
+
+
+def is_store_doubtful(now: float, state: 'states.State') -> bool:
+    """Return whether the store did not answer this instance lately."""
+    failed_at = state.peer_feed.store_failed_at
+    return failed_at is not None and now - failed_at < STORE_DOUBT_SECONDS
+
+
+def record_store_answer(state: 'states.State') -> 'states.State':
+    """Record that the store answers this instance."""
+    if state.peer_feed.store_failed_at is None:
+        return state
+    feed = dataclasses.replace(state.peer_feed, store_failed_at=None)
+    return dataclasses.replace(state, peer_feed=feed)
+
+
+def record_store_failure(now: float, state: 'states.State') -> 'states.State':
+    """Record that the store does not answer this instance.
+
+    Where no reader has answered either, all of them are asked again: they may
+    wait for the store together with this instance.
+    """
+    feed = dataclasses.replace(state.peer_feed, store_failed_at=now)
+    failed = dataclasses.replace(state, peer_feed=feed)
+    if members.is_reader(state) or choose_reader(now, failed) is not None:
+        return failed
+    return forget_reader_failures(failed)
+
+
 def may_have_followers(state: 'states.State') -> bool:
     """Return whether the zone has more instances than readers."""
     return len(state.members.zone.listed) > members.READERS_PER_ZONE
@@ -120,7 +199,7 @@
 
 
 def forget_reader_failures(state: 'states.State') -> 'states.State':
-    """Ask all readers again: the store does not answer this instance either."""
+    """Ask all readers again."""
     return dataclasses.replace(
         state,
         peer_feed=dataclasses.replace(
@@ -131,8 +210,11 @@
 
 def record_reader_failure(now: float, state: 'states.State') -> 'states.State':
     """Skip the current reader for a while."""
+    seconds = FAILED_READER_SECONDS
+    if state.runner_list.is_failing:
+        seconds = WAITING_READER_SECONDS
     failed = state.peer_feed.failed_until.set(
-        state.peer_feed.reader_id, now + FAILED_READER_SECONDS
+        state.peer_feed.reader_id, now + seconds
     )
     return dataclasses.replace(
         state,
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -84,7 +84,9 @@
     update: calls.PeerUpdate, state: 'states.State'
 ) -> reducer.Transition:
     """Store the members that the reader knows, if they differ."""
-    if not update.zone_members:
+    zone_ids = {member.instance_id for member in state.members.zone.listed}
+    if state.peer_feed.reader_id not in zone_ids or not update.zone_members:
+        # The reader of another zone does not know the members of this one.
         return transitions.Transition(state)
     zone = state.identity.availability_zone
     return members.record_members(zone, update.zone_members, state).then(
@@ -138,7 +140,8 @@
     """Read from the store at once, and follow another reader afterwards.
 
     Asking the other reader first would make the list too old if that one does
-    not answer either.
+    not answer either. Where the store has just not answered this instance,
+    another reader is asked instead.
     """
     log_effect = relay_effects.LogDecision(
         'reader_lost',
@@ -148,7 +151,9 @@
             ('asked_ms', int((now - state.peer_feed.requested_at) * 1000)),
         ),
     )
-    reading = runner_list.read_from_store(
-        now, peer_feed.record_reader_failure(now, state)
+    has_lost_store = peer_feed.has_lost_store(now, state)
+    read = (
+        runner_list.read_next if has_lost_store else runner_list.read_from_store
     )
+    reading = read(now, peer_feed.record_reader_failure(now, state))
     return dataclasses.replace(reading, effects=(log_effect, *reading.effects))
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -162,6 +162,7 @@
     Two reads may be open at once. The answer that has the older position is
     dropped: it would undo removals that the other one has shown.
     """
+    state = peer_feed.record_store_answer(state)
     known = state.runner_list
     if position < (known.position or 0):
         next_read = effects.SetTimer(
@@ -338,7 +339,7 @@
     failing = dataclasses.replace(known, is_failing=True, failed_at=now)
     next_state = dataclasses.replace(state, runner_list=failing)
     return transitions.Transition(
-        peer_feed.forget_reader_failures(next_state), failure_effects
+        peer_feed.record_store_failure(now, next_state), failure_effects
     ).then(peer_feed.refuse_followers)
 
 
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -28,7 +28,8 @@
     `position` is the position in the log of the store to continue from, and
     `confirmed_at` the time at which the read that last confirmed the
     configuration was sent. `is_reading` is true while a read is pending or
-    scheduled.
+    scheduled. `failing_since` is when the store stopped to answer these reads,
+    and `failed_at` when the last of them failed.
     """
 
     active: configuration.Configuration | None = None
@@ -36,6 +37,7 @@
     confirmed_at: float | None = None
     is_reading: bool = False
     failing_since: float | None = None
+    failed_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
