Let requests wait for the first reads of an instance

An instance that has just started refused every request until it had read a configuration. When all instances of a site restart, callers come again once and are refused again, although the reads take a second at most.

A failed read, a stop, the limit or a check that raises ends the wait with a 503. A missing attempt id is now refused before a missing configuration, because it is refused in any case.

--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -27,6 +27,7 @@
     ('runner_crashes', 'Crashes under requests without an event', ()),
     ('runner_announcements', 'Runners that leave or ask to wait', ('kind',)),
     ('malformed_announcements', 'Unusable headers of runners', ('header',)),
+    ('request_waits', 'Requests that waited', ('cause', 'priority', 'outcome')),
     ('caller_closes', 'Connections closed with a request', ('kind',)),
     ('log_lines_left_out', 'Log lines that were not written', ()),
 )
@@ -34,6 +35,7 @@
 HISTOGRAMS: tuple[tuple[str, str, tuple[str, ...]], ...] = (
     ('relay_seconds', 'Time from a request to its end', ('kind',)),
     ('first_event_seconds', 'Time from a request to its first event', ()),
+    ('request_wait_seconds', 'Time that a request waited', ('cause',)),
     ('between_events_seconds', 'Time between two parts of a stream', ()),
 )
 
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -16,6 +16,7 @@
     reducer,
     requests,
     retry_budgets,
+    startup_waits,
     stopping,
 )
 
@@ -47,15 +48,13 @@
     tenant: configuration.Tenant | None
 
 
-@reducer.on_request.register(requests.ClientRequest)
-def admit_request(
-    request: requests.ClientRequest,
-    event: events.CallerRequested,
-    state: 'states.State',
+def relay_or_refuse(
+    event: events.CallerRequested, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Relay a request, or refuse it."""
+    """Relay a request that may have waited since its event, or refuse it."""
+    request = event.request
     try:
-        admitted = check_request(request, event.at, state)
+        admitted = check_request(request, now, state)
     except AdmissionError as error:
         return completion.refuse_unadmitted(
             event.request_id, request, error.refusal, error.reason, state
@@ -67,16 +66,40 @@
     budgets = retry_budgets.credit_request(
         state.retry_buckets,
         service,
-        event.at,
+        now,
         state.limits,
-        limit_shares.count_shares(event.at, state),
+        limit_shares.count_shares(now, state),
     )
     state = dataclasses.replace(
         state,
         retry_buckets=budgets,
         exchanges=state.exchanges.set(event.request_id, exchange),
     )
-    return dispatch.try_send(exchange, event.at, state)
+    return dispatch.try_send(exchange, now, state)
+
+
+def find_urgency(request: requests.ClientRequest, state: 'states.State') -> int:
+    """Return the urgency of a request that has not been admitted yet."""
+    active = state.configuration.active
+    if active is None:
+        return MAXIMUM_URGENCY
+    route = configuration.find_route(active, request.host, request.path)
+    if route is None:
+        return MAXIMUM_URGENCY
+    tenant = None
+    if active.is_key_required and not route.is_public:
+        tenant = active.tenants_by_key.get(request.api_key)
+    return compute_urgency(route, tenant)
+
+
+def compute_urgency(
+    route: configuration.Route, tenant: configuration.Tenant | None
+) -> int:
+    """Return the urgency of a request, 0 for the most urgent."""
+    priority = route.priority
+    if tenant is not None and tenant.priority is not None:
+        priority = tenant.priority
+    return max(0, min(priority, MAXIMUM_URGENCY))
 
 
 def check_request(
@@ -90,15 +113,13 @@
             'this instance stops',
             stopping.compute_retry_seconds(state, now),
         )
-    if active is None:
-        raise build_unavailable_error(
-            request, 'no configuration has been read yet'
-        )
     if not request.attempt_id:
         raise AdmissionError(
             requests.Refusal(400, 'attempt_id_required'),
             'the attempt id is missing',
         )
+    if active is None:
+        raise build_unavailable_error(request, startup_waits.NO_CONFIGURATION)
     route = configuration.find_route(active, request.host, request.path)
     if route is None:
         raise build_denial(request, 404, 'not_found', now, state)
@@ -199,9 +220,6 @@
     """Return the initial state of a request that is relayed."""
     active = state.configuration.active
     route, tenant = admitted.route, admitted.tenant
-    priority = route.priority
-    if tenant is not None and tenant.priority is not None:
-        priority = tenant.priority
     return exchanges.Exchange(
         event.request_id,
         request,
@@ -211,7 +229,7 @@
         exchanges.compute_deadline(request, route.timeout_seconds, event.at),
         admitted_service=active.services.get(service) if active else None,
         tenant=None if tenant is None else tenant.name,
-        urgency=max(0, min(priority, MAXIMUM_URGENCY)),
+        urgency=compute_urgency(route, tenant),
         last_event_id=request.last_event_id,
     )
 
@@ -221,6 +239,10 @@
     event: events.CallerLeft, state: 'states.State'
 ) -> reducer.Transition:
     """Drop the request of a caller, or the feed of a peer, that has left."""
+    if event.request_id in state.startup.waiting:
+        return startup_waits.end_wait(
+            event.request_id, None, 'left', event.at, state
+        )
     exchange = state.exchanges.get(event.request_id)
     if exchange is None:
         return transitions.Transition(
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -17,6 +17,7 @@
     peer_feed,
     reducer,
     retry_budgets,
+    startup_waits,
     timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -132,9 +133,17 @@
     """Store the state of a configuration that a reader has confirmed."""
     log_effects = build_recovery_log(state.configuration, now)
     recovered = dataclasses.replace(confirmed, failing_since=None)
-    return transitions.Transition(
+    recorded: reducer.Transition = transitions.Transition(
         dataclasses.replace(state, configuration=recovered), log_effects
     )
+    return recorded.then(lambda current: end_startup(now, current))
+
+
+def end_startup(now: float, state: 'states.State') -> reducer.Transition:
+    """Store whether keys can be checked, and check who waits for that."""
+    if may_serve_keys(state, now):
+        state = startup_waits.record_keys_usable(state)
+    return startup_waits.request_check(now, state)
 
 
 def build_recovery_log(
@@ -248,7 +257,9 @@
         adopted = adopted.then(
             lambda current: peer_feed.answer_followers(now, current)
         )
-    return adopted.then(lambda current: poll_next(current, now))
+    return adopted.then(lambda current: end_startup(now, current)).then(
+        lambda current: poll_next(current, now)
+    )
 
 
 def compute_initial_retries(now: float, state: 'states.State') -> float:
@@ -330,9 +341,12 @@
         if known.failing_since is None
         else known.failing_since,
     )
-    return transitions.Transition(
+    failed: reducer.Transition = transitions.Transition(
         dataclasses.replace(state, configuration=failing), failure_effects
     )
+    return failed.then(
+        lambda current: startup_waits.request_check(now, current)
+    )
 
 
 @reducer.on_timer.register(timers.ConfigurationRetryDue)
--- a/src/mustardvale/internal/relay/failed_events.py
+++ b/src/mustardvale/internal/relay/failed_events.py
@@ -13,6 +13,7 @@
     monitoring,
     reducer,
     requests,
+    startup_admission,
     timers,
 )
 from mustardvale.internal.relay import events as relay_events
@@ -83,6 +84,8 @@
     request_id: str, now: float, state: 'states.State'
 ) -> reducer.Transition:
     """Answer a request with an error, if it is open."""
+    if request_id in state.startup.waiting:
+        return startup_admission.refuse_waiting(request_id, PROBLEM, now, state)
     exchange = state.exchanges.get(request_id)
     if exchange is None:
         return transitions.Transition(state)
@@ -114,6 +117,8 @@
     """Set the timer again; check requests one by one at once."""
     if isinstance(dropped.timer, timers.ExchangeCheckDue):
         return check_singly(now, state)
+    if isinstance(dropped.timer, timers.StartupCheckDue):
+        return startup_admission.check_singly(now, state)
     return transitions.Transition(
         state, (effects.SetTimer(dropped.timer, TIMER_RETRY_SECONDS),)
     )
--- a/src/mustardvale/internal/relay/handlers.py
+++ b/src/mustardvale/internal/relay/handlers.py
@@ -16,6 +16,7 @@
     peer_updates,
     reducer,
     runner_list,
+    startup_admission,
 )
 
 REGISTERED = (
@@ -33,6 +34,7 @@
     peer_updates,
     runner_list,
     monitoring,
+    startup_admission,
 )
 
 reduce = reducer.reduce
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -11,6 +11,7 @@
     reducer,
     requests,
     runner_list,
+    startup_waits,
     stopping,
     timers,
 )
@@ -152,7 +153,7 @@
             relay_effects.CloseIdleCallers(),
             effects.SetTimer(timers.StopCheckDue(), STOP_CHECK_PERIOD_SECONDS),
         ),
-    )
+    ).then(lambda current: startup_waits.request_check(event.at, current))
 
 
 @reducer.on_timer.register(timers.StopCheckDue)
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -15,6 +15,7 @@
     peer_feed,
     reducer,
     runners,
+    startup_waits,
     timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -203,6 +204,7 @@
         replace_runners(remove_expired(runner_map, now), list_state, state)
         .with_effects(next_read, *probe_returned(changes, now, state))
         .then(lambda current: peer_feed.answer_followers(now, current))
+        .then(lambda current: startup_waits.request_check(now, current))
     )
 
 
@@ -337,9 +339,13 @@
         )
     failing = dataclasses.replace(known, is_failing=True, failed_at=now)
     next_state = dataclasses.replace(state, runner_list=failing)
-    return transitions.Transition(
-        peer_feed.forget_reader_failures(next_state), failure_effects
-    ).then(peer_feed.refuse_followers)
+    return (
+        transitions.Transition(
+            peer_feed.forget_reader_failures(next_state), failure_effects
+        )
+        .then(peer_feed.refuse_followers)
+        .then(lambda current: startup_waits.request_check(now, current))
+    )
 
 
 @reducer.on_timer.register(timers.RunnerListReadDue)
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -18,6 +18,7 @@
 from mustardvale.internal.relay import retry_budgets as retry_budget_tables
 from mustardvale.internal.relay import runner_list as runner_lists
 from mustardvale.internal.relay import runners as runner_tables
+from mustardvale.internal.relay import startup_waits
 from mustardvale.internal.relay import stopping as shutdowns
 
 
@@ -76,3 +77,4 @@
     check_due_at: float = 0.0
     silence_ignored_until: float = 0.0
     stopping: shutdowns.Stopping | None = None
+    startup: startup_waits.StartupState = startup_waits.StartupState()
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -47,6 +47,11 @@
     """Raise the limit on idle connections."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartupCheckDue(timer_base.Timer):
+    """Check the requests that wait for the first reads."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopCheckDue(timer_base.Timer):
     """Check whether a graceful shutdown can complete."""
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -15,13 +15,13 @@
     ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
-    ' limit_shares silence_waits',
+    ' limit_shares silence_waits startup_waits',
     'configuration_feed',
     'runner_list orders',
     'completion crash_tracking choices shortages dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
     ' reachability moves wait_release monitoring withdrawals lifecycle'
-    ' failed_events',
+    ' failed_events startup_admission',
     'peer_updates',
     'state handlers',
 )
