Test that a request without a configuration waits before its refusal

The test of an instance that has no routes yet expected a refusal at once. Such a request now waits for the first configuration. The test checks that there is no answer before, and the same 503 at the end of the wait.

--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -369,5 +369,7 @@
             configuration=relay_states.state.ConfigurationState(),
         )
         instance.receive_request('r1', '/read/x')
+        self.assertNotIn('r1', instance.replies)
+        instance.pass_time(1.8)
         self.assertIsInstance(instance.replies['r1'], requests.Refusal)
         self.assertEqual(503, instance.replies['r1'].status)
