Decide how the bytes and connections of an instance are shared by callers

The settings did not state what memory and how many descriptors the machine gives, so that no limit for all callers could be derived from them.

--- a/src/mustardvale/internal/relay/failed_sends.py
+++ b/src/mustardvale/internal/relay/failed_sends.py
@@ -5,6 +5,7 @@
 
 from mustardvale.internal import effects, transitions
 from mustardvale.internal.relay import (
+    byte_budgets,
     completion,
     dispatch,
     exchanges,
@@ -18,9 +19,8 @@
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
 
-# Bytes that all open answers of an instance may keep. Only answers with a large
-# buffer cause a check, because it costs time for each open request.
-MAXIMUM_BUFFERED_BYTES = 32 * 1024 * 1024
+# Only answers with a large buffer cause a check of all buffers, because it costs
+# time for each open request.
 LARGE_BUFFER_BYTES = 256 * 1024
 
 
@@ -140,7 +140,8 @@
         for attempt in exchange.attempts
     ]
     sizes = [found.attempt.buffered_bytes for found in candidates]
-    if sum(sizes) <= MAXIMUM_BUFFERED_BYTES:
+    budget = byte_budgets.build(state.limits.memory_mb)
+    if sum(sizes) <= budget.answer_bytes:
         return transitions.Transition(state)
     largest = candidates[sizes.index(max(sizes))]
     return retry_failed(largest, 'too many bytes are buffered', now, state)
--- a/src/mustardvale/internal/relay/instance_settings.py
+++ b/src/mustardvale/internal/relay/instance_settings.py
@@ -27,7 +27,8 @@
     last confirmed, or without a limit if it is `None`. Each service may send
     `retry_ratio` retries per request, plus `retries_per_window` in each
     `retry_window_seconds`. An upstream may ask for a wait of
-    `maximum_upstream_wait_seconds` at most.
+    `maximum_upstream_wait_seconds` at most. `memory_mb` and
+    `maximum_descriptors` are what the machine gives the process.
     """
 
     key_revocation_seconds: float | None = 5.0
@@ -37,6 +38,8 @@
     retries_per_window: float = 100.0
     maximum_directory_validity_seconds: float = 5.0
     maximum_upstream_wait_seconds: float = 60.0
+    memory_mb: int = 300
+    maximum_descriptors: int = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/relay_settings.py
+++ b/src/mustardvale/relay_settings.py
@@ -53,6 +53,8 @@
     Field('retry-slack', setting_rules.Number(0, 1_000_000), '0'),
     Field('longest-validity-seconds', setting_rules.Seconds(0.1, 600), '5'),
     Field('longest-upstream-wait-seconds', setting_rules.Seconds(1, 600), '60'),
+    Field('memory-mb', setting_rules.Integer(64, 1_048_576), '300'),
+    Field('max-descriptors', setting_rules.Integer(64, 1_048_576), '4096'),
 )
 
 
@@ -146,5 +148,7 @@
             maximum_upstream_wait_seconds=checked[
                 'longest-upstream-wait-seconds'
             ],
+            memory_mb=checked['memory-mb'],
+            maximum_descriptors=checked['max-descriptors'],
         ),
     )
