Limit what all callers together hold in one instance

Bodies were kept whole with a limit for each caller and none for all, the answers to pipelined requests were queued however many were unread, and connections were accepted until no descriptor was left.

caller_resources counts what connections hold, stops reading large requests before the budget is full, and ends what makes no progress for longest, or is largest. Connections are limited by listener and address; those without a request make room. Pipelined requests wait behind 64 KB of unread output, and each 17th one waits for other sockets.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import struct
+import time
 import typing
 from collections import abc
 
@@ -28,12 +29,20 @@
 
 
 class Channel:
-    """Hold one socket, its queued output and the owner of its events."""
+    """Hold one socket, its queued output and the owner of its events.
 
-    def __init__(self, sock: socket.socket, is_connected: bool) -> None:
+    `written_at` is when output was queued or when part of it was written.
+    """
+
+    def __init__(
+        self, sock: socket.socket, is_connected: bool, is_accepted: bool = False
+    ) -> None:
         self.sock = sock
         self.is_connected = is_connected
+        self.is_accepted = is_accepted
         self.output = bytearray()
+        self.written_at = 0.0
+        self.on_closed: abc.Callable[[], None] | None = None
         self.is_closing = False
         self.is_reading = False
         self.is_closed = False
@@ -112,6 +121,9 @@
         self.poller = poller
         poller.channel_table = self
         self.channels: dict[socket.socket, Channel] = {}
+        # Queued output on accepted connections, and on those opened here.
+        self.queued_to_callers = 0
+        self.queued_to_upstreams = 0
         self.listeners: dict[
             socket.socket, abc.Callable[[socket.socket], None]
         ] = {}
@@ -149,6 +161,11 @@
             return None
         return accepted
 
+    def pause_accepting(self, listener: socket.socket) -> None:
+        """Leave a listener out until `watch_listeners` is called."""
+        if self.poller.isReading(listener):
+            self.poller.removeReader(listener)
+
     def watch_listeners(self) -> None:
         """Watch the listeners again that were left out."""
         for listener in self.listeners:
@@ -171,7 +188,7 @@
     def add_accepted(self, sock: socket.socket, owner: ChannelOwner) -> Channel:
         """Watch an accepted socket."""
         set_socket_options(sock)
-        channel = Channel(sock, is_connected=True)
+        channel = Channel(sock, is_connected=True, is_accepted=True)
         channel.owner = owner
         self.channels[sock] = channel
         self.resume_reading(channel)
@@ -200,7 +217,7 @@
         if channel.is_closed:
             return
         if channel.output or not channel.is_connected:
-            channel.output += output
+            self.queue_output(channel, output)
             return
         try:
             count = channel.sock.send(output)
@@ -210,9 +227,23 @@
             self.fail_channel(channel, str(error))
             return
         if count < len(output):
-            channel.output += output[count:]
+            self.queue_output(channel, output[count:])
             self.poller.addWriter(self, channel.sock)
 
+    def queue_output(self, channel: Channel, output: bytes) -> None:
+        """Queue output until the socket accepts it."""
+        if not channel.output:
+            channel.written_at = time.monotonic()
+        channel.output += output
+        self.count_queued(channel, len(output))
+
+    def count_queued(self, channel: Channel, change: int) -> None:
+        """Add to the queued bytes of the kind of a channel."""
+        if channel.is_accepted:
+            self.queued_to_callers += change
+        else:
+            self.queued_to_upstreams += change
+
     def close_when_written(self, channel: Channel) -> None:
         """Close a channel once its queued output has been written."""
         if channel.output and not channel.is_closed:
@@ -228,6 +259,10 @@
         self.channels.pop(channel.sock, None)
         self.poller.discard(channel.sock)
         channel.sock.close()
+        self.count_queued(channel, -len(channel.output))
+        channel.output.clear()
+        if channel.on_closed is not None:
+            channel.on_closed()
 
     def reset(self, channel: Channel) -> None:
         """Close a channel with a reset, which discards its queued output."""
@@ -273,6 +308,11 @@
             return
         channel.owner.on_received(channel, received)
 
+    def call_when_writable(self, channel: Channel) -> None:
+        """Call `on_drained` in a later turn, after other sockets' events."""
+        if not channel.is_closed and not self.poller.isWriting(channel.sock):
+            self.poller.addWriter(self, channel.sock)
+
     def read_available(self, channel: Channel) -> None:
         """Read input that the poller has not reported yet."""
         self.on_readable(channel.sock)
@@ -320,6 +360,8 @@
                 self.fail_channel(channel, str(error))
                 return
             del channel.output[:count]
+            channel.written_at = time.monotonic()
+            self.count_queued(channel, -count)
         if channel.output:
             return
         self.poller.removeWriter(channel.sock)
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 import os
+import resource
 import signal
 import time
 import typing
@@ -24,6 +25,7 @@
     relay_server,
     relay_wire,
 )
+from mustardvale.internal.relay import byte_budgets, connection_limits
 from mustardvale.internal.relay import events as relay_events
 
 logger = logging.getLogger('mustardvale')
@@ -74,6 +76,7 @@
         self.log_budget = log_budget.LogBudget()
         self.output: bounded_output.BoundedOutput | None = None
         self.read_settings: abc.Callable[[], typing.Any] | None = None
+        self.listener_shares: dict[str, float] = {}
         self.settings_path = ''
         self.settings_version: tuple[int, int] | None = None
         self.channel_table = channels.ChannelTable(poller)
@@ -88,10 +91,29 @@
         ).register(self)
         # The effects that all loops share are performed on `server`.
         self.server = self.callers
+        self.logged_intake = byte_budgets.Intake.ALL
         self.timer_queue.set_timer(
             ConnectionSweep(), relay_server.SWEEP_PERIOD_SECONDS
         )
 
+    def limit_resources(
+        self,
+        memory_mb: int,
+        maximum_descriptors: int,
+        listener_shares: abc.Mapping[str, float],
+    ) -> None:
+        """Limit what callers hold; `listener_shares` is by listener."""
+        permitted, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        descriptors = min(maximum_descriptors, permitted)
+        self.listener_shares = dict(listener_shares)
+        self.callers.resources.apply_limits(
+            byte_budgets.build(memory_mb),
+            {
+                listener: connection_limits.build(share, descriptors)
+                for listener, share in listener_shares.items()
+            },
+        )
+
     def sweep(self) -> None:
         """End connections of callers whose timeout has expired."""
         self.timer_queue.set_timer(
@@ -153,6 +175,9 @@
                 'settings_rejected', extra={'problems': list(error.problems)}
             )
             return
+        self.limit_resources(
+            limits.memory_mb, limits.maximum_descriptors, self.listener_shares
+        )
         self.emit_event(relay_events.SettingsRead, limits=limits)
 
     def report_closes(self) -> None:
@@ -166,11 +191,38 @@
         if counts:
             logger.info('callers_closed', extra=counts)
 
+    def report_resources(self) -> None:
+        """Report what callers hold, and what was ended in the last second."""
+        resources = self.callers.resources
+        held = dataclasses.asdict(resources.measure_held())
+        for kind, count in held.items():
+            self.metrics.set_gauge('held_bytes', count, (kind,))
+        self.metrics.set_gauge(
+            'caller_connections', len(resources.open_connections)
+        )
+        ended = dict(resources.take_ended())
+        for reason, count in ended.items():
+            self.metrics.count('callers_ended', (reason,), count)
+        if ended:
+            logger.info('callers_ended', extra=ended)
+        if resources.intake is not self.logged_intake:
+            logger.info(
+                'intake_changed',
+                extra={
+                    'before': self.logged_intake.value,
+                    'intake': resources.intake.value,
+                    'paused': len(resources.paused),
+                    **held,
+                },
+            )
+            self.logged_intake = resources.intake
+
     def run_maintenance(self) -> None:
         """Reload changed settings, and report closes and lines left out."""
         if read_file_version(self.settings_path) != self.settings_version:
             self.reload()
         self.report_closes()
+        self.report_resources()
         suppressed = self.log_budget.take_suppressed_count()
         dropped_lines = 0
         if self.output is not None:
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -10,8 +10,8 @@
         declared.declare_counter(name, text, labels)
     for name, text, labels in HISTOGRAMS:
         declared.declare_histogram(name, text, labels)
-    for name, text in GAUGES:
-        declared.declare_gauge(name, text)
+    for name, text, labels in GAUGES:
+        declared.declare_gauge(name, text, labels)
     return declared
 
 
@@ -28,6 +28,7 @@
     ('runner_announcements', 'Runners that leave or ask to wait', ('kind',)),
     ('malformed_announcements', 'Unusable headers of runners', ('header',)),
     ('caller_closes', 'Connections closed with a request', ('kind',)),
+    ('callers_ended', 'Callers ended at the limits for all', ('reason',)),
     ('log_lines_left_out', 'Log lines that were not written', ()),
 )
 
@@ -37,8 +38,14 @@
     ('between_events_seconds', 'Time between two parts of a stream', ()),
 )
 
-GAUGES = (
-    ('configuration_version', 'Version of the configuration in force'),
-    ('members', 'Entry instances that are taken to live'),
-    ('blocked_prompt_parts', 'Combinations of prompt parts that are refused'),
+GAUGES: tuple[tuple[str, str, tuple[str, ...]], ...] = (
+    ('configuration_version', 'Version of the configuration in force', ()),
+    ('members', 'Entry instances that are taken to live', ()),
+    (
+        'blocked_prompt_parts',
+        'Combinations of prompt parts that are refused',
+        (),
+    ),
+    ('held_bytes', 'Bytes held for callers by kind', ('kind',)),
+    ('caller_connections', 'Open connections of callers', ()),
 )
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -20,12 +20,14 @@
 from mustardvale.internal import events
 from mustardvale.internal.edge import (
     caller_limits,
+    caller_resources,
     channels,
     lingering_close,
     relay_wire,
     request_rest,
     wire,
 )
+from mustardvale.internal.relay import byte_budgets, connection_limits
 
 BACKLOG = 512
 MAXIMUM_ACCEPTS_PER_EVENT = 64
@@ -35,6 +37,8 @@
 MAXIMUM_QUEUED_BYTES = 64 * 1024
 # Pipelined input above which reading is paused until the answer is complete.
 MAXIMUM_PIPELINED_BYTES = 64 * 1024
+# Pipelined requests that are answered before other connections are served.
+MAXIMUM_REQUESTS_IN_TURN = 16
 # Callers may send empty lines before a request; h11 does not skip them.
 LINE_END_BYTES = b'\r\n'
 VERSIONS_WITHOUT_CHUNKS = frozenset((b'0.9', b'1.0'))
@@ -82,9 +86,11 @@
         server: 'RelayServer',
         listener: str,
         codec: relay_wire.CallerCodec,
+        address: str = '',
     ) -> None:
         self.server = server
         self.listener = listener
+        self.address = address
         self.codec = codec
         self.channel: channels.Channel | None = None
         self.maximum_header_bytes = server.limits.maximum_header_bytes
@@ -95,6 +101,11 @@
         self.method = b''
         self.body = bytearray()
         self.pipelined_bytes = 0
+        # What the request that is being answered keeps.
+        self.request_bytes = 0
+        self.requests_in_turn = 0
+        # Pipelined requests wait until the answers before them are read.
+        self.has_deferred_input = False
         self.request_id = ''
         self.is_blocked = False
         self.is_head_sent = False
@@ -102,12 +113,47 @@
         # Answers that begin later than this close the connection.
         self.kept_until = math.inf
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request has arrived in part."""
+        return self.phase is Phase.RECEIVING
+
+    def measure_charge(self) -> caller_resources.Charge:
+        """Return the bytes that the connection holds now."""
+        output = 0 if self.channel is None else len(self.channel.output)
+        received = self.pipelined_bytes
+        if self.phase is Phase.RECEIVING:
+            received = len(self.body) + len(self.protocol.trailing_data[0])
+            received += measure_headers(self.head)
+        return caller_resources.Charge(received, self.request_bytes, output)
+
+    def find_progress(self) -> float:
+        """Return when input or output last made progress."""
+        if self.channel is not None and self.channel.output:
+            return self.channel.written_at
+        return self.waiting_since
+
+    def describe_waiting(self) -> connection_limits.Waiting | None:
+        """Describe a connection that may end without loss of an answer."""
+        assert self.channel is not None, 'a connection has a channel'
+        if (
+            self.phase is Phase.ANSWERING
+            or self.has_deferred_input
+            or self.channel.output
+        ):
+            return None
+        return connection_limits.Waiting(
+            self, self.waiting_since, self.phase is Phase.DISCARDING
+        )
+
     def on_connected(self, channel: channels.Channel) -> None:
         """Ignore the event, which only outgoing connections have."""
 
     def on_received(self, channel: channels.Channel, received: bytes) -> None:
-        """Handle input of the caller."""
+        """Handle input of the caller, and charge it to the budget."""
+        self.requests_in_turn = 0
         self.server.handle_input(self, received)
+        self.server.resources.settle(self, time.monotonic())
 
     def on_error(self, channel: channels.Channel, problem: str) -> None:
         """Remove the connection."""
@@ -121,9 +167,14 @@
         """
         if self.phase is Phase.IDLE:
             self.waiting_since = time.monotonic()
+        self.server.resources.settle(self, time.monotonic())
+        if self.has_deferred_input:
+            self.requests_in_turn = 0
+            self.server.continue_pipeline(self)
         if self.phase is Phase.DISCARDING:
             self.server.shut_down_output(self)
-        if self.phase is Phase.IDLE and self.server.is_closing:
+        is_unused = self.phase is Phase.IDLE and not self.has_deferred_input
+        if is_unused and self.server.is_closing:
             self.server.end_unused(self)
         if self.is_blocked:
             self.is_blocked = False
@@ -152,6 +203,7 @@
         self.lingering: dict[CallerConnection, None] = {}
         self.requests: dict[str, CallerConnection] = {}
         self.closes: collections.Counter[Close] = collections.Counter()
+        self.resources = caller_resources.CallerResources(channel_table, self)
 
     @property
     def limits(self) -> caller_limits.CallerLimits:
@@ -188,14 +240,27 @@
     ) -> None:
         """Accept pending connections, up to a limit per event."""
         for _ in range(MAXIMUM_ACCEPTS_PER_EVENT):
+            now = time.monotonic()
+            if not self.resources.has_room(listener, now):
+                self.channel_table.pause_accepting(sock)
+                return
             accepted = self.channel_table.accept(sock)
             if accepted is None:
                 return
-            connection = CallerConnection(self, listener, codec)
+            address = find_peer_address(accepted)
+            verdict = self.resources.decide_connection(listener, address, now)
+            if verdict is not connection_limits.Verdict.ACCEPT:
+                accepted.close()
+                continue
+            connection = CallerConnection(self, listener, codec, address)
             self.connections.add(connection)
             connection.channel = self.channel_table.add_accepted(
                 accepted, connection
             )
+            self.resources.add_connection(connection)
+            connection.channel.on_closed = functools.partial(
+                self.resources.remove_connection, connection
+            )
 
     def count_close(
         self, connection: CallerConnection, reason: CloseReason
@@ -313,7 +378,8 @@
         connection.body.clear()
         request = connection.codec.decode_request(received)
         connection.phase = Phase.ANSWERING
-        connection.pipelined_bytes = 0
+        connection.request_bytes = len(received.body) + measure_headers(head)
+        connection.pipelined_bytes = len(connection.protocol.trailing_data[0])
         connection.is_head_sent = False
         connection.request_id = f'r{next(self.request_numbers)}'
         self.requests[connection.request_id] = connection
@@ -354,7 +420,11 @@
         connection.protocol = request_rest.release(connection.protocol)
         connection.head = None
         connection.body.clear()
+        connection.pipelined_bytes = 0
+        connection.has_deferred_input = False
+        self.resources.unpause(connection)
         self.shut_down_output(connection)
+        self.resources.settle(connection, time.monotonic())
 
     def discard_input(
         self, connection: CallerConnection, received: bytes
@@ -436,9 +506,11 @@
         self.send_event(connection, h11.Data(data=part))
         channel = connection.channel
         assert channel is not None, 'a request has a channel'
-        if len(channel.output) > MAXIMUM_QUEUED_BYTES and (
-            not connection.is_blocked
-        ):
+        if not channel.output:
+            return
+        self.resources.settle(connection, time.monotonic())
+        is_behind = len(channel.output) > MAXIMUM_QUEUED_BYTES
+        if is_behind and not connection.is_blocked and not channel.is_closed:
             connection.is_blocked = True
             self.emit_event(events.CallerBlocked, request_id=request_id)
 
@@ -458,6 +530,7 @@
         """Wait for the next request, or shut the connection down."""
         self.requests.pop(connection.request_id, None)
         connection.request_id = ''
+        connection.request_bytes = 0
         connection.is_blocked = False
         assert connection.channel is not None, 'an answer needs a channel'
         if connection.channel.is_closed:
@@ -472,9 +545,40 @@
         connection.protocol.start_next_cycle()
         connection.phase = Phase.IDLE
         connection.waiting_since = time.monotonic()
-        unread = connection.protocol.trailing_data[0]
-        if unread:
-            self.process_pipelined_input(connection, unread)
+        if connection.protocol.trailing_data[0]:
+            self.defer_or_continue(connection)
+        else:
+            connection.pipelined_bytes = 0
+        self.resources.settle(connection, time.monotonic())
+
+    def defer_or_continue(self, connection: CallerConnection) -> None:
+        """Read the next pipelined request, or let others go first.
+
+        A caller that reads no answers, or sends thousands of requests at once,
+        gets the next answer later.
+        """
+        channel = connection.channel
+        assert channel is not None, 'input has a channel'
+        connection.requests_in_turn += 1
+        is_behind = len(channel.output) > MAXIMUM_QUEUED_BYTES
+        if is_behind or connection.requests_in_turn > MAXIMUM_REQUESTS_IN_TURN:
+            connection.has_deferred_input = True
+            self.channel_table.pause_reading(channel)
+            self.channel_table.call_when_writable(channel)
+            return
+        self.process_pipelined_input(
+            connection, connection.protocol.trailing_data[0]
+        )
+
+    def continue_pipeline(self, connection: CallerConnection) -> None:
+        """Read the next pipelined request that was deferred."""
+        connection.has_deferred_input = False
+        assert connection.channel is not None, 'input has a channel'
+        self.channel_table.resume_reading(connection.channel)
+        self.process_pipelined_input(
+            connection, connection.protocol.trailing_data[0]
+        )
+        self.resources.settle(connection, time.monotonic())
 
     def process_pipelined_input(
         self, connection: CallerConnection, unread: bytes
@@ -513,12 +617,56 @@
         if lingering_close.has_surplus(len(self.lingering), LINGER_LIMITS):
             self.close_connection(next(iter(self.lingering)))
 
+    def end_holder(
+        self, connection: CallerConnection, ending: byte_budgets.Ending
+    ) -> None:
+        """Refuse an incomplete request, or cut an answer that is not read."""
+        assert connection.channel is not None, 'a connection has a channel'
+        if connection.channel.output or not connection.is_receiving:
+            self.cut_connection(connection)
+        elif ending is byte_budgets.Ending.STALLED:
+            self.refuse_request(
+                connection,
+                408,
+                'request_timeout',
+                'the next part of the request took too long',
+            )
+        else:
+            self.refuse_request(
+                connection,
+                503,
+                'overloaded',
+                'too many requests are being received',
+            )
+
+    def cut_connection(self, connection: CallerConnection) -> None:
+        """Reset a connection, so that its answer does not look complete."""
+        assert connection.channel is not None, 'a connection has a channel'
+        self.count_close(connection, CloseReason.CUT)
+        self.channel_table.reset(connection.channel)
+        self.remove_connection(connection)
+
+    def end_waiting(self, connection: CallerConnection) -> None:
+        """End a connection without a complete request to make room."""
+        if connection.phase is Phase.IDLE:
+            self.close_unused(connection)
+        elif connection.phase is Phase.RECEIVING:
+            self.refuse_request(
+                connection,
+                408,
+                'request_timeout',
+                'the next part of the request took too long',
+            )
+        else:
+            self.close_connection(connection)
+
     def close_caller(self, request_id: str) -> None:
         """Abort an answer, so that it does not look complete."""
         connection = self.requests.pop(request_id, None)
         if connection is None:
             return
         connection.request_id = ''
+        connection.request_bytes = 0
         self.count_close(connection, CloseReason.CUT)
         assert connection.channel is not None, 'a request has a channel'
         self.connections.discard(connection)
@@ -580,6 +728,8 @@
         whether the request was read.
         """
         assert connection.channel is not None, 'a connection has a channel'
+        if connection.has_deferred_input:
+            return
         self.channel_table.read_available(connection.channel)
         # The connection is closed later if the end of an answer is queued.
         if connection.phase is Phase.IDLE and not connection.channel.output:
@@ -635,10 +785,13 @@
         for connection in tuple(self.connections):
             if self.is_expired(connection):
                 self.expire_connection(connection)
+        self.resources.sweep(time.monotonic())
 
     def is_expired(self, connection: CallerConnection) -> bool:
         """Return whether a connection has waited too long in its phase."""
         now = time.monotonic()
+        if connection in self.resources.paused:
+            return False
         if connection.discard is not None:
             return not lingering_close.may_continue(
                 connection.discard, now, LINGER_LIMITS
@@ -693,11 +846,29 @@
     """Return whether the process waits for a connection before it exits."""
     if connection.channel is not None and connection.channel.output:
         return True
+    if connection.has_deferred_input:
+        return True
     return connection.discard is not None and lingering_close.may_delay_stop(
         connection.discard, now, LINGER_LIMITS
     )
 
 
+def find_peer_address(sock: socket.socket) -> str:
+    """Return the IP address of a peer, or nothing if it has left."""
+    try:
+        host: str = sock.getpeername()[0]
+    except OSError:
+        return ''
+    return host
+
+
+def measure_headers(head: h11.Request | None) -> int:
+    """Return the bytes that the parsed headers of a request take."""
+    if head is None:
+        return 0
+    return len(head.headers) * byte_budgets.HEADER_BYTES
+
+
 def build_protocol(maximum_header_bytes: int) -> h11.Connection:
     """Return the protocol state of a new connection."""
     return h11.Connection(
--- a/src/mustardvale/relay_daemon.py
+++ b/src/mustardvale/relay_daemon.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import sys
+import types
 from collections import abc
 
 from mustardvale import errors, relay_settings
@@ -16,13 +17,26 @@
     relay_metrics,
     relay_performer,
 )
-from mustardvale.internal.relay import handlers, instance_settings
+from mustardvale.internal.relay import (
+    connection_limits,
+    handlers,
+    instance_settings,
+)
 from mustardvale.internal.relay import state as states
 from mustardvale.platform import call_codec, front_codec
 
 SETTINGS_PATH_VARIABLE = 'MUSTARDVALE_NODE_FILE'
 EXIT_BAD_SETTINGS = 2
 PEERS = 'peers'
+LISTENER_SHARES = types.MappingProxyType(
+    {
+        front_codec.FRONT: connection_limits.FRONT_SHARE,
+        front_codec.READINESS: connection_limits.OTHER_SHARE,
+        front_codec.DIRECTORY: connection_limits.OTHER_SHARE,
+        front_codec.METRICS: connection_limits.OTHER_SHARE,
+        PEERS: connection_limits.PEER_SHARE,
+    }
+)
 SEED_BITS = 63
 
 
@@ -49,6 +63,11 @@
     )
     for name, address, codec in listeners:
         loop.callers.listen(name, addresses.split(address), codec)
+    loop.limit_resources(
+        settings.limits.memory_mb,
+        settings.limits.maximum_descriptors,
+        LISTENER_SHARES,
+    )
     return loop
 
 
