Re-evaluate what was taken from a store that is restored

A store that comes back from a copy some seconds old assigns offsets again. Positions, memberships and the right to order runners were handled as if the log had only grown. The adapter now decodes the era that every answer names, and store_copies decides what a rise discards. Followers behind their reader's era get a complete list.

--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -332,6 +332,7 @@
             return
         try:
             decoded = self.codec.decode_answer(pending.call, answer)
+            event_kind, fields = self.classify_answer(pending.call, answer)
         except Exception as error:
             # Without a result, whatever awaits the call would wait for ever.
             if not isinstance(error, wire.DecodeError):
@@ -341,13 +342,23 @@
             )
             return
         self.emit_event(
-            events.CallAnswered,
+            event_kind,
             call=pending.call,
             address=pending.address,
             answer=decoded,
             duration_seconds=time.monotonic() - pending.started_at,
+            **fields,
         )
 
+    def classify_answer(
+        self, call: typing.Any, answer: wire.RawAnswer
+    ) -> tuple[type[events.CallAnswered], dict[str, typing.Any]]:
+        """Return the type of the event of an answer and its further fields.
+
+        May raise `wire.DecodeError`.
+        """
+        return events.CallAnswered, {}
+
     def release_connection(self, connection: connections.Connection) -> None:
         """Use a connection for the next waiting call, or keep it idle."""
         pool = self.pools[connection.address]
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -15,7 +15,6 @@
 from mustardvale.internal.edge import (
     bounded_output,
     channels,
-    http_client,
     log_budget,
     loop,
     metrics,
@@ -23,6 +22,7 @@
     relay_performer,
     relay_server,
     relay_wire,
+    store_client,
 )
 from mustardvale.internal.relay import events as relay_events
 
@@ -53,7 +53,7 @@
 
     callers: relay_wire.CallerCodec
     sends: relay_wire.SendCodec
-    calls: http_client.CallCodec
+    calls: store_client.StoreCallCodec
 
 
 class RelayLoop(loop.Loop):
@@ -83,7 +83,7 @@
         self.upstreams = relay_client.RelayClient(
             self.channel_table, codecs.sends, self.emit_event
         )
-        self.client = http_client.HttpClient(
+        self.client = store_client.StoreClient(
             codecs.calls, self.poller, self.emit_event
         ).register(self)
         # The effects that all loops share are performed on `server`.
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -19,6 +19,8 @@
     ('relayed', 'Relayed requests by how they ended', ('kind', 'end')),
     ('relay_refusals', 'Refused requests', ('code',)),
     ('store_failures', 'Calls to the store without an answer', ('what',)),
+    ('store_restores', 'Restores of the store that were seen', ()),
+    ('outdated_store_answers', 'Answers of an earlier era of the store', ()),
     ('orders', 'Orders to runners by what became of them', ('end',)),
     ('probes', 'Reports of runners asked for because of silence', ()),
     ('moves', 'Moved requests by what became of them', ('verdict',)),
@@ -39,6 +41,7 @@
 
 GAUGES = (
     ('configuration_version', 'Version of the configuration in force'),
+    ('store_era', 'Era of the store, which counts its restores'),
     ('members', 'Entry instances that are taken to live'),
     ('blocked_prompt_parts', 'Combinations of prompt parts that are refused'),
 )
--- a/src/mustardvale/internal/events.py
+++ b/src/mustardvale/internal/events.py
@@ -93,6 +93,7 @@
     TIMED_OUT = 'timed_out'
     MALFORMED = 'malformed'
     OVERLOADED = 'overloaded'
+    OUTDATED = 'outdated'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -18,24 +18,28 @@
     """Read the newest configuration, from the page that follows a key.
 
     `position` is that of the first page, once it is known, and `requested_at`
-    the time at which the first page was requested.
+    the time at which the first page was requested. `era` is the era of the
+    store that the position is from.
     """
 
     after: str = ''
     position: int | None = None
     requested_at: float = 0.0
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowConfiguration:
     """Wait up to `wait_seconds` for a configuration after a position.
 
-    The answer confirms the configuration as of `requested_at`.
+    The answer confirms the configuration as of `requested_at`. `era` is the era
+    of the store that the position is from.
     """
 
     position: int
     wait_seconds: float
     requested_at: float = 0.0
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,11 +71,13 @@
 class ReadRunners:
     """Read the page of upstream entries that follows a key.
 
-    `earlier` has the pages before it.
+    `earlier` has the pages before it, and `era` is the era of the store that
+    they are from.
     """
 
     after: str = ''
     earlier: RunnerPages | None = None
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,11 +85,12 @@
     """Read the changes of entries after a position.
 
     With `pages` the read completes them: it has what changed while they were
-    read.
+    read. `era` is the era of the store that the position is from.
     """
 
     position: int
     pages: RunnerPages | None = None
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,7 +174,9 @@
     The positions are those up to which this instance has read.
     `members_checksum` is that of the members that it knows, and
     `crash_checksum` that of its evidence of crashes. `is_store_lost` is true if
-    the store does not answer this instance either.
+    the store does not answer this instance either. `era` is the era of the
+    store that the positions are from. `needs_complete_list` asks for all entries
+    instead of changes.
     """
 
     list_position: int
@@ -175,6 +184,8 @@
     members_checksum: int = 0
     is_store_lost: bool = False
     crash_checksum: int = 0
+    era: int | None = None
+    needs_complete_list: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,6 +200,9 @@
     `zone_members` and `readers` are the names of the members of the zone and of
     the readers of all zones. They are empty if the follower knows the same, and
     so is the evidence of crashes.
+
+    `era` is the era of the store that the reader's positions are from. With
+    `is_complete`, `changes` has all entries that the reader knows.
     """
 
     list_position: int
@@ -199,6 +213,8 @@
     zone_members: tuple[str, ...] = ()
     readers: tuple[str, ...] = ()
     crashes: ReportCrashes | None = None
+    era: int | None = None
+    is_complete: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -17,6 +17,7 @@
     peer_feed,
     reducer,
     retry_budgets,
+    store_copies,
     timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
@@ -82,7 +83,30 @@
     # After a failure, poll without a wait to get a confirmation at once.
     failing = known.failing_since is not None
     wait = 0.0 if failing else compute_poll_seconds(state)
-    return send_poll(wait, now, state)
+    return send_poll(limit_wait(wait, now, state), now, state)
+
+
+def limit_wait(wait_seconds: float, now: float, state: 'states.State') -> float:
+    """Return the wait of a poll, shorter where it delays a confirmation.
+
+    After a restore of the store, no poll lasts beyond the time from which polls
+    confirm again, and the first one after it does not wait.
+    """
+    known = state.configuration
+    if known.unshown_version is not None or is_confirmed_since(
+        state.store_copy.confirms_from, known.confirmed_at
+    ):
+        return wait_seconds
+    return min(
+        wait_seconds, store_copies.compute_confirmation_delay(state, now)
+    )
+
+
+def is_confirmed_since(
+    confirms_from: float, confirmed_at: float | None
+) -> bool:
+    """Return whether the last confirmation is no older than a time."""
+    return (confirmed_at or 0.0) >= confirms_from
 
 
 def send_poll(
@@ -99,7 +123,9 @@
         call: typing.Any = calls.ReadConfiguration(requested_at=now)
         wait_seconds = 0.0
     else:
-        call = calls.FollowConfiguration(known.position, wait_seconds, now)
+        call = calls.FollowConfiguration(
+            known.position, wait_seconds, now, state.store_copy.era
+        )
     return transitions.Transition(
         next_state,
         (
@@ -184,7 +210,7 @@
     """
     position = read.position if call.position is None else call.position
     next_call = calls.ReadConfiguration(
-        read.next_page, position, call.requested_at
+        read.next_page, position, call.requested_at, state.store_copy.era
     )
     return transitions.Transition(
         state,
@@ -208,8 +234,12 @@
 
     A confirmation that another instance has given meanwhile may be newer.
     """
+    state = record_shown_version(read.configuration, state)
     known = state.configuration
     active = known.active
+    confirmed_at = known.confirmed_at
+    if store_copies.may_confirm(call.requested_at, state):
+        confirmed_at = max(confirmed_at or 0, call.requested_at)
     change_effects = build_recovery_log(known, now)
     newest = read.configuration
     if newest is not None and (
@@ -223,7 +253,7 @@
         known,
         active=active,
         position=read.position,
-        confirmed_at=max(known.confirmed_at or 0, call.requested_at),
+        confirmed_at=confirmed_at,
         failing_since=None,
     )
     services = () if active is None else active.services
@@ -244,13 +274,40 @@
     adopted: reducer.Transition = transitions.Transition(
         next_state, change_effects
     )
-    if active is not known.active:
+    if must_inform(known, next_state):
         adopted = adopted.then(
             lambda current: peer_feed.answer_followers(now, current)
         )
     return adopted.then(lambda current: poll_next(current, now))
 
 
+def must_inform(
+    before: 'states.ConfigurationState', state: 'states.State'
+) -> bool:
+    """Return whether followers wait for what a read has shown.
+
+    It is a newer version, or the first confirmation after a restore.
+    """
+    known, confirms_from = state.configuration, state.store_copy.confirms_from
+    is_first = not is_confirmed_since(confirms_from, before.confirmed_at)
+    return known.active is not before.active or (
+        is_first and is_confirmed_since(confirms_from, known.confirmed_at)
+    )
+
+
+def record_shown_version(
+    shown: configuration.Configuration | None, state: 'states.State'
+) -> 'states.State':
+    """Record that a restored store shows the active version, or a newer one."""
+    known = state.configuration
+    awaited = known.unshown_version
+    if awaited is None or shown is None or shown.version < awaited:
+        return state
+    return dataclasses.replace(
+        state, configuration=dataclasses.replace(known, unshown_version=None)
+    )
+
+
 def compute_initial_retries(now: float, state: 'states.State') -> float:
     """Return the retries for a service that a version adds.
 
--- a/src/mustardvale/internal/relay/events.py
+++ b/src/mustardvale/internal/relay/events.py
@@ -63,6 +63,16 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAnswered(events.CallAnswered):
+    """Report an answer of a store that names its era.
+
+    The era is an integer that rises whenever the store is restored from a copy.
+    """
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SettingsRead(events.Event):
     """Report limits that were reloaded from the settings."""
--- a/src/mustardvale/internal/relay/handlers.py
+++ b/src/mustardvale/internal/relay/handlers.py
@@ -16,6 +16,7 @@
     peer_updates,
     reducer,
     runner_list,
+    store_copies,
 )
 
 REGISTERED = (
@@ -32,6 +33,7 @@
     peer_feed,
     peer_updates,
     runner_list,
+    store_copies,
     monitoring,
 )
 
--- a/src/mustardvale/internal/relay/members.py
+++ b/src/mustardvale/internal/relay/members.py
@@ -393,15 +393,18 @@
         # A late answer after leaving the readers grants nothing.
         return transitions.Transition(dataclasses.replace(state, members=known))
     leader_until = 0.0
-    if answer.is_leader:
+    # Another instance may hold the right that an earlier copy of the store has
+    # granted.
+    is_granted = answer.is_leader and now >= state.store_copy.rights_from
+    if is_granted:
         leader_until = call.requested_at + MEMBERSHIP_LIFETIME_SECONDS
     log_effects: tuple[effects.Effect, ...] = ()
-    if answer.is_leader != (known.leader_until > now):
+    if is_granted != (known.leader_until > now):
         log_effects = (
             relay_effects.LogDecision(
                 'order_right_changed',
                 (
-                    ('held', answer.is_leader),
+                    ('held', is_granted),
                     ('generation', answer.generation),
                 ),
             ),
@@ -431,9 +434,12 @@
 
     They are listed when the generation changes, and once more after the time
     in which all partitions have been handed over. A list that is not answered
-    is requested again. A follower receives the lists from its reader.
+    is requested again. A follower receives the lists from its reader. After a
+    restore of the store, the members have to join again before a list has them.
     """
     group = find_group(zone, state.members)
+    if group.listed_generation >= 0 and now < state.store_copy.lists_from:
+        return False
     if state.peer_feed.reader_id and group.listed_generation >= 0:
         return False
     if group.listed_generation != group.generation:
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -92,6 +92,8 @@
         state.members.checksum,
         state.runner_list.is_failing,
         state.crashes.checksum,
+        state.store_copy.era,
+        state.runner_list.is_disputed,
     )
     return change_reader(reader.instance_id, now, state).with_effects(
         effects.Call(call, reader.peers, ANSWER_TIMEOUT_SECONDS)
@@ -219,6 +221,16 @@
     )
 
 
+def needs_complete_list(call: calls.FollowPeer, state: 'states.State') -> bool:
+    """Return whether a follower gets all entries, if they have been read.
+
+    A follower that names no era is of a release without eras.
+    """
+    if call.era is None or state.runner_list.position is None:
+        return False
+    return call.needs_complete_list or call.era != state.store_copy.era
+
+
 def build_update(
     call: calls.FollowPeer, now: float, state: 'states.State'
 ) -> calls.PeerUpdate:
@@ -226,13 +238,15 @@
 
     Changes at that position are included: a drop that was unconfirmed for a
     while may be recorded at a position that the follower has reached already.
+    Positions of an earlier era of the store do not count.
     """
+    is_complete = needs_complete_list(call, state)
     changes = tuple(
         calls.RunnerChange(
             runner_id, runner.listed if runner.delisted_at is None else None
         )
         for runner_id, runner in state.runners.items()
-        if runner.changed_position >= call.list_position
+        if is_complete or runner.changed_position >= call.list_position
     )
     update = calls.PeerUpdate(
         state.runner_list.position or 0,
@@ -240,6 +254,8 @@
         changes,
         state.configuration.position or 0,
         now - (state.configuration.confirmed_at or now),
+        era=state.store_copy.era,
+        is_complete=is_complete,
     )
     if call.crash_checksum != state.crashes.checksum:
         update = dataclasses.replace(
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -13,6 +13,7 @@
     reducer,
     runner_list,
     runners,
+    store_copies,
 )
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -35,11 +36,16 @@
         return abandon_reader(f'status {update.status}', event.at, state)
     if event.at - state.peer_feed.requested_at > MAXIMUM_WAIT_SECONDS:
         return abandon_reader('the update is too late', event.at, state)
-    if update.complete_from > (state.runner_list.position or 0):
-        # A reader that has just started does not know the earlier changes.
-        return runner_list.read_from_store(event.at, state)
+    observed = store_copies.observe_era(update.era, event.at, state)
+    if not is_applicable(call, update, observed.state):
+        return observed.then(
+            lambda current: runner_list.read_from_store(event.at, current)
+        )
+    apply_list = (
+        apply_complete_list if update.is_complete else apply_runner_changes
+    )
     return (
-        apply_runner_changes(update, event.at, state)
+        observed.then(lambda current: apply_list(update, event.at, current))
         .then(lambda current: apply_members(update, current))
         .then(lambda current: apply_crashes(update, event.at, current))
         .then(lambda current: apply_confirmation(update, event.at, current))
@@ -47,6 +53,83 @@
     )
 
 
+def is_applicable(
+    call: calls.FollowPeer, update: calls.PeerUpdate, state: 'states.State'
+) -> bool:
+    """Return whether an update has all that this instance lacks.
+
+    A reader that has just started does not know the earlier changes, and one
+    that has not seen the last restore of the store has a list of before.
+    """
+    if store_copies.is_earlier(update.era, state):
+        return False
+    if update.is_complete:
+        return True
+    is_complete = update.complete_from <= (state.runner_list.position or 0)
+    return is_complete and store_copies.is_current(call.era, state)
+
+
+def apply_complete_list(
+    update: calls.PeerUpdate, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Apply all entries of a reader, and forget those that it does not have.
+
+    Until the runners have written their entries again, entries that are older
+    than what is known, and missing ones, change nothing. The list is then
+    requested again, because changes alone would not resolve them.
+    """
+    is_settled = store_copies.is_rewritten(now, state)
+    runner_map, disputed = state.runners, 0
+    for change in list_complete(update, state):
+        if not is_settled and is_contradicted(change, state):
+            disputed += 1
+        elif change.entry is None:
+            runner_map = runners.record_delisting(
+                runner_map, change.runner_id, update.list_position, now
+            )
+        else:
+            runner_map = runners.record_listing(
+                runner_map, change.entry, update.list_position
+            )
+    return runner_list.replace_runners(
+        runner_list.remove_expired(runner_map, now),
+        dataclasses.replace(
+            state.runner_list,
+            position=update.list_position,
+            complete_from=update.list_position,
+            unconfirmed_drops=frozenset(),
+            read_at=now,
+            is_failing=False,
+            is_disputed=bool(disputed),
+        ),
+        state,
+    )
+
+
+def list_complete(
+    update: calls.PeerUpdate, state: 'states.State'
+) -> tuple[calls.RunnerChange, ...]:
+    """Return all entries of a reader, and drops of those that it lacks."""
+    listed = frozenset(change.runner_id for change in update.changes)
+    return update.changes + tuple(
+        calls.RunnerChange(runner_id, None)
+        for runner_id in state.runners
+        if runner_id not in listed
+    )
+
+
+def is_contradicted(change: calls.RunnerChange, state: 'states.State') -> bool:
+    """Return whether a later state of the same process is known."""
+    known = state.runners.get(change.runner_id)
+    if known is None:
+        return False
+    if change.entry is None:
+        return known.delisted_at is None
+    return runners.is_superseded(
+        known.listed, change.entry
+    ) or runners.is_doubtful(known, change.entry)
+
+
 def apply_runner_changes(
     update: calls.PeerUpdate, now: float, state: 'states.State'
 ) -> reducer.Transition:
@@ -75,6 +158,7 @@
             unconfirmed_drops=frozenset(),
             read_at=now,
             is_failing=False,
+            is_disputed=False,
         ),
         state,
     )
@@ -117,13 +201,28 @@
     if update.configuration_position > own_position:
         return configuration_feed.fetch_newest(now, state)
     confirmed_at = state.peer_feed.requested_at - update.confirmed_seconds
-    if update.configuration_position == own_position:
+    if update.configuration_position == own_position and may_confirm(
+        update, confirmed_at, state
+    ):
         known = dataclasses.replace(
             known, confirmed_at=max(known.confirmed_at or 0, confirmed_at)
         )
     return configuration_feed.record_confirmation(known, now, state)
 
 
+def may_confirm(
+    update: calls.PeerUpdate, confirmed_at: float, state: 'states.State'
+) -> bool:
+    """Return whether a reader's confirmation holds for this instance.
+
+    A reader that names the same era applies the rules for a restored store
+    itself. The version that this instance has to see again may be another one.
+    """
+    if update.era is None or not store_copies.is_current(update.era, state):
+        return store_copies.may_confirm(confirmed_at, state)
+    return state.configuration.unshown_version is None
+
+
 @reducer.on_failure.register(calls.FollowPeer)
 def handle_failure(
     call: calls.FollowPeer, event: events.CallFailed, state: 'states.State'
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -38,7 +38,8 @@
 
     All changes after `complete_from`, the position of the first complete read,
     are known. `unconfirmed_drops` has the upstreams whose entries were dropped
-    shortly after an outage of the store.
+    shortly after an outage of the store. `is_disputed` is true while a complete
+    list of a reader is older in some entries than what is known.
     """
 
     position: int | None = None
@@ -47,6 +48,7 @@
     read_at: float | None = None
     failed_at: float | None = None
     is_failing: bool = False
+    is_disputed: bool = False
 
 
 def read_next(now: float, state: 'states.State') -> reducer.Transition:
@@ -65,7 +67,7 @@
     position = state.runner_list.position
     call: typing.Any = calls.ReadRunners()
     if position is not None:
-        call = calls.FollowRunners(position)
+        call = calls.FollowRunners(position, era=state.store_copy.era)
     return (
         peer_feed.change_reader('', now, state)
         .then(lambda current: configuration_feed.resume_polling(now, current))
@@ -95,9 +97,13 @@
     earlier = call.earlier or calls.RunnerPages(answer.position)
     pages = add_page(earlier, answer.changes)
     if answer.next_page:
-        next_call: typing.Any = calls.ReadRunners(answer.next_page, pages)
+        next_call: typing.Any = calls.ReadRunners(
+            answer.next_page, pages, state.store_copy.era
+        )
     elif call.earlier:
-        next_call = calls.FollowRunners(pages.position, pages)
+        next_call = calls.FollowRunners(
+            pages.position, pages, state.store_copy.era
+        )
     else:
         return apply_pages(pages, answer.position, event.at, state)
     return transitions.Transition(state, (build_store_call(next_call, state),))
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -19,6 +19,7 @@
 from mustardvale.internal.relay import runner_list as runner_lists
 from mustardvale.internal.relay import runners as runner_tables
 from mustardvale.internal.relay import stopping as shutdowns
+from mustardvale.internal.relay import store_copies
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +29,8 @@
     `position` is the position in the log of the store to continue from, and
     `confirmed_at` the time at which the read that last confirmed the
     configuration was sent. `is_reading` is true while a read is pending or
-    scheduled.
+    scheduled. `unshown_version` is the version that a restored store has not
+    shown again yet, and `None` if it needs not.
     """
 
     active: configuration.Configuration | None = None
@@ -36,6 +38,7 @@
     confirmed_at: float | None = None
     is_reading: bool = False
     failing_since: float | None = None
+    unshown_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,6 +59,7 @@
     identity: instance_settings.Identity
     limits: instance_settings.Limits
     seed: int
+    store_copy: store_copies.CopyState = store_copies.CopyState()
     configuration: ConfigurationState = ConfigurationState()
     runner_list: runner_lists.RunnerListState = runner_lists.RunnerListState()
     runners: runner_tables.RunnerMap = immutables.Map()
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -4,6 +4,7 @@
 import binascii
 import dataclasses
 import functools
+import re
 import struct
 import typing
 from urllib import parse
@@ -30,9 +31,21 @@
 MAXIMUM_READ_KB = 1024
 OK_STATUS = 200
 GONE_STATUS = 410
+ERA_PATTERN = re.compile(r'[0-9]{1,18}')
 RECORD_LENGTH = struct.Struct('>I')
 # Errors that decoding an answer of an unexpected form raises.
 DECODING_ERRORS = (*runner_codec.DECODING_ERRORS, binascii.Error, struct.error)
+# Rises by one whenever the store is restored from a copy.
+ERA_HEADER = 'store-era'
+STORE_CALLS = (
+    calls.ReadConfiguration,
+    calls.FollowConfiguration,
+    calls.ReadRunners,
+    calls.FollowRunners,
+    calls.JoinMembers,
+    calls.LeaveMembers,
+    calls.ListMembers,
+)
 # The end offset of the partition, and its first retained offset.
 READ_HEADER = struct.Struct('>QQ')
 
@@ -65,6 +78,19 @@
         ) from error
 
 
+def decode_era(call: typing.Any, raw: wire.RawAnswer) -> int | None:
+    """Decode the era of an answer of the store, or `None` if it has none.
+
+    Raises `wire.DecodeError` if the header is no integer.
+    """
+    text = raw.headers.get(ERA_HEADER)
+    if text is None or not isinstance(call, STORE_CALLS):
+        return None
+    if not ERA_PATTERN.fullmatch(text):
+        raise wire.DecodeError(0, 'answer', f'era {text[:40]!r} is no integer')
+    return int(text)
+
+
 def decode_part(call: typing.Any, line: bytes) -> typing.Any:
     """Raise an error: no call has a streamed answer."""
     raise wire.DecodeError(0, 'answer', 'no call has a streamed answer')
--- a/src/mustardvale/relay_daemon.py
+++ b/src/mustardvale/relay_daemon.py
@@ -16,7 +16,11 @@
     relay_metrics,
     relay_performer,
 )
-from mustardvale.internal.relay import handlers, instance_settings
+from mustardvale.internal.relay import (
+    handlers,
+    instance_settings,
+    store_copies,
+)
 from mustardvale.internal.relay import state as states
 from mustardvale.platform import call_codec, front_codec
 
@@ -34,6 +38,9 @@
             identity=settings.identity,
             limits=settings.limits,
             seed=secrets.randbits(SEED_BITS),
+            store_copy=store_copies.CopyState(
+                starts_with_site=settings.is_bootstrap
+            ),
         ),
         relay_performer.perform,
         relay_metrics.build(),
--- a/src/mustardvale/relay_settings.py
+++ b/src/mustardvale/relay_settings.py
@@ -53,15 +53,20 @@
     Field('retry-slack', setting_rules.Number(0, 1_000_000), '0'),
     Field('longest-validity-seconds', setting_rules.Seconds(0.1, 600), '5'),
     Field('longest-upstream-wait-seconds', setting_rules.Seconds(1, 600), '60'),
+    Field('bootstrap', BOOLEAN_RULE, 'false'),
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelaySettings:
-    """Hold the validated settings of an instance."""
+    """Hold the validated settings of an instance.
+
+    `is_bootstrap` is true where the whole site starts for the first time.
+    """
 
     identity: instance_settings.Identity
     limits: instance_settings.Limits
+    is_bootstrap: bool = False
 
 
 def read(path: str) -> RelaySettings:
@@ -147,4 +152,5 @@
                 'longest-upstream-wait-seconds'
             ],
         ),
+        is_bootstrap=checked['bootstrap'] == 'true',
     )
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -15,7 +15,7 @@
     ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
-    ' limit_shares silence_waits',
+    ' limit_shares silence_waits store_copies',
     'configuration_feed',
     'runner_list orders',
     'completion crash_tracking choices shortages dispatch hedges admission'
