--- a/src/mustardvale/internal/relay/store_copies.py
+++ b/src/mustardvale/internal/relay/store_copies.py
@@ -137,12 +137,13 @@
 def observe_era(
     era: int | None, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Adopt an era that is first seen; re-evaluate everything after a rise.
+    """Adopt a higher era; re-evaluate everything that was taken before it.
 
     A process that has read nothing yet has nothing to re-evaluate. Another one
     may still hold a right of the era before, unless all start together.
     """
-    if era is None or era == state.store_copy.era:
+    known = state.store_copy.era
+    if era is None or (known is not None and era <= known):
         return transitions.Transition(state)
     if has_read_nothing(state):
         waits = not state.store_copy.starts_with_site
