Restore the stand-in of the store from a copy in the soak

No trial reproduced a store that loses the end of its logs. The stand-in names its era in every answer, keeps copies of the last ten seconds and can be restored from one; the soak has the kind store_restored, drawn only if it is named or with all kinds, so that plans of other kinds stay as they are.

--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -14,6 +14,10 @@
 FAULT_DELAY_SECONDS = 0.4
 # Faults of runners after which another process runs under the same id.
 RESTARTING_FAULTS = frozenset(('down', 'dark', 'draining', 'leaving'))
+# Ages of the copies from which the store is restored.
+COPY_SECONDS = (0.5, 2.0, 5.0)
+# Times after a restore until the operator writes its last version again.
+REWRITE_SECONDS = (0.0, 0.4, 1.5)
 # What runners ask for that want no requests.
 ASKED_WAITS_SECONDS = (0.7, 1.5, 3.0, 6.0)
 
@@ -50,6 +54,17 @@
     faults: tuple[tuple[str, typing.Any], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreStore(Fault):
+    """Restore the store from a copy that is `copy_seconds` old.
+
+    The operator writes its last version again after `rewrite_seconds`.
+    """
+
+    copy_seconds: float
+    rewrite_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DisturbRunner(fault_plans.Disturb):
     """Activate faults of a runner and clear them at the end.
@@ -292,6 +307,10 @@
         ),
         'runners_suspended': draw_suspensions,
         'reloaded_stops': draw_reloaded_stops,
+        'store_restored': lambda random_source, targets: RestoreStore(
+            random_source.choice(COPY_SECONDS),
+            random_source.choice(REWRITE_SECONDS),
+        ),
     }
 )
 
--- a/bench/relay_sites.py
+++ b/bench/relay_sites.py
@@ -128,6 +128,8 @@
             tempfile.mkdtemp(prefix='mustardvale-relay-')
         )
         self.version = 0
+        self.written_configuration = b''
+        self.written_keys: tuple[str, ...] = ()
         self.keys_by_tenant = {name: [key] for name, key in TENANTS}
         self.timeout_ms = 5000
         self.seconds = seconds
@@ -291,21 +293,32 @@
         Raises `ProcessError` if the store does not confirm it.
         """
         self.version += 1
-        configuration = build_configuration(
-            self.version, self.keys_by_tenant, self.timeout_ms
-        )
-        keys = [
+        self.written_keys = tuple(
             key
             for tenant_keys in self.keys_by_tenant.values()
             for key in tenant_keys
-        ]
+        )
+        self.written_configuration = json.dumps(
+            build_configuration(
+                self.version, self.keys_by_tenant, self.timeout_ms
+            )
+        ).encode()
         # Recorded before the write, since a version whose confirmation is lost
         # may still come into force.
-        self.record_event('config_sent', version=self.version, keys=keys)
-        self.append_record(
-            'keyed.op', 'config', json.dumps(configuration).encode()
+        self.record_event(
+            'config_sent', version=self.version, keys=self.written_keys
+        )
+        self.rewrite_configuration()
+
+    def rewrite_configuration(self) -> None:
+        """Write the last version of the configuration, also once more.
+
+        Raises `ProcessError` if the store does not confirm it.
+        """
+        self.append_record('keyed.op', 'config', self.written_configuration)
+        self.record_event(
+            'config', version=self.version, keys=self.written_keys
         )
-        self.record_event('config', version=self.version, keys=keys)
 
     def append_record(self, topic: str, key: str, content: bytes) -> None:
         """Append a record to a topic of the store."""
--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import sys
+import time
 import typing
 from collections import abc
 
@@ -38,6 +39,7 @@
     fault_plans.Stop,
     relay_faults.KillAll,
     relay_faults.DisturbStore,
+    relay_faults.RestoreStore,
     relay_faults.DisturbLink,
 )
 
@@ -136,6 +138,21 @@
     driver.try_control(driver.site.set_store_faults, **dict(fault.faults))
 
 
+@fault_run.begin_fault.register(relay_faults.RestoreStore)
+def begin_restore(fault: relay_faults.RestoreStore, driver: SoakDriver) -> None:
+    """Restore the store, and write the last configuration again."""
+    driver.try_control(
+        driver.site.set_store_faults, restore_seconds=fault.copy_seconds
+    )
+    time.sleep(fault.rewrite_seconds)
+    driver.try_control(driver.site.rewrite_configuration)
+
+
+@fault_run.end_fault.register(relay_faults.RestoreStore)
+def end_restore(fault: relay_faults.RestoreStore, driver: SoakDriver) -> None:
+    """Do nothing: the restore is over at once."""
+
+
 @fault_run.end_fault.register(relay_faults.DisturbStore)
 def end_store_fault(
     fault: relay_faults.DisturbStore, driver: SoakDriver
--- a/standins/consumer_groups.py
+++ b/standins/consumer_groups.py
@@ -122,6 +122,14 @@
     )
 
 
+def postpone(group: Group, seconds: float) -> Group:
+    """Let the memberships of a group expire some seconds later."""
+    members = immutables.Map(
+        {member: until + seconds for member, until in group.members.items()}
+    )
+    return dataclasses.replace(group, members=members)
+
+
 def drop_expired_members(group: Group, now: float) -> Group:
     """Remove the members whose membership has expired."""
     for member, until in group.members.items():
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,6 +1,7 @@
 """Emulate the platform's store: logs, newest records and consumer groups.
 
-Times are monotonic. Like the platform, the store drops the entry of a runner
+Times are monotonic. All answers name the era, which rises when the store is
+restored from a copy. Like the platform, the store drops the entry of a runner
 that has written nothing for 3.6 s, three heartbeat periods of the platform.
 """
 
@@ -16,6 +17,8 @@
 SWEEP_SECONDS = 0.2
 RUNNER_TOPIC = 'keyed.servers'
 ENTRY_TTL_SECONDS = 3.6
+# Copies from which the store can be restored are kept for this long.
+COPY_RETENTION_SECONDS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,7 +65,8 @@
     A store that is `down` answers 503, a `silent` one ignores requests.
     Requests are executed after `delay_seconds`. The next `lose_answers` changes
     take effect without an answer. `forget` drops the records of all logs once,
-    but keeps the newest of each key.
+    but keeps the newest of each key. `restore_seconds` restores the store once
+    from a copy that is at least that old.
     """
 
     down: bool = False
@@ -70,6 +74,15 @@
     delay_seconds: float = 0
     lose_answers: int = 0
     forget: bool = False
+    restore_seconds: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatedReply:
+    """Hold an answer and the era in which it was given."""
+
+    reply: typing.Any
+    era: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,14 +178,29 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """Hold the topics and groups as of a time."""
+
+    taken_at: float
+    topics: immutables.Map[str, Topic]
+    groups: immutables.Map[str, consumer_groups.Group]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
-    """Hold topics and groups by name, and waiting reads by request id."""
+    """Hold topics and groups by name, and waiting reads by request id.
+
+    `copies` has earlier states of the last seconds, the oldest first, and `era`
+    counts from 1 how often the store was restored from one.
+    """
 
     topics: immutables.Map[str, Topic] = immutables.Map()
     groups: immutables.Map[str, consumer_groups.Group] = immutables.Map()
     waiting_reads: immutables.Map[str, WaitingRead] = immutables.Map()
     faults: Faults = Faults()
+    era: int = 1
+    copies: tuple[Copy, ...] = ()
 
 
 Transition = transitions.Transition[State]
@@ -183,6 +211,20 @@
 RECORDS_GONE = json_codec.Refused(410, 'the records have been dropped')
 
 
+def reduce_dated(event: events.Event, state: State) -> Transition:
+    """Reduce an event, and add the era to all answers."""
+    transition = reduce(event, state)
+    dated = tuple(
+        effects.Reply(
+            effect.request_id, DatedReply(effect.reply, transition.state.era)
+        )
+        if isinstance(effect, effects.Reply)
+        else effect
+        for effect in transition.effects
+    )
+    return transitions.Transition(transition.state, dated)
+
+
 @dispatch.reduce.register(events.InstanceStarted)
 def start(event: events.InstanceStarted, state: State) -> Transition:
     """Start the periodic sweep."""
@@ -206,7 +248,7 @@
     """Execute, delay, refuse or ignore a request as the faults demand."""
     request, faults = event.request, state.faults
     if isinstance(request, Faults):
-        return set_faults(request, event.request_id, state)
+        return set_faults(request, event.request_id, event.at, state)
     if faults.silent:
         return transitions.Transition(state)
     if faults.down:
@@ -232,6 +274,7 @@
 ) -> Transition:
     """Drop what has expired; nothing expires while the store is unavailable."""
     rearm = effects.SetTimer(timer, SWEEP_SECONDS)
+    state = take_copy(event.at, state)
     if state.faults.down or state.faults.silent:
         return transitions.Transition(state, (rearm,))
     groups = immutables.Map(
@@ -248,6 +291,54 @@
     )
 
 
+def take_copy(now: float, state: State) -> State:
+    """Keep a copy of the topics and groups, and drop the oldest ones."""
+    kept = tuple(
+        copy
+        for copy in state.copies
+        if now - copy.taken_at <= COPY_RETENTION_SECONDS
+    )
+    copy = Copy(now, state.topics, state.groups)
+    return dataclasses.replace(state, copies=(*kept, copy))
+
+
+def restore(seconds: float, now: float, state: State) -> State:
+    """Return the state of a copy that is at least some seconds old.
+
+    Without one, it is the oldest. The time since the copy does not count for
+    what expires. Waiting reads stay open.
+    """
+    copies = state.copies or (Copy(now, state.topics, state.groups),)
+    old = [copy for copy in copies if now - copy.taken_at >= seconds]
+    chosen = old[-1] if old else copies[0]
+    age = now - chosen.taken_at
+    return dataclasses.replace(
+        state,
+        topics=immutables.Map(
+            {
+                name: postpone_entries(topic, age)
+                for name, topic in chosen.topics.items()
+            }
+        ),
+        groups=immutables.Map(
+            {
+                name: consumer_groups.postpone(group, age)
+                for name, group in chosen.groups.items()
+            }
+        ),
+        era=state.era + 1,
+        copies=(),
+    )
+
+
+def postpone_entries(topic: Topic, seconds: float) -> Topic:
+    """Let the entries of a topic expire some seconds later."""
+    written_at = immutables.Map(
+        {key: at + seconds for key, at in topic.written_at.items()}
+    )
+    return dataclasses.replace(topic, written_at=written_at)
+
+
 def drop_expired_entries(now: float, state: State) -> Transition:
     """Drop the entries of runners that have not written for their TTL."""
     topic = state.topics.get(RUNNER_TOPIC, Topic())
@@ -273,22 +364,32 @@
 
 
 def answer_read(request_id: str, request: ReadLog, state: State) -> Transition:
-    """Answer a read with the records that are stored."""
+    """Answer a read with the records that are stored.
+
+    After a restore, its offset may not exist any more.
+    """
     waiting = state.waiting_reads
     if request_id in waiting:
         waiting = waiting.delete(request_id)
+    state = dataclasses.replace(state, waiting_reads=waiting)
     topic = state.topics.get(request.topic, Topic())
+    if not topic.first <= request.from_offset <= topic.end:
+        return answer(request_id, RECORDS_GONE, state)
     records = topic.records[max(request.from_offset - topic.first, 0) :]
     return answer(
         request_id,
         LogAnswer(request.topic, topic.end, topic.first, records),
-        dataclasses.replace(state, waiting_reads=waiting),
+        state,
     )
 
 
-def set_faults(request: Faults, request_id: str, state: State) -> Transition:
-    """Replace all active faults, and drop the records if `forget` is set."""
+def set_faults(
+    request: Faults, request_id: str, now: float, state: State
+) -> Transition:
+    """Replace all active faults; drop records or restore a copy if demanded."""
     changed = dataclasses.replace(state, faults=request)
+    if request.restore_seconds:
+        changed = restore(request.restore_seconds, now, changed)
     if request.forget:
         topics = {
             name: dataclasses.replace(topic, first=topic.end, records=())
@@ -366,7 +467,7 @@
 ) -> Transition:
     """Answer a read, or keep it until there are records."""
     topic = state.topics.get(request.topic, Topic())
-    if request.from_offset < topic.first:
+    if not topic.first <= request.from_offset <= topic.end:
         return answer(request_id, RECORDS_GONE, state)
     if request.from_offset < topic.end or not request.wait_seconds:
         return answer_read(request_id, request, state)
--- a/standins/platform_store_codec.py
+++ b/standins/platform_store_codec.py
@@ -1,6 +1,7 @@
 """Decode requests to the stand-in of the platform's store."""
 
 import base64
+import dataclasses
 import functools
 import struct
 import types
@@ -13,6 +14,7 @@
 from standins import consumer_groups, json_codec, platform_store
 
 MILLISECONDS_PER_SECOND = 1000
+ERA_HEADER = 'Store-Era'
 KEYED_PREFIX = 'keyed.'
 RECORD_LENGTH = struct.Struct('>I')
 READ_HEADER = struct.Struct('>QQ')
@@ -147,6 +149,14 @@
     return json_codec.encode_reply(reply)
 
 
+@encode_reply.register(platform_store.DatedReply)
+def encode_dated(reply: platform_store.DatedReply) -> wire.RawReply:
+    """Encode an answer with the era in a header."""
+    raw = encode_reply(reply.reply)
+    header = (ERA_HEADER, str(reply.era))
+    return dataclasses.replace(raw, headers=(*raw.headers, header))
+
+
 @encode_reply.register(platform_store.LogAnswer)
 def encode_log(reply: platform_store.LogAnswer) -> wire.RawReply:
     """Encode records in the form of an append, after a header of offsets."""
--- a/standins/platform_store_main.py
+++ b/standins/platform_store_main.py
@@ -10,7 +10,7 @@
     processes.run(
         'store',
         address,
-        platform_store.reduce,
+        platform_store.reduce_dated,
         platform_store.State(),
         platform_store_codec,
     )
