Merge the handling of a restored store

Positions, confirmations, memberships and the right to order runners are taken anew when the era of the store rises.

tests.test_relay_restored_store, test_relay_limit_shares, test_relay_feeds, test_relay_partitioned_instances, test_relay_peer_feed and test_startup_waits pass together.

--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -16,7 +16,6 @@
 from mustardvale.internal.edge import (
     bounded_output,
     channels,
-    http_client,
     log_budget,
     loop,
     metrics,
@@ -24,6 +23,7 @@
     relay_performer,
     relay_server,
     relay_wire,
+    store_client,
 )
 from mustardvale.internal.relay import byte_budgets, connection_limits
 from mustardvale.internal.relay import events as relay_events
@@ -55,7 +55,7 @@
 
     callers: relay_wire.CallerCodec
     sends: relay_wire.SendCodec
-    calls: http_client.CallCodec
+    calls: store_client.StoreCallCodec
 
 
 class RelayLoop(loop.Loop):
@@ -86,7 +86,7 @@
         self.upstreams = relay_client.RelayClient(
             self.channel_table, codecs.sends, self.emit_event
         )
-        self.client = http_client.HttpClient(
+        self.client = store_client.StoreClient(
             codecs.calls, self.poller, self.emit_event
         ).register(self)
         # The effects that all loops share are performed on `server`.
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -19,6 +19,8 @@
     ('relayed', 'Relayed requests by how they ended', ('kind', 'end')),
     ('relay_refusals', 'Refused requests', ('code',)),
     ('store_failures', 'Calls to the store without an answer', ('what',)),
+    ('store_restores', 'Restores of the store that were seen', ()),
+    ('outdated_store_answers', 'Answers of an earlier era of the store', ()),
     ('orders', 'Orders to runners by what became of them', ('end',)),
     ('probes', 'Reports of runners asked for because of silence', ()),
     ('moves', 'Moved requests by what became of them', ('verdict',)),
@@ -50,4 +52,5 @@
     ),
     ('held_bytes', 'Bytes held for callers by kind', ('kind',)),
     ('caller_connections', 'Open connections of callers', ()),
+    ('store_era', 'Era of the store, which counts its restores', ()),
 )
--- a/src/mustardvale/internal/relay/handlers.py
+++ b/src/mustardvale/internal/relay/handlers.py
@@ -17,6 +17,7 @@
     reducer,
     runner_list,
     startup_admission,
+    store_copies,
 )
 
 REGISTERED = (
@@ -33,6 +34,7 @@
     peer_feed,
     peer_updates,
     runner_list,
+    store_copies,
     monitoring,
     startup_admission,
 )
--- a/src/mustardvale/relay_daemon.py
+++ b/src/mustardvale/relay_daemon.py
@@ -21,6 +21,7 @@
     connection_limits,
     handlers,
     instance_settings,
+    store_copies,
 )
 from mustardvale.internal.relay import state as states
 from mustardvale.platform import call_codec, front_codec
@@ -48,6 +49,9 @@
             identity=settings.identity,
             limits=settings.limits,
             seed=secrets.randbits(SEED_BITS),
+            store_copy=store_copies.CopyState(
+                starts_with_site=settings.is_bootstrap
+            ),
         ),
         relay_performer.perform,
         relay_metrics.build(),
--- a/src/mustardvale/relay_settings.py
+++ b/src/mustardvale/relay_settings.py
@@ -55,15 +55,20 @@
     Field('longest-upstream-wait-seconds', setting_rules.Seconds(1, 600), '60'),
     Field('memory-mb', setting_rules.Integer(64, 1_048_576), '300'),
     Field('max-descriptors', setting_rules.Integer(64, 1_048_576), '4096'),
+    Field('bootstrap', BOOLEAN_RULE, 'false'),
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelaySettings:
-    """Hold the validated settings of an instance."""
+    """Hold the validated settings of an instance.
+
+    `is_bootstrap` is true where the whole site starts for the first time.
+    """
 
     identity: instance_settings.Identity
     limits: instance_settings.Limits
+    is_bootstrap: bool = False
 
 
 def read(path: str) -> RelaySettings:
@@ -151,4 +156,5 @@
             memory_mb=checked['memory-mb'],
             maximum_descriptors=checked['max-descriptors'],
         ),
+        is_bootstrap=checked['bootstrap'] == 'true',
     )
