Keep idle connections to watched addresses and report their ends

An instance learned of a runner's crash from 300 ms of silence. The kernel closes the connections of a process that ends, which an open connection shows at once. The edge now keeps one connection to each address of a set that an effect names, and reports whether one was accepted, lost, refused or failed. Nothing is sent on it, and a lost one is opened again only once it is named again. A channel keeps the error code of a connection that could not be opened, because only ECONNREFUSED shows that nobody listens. tests.test_channels passes.

--- a/src/mustardvale/internal/edge/channels.py
+++ b/src/mustardvale/internal/edge/channels.py
@@ -28,7 +28,10 @@
 
 
 class Channel:
-    """Hold one socket, its queued output and the owner of its events."""
+    """Hold one socket, its queued output and the owner of its events.
+
+    `error_code` is why the connection could not be opened, 0 if it is unknown.
+    """
 
     def __init__(self, sock: socket.socket, is_connected: bool) -> None:
         self.sock = sock
@@ -37,6 +40,7 @@
         self.is_closing = False
         self.is_reading = False
         self.is_closed = False
+        self.error_code = 0
         self.owner: typing.Any = None
 
 
@@ -192,6 +196,7 @@
             # The owner learns of the failure from the poller, once it holds the
             # channel that is returned here.
             channel.is_closing = True
+            channel.error_code = code
         self.poller.addWriter(self, sock)
         return channel
 
@@ -301,6 +306,7 @@
         """Report to the owner whether the connection was established."""
         code = channel.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code or channel.is_closing:
+            channel.error_code = code or channel.error_code
             self.fail_channel(channel, f'connect failed ({code})')
             return
         channel.is_connected = True
@@ -331,8 +337,13 @@
     def on_disconnected(self, sock: socket.socket) -> None:
         """Fail a channel whose socket reports an error or a hang-up."""
         channel = self.channels.get(sock)
-        if channel is not None:
-            self.fail_channel(channel, 'connection failed')
+        if channel is None:
+            return
+        if not channel.is_connected and not channel.error_code:
+            channel.error_code = sock.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ERROR
+            )
+        self.fail_channel(channel, 'connection failed')
 
 
 def set_socket_options(sock: socket.socket) -> None:
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -23,6 +23,7 @@
     relay_performer,
     relay_server,
     relay_wire,
+    watched_connections,
 )
 from mustardvale.internal.relay import events as relay_events
 
@@ -83,6 +84,9 @@
         self.upstreams = relay_client.RelayClient(
             self.channel_table, codecs.sends, self.emit_event
         )
+        self.watched = watched_connections.WatchedConnections(
+            self.channel_table, self.emit_event
+        )
         self.client = http_client.HttpClient(
             codecs.calls, self.poller, self.emit_event
         ).register(self)
--- a/src/mustardvale/internal/edge/relay_performer.py
+++ b/src/mustardvale/internal/edge/relay_performer.py
@@ -58,6 +58,14 @@
     runtime.upstreams.maximum_idle_seconds = effect.seconds
 
 
+@perform.register(effects.WatchAddresses)
+def perform_watch_addresses(
+    effect: effects.WatchAddresses, runtime: 'relay_loop.RelayLoop'
+) -> None:
+    """Keep idle connections open to the watched addresses."""
+    runtime.watched.watch(effect.addresses)
+
+
 @perform.register(effects.StartStream)
 def perform_start_stream(
     effect: effects.StartStream, runtime: 'relay_loop.RelayLoop'
--- a/src/mustardvale/internal/relay/effects.py
+++ b/src/mustardvale/internal/relay/effects.py
@@ -48,6 +48,17 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchAddresses(effects.Effect):
+    """Keep one idle connection open to each of these addresses, and no others.
+
+    The edge reports the end of a connection, and opens it again only once it is
+    named again.
+    """
+
+    addresses: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartStream(effects.Effect):
     """Send the head of an answer that is streamed to a caller."""
--- a/src/mustardvale/internal/relay/events.py
+++ b/src/mustardvale/internal/relay/events.py
@@ -1,6 +1,7 @@
 """Define the events of sends to upstreams."""
 
 import dataclasses
+import enum
 import typing
 
 from mustardvale.internal import events
@@ -63,6 +64,33 @@
     status: int
 
 
+class WatchEnd(enum.Enum):
+    """Name how a watched connection has ended.
+
+    It was open and is lost, or it was refused or failed while being opened. Only
+    a refusal shows that no process listens at the address.
+    """
+
+    LOST = 'lost'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WatchOpened(events.Event):
+    """Report that a watched connection was accepted."""
+
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WatchEnded(events.Event):
+    """Report that a watched connection has ended or could not be opened."""
+
+    address: str
+    end: WatchEnd
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SettingsRead(events.Event):
     """Report limits that were reloaded from the settings."""
