Tell all instances of crashed and stalled runners, and act on it

Each instance detected a crash by itself, after a median silence of 305 ms, and its sends found the crashed runners one by one. The readers of a zone now watch a connection to each runner of a service with an engine. A lost one is opened again; a refusal then is a crash. The instance that finds a crash or a stall tells the readers of all zones, which answer their followers within some ms.

--- a/src/mustardvale/internal/edge/peer_feed_codec.py
+++ b/src/mustardvale/internal/edge/peer_feed_codec.py
@@ -10,9 +10,14 @@
 
 FEED_PATH = '/v1/news'
 CRASHES_PATH = '/v1/crashes'
+FAULTS_PATH = '/v1/faults'
 CALL_TYPES: types.MappingProxyType[str, type[typing.Any]] = (
     types.MappingProxyType(
-        {FEED_PATH: calls.FollowPeer, CRASHES_PATH: calls.ReportCrashes}
+        {
+            FEED_PATH: calls.FollowPeer,
+            CRASHES_PATH: calls.ReportCrashes,
+            FAULTS_PATH: calls.ReportFaults,
+        }
     )
 )
 OK_STATUS = 200
@@ -28,6 +33,11 @@
     return wire.RawCall('POST', CRASHES_PATH, msgspec.json.encode(call))
 
 
+def encode_fault_report(call: calls.ReportFaults) -> wire.RawCall:
+    """Encode a report of faults of runners."""
+    return wire.RawCall('POST', FAULTS_PATH, msgspec.json.encode(call))
+
+
 def decode_answer(raw: wire.RawAnswer) -> calls.PeerUpdate:
     """Decode changes, or raise `msgspec.DecodeError`."""
     return msgspec.json.decode(raw.body, type=calls.PeerUpdate)
--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -25,6 +25,11 @@
     ('reports_lost', 'Reports of runners without an answer', ()),
     ('stray_answers', 'Answers that belonged to another request', ()),
     ('runner_crashes', 'Crashes under requests without an event', ()),
+    (
+        'runner_faults',
+        'Faults of runners that became known',
+        ('kind', 'origin'),
+    ),
     ('runner_announcements', 'Runners that leave or ask to wait', ('kind',)),
     ('malformed_announcements', 'Unusable headers of runners', ('header',)),
     ('caller_closes', 'Connections closed with a request', ('kind',)),
@@ -35,6 +40,11 @@
     ('relay_seconds', 'Time from a request to its end', ('kind',)),
     ('first_event_seconds', 'Time from a request to its first event', ()),
     ('between_events_seconds', 'Time between two parts of a stream', ()),
+    (
+        'fault_to_move_seconds',
+        'Time from a fault of a runner to an order to move a stream',
+        ('kind',),
+    ),
 )
 
 GAUGES = (
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -160,6 +160,31 @@
     """Report that a runner accepts connections."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedFault:
+    """Hold a fault of a runner's process, and how long ago it was found.
+
+    An instance ignores a `kind` that it does not know.
+    """
+
+    runner_id: str
+    started_at_ms: int
+    kind: str
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportFaults:
+    """Report faults of runners to a reader."""
+
+    faults: tuple[ReportedFault, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultsReported:
+    """Confirm a report of faults."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowPeer:
     """Wait for the changes that another instance reads from the store.
@@ -167,7 +192,9 @@
     The positions are those up to which this instance has read.
     `members_checksum` is that of the members that it knows, and
     `crash_checksum` that of its evidence of crashes. `is_store_lost` is true if
-    the store does not answer this instance either.
+    the store does not answer this instance either. `fault_position` is that of
+    the last update of the same reader, or `None` if this instance takes no
+    faults of runners.
     """
 
     list_position: int
@@ -175,6 +202,7 @@
     members_checksum: int = 0
     is_store_lost: bool = False
     crash_checksum: int = 0
+    fault_position: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,7 +216,8 @@
 
     `zone_members` and `readers` are the names of the members of the zone and of
     the readers of all zones. They are empty if the follower knows the same, and
-    so is the evidence of crashes.
+    so is the evidence of crashes. `faults` are recent faults of runners, empty
+    if the follower has been told all up to `fault_position`.
     """
 
     list_position: int
@@ -199,6 +228,8 @@
     zone_members: tuple[str, ...] = ()
     readers: tuple[str, ...] = ()
     crashes: ReportCrashes | None = None
+    faults: tuple[ReportedFault, ...] = ()
+    fault_position: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/crash_tracking.py
+++ b/src/mustardvale/internal/relay/crash_tracking.py
@@ -16,6 +16,8 @@
     crash_evidence,
     crash_reports,
     exchanges,
+    fault_moves,
+    fault_reports,
     fingerprints,
     members,
     peer_feed,
@@ -86,8 +88,7 @@
     A process that accepts a send after its crash is a new one, whose entry has
     not been read yet.
     """
-    listed = runner.listed
-    process = f'{listed.runner_id}/{listed.started_at_ms}'
+    process = name_listed_process(runner)
     crashed_at = {
         crash.process: crash.crashed_at for crash in state.crashes.crashes
     }
@@ -96,6 +97,12 @@
     return process
 
 
+def name_listed_process(runner: runners.Runner) -> str:
+    """Return the name of the process in the entry of a runner."""
+    listed = runner.listed
+    return f'{listed.runner_id}/{listed.started_at_ms}'
+
+
 def replace_crashes(
     state: 'states.State', **changes: typing.Any
 ) -> 'states.State':
@@ -127,7 +134,29 @@
     state = drop_unconfirmed(call.process, state)
     if kind is not events.FailureKind.REFUSED or not crashed_requests:
         return transitions.Transition(state)
-    return record_crash(call.process, crashed_requests, event.at, state)
+    return record_crash(call.process, crashed_requests, event.at, state).then(
+        lambda current: record_fault(
+            call.runner_id, call.process, event.at, current
+        )
+    )
+
+
+def record_fault(
+    runner_id: str, process: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Tell other instances of the crash of a listed process."""
+    runner = state.runners.get(runner_id)
+    if runner is None or name_listed_process(runner) != process:
+        return transitions.Transition(state)
+    fault = fault_reports.Fault(
+        runner_id,
+        runner.listed.started_at_ms,
+        fault_reports.FaultKind.CRASHED,
+        now,
+    )
+    return fault_moves.handle_faults(
+        (fault,), fault_reports.FaultOrigin.CHECKED, now, state
+    )
 
 
 def drop_unconfirmed(process: str, state: 'states.State') -> 'states.State':
--- a/src/mustardvale/internal/relay/handlers.py
+++ b/src/mustardvale/internal/relay/handlers.py
@@ -6,6 +6,8 @@
     configuration_feed,
     crash_tracking,
     failed_events,
+    fault_moves,
+    fault_telling,
     idle_connections,
     lifecycle,
     members,
@@ -16,6 +18,7 @@
     peer_updates,
     reducer,
     runner_list,
+    runner_watch,
 )
 
 REGISTERED = (
@@ -24,6 +27,8 @@
     configuration_feed,
     crash_tracking,
     failed_events,
+    fault_moves,
+    fault_telling,
     idle_connections,
     lifecycle,
     members,
@@ -32,6 +37,7 @@
     peer_feed,
     peer_updates,
     runner_list,
+    runner_watch,
     monitoring,
 )
 
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -53,6 +53,7 @@
                 effects.SetTimer(timers.ExchangeCheckDue(), 0),
                 effects.SetTimer(timers.PlacementCheckDue(), 0),
                 effects.SetTimer(timers.EvidenceExchangeDue(), 0),
+                effects.SetTimer(timers.WatchCheckDue(), 0),
             ),
         )
         .then(lambda current: configuration_feed.poll_next(current, event.at))
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -18,6 +18,8 @@
     completion,
     dispatch,
     exchanges,
+    fault_reports,
+    fault_telling,
     hedges,
     loads,
     open_attempts,
@@ -109,9 +111,17 @@
     if not at_fault:
         return noted
     faulty = frozenset(runner_id for runner_id in at_fault if runner_id)
-    return noted.then(
-        lambda current: mark_faulty(faulty, 'stalled', event.at, current)
-    ).then(lambda current: move_affected(faulty, event.at, current))
+    return (
+        noted.then(
+            lambda current: mark_faulty(faulty, 'stalled', event.at, current)
+        )
+        .then(
+            lambda current: fault_telling.tell_stalled(
+                faulty, event.at, current
+            )
+        )
+        .then(lambda current: move_affected(faulty, event.at, current))
+    )
 
 
 @reducer.on_failure.register(calls.ProbeRunner)
@@ -381,9 +391,10 @@
         calls.OrderVerdict.ACCEPTED,
         calls.OrderVerdict.ALREADY_DONE,
     }:
-        return adopt_chain(
-            open_attempt, call.chain, event.at, state
-        ).with_effects(count_effect)
+        adopted = adopt_chain(open_attempt, call.chain, event.at, state)
+        return adopted.with_effects(count_effect).then(
+            lambda current: leave_crashed(call.send_id, event.at, current)
+        )
     unmoved = dataclasses.replace(open_attempt.attempt, pending_chain=())
     state = store_moved(open_attempt, unmoved, state)
     if verdict is calls.OrderVerdict.CONFLICT:
@@ -397,7 +408,9 @@
                     state.runners, at_fault, event.at
                 ),
             )
-        return transitions.Transition(state, (count_effect,))
+        return transitions.Transition(state, (count_effect,)).then(
+            lambda current: leave_crashed(call.send_id, event.at, current)
+        )
     exchange = state.exchanges[open_attempt.exchange.request_id]
     return hedges.send_beside(
         exchange, unmoved, f'move {verdict.value}', event.at, state
@@ -419,6 +432,28 @@
     )
 
 
+def leave_crashed(
+    send_id: str, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Move a request again if a runner of its chain has crashed meanwhile."""
+    open_attempt = open_attempts.find_open_attempt(send_id, state)
+    crashed = fault_reports.list_crashed(state.faults, state.runners, now)
+    if open_attempt is None or not is_movable(open_attempt.attempt, crashed):
+        return transitions.Transition(state)
+    return move_attempt(
+        open_attempt.exchange, open_attempt.attempt, crashed, now, state
+    )
+
+
+def is_movable(attempt: exchanges.Attempt, faulty: frozenset[str]) -> bool:
+    """Return whether another part than the first runner is faulty.
+
+    The connection to a first runner that has crashed ends by itself, and the
+    request is then sent elsewhere.
+    """
+    return attempt.runner_id not in faulty and is_affected(attempt, faulty)
+
+
 def adopt_chain(
     open_attempt: open_attempts.OpenAttempt,
     chain: requests.Chain,
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -15,9 +15,11 @@
 from mustardvale.internal.relay import (
     calls,
     crash_reports,
+    fault_reports,
     members,
     reducer,
     requests,
+    timers,
 )
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -30,6 +32,8 @@
 FAILED_READER_SECONDS = 5.0
 MAXIMUM_FOLLOWER_COUNT = 256
 UNAVAILABLE_STATUS = 503
+# Several runners often crash together. Their faults travel in one answer.
+FAULT_TELLING_SECONDS = 0.005
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +96,9 @@
         state.members.checksum,
         state.runner_list.is_failing,
         state.crashes.checksum,
+        fault_position=state.faults.followed_position
+        if state.faults.followed_reader_id == reader.instance_id
+        else 0,
     )
     return change_reader(reader.instance_id, now, state).with_effects(
         effects.Call(call, reader.peers, ANSWER_TIMEOUT_SECONDS)
@@ -162,7 +169,15 @@
         )
     followers = state.peer_feed.followers.set(event.request_id, call)
     feed = dataclasses.replace(state.peer_feed, followers=followers)
-    return transitions.Transition(dataclasses.replace(state, peer_feed=feed))
+    kept = transitions.Transition(dataclasses.replace(state, peer_feed=feed))
+    if fault_reports.has_untold(call, state.faults, event.at):
+        return kept.with_effects(build_telling_timer())
+    return kept
+
+
+def build_telling_timer() -> effects.Effect:
+    """Return the effect that soon tells followers of faults."""
+    return effects.SetTimer(timers.FaultTellingDue(), FAULT_TELLING_SECONDS)
 
 
 def remove_follower(request_id: str, state: 'states.State') -> 'states.State':
@@ -240,7 +255,12 @@
         changes,
         state.configuration.position or 0,
         now - (state.configuration.confirmed_at or now),
+        fault_position=state.faults.position,
     )
+    if fault_reports.has_untold(call, state.faults, now):
+        update = dataclasses.replace(
+            update, faults=fault_reports.build_report(state.faults.faults, now)
+        )
     if call.crash_checksum != state.crashes.checksum:
         update = dataclasses.replace(
             update,
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -8,6 +8,7 @@
     calls,
     configuration_feed,
     crash_tracking,
+    fault_moves,
     members,
     peer_feed,
     reducer,
@@ -42,6 +43,9 @@
         apply_runner_changes(update, event.at, state)
         .then(lambda current: apply_members(update, current))
         .then(lambda current: apply_crashes(update, event.at, current))
+        .then(
+            lambda current: fault_moves.apply_update(update, event.at, current)
+        )
         .then(lambda current: apply_confirmation(update, event.at, current))
         .then(lambda current: runner_list.read_next(event.at, current))
     )
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -7,6 +7,7 @@
 from mustardvale.internal.relay import (
     configuration,
     crash_evidence,
+    fault_reports,
     idle_connections,
     instance_settings,
 )
@@ -17,6 +18,7 @@
 from mustardvale.internal.relay import peer_feed as peer_feeds
 from mustardvale.internal.relay import retry_budgets as retry_budget_tables
 from mustardvale.internal.relay import runner_list as runner_lists
+from mustardvale.internal.relay import runner_watch as runner_watches
 from mustardvale.internal.relay import runners as runner_tables
 from mustardvale.internal.relay import stopping as shutdowns
 
@@ -67,6 +69,8 @@
     exchanges: exchange_tables.ExchangeMap = immutables.Map()
     peer_feed: peer_feeds.PeerFeedState = peer_feeds.PeerFeedState()
     crashes: crash_evidence.CrashState = crash_evidence.CrashState()
+    faults: fault_reports.FaultState = fault_reports.FaultState()
+    watches: runner_watches.WatchMap = immutables.Map()
     request_ids_by_send: immutables.Map[str, str] = immutables.Map()
     retry_buckets: retry_budget_tables.RetryBuckets = immutables.Map()
     send_count: int = 0
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -42,6 +42,31 @@
     """Exchange evidence of crashes with instances that are new."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultTellingDue(timer_base.Timer):
+    """Tell followers of new faults of runners."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StalledStreamsDue(timer_base.Timer):
+    """Move the streams that have waited for a stalled runner for a while."""
+
+    runner_id: str
+    started_at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchCheckDue(timer_base.Timer):
+    """Check which runners this instance watches."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchDue(timer_base.Timer):
+    """Open a watched connection to an address."""
+
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IdleLimitRaiseDue(timer_base.Timer):
     """Raise the limit on idle connections."""
--- a/src/mustardvale/internal/relay/withdrawals.py
+++ b/src/mustardvale/internal/relay/withdrawals.py
@@ -67,13 +67,14 @@
     attempt: exchanges.Attempt,
     now: float,
     state: 'states.State',
+    problem: str = WITHDRAWAL_REASON,
 ) -> reducer.Transition:
     """Abort a send that was not written; send elsewhere if none is open."""
     remaining, next_state = completion.end_attempt(exchange, attempt, state)
     withdrawn = dataclasses.replace(
         remaining,
         unconnected_count=remaining.unconnected_count + 1,
-        last_problem=WITHDRAWAL_REASON,
+        last_problem=problem,
     )
     buckets = dispatch.return_retry_charge(withdrawn, attempt, now, next_state)
     next_state = open_attempts.store_exchange(
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -173,6 +173,7 @@
 
 encode_call.register(calls.FollowPeer)(peer_feed_codec.encode_call)
 encode_call.register(calls.ReportCrashes)(peer_feed_codec.encode_crash_report)
+encode_call.register(calls.ReportFaults)(peer_feed_codec.encode_fault_report)
 encode_call.register(calls.PlaceLayers)(runner_codec.encode_placement)
 encode_call.register(calls.MoveRequest)(runner_codec.encode_move)
 
@@ -364,6 +365,14 @@
     return peer_feed_codec.decode_crash_answer(raw)
 
 
+@decode_success.register(calls.ReportFaults)
+def decode_fault_answer(
+    call: calls.ReportFaults, raw: wire.RawAnswer
+) -> calls.FaultsReported:
+    """Return that another instance has got a report of faults."""
+    return calls.FaultsReported()
+
+
 @decode_success.register(calls.CheckRunner)
 def decode_runner_check(
     call: calls.CheckRunner, raw: wire.RawAnswer
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -11,14 +11,14 @@
 LAYERS = (
     'instance_settings engines requests runners events effects timers'
     ' crash_evidence answer_bodies',
-    'configuration calls crash_reports loads retry_budgets exchanges'
+    'configuration calls crash_reports fault_reports loads retry_budgets exchanges'
     ' event_stream placement chains fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits',
     'configuration_feed',
     'runner_list orders',
-    'completion crash_tracking choices shortages dispatch hedges admission'
+    'completion crash_tracking fault_telling fault_moves runner_watch choices shortages dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
     ' reachability moves wait_release monitoring withdrawals lifecycle'
     ' failed_events',
