--- a/src/mustardvale/internal/relay/runner_watch.py
+++ b/src/mustardvale/internal/relay/runner_watch.py
@@ -29,8 +29,8 @@
 # Runners close idle connections after a fixed time. The first openings are
 # spread, so that those that follow are too.
 OPENING_SPREAD_SECONDS = 3.0
-# A connection that is lost sooner is opened again only after a while: the runner
-# may close each one that it has accepted.
+# A connection that is lost sooner has not lasted. A runner may close each one
+# that it has accepted.
 MINIMUM_OPEN_SECONDS = 1.0
 # A refusal that comes later after the loss may have another cause.
 MAXIMUM_REFUSAL_SECONDS = 1.0
@@ -259,12 +259,19 @@
 def reopen(
     address: str, watch: Watch, now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Open a connection again: at once if it has lasted, or else later."""
+    """Open a lost connection again.
+
+    The second one in a row that was lost soon is opened after a while.
+    """
     opened_at = now if watch.opened_at is None else watch.opened_at
-    if now - opened_at < MINIMUM_OPEN_SECONDS:
+    has_lasted = now - opened_at >= MINIMUM_OPEN_SECONDS
+    if watch.failure_count and not has_lasted:
         return back_off(address, watch, state)
     lost = dataclasses.replace(
-        watch, opened_at=None, lost_at=now, failure_count=0
+        watch,
+        opened_at=None,
+        lost_at=now,
+        failure_count=0 if has_lasted else 1,
     )
     return store_watch(address, lost, state)
 
