Merge the reports of runner faults to all instances

Readers watch a connection to each runner of their zone; crashes and stalls that one instance finds are told to all, which move their streams at once.

tests.test_relay_runner_faults, test_relay_common_crashes, test_relay_moves, test_relay_peer_feed, test_relay_crashed_runners, test_relay_silent_runners, test_relay_restored_store, test_relay_partitioned_instances and test_channels pass together (151 tests).

--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -24,6 +24,7 @@
     relay_server,
     relay_wire,
     store_client,
+    watched_connections,
 )
 from mustardvale.internal.relay import byte_budgets, connection_limits
 from mustardvale.internal.relay import events as relay_events
@@ -86,6 +87,9 @@
         self.upstreams = relay_client.RelayClient(
             self.channel_table, codecs.sends, self.emit_event
         )
+        self.watched = watched_connections.WatchedConnections(
+            self.channel_table, self.emit_event
+        )
         self.client = store_client.StoreClient(
             codecs.calls, self.poller, self.emit_event
         ).register(self)
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -167,6 +167,31 @@
     """Report that a runner accepts connections."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedFault:
+    """Hold a fault of a runner's process, and how long ago it was found.
+
+    An instance ignores a `kind` that it does not know.
+    """
+
+    runner_id: str
+    started_at_ms: int
+    kind: str
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportFaults:
+    """Report faults of runners to a reader."""
+
+    faults: tuple[ReportedFault, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultsReported:
+    """Confirm a report of faults."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowPeer:
     """Wait for the changes that another instance reads from the store.
@@ -174,9 +199,10 @@
     The positions are those up to which this instance has read.
     `members_checksum` is that of the members that it knows, and
     `crash_checksum` that of its evidence of crashes. `is_store_lost` is true if
-    the store does not answer this instance either. `era` is the era of the
-    store that the positions are from. `needs_complete_list` asks for all entries
-    instead of changes.
+    the store does not answer this instance either. `fault_position` is that of
+    the last update of the same reader, or `None` if this instance takes no
+    faults of runners. `era` is the era of the store that the positions are from.
+    `needs_complete_list` asks for all entries instead of changes.
     """
 
     list_position: int
@@ -186,6 +212,7 @@
     crash_checksum: int = 0
     era: int | None = None
     needs_complete_list: bool = False
+    fault_position: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,7 +226,8 @@
 
     `zone_members` and `readers` are the names of the members of the zone and of
     the readers of all zones. They are empty if the follower knows the same, and
-    so is the evidence of crashes.
+    so is the evidence of crashes. `faults` are recent faults of runners, empty
+    if the follower has been told all up to `fault_position`.
 
     `era` is the era of the store that the reader's positions are from. With
     `is_complete`, `changes` has all entries that the reader knows.
@@ -215,6 +243,8 @@
     crashes: ReportCrashes | None = None
     era: int | None = None
     is_complete: bool = False
+    faults: tuple[ReportedFault, ...] = ()
+    fault_position: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/handlers.py
+++ b/src/mustardvale/internal/relay/handlers.py
@@ -6,6 +6,8 @@
     configuration_feed,
     crash_tracking,
     failed_events,
+    fault_moves,
+    fault_telling,
     idle_connections,
     lifecycle,
     members,
@@ -18,6 +20,7 @@
     runner_list,
     startup_admission,
     store_copies,
+    runner_watch,
 )
 
 REGISTERED = (
@@ -26,6 +29,8 @@
     configuration_feed,
     crash_tracking,
     failed_events,
+    fault_moves,
+    fault_telling,
     idle_connections,
     lifecycle,
     members,
@@ -35,6 +40,7 @@
     peer_updates,
     runner_list,
     store_copies,
+    runner_watch,
     monitoring,
     startup_admission,
 )
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -8,6 +8,7 @@
     calls,
     configuration_feed,
     crash_tracking,
+    fault_moves,
     members,
     peer_feed,
     reducer,
@@ -44,15 +45,27 @@
     apply_list = (
         apply_complete_list if update.is_complete else apply_runner_changes
     )
+    listed = observed.then(
+        lambda current: apply_list(update, event.at, current)
+    )
     return (
-        observed.then(lambda current: apply_list(update, event.at, current))
-        .then(lambda current: apply_members(update, current))
-        .then(lambda current: apply_crashes(update, event.at, current))
+        listed.then(lambda current: apply_reports(update, event.at, current))
         .then(lambda current: apply_confirmation(update, event.at, current))
         .then(lambda current: runner_list.read_next(event.at, current))
     )
 
 
+def apply_reports(
+    update: calls.PeerUpdate, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Apply what an update tells of members, crashes and faults of runners."""
+    return (
+        apply_members(update, state)
+        .then(lambda current: apply_crashes(update, now, current))
+        .then(lambda current: fault_moves.apply_update(update, now, current))
+    )
+
+
 def is_applicable(
     call: calls.FollowPeer, update: calls.PeerUpdate, state: 'states.State'
 ) -> bool:
