Search chains over an index of what the runners' entries fix

The terms that follow from an entry and the engine are now indexed by zone in the state, and change with the runner list and the configuration. The search keeps scalars, prices a runner when it is reached, and skips layers from which no chain can stay below a known limit. The search of all zones enters a zone only by its cheapest ways.

The benchmark measures the search of all zones by the path of the product.

--- a/bench/chain_cost.py
+++ b/bench/chain_cost.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import random
 import statistics
 import time
@@ -24,6 +25,8 @@
     exchanges,
     instance_settings,
     loads,
+    part_costs,
+    part_terms,
     requests,
     runners,
 )
@@ -71,6 +74,7 @@
         }
     )
     service = configuration.Service(SERVICE, chain_placement.ENGINE)
+    index = runners.build_index(runner_map)
     return states.State(
         identity=instance_settings.Identity(
             'entry-1',
@@ -86,7 +90,10 @@
             )
         ),
         runners=runner_map,
-        runner_index=runners.build_index(runner_map),
+        runner_index=index,
+        part_terms=part_terms.update_index(
+            immutables.Map(), {SERVICE: service}, runner_map, index
+        ),
         loads=own_loads,
     )
 
@@ -117,16 +124,14 @@
 
 def search_all(
     exchange: exchanges.Exchange, now: float, state: states.State
-) -> requests.Chain | None:
+) -> choices.FoundChain | None:
     """Search the runners of all zones."""
     engine = chain_placement.ENGINE
-    return chains.find_chain(
-        engine,
-        choices.list_candidates(engine, SERVICE, now, state),
-        WORK,
-        chains.LayerSpan(0, engine.layer_count, ''),
-        state.seed,
-        choices.build_link_load_lookup(state),
+    conditions = part_costs.build_conditions(
+        engine, WORK, now, choices.build_known_loads(state)
+    )
+    return choices.find_site_chain(
+        engine, exchange, conditions, math.inf, state
     )
 
 
--- a/src/mustardvale/internal/relay/chains.py
+++ b/src/mustardvale/internal/relay/chains.py
@@ -7,21 +7,20 @@
 """
 
 import dataclasses
-import heapq
+import functools
 import random
+import typing
 from collections import abc
 
-from mustardvale.internal.relay import engines, loads, requests, runners
-
-# Runners with an estimated load of this share or more are left out. The limit
-# is above 1 because the load is an estimate: up to it the runner may still have
-# room, beyond it there certainly is none. A full runner refuses the request, or
-# repeats its prefill later, which delays the other requests of the runner too.
-FULL_LOAD_SHARE = 1.3
-# Up to this share the cost grows as in a queue, by 1 / (1 - share). Above it
-# the cost grows linearly, by `OVERFULL_FACTOR`.
-MAXIMUM_CROWDING_SHARE = 0.9
-OVERFULL_FACTOR = 10.0
+from mustardvale.internal.relay import (
+    chain_search,
+    engines,
+    loads,
+    part_terms,
+    requests,
+    runners,
+)
+
 # Multiplies the cost of a runner with recent failures.
 DEPRIORITIZED_FACTOR = 20.0
 # Cost of each crossing between zones. All requests share the link between two
@@ -32,12 +31,12 @@
 # idle link. At `FULL_LINK_REQUESTS` one more would make all of them late.
 BUSY_LINK_REQUESTS = 8.0
 FULL_LINK_REQUESTS = 32.0
-# Mean wait for the next step of a runner, added for each part.
-STEP_WAIT_SECONDS = 0.02
 # Largest random addition to a cost, as a share of it. It keeps instances from
 # choosing the same runners.
 JITTER_SHARE = 0.25
-MAXIMUM_CHAIN_PARTS = 32
+# The same chain costs at most this much more with other random additions.
+# Includes a margin for rounding.
+MAXIMUM_JITTER = (1 + JITTER_SHARE) * (1 + chain_search.ROUNDING_SHARE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,9 +113,6 @@
         engines.compute_token_capacity(engine, listed.accelerator, layers.count)
         * layers.count
     )
-    factor = DEPRIORITIZED_FACTOR if runner.deprioritized_until > now else 1.0
-    if runner.slowdown_until > now:
-        factor *= max(runner.slowdown, 1.0)
     return Candidate(
         listed.runner_id,
         listed.address,
@@ -127,22 +123,16 @@
         load.token_layers / capacity if capacity else 1.0,
         load.first_part_request_count / engine.slots,
         load.request_count,
-        factor,
+        compute_cost_factor(runner, now),
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PartCosts:
-    """Hold what a part on a candidate costs one request for each layer.
-
-    `memory_share_per_layer` is the share of its memory that the request takes.
-    `cost_factor` includes a random addition.
-    """
-
-    candidate: Candidate
-    seconds_per_layer: float
-    memory_share_per_layer: float
-    cost_factor: float
+def compute_cost_factor(runner: runners.Runner, now: float) -> float:
+    """Return the factor for recent failures and for a reported slowdown."""
+    factor = DEPRIORITIZED_FACTOR if runner.deprioritized_until > now else 1.0
+    if runner.slowdown_until > now:
+        factor *= max(runner.slowdown, 1.0)
+    return factor
 
 
 def build_part_costs(
@@ -150,7 +140,7 @@
     candidate: Candidate,
     work: Work,
     random_fraction: float,
-) -> PartCosts:
+) -> chain_search.PartCosts:
     """Return the costs of a candidate; the fraction is from 0 to 1."""
     step = engines.compute_step_seconds(
         engine, candidate.accelerator, 1, candidate.sequence_count
@@ -159,34 +149,16 @@
         engine, candidate.accelerator, 1, work.prompt_tokens
     )
     tokens = work.prompt_tokens + work.output_tokens
-    return PartCosts(
-        candidate,
-        step * work.output_tokens + prefill,
+    return chain_search.PartCosts(
+        candidate.layers.end,
+        candidate.memory_share,
         tokens / max(candidate.token_layer_capacity, 1.0),
+        step * work.output_tokens + prefill,
         candidate.cost_factor * (1 + JITTER_SHARE * random_fraction),
+        candidate.slot_share + 1 / engine.slots,
     )
 
 
-def compute_part_cost(
-    costs: PartCosts, first: int, end: int, slots: int
-) -> float | None:
-    """Return the cost of a part in seconds, or `None` if the runner is full."""
-    candidate = costs.candidate
-    layer_count = end - first
-    used_share = (
-        candidate.memory_share + costs.memory_share_per_layer * layer_count
-    )
-    if first == 0:
-        used_share = max(used_share, candidate.slot_share + 1 / slots)
-    if used_share >= FULL_LOAD_SHARE:
-        return None
-    crowding = 1 / (1 - min(used_share, MAXIMUM_CROWDING_SHARE))
-    if used_share > MAXIMUM_CROWDING_SHARE:
-        crowding *= 1 + (used_share - MAXIMUM_CROWDING_SHARE) * OVERFULL_FACTOR
-    seconds = costs.seconds_per_layer * layer_count + STEP_WAIT_SECONDS
-    return seconds * costs.cost_factor * crowding
-
-
 def compute_crossing_cost(
     engine: engines.Engine,
     source: str,
@@ -213,14 +185,6 @@
     return (CROSSING_SECONDS + transfer) * congestion + delays
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FoundChain:
-    """Hold a chain and its cost in seconds."""
-
-    cost: float
-    chain: requests.Chain
-
-
 def find_chain(
     engine: engines.Engine,
     candidates: abc.Sequence[Candidate],
@@ -233,122 +197,84 @@
 
     `find_link_load` returns the requests on the link between two zones.
     """
-    search = ChainSearch(engine, candidates, work, span, seed)
-    found = search.run(find_link_load)
-    return None if found is None else found.chain
-
-
-def find_zone_chain(
-    engine: engines.Engine,
-    candidates: abc.Sequence[Candidate],
-    work: Work,
-    seed: int,
-) -> FoundChain | None:
-    """Return the cheapest chain over all layers on runners of one zone."""
-    span = LayerSpan(0, engine.layer_count, '')
-    return ChainSearch(engine, candidates, work, span, seed).run(
-        assume_idle_link
+    draw = random.Random(seed).random
+    search = chain_search.build_search(
+        [
+            build_part_costs(engine, candidate, work, draw())
+            for candidate in candidates
+        ],
+        part_terms.index_layers(
+            engine.layer_count,
+            (
+                (candidate.layers.first, candidate.layers.end)
+                for candidate in candidates
+            ),
+        ),
     )
+    found = chain_search.find_site_parts(
+        search,
+        chain_search.SiteSpan(
+            [candidate.zone for candidate in candidates],
+            span.first,
+            span.end,
+            span.source_zone,
+        ),
+        build_crossing_lookup(engine, work, find_link_load),
+    )
+    return None if found is None else build_chain(found, candidates)
 
 
-class ChainSearch:
-    """Hold the cheapest chain found so far to each node."""
-
-    def __init__(
-        self,
-        engine: engines.Engine,
-        candidates: abc.Sequence[Candidate],
-        work: Work,
-        span: LayerSpan,
-        seed: int,
-    ) -> None:
-        self.engine = engine
-        self.work = work
-        self.span = span
-        random_source = random.Random(seed)
-        self.part_costs = [
-            build_part_costs(engine, candidate, work, random_source.random())
-            for candidate in candidates
-        ]
-        self.found: dict[int, dict[str, FoundChain]] = {
-            span.first: {span.source_zone: FoundChain(0.0, ())}
-        }
-        self.layers = [span.first]
-        self.crossing_costs: dict[tuple[str, str], float | None] = {}
-
-    def run(self, find_link_load: LinkLoadLookup) -> FoundChain | None:
-        """Return the cheapest chain to the end of the span.
-
-        A part always leads to a later layer. When a layer is the first of
-        those that are left, the chains to it are therefore final.
-        """
-        while self.layers:
-            layer = heapq.heappop(self.layers)
-            if layer >= self.span.end:
-                break
-            for costs in self.part_costs:
-                layers = costs.candidate.layers
-                if layers.first <= layer < layers.end:
-                    self.extend(layer, costs, find_link_load)
-        complete = self.found.get(self.span.end, {})
-        return min(
-            complete.values(), key=lambda found: found.cost, default=None
-        )
+def build_crossing_lookup(
+    engine: engines.Engine, work: Work, find_link_load: LinkLoadLookup
+) -> chain_search.CrossingLookup:
+    """Return a function that gives the cost of each crossing for a request.
 
-    def extend(
-        self, layer: int, costs: PartCosts, find_link_load: LinkLoadLookup
-    ) -> None:
-        """Extend the chains to a layer by a part on one runner."""
-        candidate = costs.candidate
-        end = min(candidate.layers.end, self.span.end)
-        part_cost = compute_part_cost(costs, layer, end, self.engine.slots)
-        if part_cost is None:
-            return
-        for zone, before in self.found[layer].items():
-            crossing = self.find_crossing_cost(
-                zone, candidate.zone, find_link_load
-            )
-            if crossing is None:
-                continue
-            cost = before.cost + part_cost + crossing
-            if self.is_cheapest(candidate.zone, end, cost):
-                self.record(before, candidate, end, cost)
-
-    def is_cheapest(self, zone: str, end: int, cost: float) -> bool:
-        """Return whether no chain to a layer and zone is known to be cheaper."""
-        known = self.found.get(end, {}).get(zone)
-        return known is None or cost < known.cost
-
-    def record(
-        self, before: FoundChain, candidate: Candidate, end: int, cost: float
-    ) -> None:
-        """Store the chain that is extended by a candidate up to a layer."""
-        if len(before.chain) >= MAXIMUM_CHAIN_PARTS:
-            return
-        first = before.chain[-1].end_layer if before.chain else self.span.first
-        part = requests.ChainPart(
-            candidate.runner_id, candidate.address, first, end, candidate.zone
-        )
-        if end not in self.found:
-            self.found[end] = {}
-            heapq.heappush(self.layers, end)
-        self.found[end][candidate.zone] = FoundChain(
-            cost, (*before.chain, part)
-        )
+    It returns `None` if the link is full.
+    """
 
-    def find_crossing_cost(
-        self, source: str, target: str, find_link_load: LinkLoadLookup
-    ) -> float | None:
-        """Return the cost of a crossing, or `None` if its link is full."""
+    @functools.cache
+    def find_crossing(source: str, target: str) -> float | None:
         if not source or source == target:
             return 0.0
-        pair = (source, target)
-        if pair not in self.crossing_costs:
-            self.crossing_costs[pair] = compute_crossing_cost(
-                self.engine,
-                source,
-                target,
-                self.work,
-                find_link_load(source, target),
+        link_requests = find_link_load(source, target)
+        return compute_crossing_cost(
+            engine, source, target, work, link_requests
+        )
+
+    return find_crossing
+
+
+class Place(typing.Protocol):
+    """Name what a chain shows of a runner."""
+
+    @property
+    def runner_id(self) -> str:
+        """Return the id of the runner."""
+
+    @property
+    def address(self) -> str:
+        """Return its address."""
+
+    @property
+    def zone(self) -> str:
+        """Return its zone."""
+
+
+def build_chain(
+    found: chain_search.FoundParts, places: abc.Sequence[Place | None]
+) -> requests.Chain:
+    """Return the chain of the parts that a search has found."""
+    chain = []
+    for part in found.parts:
+        place = places[part.position]
+        assert place is not None, 'a runner without layers is in no chain'
+        chain.append(
+            requests.ChainPart(
+                place.runner_id,
+                place.address,
+                part.first_layer,
+                part.end_layer,
+                place.zone,
             )
-        return self.crossing_costs[pair]
+        )
+    return tuple(chain)
--- a/src/mustardvale/internal/relay/choices.py
+++ b/src/mustardvale/internal/relay/choices.py
@@ -1,17 +1,22 @@
 """Choose an upstream for a request."""
 
 import dataclasses
+import itertools
+import math
 import random
 import typing
 
 from mustardvale.internal import draws
 from mustardvale.internal.relay import (
+    chain_search,
     chains,
     configuration,
     engines,
     exchanges,
     loads,
     members,
+    part_costs,
+    part_terms,
     requests,
     runners,
 )
@@ -42,6 +47,14 @@
     estimated_tokens: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundChain:
+    """Hold a chain and its cost in seconds."""
+
+    cost: float
+    chain: requests.Chain
+
+
 def find_service(
     exchange: exchanges.Exchange, state: 'states.State'
 ) -> configuration.Service | None:
@@ -166,45 +179,133 @@
     crossing between zones, or there is none, all runners are searched.
     """
     work = estimate_work(exchange, engine)
-    chain = choose_zone_chain(engine, exchange, work, now, state)
-    if chain is None:
-        listed = list_candidates(engine, exchange.service, now, state)
-        chain = chains.find_chain(
-            engine,
-            exclude_tried(listed, exchange),
-            work,
-            chains.LayerSpan(0, engine.layer_count, ''),
-            state.seed,
-            build_link_load_lookup(state),
-        )
-    if not chain:
+    found = find_cheap_chain(engine, exchange, now, state)
+    if found is None:
         return None
+    first = found.chain[0]
     tokens = work.prompt_tokens + work.output_tokens * MEAN_OUTPUT_SHARE
-    return Target(chain[0].runner_id, chain[0].address, chain, tokens)
+    return Target(first.runner_id, first.address, found.chain, tokens)
 
 
-def choose_zone_chain(
+def find_cheap_chain(
     engine: engines.Engine,
     exchange: exchanges.Exchange,
-    work: chains.Work,
     now: float,
     state: 'states.State',
-) -> requests.Chain | None:
-    """Return the cheaper of the chains within two zones, if it is cheap."""
-    best: chains.FoundChain | None = None
+) -> FoundChain | None:
+    """Return the cheaper chain of two zones, or else the cheapest of all."""
+    conditions = part_costs.build_conditions(
+        engine, estimate_work(exchange, engine), now, build_known_loads(state)
+    )
+    found = find_zone_chain(engine, exchange, conditions, state)
+    if found is not None and found.cost <= chains.CROSSING_SECONDS:
+        return found
+    limit = math.inf if found is None else found.cost * chains.MAXIMUM_JITTER
+    return find_site_chain(engine, exchange, conditions, limit, state)
+
+
+def build_known_loads(state: 'states.State') -> loads.KnownLoads:
+    """Return what the estimates of total loads are derived from."""
+    return loads.KnownLoads(
+        state.loads, state.mean_loads, members.count_instances(state)
+    )
+
+
+def find_zone_chain(
+    engine: engines.Engine,
+    exchange: exchanges.Exchange,
+    conditions: part_costs.Conditions,
+    state: 'states.State',
+) -> FoundChain | None:
+    """Return the cheaper of the chains within two zones."""
+    best: FoundChain | None = None
     for zone in pick_zones(exchange.service, state):
-        listed = runners.list_zone_runners(
-            state.runners, state.runner_index, exchange.service, zone
+        listed, terms = list_zone(engine, exchange.service, zone, state)
+        priced = part_costs.price_runners(
+            terms.parts,
+            listed,
+            exchange.tried_runner_ids,
+            state.seed,
+            conditions,
         )
-        candidates = build_candidates(engine, listed, now, state)
-        found = chains.find_zone_chain(
-            engine, exclude_tried(candidates, exchange), work, state.seed
+        limit = part_costs.compute_idle_limit(terms, priced)
+        if best is not None:
+            limit = min(limit, best.cost)
+        found = chain_search.find_zone_parts(
+            chain_search.Search(
+                list(itertools.repeat(None, len(listed))),
+                priced.build_costs,
+                terms.positions_by_layer,
+                part_costs.compute_least_costs(terms.least_terms, conditions),
+                limit,
+            )
         )
         if found is not None and (best is None or found.cost < best.cost):
-            best = found
-    if best is None or best.cost > chains.CROSSING_SECONDS:
+            best = FoundChain(
+                found.cost, chains.build_chain(found, terms.parts)
+            )
+    return best
+
+
+def find_site_chain(
+    engine: engines.Engine,
+    exchange: exchanges.Exchange,
+    conditions: part_costs.Conditions,
+    limit: float,
+    state: 'states.State',
+) -> FoundChain | None:
+    """Return the cheapest chain on the runners of all zones.
+
+    Chains that cost more than `limit` seconds are not searched.
+    """
+    listed: list[runners.Runner] = []
+    parts: list[part_terms.PartTerms | None] = []
+    for zone in sorted(state.runner_index.get(exchange.service, ())):
+        zone_runners, terms = list_zone(engine, exchange.service, zone, state)
+        listed += zone_runners
+        parts += terms.parts
+    priced = part_costs.price_runners(
+        parts, listed, exchange.tried_runner_ids, state.seed, conditions
+    )
+    positions_by_layer = part_terms.index_parts(engine.layer_count, parts)
+    least_costs = part_costs.compute_least_costs(
+        part_terms.build_least_terms(parts, positions_by_layer), conditions
+    )
+    found = chain_search.find_site_parts(
+        chain_search.Search(
+            list(itertools.repeat(None, len(listed))),
+            priced.build_costs,
+            positions_by_layer,
+            least_costs,
+            limit,
+        ),
+        chain_search.SiteSpan(
+            [runner.listed.availability_zone for runner in listed],
+            0,
+            engine.layer_count,
+            '',
+        ),
+        chains.build_crossing_lookup(
+            engine,
+            estimate_work(exchange, engine),
+            build_link_load_lookup(state),
+        ),
+    )
+    if found is None:
         return None
-    return best.chain
+    return FoundChain(found.cost, chains.build_chain(found, parts))
+
+
+def list_zone(
+    engine: engines.Engine, service: str, zone: str, state: 'states.State'
+) -> tuple[tuple[runners.Runner, ...], part_terms.ZoneTerms]:
+    """Return the runners of a service in one zone, and their terms."""
+    listed = runners.list_zone_runners(
+        state.runners, state.runner_index, service, zone
+    )
+    return listed, part_terms.find_zone_terms(
+        state.part_terms, engine, service, zone, listed
+    )
 
 
 def pick_zones(service: str, state: 'states.State') -> tuple[str, ...]:
@@ -222,17 +323,6 @@
     return tuple(picked)
 
 
-def exclude_tried(
-    candidates: list[chains.Candidate], exchange: exchanges.Exchange
-) -> list[chains.Candidate]:
-    """Return the candidates that have not refused or failed a request."""
-    return [
-        candidate
-        for candidate in candidates
-        if candidate.runner_id not in exchange.tried_runner_ids
-    ]
-
-
 def build_link_load_lookup(state: 'states.State') -> chains.LinkLoadLookup:
     """Return a function that estimates the requests on a link of two zones.
 
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -14,6 +14,7 @@
     configuration,
     exchanges,
     limit_shares,
+    part_terms,
     peer_feed,
     reducer,
     retry_budgets,
@@ -241,6 +242,8 @@
             compute_initial_retries(now, state),
         ),
     )
+    if active is not known.active:
+        next_state = index_part_terms(next_state)
     adopted: reducer.Transition = transitions.Transition(
         next_state, change_effects
     )
@@ -251,6 +254,17 @@
     return adopted.then(lambda current: poll_next(current, now))
 
 
+def index_part_terms(state: 'states.State') -> 'states.State':
+    """Return the state with the terms of its runners under its services."""
+    active = state.configuration.active
+    if active is None:
+        return state
+    terms = part_terms.update_index(
+        state.part_terms, active.services, state.runners, state.runner_index
+    )
+    return dataclasses.replace(state, part_terms=terms)
+
+
 def compute_initial_retries(now: float, state: 'states.State') -> float:
     """Return the retries for a service that a version adds.
 
--- a/src/mustardvale/internal/relay/engines.py
+++ b/src/mustardvale/internal/relay/engines.py
@@ -90,18 +90,23 @@
     return min(int(layer_count), engine.layer_count)
 
 
+def compute_sequence_seconds(engine: Engine) -> float:
+    """Return the time that each sequence adds to a step of all layers."""
+    context_thousands = engine.typical_prompt_tokens / TOKENS_PER_THOUSAND
+    return (
+        engine.step_seconds_per_sequence
+        + engine.step_seconds_per_thousand_tokens * context_thousands
+    )
+
+
 def compute_step_seconds(
     engine: Engine, accelerator: str, layer_count: int, sequence_count: float
 ) -> float:
     """Return the time of one decoding step for a batch of sequences."""
     kind = engine.accelerators[accelerator]
-    context_thousands = engine.typical_prompt_tokens / TOKENS_PER_THOUSAND
-    per_sequence = (
-        engine.step_seconds_per_sequence
-        + engine.step_seconds_per_thousand_tokens * context_thousands
-    )
     all_layers_seconds = (
-        engine.base_step_seconds + per_sequence * sequence_count
+        engine.base_step_seconds
+        + compute_sequence_seconds(engine) * sequence_count
     )
     return (
         compute_layer_share(engine, layer_count)
--- a/src/mustardvale/internal/relay/loads.py
+++ b/src/mustardvale/internal/relay/loads.py
@@ -42,6 +42,19 @@
 LoadMap: typing.TypeAlias = 'immutables.Map[str, Load]'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownLoads:
+    """Hold what the estimates of total loads are derived from.
+
+    `own` and `means` are the current and mean loads by this instance, and
+    `instance_count` is the estimated number of instances.
+    """
+
+    own: LoadMap
+    means: LoadMap
+    instance_count: int
+
+
 def add_chain(
     load_map: LoadMap, chain: requests.Chain, tokens: float, sign: int
 ) -> LoadMap:
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -241,16 +241,19 @@
                 'store_regained', (('what', 'upstream list'),)
             ),
         )
-    return transitions.Transition(
-        dataclasses.replace(
-            state,
-            runner_list=list_state,
-            runners=runner_map,
-            runner_index=state.runner_index
-            if runner_map is state.runners
-            else runners.build_index(runner_map),
-        ),
-        log_effects,
+    next_state = dataclasses.replace(
+        state, runner_list=list_state, runners=runner_map
+    )
+    if runner_map is not state.runners:
+        next_state = index_runners(next_state)
+    return transitions.Transition(next_state, log_effects)
+
+
+def index_runners(state: 'states.State') -> 'states.State':
+    """Return the state with the indexes of its runners."""
+    index = runners.build_index(state.runners)
+    return configuration_feed.index_part_terms(
+        dataclasses.replace(state, runner_index=index)
     )
 
 
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -125,6 +125,16 @@
         """Return whether the process has asked for none in its answers."""
         return self.is_leaving or self.waits_until > now
 
+    def may_get_requests(self, now: float) -> bool:
+        """Return whether there is no obstacle, without naming one."""
+        if self.waits_until > now or self.excluded_until > now:
+            return False
+        return (
+            self.delisted_at is None
+            and not self.is_leaving
+            and self.listed.state is ListedState.READY
+        )
+
     def find_obstacle(self, now: float) -> 'Obstacle | None':
         """Return why the upstream may get no request now, if it may not."""
         if self.is_usable:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -14,6 +14,7 @@
 from mustardvale.internal.relay import loads as load_tables
 from mustardvale.internal.relay import members as member_tables
 from mustardvale.internal.relay import orders as order_tables
+from mustardvale.internal.relay import part_terms as part_term_tables
 from mustardvale.internal.relay import peer_feed as peer_feeds
 from mustardvale.internal.relay import retry_budgets as retry_budget_tables
 from mustardvale.internal.relay import runner_list as runner_lists
@@ -60,6 +61,7 @@
     runner_list: runner_lists.RunnerListState = runner_lists.RunnerListState()
     runners: runner_tables.RunnerMap = immutables.Map()
     runner_index: runner_tables.RunnerIndex = immutables.Map()
+    part_terms: part_term_tables.TermsIndex = immutables.Map()
     members: member_tables.MemberState = member_tables.MemberState()
     orders: order_tables.OrderState = order_tables.OrderState()
     loads: load_tables.LoadMap = immutables.Map()
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -12,7 +12,8 @@
     'instance_settings engines requests runners events effects timers'
     ' crash_evidence answer_bodies',
     'configuration calls crash_reports loads retry_budgets exchanges'
-    ' event_stream placement chains fingerprints prompt_blocks',
+    ' event_stream placement chain_search part_terms chains part_costs'
+    ' fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits',
