Skip parts that are too expensive even on an idle runner

Of 82 runners of two zones, 46 were priced with their loads for one choice, although a chain has about four parts. A part that exceeds the limit at the idle speed of its accelerator is now skipped without looking up loads.

--- a/src/mustardvale/internal/relay/chain_search.py
+++ b/src/mustardvale/internal/relay/chain_search.py
@@ -118,6 +118,7 @@
     positions_by_layer: PositionsByLayer
     least_costs: abc.Sequence[float]
     limit: float = math.inf
+    least_parts: abc.Sequence[tuple[int, float]] = ()
 
     def find_costs(self, position: int) -> PartCosts:
         """Return the costs of a runner."""
@@ -165,10 +166,15 @@
     def extend(self, layer: int, search: Search) -> None:
         """Extend the way to a layer by a part on each runner that holds it."""
         cost_before = self.costs[layer]
+        cost_left = search.limit - cost_before
         cost_list, build_costs = search.cost_list, search.build_costs
         for position in search.positions_by_layer[layer]:
             costs = cost_list[position]
             if costs is None:
+                end, layer_seconds = search.least_parts[position]
+                part_cost = layer_seconds * (end - layer)
+                if part_cost + search.least_costs[end] > cost_left:
+                    continue
                 costs = build_costs(position)
                 cost_list[position] = costs
             end = costs.end
--- a/src/mustardvale/internal/relay/choices.py
+++ b/src/mustardvale/internal/relay/choices.py
@@ -238,6 +238,7 @@
                 terms.positions_by_layer,
                 part_costs.compute_least_costs(terms.least_terms, conditions),
                 limit,
+                part_costs.compute_least_parts(terms.part_shares, conditions),
             )
         )
         if found is not None and (best is None or found.cost < best.cost):
--- a/src/mustardvale/internal/relay/part_costs.py
+++ b/src/mustardvale/internal/relay/part_costs.py
@@ -160,6 +160,19 @@
     ]
 
 
+def compute_least_parts(
+    part_shares: abc.Sequence[tuple[int, float, float]], conditions: Conditions
+) -> list[tuple[int, float]]:
+    """Return the end of each part and its least seconds for each layer."""
+    share = 1 - chain_search.ROUNDING_SHARE
+    step = conditions.step_seconds * conditions.output_tokens * share
+    prefill = conditions.prefill_seconds * share
+    return [
+        (end, step_share * step + prefill_share * prefill)
+        for end, step_share, prefill_share in part_shares
+    ]
+
+
 def compute_idle_limit(
     terms: part_terms.ZoneTerms, priced: PricedRunners
 ) -> float:
--- a/src/mustardvale/internal/relay/part_terms.py
+++ b/src/mustardvale/internal/relay/part_terms.py
@@ -52,7 +52,8 @@
     `listed` are the entries from which the terms were built, and `parts` has
     the terms of each, or `None` for a runner that cannot run layers.
     `positions_by_layer` has, for each layer, the positions of the runners that
-    hold it. `least_terms` bounds the cost of chains from each layer on, and
+    hold it. `part_shares` repeats the end and the shares of each part, with
+    zeros for `None`. `least_terms` bounds the cost of chains from each layer on, and
     `idle_parts` is the cheapest chain for a typical request without any load.
     """
 
@@ -60,6 +61,7 @@
     listed: tuple[runners.ListedRunner, ...]
     parts: tuple[PartTerms | None, ...]
     positions_by_layer: tuple[tuple[int, ...], ...]
+    part_shares: tuple[tuple[int, float, float], ...]
     least_terms: tuple[LeastTerms, ...]
     idle_parts: tuple[chain_search.FoundPart, ...]
 
@@ -107,6 +109,12 @@
         listed,
         parts,
         positions_by_layer,
+        tuple(
+            (0, 0.0, 0.0)
+            if part is None
+            else (part.end, part.step_share, part.prefill_share)
+            for part in parts
+        ),
         least_terms,
         find_idle_parts(engine, parts, positions_by_layer),
     )
