Check only the requests that can need a check

Each check of the open requests ran seven functions for each stream, most of which make progress, and then computed the time of their next check. That time is now computed first. A request whose time has not come is skipped, unless a send of it may have to be withdrawn.

--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import typing
+from collections import abc
 
 from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
@@ -74,24 +75,65 @@
             )
         )
         .then(lambda current: wait_release.release_waiting(event.at, current))
+        .then(lambda current: check_due(event.at, current))
+    )
+
+
+def check_due(now: float, state: 'states.State') -> reducer.Transition:
+    """Check the requests that can need it now, and schedule the next check.
+
+    Most streams make progress. For them, one comparison of times is enough.
+    """
+    due_ids = []
+    next_at = now + check_schedule.MAXIMUM_CHECK_SECONDS
+    for request_id, exchange in state.exchanges.items():
+        check_at = find_check_time(exchange, now, state)
+        if check_at <= now or has_unsent_attempt(exchange):
+            due_ids.append(request_id)
+        elif check_at < next_at:
+            next_at = check_at
+    return (
+        transitions.Transition(state)
         .then_each(
-            state.exchanges,
+            due_ids,
             lambda request_id, current: check_exchange(
-                request_id, event.at, current
+                request_id, now, current
             ),
         )
-        .then(lambda current: schedule_next(event.at, current))
+        .then(lambda current: schedule_after(due_ids, next_at, now, current))
     )
 
 
+def has_unsent_attempt(exchange: exchanges.Exchange) -> bool:
+    """Return whether a send may have to be withdrawn."""
+    for attempt in exchange.attempts:
+        if not attempt.is_sent:
+            return True
+    return False
+
+
 def schedule_next(now: float, state: 'states.State') -> reducer.Transition:
     """Schedule the next check for when the first request can need it."""
+    latest_at = now + check_schedule.MAXIMUM_CHECK_SECONDS
+    return schedule_after(tuple(state.exchanges), latest_at, now, state)
+
+
+def schedule_after(
+    checked_ids: abc.Sequence[str],
+    next_at: float,
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Schedule the check that follows one of some requests.
+
+    `next_at` is when the first of the others can need one.
+    """
     due_times = [
-        find_check_time(exchange, now, state)
-        for exchange in state.exchanges.values()
+        find_check_time(state.exchanges[request_id], now, state)
+        for request_id in checked_ids
+        if request_id in state.exchanges
     ]
-    due_at = min(due_times, default=now + check_schedule.MAXIMUM_CHECK_SECONDS)
-    return check_schedule.set_check(due_at, now, state)
+    return check_schedule.set_check(min([next_at, *due_times]), now, state)
 
 
 def find_check_time(
