Merge the index of what a choice of a chain needs

The search keeps what follows from the entries of runners in an index, and a check looks only at the requests that can need it; the choices are the same.

--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -14,6 +14,7 @@
     configuration,
     exchanges,
     limit_shares,
+    part_terms,
     peer_feed,
     reducer,
     retry_budgets,
@@ -287,6 +288,8 @@
             compute_initial_retries(now, state),
         ),
     )
+    if active is not known.active:
+        next_state = index_part_terms(next_state)
     adopted: reducer.Transition = transitions.Transition(
         next_state, change_effects
     )
@@ -326,6 +329,17 @@
     )
 
 
+def index_part_terms(state: 'states.State') -> 'states.State':
+    """Return the state with the terms of its runners under its services."""
+    active = state.configuration.active
+    if active is None:
+        return state
+    terms = part_terms.update_index(
+        state.part_terms, active.services, state.runners, state.runner_index
+    )
+    return dataclasses.replace(state, part_terms=terms)
+
+
 def compute_initial_retries(now: float, state: 'states.State') -> float:
     """Return the retries for a service that a version adds.
 
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -13,7 +13,8 @@
     ' crash_evidence answer_bodies byte_budgets connection_limits',
     'configuration calls crash_reports fault_reports loads retry_budgets'
     ' exchanges'
-    ' event_stream placement chains fingerprints prompt_blocks',
+    ' event_stream placement chain_search part_terms chains part_costs'
+    ' fingerprints prompt_blocks',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits startup_waits store_copies',
