--- a/tests/test_faulty_upstreams.py
+++ b/tests/test_faulty_upstreams.py
@@ -400,8 +400,8 @@
         """Ignore the call."""
 
 
-class CallAnswers(unittest.TestCase):
-    """A call never gets the answer to an earlier call of its connection."""
+class CallCase(unittest.TestCase):
+    """Drive the client of calls with the bytes of one connection."""
 
     def setUp(self) -> None:
         self.answers: list[bytes] = []
@@ -436,6 +436,10 @@
         self.server.sendall(received)
         self.client.on_readable(self.sock)
 
+
+class CallAnswers(CallCase):
+    """A call never gets the answer to an earlier call of its connection."""
+
     def test_second_copy_with_the_answer(self) -> None:
         """Guard against keeping a copy for the next call."""
         self.receive(encode_answer('', b'one') * 2)
