Decide in one place what a valid answer of another process is

h11 accepts any status of three digits and any version, and waits for a status line behind an interim answer that has a body. Callers got status 600 and 999, and requests stayed open until their deadline.

answer_rules decides on version, status, framing and the bytes behind an interim answer, 204 or 304; the clients of upstreams and of calls fail what it rejects as malformed and close the connection. A connection is not used again after a 304 that announces a body, which may come late.

--- a/src/mustardvale/internal/edge/connections.py
+++ b/src/mustardvale/internal/edge/connections.py
@@ -29,6 +29,8 @@
         self.is_ended = False
         self.connection: Connection | None = None
         self.status = 0
+        self.interim_answers = 0
+        self.may_have_rest = False
         self.headers: immutables.Map[str, str] = immutables.Map()
         self.received = bytearray()
 
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -13,7 +13,12 @@
 import immutables
 
 from mustardvale.internal import addresses, events
-from mustardvale.internal.edge import connections, timer_queue, wire
+from mustardvale.internal.edge import (
+    answer_rules,
+    connections,
+    timer_queue,
+    wire,
+)
 
 MAXIMUM_CONNECTIONS_PER_ADDRESS = 64
 MAXIMUM_WAITING_CALLS_PER_ADDRESS = 4096
@@ -239,12 +244,27 @@
             has_more = True
             while has_more:
                 has_more = self.handle_next_event(connection)
+            if connection.protocol.their_state is h11.SEND_RESPONSE:
+                self.check_start(connection)
         except h11.RemoteProtocolError as error:
             kind = events.FailureKind.MALFORMED
             if not received:
                 kind = events.FailureKind.CLOSED
             self.close_and_fail(connection, kind, str(error))
 
+    def check_start(self, connection: connections.Connection) -> None:
+        """Fail a call if what was received does not begin an answer."""
+        unread, _ = connection.protocol.trailing_data
+        self.fail_malformed(connection, answer_rules.find_start_fault(unread))
+
+    def fail_malformed(
+        self, connection: connections.Connection, fault: str
+    ) -> bool:
+        """Fail a call whose answer has a fault; return whether it has."""
+        if fault:
+            self.close_and_fail(connection, events.FailureKind.MALFORMED, fault)
+        return bool(fault)
+
     def handle_next_event(self, connection: connections.Connection) -> bool:
         """Handle one protocol event; return whether there may be another."""
         event = connection.protocol.next_event()
@@ -293,6 +313,10 @@
         pending: connections.PendingCall,
     ) -> None:
         """Report a complete answer and reuse or close its connection."""
+        unread, _ = connection.protocol.trailing_data
+        fault = answer_rules.find_rest_fault(pending.status, unread)
+        if self.fail_malformed(connection, fault):
+            return
         connection.pending = None
         answer = wire.RawAnswer(
             pending.status,
@@ -304,7 +328,7 @@
             protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         )
         # What follows an answer would be taken for the answer to the next call.
-        if is_complete and not protocol.trailing_data[0]:
+        if is_complete and not unread and not pending.may_have_rest:
             protocol.start_next_cycle()
             self.release_connection(connection)
         else:
@@ -449,6 +473,21 @@
     """Handle a protocol event; other types carry nothing to handle."""
 
 
+@handle_protocol_event.register(h11.InformationalResponse)
+def handle_interim_answer(
+    event: h11.InformationalResponse,
+    client: HttpClient,
+    connection: connections.Connection,
+    pending: connections.PendingCall,
+) -> None:
+    """Skip an interim answer, or fail the call if it is malformed."""
+    pending.interim_answers += 1
+    fault = answer_rules.find_interim_fault(
+        event.status_code, event.headers, pending.interim_answers
+    )
+    client.fail_malformed(connection, fault)
+
+
 @handle_protocol_event.register(h11.Response)
 def handle_response_head(
     event: h11.Response,
@@ -456,7 +495,15 @@
     connection: connections.Connection,
     pending: connections.PendingCall,
 ) -> None:
-    """Store the status and headers of an answer."""
+    """Store the status and headers of an answer, or fail a malformed one."""
+    fault = answer_rules.find_head_fault(
+        event.http_version, event.status_code, event.headers
+    )
+    if client.fail_malformed(connection, fault):
+        return
+    pending.may_have_rest = answer_rules.may_have_rest(
+        event.status_code, event.headers
+    )
     pending.status = event.status_code
     pending.headers = immutables.Map(
         {
--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -14,7 +14,7 @@
 import h11
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import channels, relay_wire
+from mustardvale.internal.edge import answer_rules, channels, relay_wire
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import events as relay_events
 
@@ -28,7 +28,6 @@
 # Bytes of skipped answers after which a send fails. A faulty upstream may send
 # without end.
 MAXIMUM_SKIPPED_BYTES = 1024 * 1024
-MAXIMUM_INTERIM_ANSWERS = 8
 
 
 class UpstreamConnection:
@@ -46,6 +45,10 @@
         self.skipped_answers = 0
         self.skipped_bytes = 0
         self.interim_answers = 0
+        self.awaits_head = True
+        # The status of the answer, and whether bytes may follow its end.
+        self.status = 0
+        self.may_have_rest = False
         self.is_reused = False
         self.reusable_until = 0.0
         self.idle_since = 0.0
@@ -153,18 +156,45 @@
             while has_more:
                 event = connection.protocol.next_event()
                 has_more = handle_protocol_event(event, connection, self)
+            if connection.awaits_head:
+                self.check_start(connection)
         except h11.RemoteProtocolError as error:
             kind = events.FailureKind.MALFORMED
             if not received:
                 kind = events.FailureKind.CLOSED
             self.fail_send(connection, kind, str(error))
 
+    def check_start(self, connection: UpstreamConnection) -> None:
+        """Fail a send if what was received does not begin an answer."""
+        unread, _ = connection.protocol.trailing_data
+        self.fail_malformed(connection, answer_rules.find_start_fault(unread))
+
+    def fail_malformed(
+        self, connection: UpstreamConnection, fault: str
+    ) -> bool:
+        """Fail a send whose answer has a fault; return whether it has."""
+        if fault:
+            self.fail_send(connection, events.FailureKind.MALFORMED, fault)
+        return bool(fault)
+
     def handle_head(
         self, connection: UpstreamConnection, event: h11.Response
     ) -> bool:
         """Report the head of an answer, or skip an answer to another request."""
         effect = connection.effect
         assert effect is not None, 'an answer belongs to a send'
+        connection.awaits_head = False
+        connection.status = event.status_code
+        connection.may_have_rest = answer_rules.may_have_rest(
+            event.status_code, event.headers
+        )
+        if self.fail_malformed(
+            connection,
+            answer_rules.find_head_fault(
+                event.http_version, event.status_code, event.headers
+            ),
+        ):
+            return False
         received = read_head(event)
         if not self.codec.is_answer_to(
             effect.request, received, connection.is_reused
@@ -218,14 +248,14 @@
         connection: UpstreamConnection,
         event: h11.InformationalResponse,
     ) -> bool:
-        """Skip an interim answer; fail a send that gets too many."""
+        """Skip an interim answer; fail a send that gets a malformed one."""
         connection.interim_answers += 1
-        if connection.interim_answers <= MAXIMUM_INTERIM_ANSWERS:
-            return self.report_interim_answer(connection, event)
-        self.fail_send(
-            connection, events.FailureKind.MALFORMED, 'too many interim answers'
+        fault = answer_rules.find_interim_fault(
+            event.status_code, event.headers, connection.interim_answers
         )
-        return False
+        if self.fail_malformed(connection, fault):
+            return False
+        return self.report_interim_answer(connection, event)
 
     def report_interim_answer(
         self,
@@ -250,6 +280,10 @@
         assert effect is not None, 'an answer belongs to a send'
         if connection.skips_answer:
             return self.await_next_answer(connection)
+        unread, _ = connection.protocol.trailing_data
+        fault = answer_rules.find_rest_fault(connection.status, unread)
+        if self.fail_malformed(connection, fault):
+            return False
         del self.sends[effect.send_id]
         connection.effect = None
         connection.encoded = None
@@ -271,6 +305,7 @@
             )
             return False
         connection.skips_answer = False
+        connection.awaits_head = True
         connection.protocol = h11.Connection(h11.CLIENT)
         serialize_request(connection.protocol, connection.encoded)
         if unparsed:
@@ -288,11 +323,11 @@
         # An answer without a length ends with its connection, but leaves h11 in
         # the same state as one after which the connection may be reused.
         unread, has_ended = protocol.trailing_data
-        has_unsent_or_unread = channel.output or unread
+        has_rest = connection.may_have_rest or channel.output or unread
         is_reusable = (
             is_complete
             and not has_ended
-            and not has_unsent_or_unread
+            and not has_rest
             and connection.reusable_until > time.monotonic()
         )
         idle = self.idle_connections.setdefault(connection.address, [])
@@ -303,6 +338,7 @@
         connection.skipped_answers = 0
         connection.skipped_bytes = 0
         connection.interim_answers = 0
+        connection.awaits_head = True
         connection.is_reused = True
         connection.idle_since = time.monotonic()
         self.channel_table.resume_reading(channel)
