Do not count a malformed answer as the reset of an idle connection

A malformed answer on a reused connection lowered the time for which all connections may be idle: one faulty runner made connections to the sound ones short-lived.

Only failures that are no malformed answer lower it now.

--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -340,7 +340,8 @@
             open_attempt.attempt, event.at, state
         )
     limited: reducer.Transition = transitions.Transition(state)
-    if open_attempt.attempt.head is None:
+    is_malformed = event.failure.kind is events.FailureKind.MALFORMED
+    if open_attempt.attempt.head is None and not is_malformed:
         limited = idle_connections.record_reset(event.idle_seconds, state)
     noted = limited.then(
         lambda current: crash_tracking.note_lost_send(
--- a/tests/test_answer_rules.py
+++ b/tests/test_answer_rules.py
@@ -160,15 +160,19 @@
         instance.receive_request('r1', '/write/x')
         send_id = instance.start_send()
         runner_id = instance.sends[0].request.runner_id
+        idle_seconds = instance.state.maximum_idle_seconds
         instance.emit_event(
             relay_events.SendFailed,
             send_id=send_id,
             failure=events.Failure(events.FailureKind.MALFORMED, True),
+            idle_seconds=2.0,
         )
         self.assertEqual(502, instance.replies['r1'].status)
         self.assertGreater(
             instance.state.runners[runner_id].consecutive_failures, 0
         )
+        # A malformed answer is no reset of an idle connection.
+        self.assertEqual(idle_seconds, instance.state.maximum_idle_seconds)
 
 
 class Callers(test_relay_processes.RelayCase):
