Add an order over waiting requests and times to return

Requests without an upstream were refused after a tenth of their target time, whatever their priority, account, size and remaining time.

waiting_order decides in which order requests are sent, which ones wait and which yield: urgency raised by age, requests that smaller ones have passed, returning callers, the usage of the account by weight, the time left. It uses the rule of the product's queue for skipped priorities. return_times tells refused callers when capacity is expected for them. Both are pure; nothing uses them yet. test_relay_layers passes.

--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -12,7 +12,8 @@
     'instance_settings engines requests runners events effects timers'
     ' crash_evidence answer_bodies',
     'configuration calls crash_reports loads retry_budgets exchanges'
-    ' event_stream placement chains fingerprints prompt_blocks',
+    ' event_stream placement chains fingerprints prompt_blocks'
+    ' waiting_order return_times',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits startup_waits',
@@ -21,7 +22,7 @@
     'completion crash_tracking choices shortages dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
     ' reachability moves wait_release monitoring withdrawals lifecycle'
-    ' failed_events startup_admission',
+    ' failed_events startup_admission capacity_waits',
     'peer_updates',
     'state handlers',
 )
