Let requests wait for full runners in order of urgency

Where demand exceeds capacity, requests were refused after 50 ms whatever their priority, with a return time that did not depend on the capacity. Large requests found no chain, because small ones took what became free.

Requests that only the load of runners keeps from them now wait in the order of waiting_order, for as long as the rate of recent completions lets them expect a chain in time. Others are refused at once and told when to return; a caller that returns as told goes before new ones of its rank. The same order decides which request is sent first after a silence. Plain services, lost layers, interrupted streams and stops are handled as before.

A waiting request is searched for once in 0.1 s, not at each check. test_waiting_order passes (15 tests), and the relay tests named in test_relay_layers' directory that cover admission, dispatch, moves, hedges, silence, answers and stops.

--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -36,6 +36,7 @@
     ('relay_seconds', 'Time from a request to its end', ('kind',)),
     ('first_event_seconds', 'Time from a request to its first event', ()),
     ('request_wait_seconds', 'Time that a request waited', ('cause',)),
+    ('expected_wait_seconds', 'Expected wait for capacity', ()),
     ('between_events_seconds', 'Time between two parts of a stream', ()),
 )
 
--- a/src/mustardvale/internal/relay/admission.py
+++ b/src/mustardvale/internal/relay/admission.py
@@ -5,17 +5,20 @@
 
 from mustardvale.internal import draws, effects, events, transitions
 from mustardvale.internal.relay import (
+    capacity_waits,
     completion,
     configuration,
     configuration_feed,
     dispatch,
     exchanges,
+    fingerprints,
     limit_shares,
     peer_feed,
     prompt_blocks,
     reducer,
     requests,
     retry_budgets,
+    return_times,
     startup_waits,
     stopping,
 )
@@ -63,6 +66,7 @@
     state = dataclasses.replace(state, seed=drawn.seed)
     service = configuration.pick_service(admitted.route, drawn.fraction)
     exchange = build_exchange(event, request, admitted, service, state)
+    exchange, state = keep_promise(exchange, now, state)
     budgets = retry_budgets.credit_request(
         state.retry_buckets,
         service,
@@ -231,6 +235,32 @@
         tenant=None if tenant is None else tenant.name,
         urgency=compute_urgency(route, tenant),
         last_event_id=request.last_event_id,
+        account_weight=1.0 if tenant is None else tenant.weight,
+    )
+
+
+def keep_promise(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> tuple[exchanges.Exchange, 'states.State']:
+    """Mark the request of a caller that returns as it was told to.
+
+    Each promise holds for one request.
+    """
+    promises = state.capacity.promises
+    if not promises:
+        return exchange, state
+    request = exchange.request
+    fingerprint = fingerprints.compute_fingerprint(
+        exchange.tenant or '', request, request.path
+    )
+    promise = return_times.find_promise(promises, fingerprint, now)
+    if promise is None:
+        return exchange, state
+    returning = dataclasses.replace(
+        exchange, is_returning=True, pass_count=promise.pass_count
+    )
+    return returning, capacity_waits.with_capacity(
+        state, promises=promises.delete(fingerprint)
     )
 
 
--- a/src/mustardvale/internal/relay/completion.py
+++ b/src/mustardvale/internal/relay/completion.py
@@ -3,9 +3,12 @@
 import dataclasses
 import typing
 
+import immutables
+
 from mustardvale.internal import effects, transitions
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import (
+    capacity_waits,
     exchanges,
     loads,
     reducer,
@@ -20,6 +23,8 @@
 BAD_GATEWAY_STATUS = 502
 SERVICE_UNAVAILABLE_STATUS = 503
 GATEWAY_TIMEOUT_STATUS = 504
+# How a wait for capacity has ended if its request ends so; others were refused.
+WAIT_OUTCOMES = immutables.Map({'caller_left': 'left'})
 
 
 def refuse_unadmitted(
@@ -139,7 +144,7 @@
         sends = sends.delete(attempt.send_id)
         aborts.append(relay_effects.AbortSend(attempt.send_id))
     next_state = dataclasses.replace(
-        state,
+        capacity_waits.record_end(exchange, outcome, now, state),
         loads=remaining_loads,
         request_ids_by_send=sends,
         exchanges=state.exchanges.delete(exchange.request_id),
@@ -157,6 +162,9 @@
             *aborts,
             effects.Count('relayed', (kind, outcome)),
             effects.Observe('relay_seconds', seconds, (kind,)),
+            *capacity_waits.build_end_effects(
+                exchange, WAIT_OUTCOMES.get(outcome, 'refused'), now
+            ),
             log_effect,
         ),
     )
--- a/src/mustardvale/internal/relay/configuration.py
+++ b/src/mustardvale/internal/relay/configuration.py
@@ -64,10 +64,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tenant:
-    """Describe a client account; its priority overrides that of a route."""
+    """Describe a client account; its priority overrides that of a route.
+
+    Accounts share scarce capacity in proportion to their weights.
+    """
 
     name: str
     priority: int | None = None
+    weight: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -3,18 +3,21 @@
 import dataclasses
 import typing
 
-from mustardvale.internal import draws, effects
+from mustardvale.internal import draws, effects, transitions
 from mustardvale.internal.relay import (
+    capacity_waits,
     check_schedule,
     choices,
     completion,
     exchanges,
+    fingerprints,
     limit_shares,
     loads,
     prompt_blocks,
     reducer,
     requests,
     retry_budgets,
+    return_times,
     shortages,
     silence_waits,
     stopping,
@@ -42,6 +45,7 @@
 MAXIMUM_UNCONNECTED_SENDS = 6
 # Requests with less time left than this are not sent.
 MINIMUM_REMAINING_SECONDS = 0.01
+NO_WAIT = shortages.UpstreamWait()
 
 
 def build_flow_control_effect(send_id: str, is_blocked: bool) -> effects.Effect:
@@ -67,9 +71,13 @@
         return completion.fail_exchange(
             exchange, exchange.last_problem, now, state
         )
+    if capacity_waits.must_queue(exchange, now, state):
+        return wait_or_fail(exchange, now, state)
     target = choices.choose_target(exchange, now, state)
     if target is not None:
         return send_before_stop(exchange, target, now, state)
+    if capacity_waits.is_held(exchange):
+        state = capacity_waits.record_failed_search(exchange, now, state)
     return wait_or_fail(exchange, now, state)
 
 
@@ -78,11 +86,17 @@
 ) -> reducer.Transition:
     """Keep a request waiting for an upstream, or fail it."""
     if may_wait_for_silent(exchange, now, state):
-        return silence_waits.begin_wait(exchange, now, state)
+        unheld = dataclasses.replace(exchange, expected_wait_seconds=None)
+        return silence_waits.begin_wait(unheld, now, state)
     wait = shortages.estimate_wait(exchange, now, state)
+    if may_wait_for_capacity(exchange, wait, now, state):
+        return wait_for_capacity(exchange, now, state)
     if now + wait.seconds < compute_wait_deadline(exchange):
         waiting = dataclasses.replace(
-            exchange, last_search_at=now, next_search_at=None
+            exchange,
+            last_search_at=now,
+            next_search_at=None,
+            expected_wait_seconds=None,
         )
         exchange_map = state.exchanges.set(exchange.request_id, waiting)
         return check_schedule.request_check(
@@ -91,6 +105,80 @@
     return refuse_for_now(exchange, wait, now, state)
 
 
+def may_wait_for_capacity(
+    exchange: exchanges.Exchange,
+    wait: shortages.UpstreamWait,
+    now: float,
+    state: 'states.State',
+) -> bool:
+    """Return whether a request has to wait for others to end."""
+    if exchange.last_event_at is not None or wait.seconds > 0:
+        return False
+    return (
+        state.stopping is None
+        and shortages.is_full(exchange, now, state)
+        and capacity_waits.estimate_rate(exchange.service, now, state)
+        is not None
+    )
+
+
+def wait_for_capacity(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Keep a request until capacity becomes free, or refuse it at once.
+
+    It is refused once its expected wait is longer than its caller accepts.
+    """
+    state = capacity_waits.record_shortage(exchange, state)
+    rate = capacity_waits.estimate_rate(exchange.service, now, state)
+    if rate is None:
+        return refuse_for_now(exchange, NO_WAIT, now, state)
+    expected = capacity_waits.estimate_wait_seconds(exchange, rate, now, state)
+    ends_at = capacity_waits.compute_wait_end(exchange)
+    if now >= ends_at or expected > ends_at - exchange.arrived_at:
+        return refuse_by_urgency(exchange, now, state)
+    is_held = capacity_waits.is_held(exchange)
+    waiting = dataclasses.replace(
+        exchange,
+        last_search_at=now,
+        next_search_at=None,
+        expected_wait_seconds=(
+            exchange.expected_wait_seconds if is_held else expected
+        ),
+        wait_began_at=exchange.wait_began_at if is_held else now,
+    )
+    exchange_map = state.exchanges.set(exchange.request_id, waiting)
+    return check_schedule.request_check(
+        now, dataclasses.replace(state, exchanges=exchange_map)
+    )
+
+
+def refuse_hopeless(now: float, state: 'states.State') -> reducer.Transition:
+    """Refuse the requests that others have pushed too far back."""
+    refused: reducer.Transition = transitions.Transition(state).then_each(
+        capacity_waits.list_hopeless(now, state),
+        lambda request_id, current: refuse_for_now(
+            current.exchanges[request_id], NO_WAIT, now, current
+        ),
+    )
+    return refused
+
+
+def refuse_by_urgency(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Refuse a request, and the less urgent ones that wait before it."""
+    yielded: reducer.Transition = transitions.Transition(state).then_each(
+        capacity_waits.list_yielding(exchange, now, state),
+        lambda request_id, current: refuse_for_now(
+            current.exchanges[request_id], NO_WAIT, now, current
+        ),
+    )
+    return yielded.then(
+        lambda current: refuse_for_now(exchange, NO_WAIT, now, current)
+    )
+
+
 def refuse_for_now(
     exchange: exchanges.Exchange,
     wait: shortages.UpstreamWait,
@@ -101,6 +189,9 @@
 
     Callers that are refused in the same wait return at different moments.
     """
+    is_put_off = not exchange.may_have_run and not exchange.has_stream_started
+    if is_put_off and may_wait_for_capacity(exchange, wait, now, state):
+        return put_off(exchange, now, state)
     drawn = draws.draw(state.seed)
     return_seconds = wait.seconds + wait.return_spread_seconds * drawn.fraction
     return completion.fail_exchange(
@@ -114,6 +205,63 @@
     )
 
 
+def put_off(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Refuse a request until capacity is expected to be free for it."""
+    rate = capacity_waits.estimate_rate(exchange.service, now, state)
+    assert rate is not None, 'requests wait only for a known capacity'
+    drawn = draws.draw(state.seed)
+    urgency = exchange.urgency or 0
+    waiting_count = sum(
+        (other.urgency or 0) <= urgency
+        for other in capacity_waits.list_held(exchange.service, state)
+        if other.request_id != exchange.request_id
+    )
+    assigned = return_times.assign_return(
+        urgency,
+        waiting_count,
+        rate,
+        exchange.deadline_at - now,
+        state.capacity.promises,
+        now,
+        drawn.fraction,
+    )
+    log_effect = relay_effects.LogDecision(
+        'request_put_off',
+        (
+            ('request', exchange.request.attempt_id),
+            ('route', exchange.route.name),
+            ('tenant', exchange.tenant),
+            ('priority', urgency),
+            ('delay_ms', int(assigned.delay_seconds * 1000)),
+            ('expected_ms', int(assigned.expected_seconds * 1000)),
+            ('waiting', waiting_count),
+            ('ends_per_second', round(rate, 2)),
+        ),
+    )
+    promises = return_times.record_promise(
+        state.capacity.promises,
+        fingerprints.compute_fingerprint(
+            exchange.tenant or '', exchange.request, exchange.request.path
+        ),
+        return_times.Promise(
+            now + assigned.delay_seconds, urgency, exchange.pass_count
+        ),
+        now,
+    )
+    promised = capacity_waits.with_capacity(
+        dataclasses.replace(state, seed=drawn.seed), promises=promises
+    )
+    return completion.fail_exchange(
+        exchange,
+        'all runners are full',
+        now,
+        promised,
+        retry_after_seconds=assigned.delay_seconds,
+    ).with_effects(log_effect)
+
+
 def may_wait_for_silent(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> bool:
@@ -152,8 +300,12 @@
     )
 
 
-def is_search_due(exchange: exchanges.Exchange, now: float) -> bool:
+def is_search_due(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> bool:
     """Return whether to search for an upstream again."""
+    if capacity_waits.is_held(exchange):
+        return capacity_waits.is_search_due(exchange, now, state)
     if exchange.next_search_at is not None:
         return silence_waits.is_search_due(exchange, now)
     searched_at = exchange.last_search_at
@@ -185,7 +337,9 @@
         attempts=(*exchange.attempts, attempt),
         send_count=exchange.send_count + 1,
         next_search_at=None,
+        expected_wait_seconds=None,
     )
+    state = capacity_waits.record_start(exchange, now, state)
     next_state = dataclasses.replace(
         state,
         retry_buckets=spend_retry_budget(exchange, now, state),
@@ -200,6 +354,7 @@
     return check_schedule.request_check(now, next_state).with_effects(
         build_send_effect(exchange, target, send_id, now),
         build_send_log(exchange, target, now, state),
+        *capacity_waits.build_end_effects(exchange, 'sent', now),
     )
 
 
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -63,6 +63,9 @@
     search last found no upstream, `next_search_at` when a request that waits
     for silent upstreams searches again (infinite until one answers), and
     `last_problem` why the last send failed or got a second one beside it.
+    `expected_wait_seconds` is set while a request waits for capacity, since
+    `wait_began_at`, and `pass_count` counts the smaller requests that were sent
+    first. `is_returning` is true if its caller was refused and told to return.
     `admitted_service` describes the service in the version that admitted the
     request, for the case that a later version drops it.
     """
@@ -88,6 +91,11 @@
     last_search_at: float | None = None
     next_search_at: float | None = None
     last_problem: str = ''
+    account_weight: float = 1.0
+    expected_wait_seconds: float | None = None
+    wait_began_at: float | None = None
+    pass_count: int = 0
+    is_returning: bool = False
 
     @property
     def is_stream(self) -> bool:
--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -11,6 +11,7 @@
 
 from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
+    capacity_waits,
     check_schedule,
     completion,
     configuration,
@@ -74,16 +75,21 @@
             )
         )
         .then(lambda current: wait_release.release_waiting(event.at, current))
-        .then_each(
-            state.exchanges,
-            lambda request_id, current: check_exchange(
-                request_id, event.at, current
-            ),
-        )
+        .then(lambda current: dispatch.refuse_hopeless(event.at, current))
+        .then(lambda current: check_each(event.at, current))
         .then(lambda current: schedule_next(event.at, current))
     )
 
 
+def check_each(now: float, state: 'states.State') -> reducer.Transition:
+    """Check every open request, the most urgent waiting ones first."""
+    checked: reducer.Transition = transitions.Transition(state).then_each(
+        capacity_waits.order_checks(now, state),
+        lambda request_id, current: check_exchange(request_id, now, current),
+    )
+    return checked
+
+
 def schedule_next(now: float, state: 'states.State') -> reducer.Transition:
     """Schedule the next check for when the first request can need it."""
     due_times = [
@@ -124,7 +130,7 @@
             exchange, 'the deadline has passed', now, state
         )
     if not exchange.attempts:
-        if not dispatch.is_search_due(exchange, now):
+        if not dispatch.is_search_due(exchange, now, state):
             return transitions.Transition(state)
         return dispatch.try_send(exchange, now, state)
     unwanted = withdrawals.list_unwanted(exchange, now, state)
--- a/src/mustardvale/internal/relay/shortages.py
+++ b/src/mustardvale/internal/relay/shortages.py
@@ -7,6 +7,7 @@
 from mustardvale.internal.relay import (
     choices,
     completion,
+    engines,
     exchanges,
     runners,
 )
@@ -127,25 +128,46 @@
             f'service {exchange.service} has no usable runner:'
             f' {obstacles or "all were tried, or none is listed"}'
         )
+    missing = list_missing_layers(exchange, service.engine, now, state)
+    if missing:
+        return (
+            f'no usable runner holds {len(missing)} of the layers'
+            f' {missing[0]} to {missing[-1]}: {obstacles or "none is listed"}'
+        )
+    return 'all runners are full'
+
+
+def list_missing_layers(
+    exchange: exchanges.Exchange,
+    engine: engines.Engine,
+    now: float,
+    state: 'states.State',
+) -> list[int]:
+    """Return the layers that no runner that may get the request holds."""
     held_layers: set[int] = set()
     for candidate in choices.list_candidates(
-        service.engine, exchange.service, now, state
+        engine, exchange.service, now, state
     ):
         if candidate.runner_id not in exchange.tried_runner_ids:
             held_layers.update(
                 range(candidate.layers.first, candidate.layers.end)
             )
-    missing = [
-        layer
-        for layer in range(service.engine.layer_count)
-        if layer not in held_layers
+    return [
+        layer for layer in range(engine.layer_count) if layer not in held_layers
     ]
-    if missing:
-        return (
-            f'no usable runner holds {len(missing)} of the layers'
-            f' {missing[0]} to {missing[-1]}: {obstacles or "none is listed"}'
-        )
-    return 'all runners are full'
+
+
+def is_full(
+    exchange: exchanges.Exchange, now: float, state: 'states.State'
+) -> bool:
+    """Return whether only the load of runners keeps a request from them.
+
+    Plain runners take requests at any load.
+    """
+    service = choices.find_service(exchange, state)
+    if service is None or service.engine is None:
+        return False
+    return not list_missing_layers(exchange, service.engine, now, state)
 
 
 def compute_age_ms(since: float | None, now: float) -> int | None:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -5,6 +5,7 @@
 import immutables
 
 from mustardvale.internal.relay import (
+    capacity_waits,
     configuration,
     crash_evidence,
     idle_connections,
@@ -78,3 +79,4 @@
     silence_ignored_until: float = 0.0
     stopping: shutdowns.Stopping | None = None
     startup: startup_waits.StartupState = startup_waits.StartupState()
+    capacity: capacity_waits.CapacityState = capacity_waits.CapacityState()
--- a/src/mustardvale/internal/relay/wait_release.py
+++ b/src/mustardvale/internal/relay/wait_release.py
@@ -6,6 +6,7 @@
 
 from mustardvale.internal import draws, transitions
 from mustardvale.internal.relay import (
+    capacity_waits,
     choices,
     exchanges,
     reducer,
@@ -42,15 +43,21 @@
 def release_group(
     group: abc.Sequence[exchanges.Exchange], now: float, state: 'states.State'
 ) -> reducer.Transition:
-    """Schedule the sends of waiting requests, least time left first.
+    """Schedule the sends of waiting requests, the most urgent ones first.
 
     They take turns in the search. One of them may need more than the upstreams
     that have answered can take.
     """
-    ordered = sorted(group, key=silence_waits.compute_wait_end)
-    candidate = min(ordered, key=get_search_time)
-    if now - get_search_time(candidate) < SEARCH_PERIOD_SECONDS:
+    searched_at = min(get_search_time(exchange) for exchange in group)
+    if now - searched_at < SEARCH_PERIOD_SECONDS:
         return transitions.Transition(state)
+    ordered = [
+        state.exchanges[one.request_id]
+        for one in capacity_waits.order_group(
+            group, group[0].service, now, state
+        )
+    ]
+    candidate = min(ordered, key=get_search_time)
     any_runner = dataclasses.replace(candidate, tried_runner_ids=frozenset())
     if choices.choose_target(any_runner, now, state) is None:
         searched = dataclasses.replace(candidate, last_search_at=now)
--- a/tests/test_relay_silent_runners.py
+++ b/tests/test_relay_silent_runners.py
@@ -384,7 +384,9 @@
         transition = dispatch.try_send(waiting, now, instance.state)
         searched = transition.state.exchanges['r1']
         self.assertFalse(silence_waits.is_waiting(searched))
-        self.assertFalse(dispatch.is_search_due(searched, now + 0.1))
+        self.assertFalse(
+            dispatch.is_search_due(searched, now + 0.1, transition.state)
+        )
 
     def find_obstacle(self, instance: relay_states.Instance) -> typing.Any:
         """Return why the second runner of the chain gets no request."""
