Test a restart of all instances and the order after a silence

No test played callers that come from the first moment of a restart on, and none checked which request is sent first when silent runners answer again.

30 instances that read after 0.2 to 1.0 s get 8 streams each in 1.6 s: all 240 are sent.

--- a/tests/test_relay_silent_runners.py
+++ b/tests/test_relay_silent_runners.py
@@ -8,6 +8,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import typing
 import unittest
 
@@ -18,6 +19,7 @@
     reachability,
     requests,
     silence_waits,
+    wait_release,
 )
 from mustardvale.internal.relay import effects as relay_effects
 from tests import relay_states
@@ -388,6 +390,32 @@
             dispatch.is_search_due(searched, now + 0.1, transition.state)
         )
 
+    def test_urgent_requests_are_released_first(self) -> None:
+        """Guard against a release in order of arrival alone."""
+        instance = relay_states.Instance(relay_states.TWO_CHAINS[:2])
+        for number, urgency in enumerate((2, 2, 0)):
+            instance.receive_request(f'r{number}', '/model/x')
+            held = dataclasses.replace(
+                instance.state.exchanges[f'r{number}'],
+                urgency=urgency,
+                attempts=(),
+                next_search_at=math.inf,
+            )
+            instance.state = dataclasses.replace(
+                instance.state,
+                exchanges=instance.state.exchanges.set(f'r{number}', held),
+            )
+        released = wait_release.release_waiting(instance.now, instance.state)
+        self.assertEqual(
+            ['r2', 'r0', 'r1'],
+            sorted(
+                released.state.exchanges,
+                key=lambda request_id: (
+                    released.state.exchanges[request_id].next_search_at
+                ),
+            ),
+        )
+
     def find_obstacle(self, instance: relay_states.Instance) -> typing.Any:
         """Return why the second runner of the chain gets no request."""
         return instance.state.runners['m2'].find_obstacle(instance.now)
--- a/tests/test_startup_waits.py
+++ b/tests/test_startup_waits.py
@@ -155,6 +155,27 @@
         )
 
 
+class Restart(unittest.TestCase):
+    """All instances restart, and callers come from the first moment on."""
+
+    def test_no_stream_is_refused(self) -> None:
+        """Guard against callers that return once and are refused twice."""
+        sent_count = 0
+        for number in range(30):
+            instance = StartedInstance()
+            read_at = instance.now + 0.2 + 0.8 * number / 29
+            for arrival in range(8):
+                instance.receive_request(f'r{arrival}', '/model/x')
+                instance.pass_time(0.2)
+                if instance.now - 0.2 < read_at <= instance.now:
+                    instance.configure(relay_states.CONFIGURATION)
+                    instance.list_runners(relay_states.TWO_CHAINS)
+            instance.pass_time(0.001)
+            self.assertFalse(instance.replies)
+            sent_count += len(instance.sends)
+        self.assertEqual(240, sent_count)
+
+
 class UnconfirmedKeys(unittest.TestCase):
     """Keys wait for the first confirmation, but for no later one."""
 
