End all waits for capacity at once when nobody can be served

A round of searches ended after two that failed, whatever the cause. When an instance stopped or layers were lost, waiting requests were refused two in 0.1 s, the last of a burst of 27 after more than a second. Two waits of the same length could also differ by rounding, so that a less urgent request did not yield.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -76,8 +76,6 @@
     target = choices.choose_target(exchange, now, state)
     if target is not None:
         return send_before_stop(exchange, target, now, state)
-    if capacity_waits.is_held(exchange):
-        state = capacity_waits.record_failed_search(exchange, now, state)
     return wait_or_fail(exchange, now, state)
 
 
@@ -138,6 +136,8 @@
     if now >= ends_at or expected > ends_at - exchange.arrived_at:
         return refuse_by_urgency(exchange, now, state)
     is_held = capacity_waits.is_held(exchange)
+    if is_held:
+        state = capacity_waits.record_failed_search(exchange, now, state)
     waiting = dataclasses.replace(
         exchange,
         last_search_at=now,
--- a/src/mustardvale/internal/relay/waiting_order.py
+++ b/src/mustardvale/internal/relay/waiting_order.py
@@ -28,6 +28,8 @@
 MINIMUM_COMPLETIONS = 0.5
 # Completions over less time are taken as if they had been spread over it.
 MINIMUM_OBSERVED_SECONDS = 1.0
+# Two equal waits may differ by less than this after rounding.
+ROUNDING_SECONDS = 0.001
 SkippedStarts: typing.TypeAlias = 'immutables.Map[int, int]'
 
 
@@ -247,5 +249,6 @@
         for other in reversed(ordered)
         if other.urgency > refused.urgency
         and other is not due
-        and other.patience_seconds <= refused.patience_seconds
+        and other.patience_seconds
+        <= refused.patience_seconds + ROUNDING_SECONDS
     )
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -14,7 +14,7 @@
 
 import immutables
 
-from mustardvale.internal import queues
+from mustardvale.internal import events, queues
 from mustardvale.internal.relay import (
     capacity_waits,
     configuration,
@@ -192,6 +192,51 @@
         self.assertGreater(len(self.instance.ends), 0.8 * possible)
 
 
+class EndedWaits(unittest.TestCase):
+    """A burst meets an instance that has not served anything yet."""
+
+    def setUp(self) -> None:
+        self.instance = LoadedInstance()
+        for _ in range(40):
+            self.instance.arrive()
+        self.held = capacity_waits.list_held('model', self.instance.state)
+
+    def test_burst_waits_without_a_known_rate(self) -> None:
+        """Guard against refusals before the first stream has ended."""
+        self.assertEqual(40, len(self.instance.sends) + len(self.held))
+        self.assertFalse(self.instance.replies)
+
+    def test_request_of_a_caller_that_left_is_dropped(self) -> None:
+        """Guard against sending a request that nobody waits for."""
+        left_id = self.held[0].request_id
+        self.instance.emit_event(events.CallerLeft, request_id=left_id)
+        for _ in range(100):
+            self.instance.step()
+        self.assertNotIn(left_id, self.instance.replies)
+        self.assertNotIn(left_id, self.instance.ends)
+
+    def test_stop_refuses_what_waits(self) -> None:
+        """Guard against a stop that waits for capacity."""
+        self.instance.emit_event(events.StopRequested)
+        self.instance.pass_time(0.2)
+        self.assertFalse(
+            [
+                exchange.request_id
+                for exchange in self.instance.state.exchanges.values()
+                if not exchange.attempts
+            ]
+        )
+        statuses = {reply.status for reply in self.instance.replies.values()}
+        self.assertEqual({503}, statuses)
+
+    def test_wrong_expectation_ends_at_the_limit(self) -> None:
+        """Guard against callers that leave before they are refused."""
+        self.instance.pass_time(1.75)
+        self.assertFalse(self.instance.replies)
+        self.instance.pass_time(0.1)
+        self.assertEqual(len(self.held), len(self.instance.replies))
+
+
 def build_waiting(
     name: str, account: str = 'a', urgency: int = 1, **fields: typing.Any
 ) -> waiting_order.WaitingRequest:
