Let a small newcomer pass a large request that waits

A newcomer behind a waiting request did not search, even if that request was larger and the newcomer would have found a chain. It waited for the next round of searches, up to 0.1 s, although there was capacity for it.

A newcomer now searches if all requests ahead of it are larger and none of them has been passed too often.

--- a/src/mustardvale/internal/relay/capacity_waits.py
+++ b/src/mustardvale/internal/relay/capacity_waits.py
@@ -165,7 +165,7 @@
     if not held:
         return False
     ordered = order_group((*held, exchange), exchange.service, now, state)
-    return ordered[0].request_id != exchange.request_id
+    return waiting_order.is_behind(describe_request(exchange, state), ordered)
 
 
 def is_search_due(
--- a/src/mustardvale/internal/relay/waiting_order.py
+++ b/src/mustardvale/internal/relay/waiting_order.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import itertools
 import math
 import typing
 from collections import abc
@@ -196,6 +197,19 @@
     return counted
 
 
+def is_behind(
+    one: WaitingRequest, ordered: abc.Iterable[WaitingRequest]
+) -> bool:
+    """Return whether a request may not be sent before those ahead of it.
+
+    It may pass larger ones, unless these have been passed too often.
+    """
+    ahead = itertools.takewhile(
+        lambda other: other.request_id != one.request_id, ordered
+    )
+    return any(other.cost <= one.cost or other.is_overdue for other in ahead)
+
+
 def estimate_wait_seconds(
     one: WaitingRequest,
     ordered: abc.Sequence[WaitingRequest],
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -293,6 +293,19 @@
         )
         self.assertEqual('yx', self.list_order(build_waiting('x'), passed))
 
+    def test_newcomer_passes_only_larger_requests(self) -> None:
+        """Guard against small requests that wait although they fit."""
+        one = build_waiting('x', 'a', cost=2.0)
+        for cost, pass_count, expected in (
+            (9.0, 0, False),
+            (9.0, waiting_order.MAXIMUM_PASSES, True),
+            (2.0, 0, True),
+        ):
+            other = build_waiting('y', 'b', 0, cost=cost, pass_count=pass_count)
+            self.assertEqual(
+                expected, waiting_order.is_behind(one, (other, one))
+            )
+
     def test_skipped_urgency_gets_its_turn(self) -> None:
         """Guard against a priority that is never served."""
         skipped: waiting_order.SkippedStarts = immutables.Map({2: 0})
