Merge the order over requests that wait for capacity

Checks look at the requests that are due, those that wait for an upstream first and in the order of their urgency.

--- a/src/mustardvale/internal/relay/monitoring.py
+++ b/src/mustardvale/internal/relay/monitoring.py
@@ -12,6 +12,7 @@
 
 from mustardvale.internal import events, transitions
 from mustardvale.internal.relay import (
+    capacity_waits,
     check_schedule,
     completion,
     configuration,
@@ -75,6 +76,7 @@
             )
         )
         .then(lambda current: wait_release.release_waiting(event.at, current))
+        .then(lambda current: dispatch.refuse_hopeless(event.at, current))
         .then(lambda current: check_due(event.at, current))
     )
 
@@ -92,6 +94,7 @@
             due_ids.append(request_id)
         elif check_at < next_at:
             next_at = check_at
+    due_ids = put_waiting_first(due_ids, now, state)
     return (
         transitions.Transition(state)
         .then_each(
@@ -104,6 +107,17 @@
     )
 
 
+def put_waiting_first(
+    due_ids: list[str], now: float, state: 'states.State'
+) -> list[str]:
+    """Return due requests with the most urgent waiting ones first."""
+    if all(state.exchanges[request_id].attempts for request_id in due_ids):
+        return due_ids
+    due = frozenset(due_ids)
+    ordered = capacity_waits.order_checks(now, state)
+    return [request_id for request_id in ordered if request_id in due]
+
+
 def has_unsent_attempt(exchange: exchanges.Exchange) -> bool:
     """Return whether a send may have to be withdrawn."""
     for attempt in exchange.attempts:
@@ -166,7 +180,7 @@
             exchange, 'the deadline has passed', now, state
         )
     if not exchange.attempts:
-        if not dispatch.is_search_due(exchange, now):
+        if not dispatch.is_search_due(exchange, now, state):
             return transitions.Transition(state)
         return dispatch.try_send(exchange, now, state)
     unwanted = withdrawals.list_unwanted(exchange, now, state)
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -14,7 +14,7 @@
     'configuration calls crash_reports fault_reports loads retry_budgets'
     ' exchanges'
     ' event_stream placement chain_search part_terms chains part_costs'
-    ' fingerprints prompt_blocks',
+    ' fingerprints prompt_blocks waiting_order return_times',
     'reducer',
     'members peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits startup_waits store_copies',
@@ -23,7 +23,7 @@
     'completion crash_tracking fault_telling fault_moves runner_watch choices shortages dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
     ' reachability moves wait_release monitoring withdrawals lifecycle'
-    ' failed_events startup_admission',
+    ' failed_events startup_admission capacity_waits',
     'peer_updates',
     'state handlers',
 )
