Give less urgent requests a quarter of the starts when capacity is short

At 45 streams a second where about 24 can be served, priority 2 got 12% of its requests and one account 7%, while 58% of all were served. A kind of request must not be served less than a quarter as often as all.

--- a/src/mustardvale/internal/relay/waiting_order.py
+++ b/src/mustardvale/internal/relay/waiting_order.py
@@ -15,12 +15,14 @@
 
 import immutables
 
-from mustardvale.internal import queues
 
 # A request that has waited for this long is ranked one level more urgent.
 AGING_SECONDS = 1.5
 # After this many smaller requests were sent first, a large one goes next.
 MAXIMUM_PASSES = 3
+# Starts of more urgent requests after which one of a lower priority has its turn.
+# No priority is then served less than a quarter as often as all together.
+MAXIMUM_SKIPPED_STARTS = 3
 # Number of elements of a rank key that go before the usage of an account.
 RANK_PARTS = 3
 # Completions and usage are remembered with this time constant.
@@ -182,7 +184,7 @@
         (
             one
             for one in ordered
-            if skipped.get(one.urgency, 0) >= queues.MAXIMUM_SKIPPED_STARTS
+            if skipped.get(one.urgency, 0) >= MAXIMUM_SKIPPED_STARTS
         ),
         None,
     )
--- a/tests/test_waiting_order.py
+++ b/tests/test_waiting_order.py
@@ -171,11 +171,12 @@
         self.assertGreater(shares['1'], shares['2'])
 
     def test_nobody_starves(self) -> None:
-        """Guard against an account, a priority or a size never served."""
+        """Guard against a group that is served a quarter as often as all."""
+        served_share = len(self.instance.ends) / self.instance.arrival_count
         for part in (1, 2, 3):
             for group, share in self.compute_shares(part).items():
                 with self.subTest(part=part, group=group):
-                    self.assertGreater(share, 0.05)
+                    self.assertGreater(share, served_share / 4)
 
     def test_less_urgent_requests_yield(self) -> None:
         """Guard against a refusal while a less urgent request waits."""
