--- a/bench/common_waits.py
+++ b/bench/common_waits.py
@@ -166,15 +166,26 @@
         while self.steps and self.steps[0].at <= until:
             step = heapq.heappop(self.steps)
             self.now = step.at
-            event = step.event_kind(
-                at=step.at, wall_time=step.at, **dict(step.fields)
-            )
-            transition = handlers.reduce(event, self.states[step.instance])
-            self.states[step.instance] = transition.state
-            for effect in transition.effects:
-                self.perform(step.instance, effect)
+            self.play_step(step)
         self.now = until
 
+    def play_step(self, step: Step) -> None:
+        """Deliver the event of a step."""
+        self.deliver(step.instance, step.event_kind, **dict(step.fields))
+
+    def deliver(
+        self,
+        instance: int,
+        event_kind: type[events.Event],
+        **fields: typing.Any,
+    ) -> None:
+        """Deliver an event to an instance, and perform the effects."""
+        event = event_kind(at=self.now, wall_time=self.now, **fields)
+        transition = handlers.reduce(event, self.states[instance])
+        self.states[instance] = transition.state
+        for effect in transition.effects:
+            self.perform(instance, effect)
+
     def perform(self, instance: int, effect: effects.Effect) -> None:
         """Answer a send, fire a timer, or let a refused caller return."""
         match effect:
--- a/src/mustardvale/internal/relay/fault_reports.py
+++ b/src/mustardvale/internal/relay/fault_reports.py
@@ -63,12 +63,16 @@
 
     `position` rises with each change of `faults`. `followed_position` is that
     of the reader `followed_reader_id` up to which it has told its faults.
+    `unsent` are those that this instance has found and has yet to report, and
+    `is_telling_due` is true while a timer to tell other instances is pending.
     """
 
     faults: tuple[Fault, ...] = ()
     position: int = 0
     followed_reader_id: str = ''
     followed_position: int = 0
+    unsent: tuple[Fault, ...] = ()
+    is_telling_due: bool = False
 
 
 def is_current(fault: Fault, now: float) -> bool:
--- a/src/mustardvale/internal/relay/fault_telling.py
+++ b/src/mustardvale/internal/relay/fault_telling.py
@@ -35,12 +35,14 @@
     """Record faults that are new, log them and tell other instances."""
     if not added:
         return transitions.Transition(state)
+    is_found_here = origin is not fault_reports.FaultOrigin.TOLD
     known = dataclasses.replace(
         state.faults,
         faults=fault_reports.merge(state.faults.faults, added, now),
         position=state.faults.position + 1,
+        unsent=state.faults.unsent + added * is_found_here,
     )
-    recorded = transitions.Transition(
+    recorded: reducer.Transition = transitions.Transition(
         dataclasses.replace(state, faults=known),
         tuple(
             effect
@@ -48,11 +50,9 @@
             for effect in build_records(fault, origin, now)
         ),
     )
-    if state.peer_feed.followers:
-        recorded = recorded.with_effects(peer_feed.build_telling_timer())
-    if origin is fault_reports.FaultOrigin.TOLD:
-        return recorded
-    return recorded.with_effects(*build_reports(added, now, state))
+    if state.peer_feed.followers or is_found_here:
+        return recorded.then(peer_feed.schedule_telling)
+    return recorded
 
 
 def build_records(
@@ -80,6 +80,8 @@
     added: tuple[fault_reports.Fault, ...], now: float, state: 'states.State'
 ) -> tuple[effects.Effect, ...]:
     """Return the calls that report faults to the readers of all zones."""
+    if not added:
+        return ()
     own_id = state.identity.instance_id
     report = calls.ReportFaults(fault_reports.build_report(added, now))
     return tuple(
@@ -108,11 +110,25 @@
 
 
 @reducer.on_timer.register(timers.FaultTellingDue)
-def tell_followers(
+def tell_others(
     timer: timers.FaultTellingDue,
     event: events.TimerFired,
     state: 'states.State',
 ) -> reducer.Transition:
+    """Report the faults found here to readers, and tell the followers."""
+    reports = build_reports(state.faults.unsent, event.at, state)
+    sent = dataclasses.replace(
+        state,
+        faults=dataclasses.replace(
+            state.faults, unsent=(), is_telling_due=False
+        ),
+    )
+    return transitions.Transition(sent, reports).then(
+        lambda current: tell_followers(event.at, current)
+    )
+
+
+def tell_followers(now: float, state: 'states.State') -> reducer.Transition:
     """Answer the followers that lack faults, unless the store is lost.
 
     Followers are refused while the configuration is not confirmed. A fault is no
@@ -124,7 +140,7 @@
     untold = {
         request_id: call
         for request_id, call in state.peer_feed.followers.items()
-        if fault_reports.has_untold(call, state.faults, event.at)
+        if fault_reports.has_untold(call, state.faults, now)
     }
     remaining = immutables.Map(
         {
@@ -137,9 +153,7 @@
     return transitions.Transition(
         dataclasses.replace(state, peer_feed=feed),
         tuple(
-            effects.Reply(
-                request_id, peer_feed.build_update(call, event.at, state)
-            )
+            effects.Reply(request_id, peer_feed.build_update(call, now, state))
             for request_id, call in untold.items()
         ),
     )
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -32,8 +32,8 @@
 FAILED_READER_SECONDS = 5.0
 MAXIMUM_FOLLOWER_COUNT = 256
 UNAVAILABLE_STATUS = 503
-# Several runners often crash together. Their faults travel in one answer.
-FAULT_TELLING_SECONDS = 0.005
+# Several runners often crash together. Their faults travel in one message.
+FAULT_TELLING_SECONDS = 0.003
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,15 +169,24 @@
         )
     followers = state.peer_feed.followers.set(event.request_id, call)
     feed = dataclasses.replace(state.peer_feed, followers=followers)
-    kept = transitions.Transition(dataclasses.replace(state, peer_feed=feed))
+    kept = dataclasses.replace(state, peer_feed=feed)
     if fault_reports.has_untold(call, state.faults, event.at):
-        return kept.with_effects(build_telling_timer())
-    return kept
+        return schedule_telling(kept)
+    return transitions.Transition(kept)
 
 
-def build_telling_timer() -> effects.Effect:
-    """Return the effect that soon tells followers of faults."""
-    return effects.SetTimer(timers.FaultTellingDue(), FAULT_TELLING_SECONDS)
+def schedule_telling(state: 'states.State') -> reducer.Transition:
+    """Tell other instances of faults soon.
+
+    Later faults and followers do not postpone it.
+    """
+    if state.faults.is_telling_due:
+        return transitions.Transition(state)
+    due = dataclasses.replace(state.faults, is_telling_due=True)
+    return transitions.Transition(
+        dataclasses.replace(state, faults=due),
+        (effects.SetTimer(timers.FaultTellingDue(), FAULT_TELLING_SECONDS),),
+    )
 
 
 def remove_follower(request_id: str, state: 'states.State') -> 'states.State':
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -44,7 +44,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FaultTellingDue(timer_base.Timer):
-    """Tell followers of new faults of runners."""
+    """Tell other instances of new faults of runners."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_relay_runner_faults.py
+++ b/tests/test_relay_runner_faults.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from bench import instance_groups
 from mustardvale.internal import effects, events
 from mustardvale.internal.relay import (
     calls,
@@ -19,13 +20,11 @@
 )
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import events as relay_events
-from tests import fault_site, relay_states
+from tests import relay_states
 
 EVENT = b'id: 1\ndata: x\n\n'
 OWN = members.decode_members((members.encode_member(relay_states.IDENTITY),))
-OTHER = dataclasses.replace(
-    fault_site.build_member(0), availability_zone='zone-b'
-)
+OTHER = dataclasses.replace(instance_groups.build_member(1, 'zone-b'))
 FAULTS = strategies.lists(
     strategies.builds(
         fault_reports.Fault,
@@ -123,6 +122,7 @@
 
     def list_reports(self) -> list[effects.Call]:
         """Return the reports of faults to other instances."""
+        self.instance.pass_time(peer_feed.FAULT_TELLING_SECONDS)
         return self.instance.list_calls(calls.ReportFaults)
 
     def test_all_engine_runners_are_watched_by_and_by(self) -> None:
@@ -244,6 +244,7 @@
         self.tell(build_report(self.second.runner_id, age_seconds=0.2))
         self.assertEqual(1, len(self.list_moves()))
         self.assertEqual(1, len(self.instance.sends))
+        self.instance.pass_time(peer_feed.FAULT_TELLING_SECONDS)
         self.assertFalse(self.instance.list_calls(calls.ReportFaults))
         runner = self.instance.state.runners[self.second.runner_id]
         self.assertLess(self.instance.now + 1.9, runner.excluded_until)
@@ -318,7 +319,12 @@
 
     def test_own_stall_is_told(self) -> None:
         """Guard against a fault that each instance has to find."""
-        fault_site.set_readers(self.instance, OTHER)
+        self.instance.state = dataclasses.replace(
+            self.instance.state,
+            members=members.MemberState(
+                readers=members.GroupState(listed=(OTHER,))
+            ),
+        )
         self.instance.emit_event(
             events.CallAnswered,
             call=calls.ProbeRunner(self.first.runner_id),
@@ -329,6 +335,7 @@
                 stalled=(calls.StalledRequest('a-r1', self.second.address),),
             ),
         )
+        self.instance.pass_time(peer_feed.FAULT_TELLING_SECONDS)
         report = self.instance.list_calls(calls.ReportFaults)[0].call
         self.assertEqual('stalled', report.faults[0].kind)
         self.assertEqual(1, len(self.list_moves()))
