--- a/bench/common_crashes.py
+++ b/bench/common_crashes.py
@@ -1,6 +1,6 @@
 """Measure how streams and sends fare when four runners crash at once.
 
-PYTHONPATH=src:. python -m bench.common_crashes --write
+PYTHONPATH=src:. PYTHONHASHSEED=0 python -m bench.common_crashes --write
 
 Instances have open streams through chains of runners, and new requests arrive.
 Four runners that carry streams crash in the same moment. Calls between
@@ -48,6 +48,8 @@
 READING_SECONDS = 0.04
 REPORT_LAG_SECONDS = 0.2
 LATE_PAUSE_SECONDS = 0.25
+# All instances have been told by then.
+LATE_SEND_SECONDS = 0.05
 LIMITS = instance_settings.Limits(retries_per_window=312.0)
 STARTING_TIMERS = (
     timers.RunnerListReadDue(),
@@ -86,7 +88,8 @@
         self.last_event_at: dict[tuple[int, str], float] = {}
         self.pauses: list[float] = []
         self.known_at: list[float] = []
-        self.rejected_count = self.move_count = self.cut_count = 0
+        self.rejected_at: list[float] = []
+        self.move_count = self.cut_count = 0
         for number in range(instance_count):
             for timer in STARTING_TIMERS:
                 self.set_timer(number, timer, self.random_source.random())
@@ -241,7 +244,8 @@
         chain = send.request.chain
         send_id = send.send_id
         fault_address = self.find_fault(chain)
-        self.rejected_count += bool(fault_address)
+        if fault_address:
+            self.rejected_at.append(self.now - self.crashed_at)
         if fault_address == chain[0].address:
             self.fail_send(instance, send_id, events.FailureKind.REFUSED)
             return
@@ -345,7 +349,7 @@
         )
         self.crashed = dict(self.random_source.sample(used, CRASH_COUNT))
         self.crashed_at = self.now
-        self.rejected_count = self.cut_count = self.move_count = 0
+        self.cut_count = self.move_count = 0
         for instance, attempt in self.list_attempts():
             if attempt.runner_id in self.crashed:
                 kind = events.FailureKind.CLOSED
@@ -428,7 +432,8 @@
         'longest_pause_ms': int(max(site.pauses) * 1000),
         'late_pauses': sum(pause > LATE_PAUSE_SECONDS for pause in site.pauses),
         'moves': site.move_count,
-        'sends_to_crashed': site.rejected_count,
+        'sends_to_crashed': len(site.rejected_at),
+        'late_sends': sum(at > LATE_SEND_SECONDS for at in site.rejected_at),
         'streams_cut': site.cut_count,
         'last_told_ms': round((known_at - site.crashed_at) * 1000, 1),
         'faults_known': len(site.known_at),
@@ -451,7 +456,10 @@
     results = {'told': measure(seed), 'silence': measure_silence(seed)}
     print(results)
     if write:
-        command = 'PYTHONPATH=src:. python -m bench.common_crashes --write'
+        command = (
+            'PYTHONPATH=src:. PYTHONHASHSEED=0'
+            ' python -m bench.common_crashes --write'
+        )
         measurements.write('common_crashes', command, results)
 
 
