Send complete lists only to followers behind their reader

A reader behind its follower sent its whole list, which the follower drops. It now compares the eras. Open joins need no mark at a rise: what they grant ends before grants count again. The soak's operator writes its version again until the store confirms it, because a restore beside a suspended store left the copy's version in force.

--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -49,12 +49,14 @@
 
     `failed_call_count` counts the calls to stand-ins that failed.
     `runner_faults` has the last fault of each runner, which replaces earlier
-    ones.
+    ones. `was_restored` is true once the store was restored, after which the
+    operator writes its last version again until the store confirms it.
     """
 
     def __init__(self, site: relay_sites.RelaySite) -> None:
         super().__init__(site)
         self.site = site
+        self.was_restored = False
         self.failed_call_count = 0
         self.runner_faults: dict[str, fault_plans.Fault] = {}
 
@@ -82,6 +84,13 @@
             return False
         return True
 
+    def rewrite_if_restored(self) -> None:
+        """Write the last configuration again if a restore may have lost it."""
+        if self.was_restored:
+            self.was_restored = not self.try_control(
+                self.site.rewrite_configuration
+            )
+
     def record_fault(self, fault: fault_plans.Fault) -> None:
         """Record faults of instances, the store or links in the history."""
         if isinstance(fault, DISTURBING_FAULTS):
@@ -97,6 +106,7 @@
         for link in self.site.link_addresses:
             self.try_control(self.site.set_link_faults, link)
         self.try_control(self.site.set_store_faults)
+        self.rewrite_if_restored()
         for row in self.site.runners:
             self.try_control(self.site.set_runner_faults, row['runner_id'])
         self.site.record_event('settled')
@@ -141,16 +151,17 @@
 @fault_run.begin_fault.register(relay_faults.RestoreStore)
 def begin_restore(fault: relay_faults.RestoreStore, driver: SoakDriver) -> None:
     """Restore the store, and write the last configuration again."""
-    driver.try_control(
+    driver.was_restored |= driver.try_control(
         driver.site.set_store_faults, restore_seconds=fault.copy_seconds
     )
     time.sleep(fault.rewrite_seconds)
-    driver.try_control(driver.site.rewrite_configuration)
+    driver.rewrite_if_restored()
 
 
 @fault_run.end_fault.register(relay_faults.RestoreStore)
 def end_restore(fault: relay_faults.RestoreStore, driver: SoakDriver) -> None:
-    """Do nothing: the restore is over at once."""
+    """Write the configuration again if the store has not confirmed it."""
+    driver.rewrite_if_restored()
 
 
 @fault_run.end_fault.register(relay_faults.DisturbStore)
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -224,11 +224,13 @@
 def needs_complete_list(call: calls.FollowPeer, state: 'states.State') -> bool:
     """Return whether a follower gets all entries, if they have been read.
 
-    A follower that names no era is of a release without eras.
+    A follower that names no era is of a release without eras, and one that is
+    ahead drops the update.
     """
-    if call.era is None or state.runner_list.position is None:
+    era = state.store_copy.era
+    if call.era is None or era is None or state.runner_list.position is None:
         return False
-    return call.needs_complete_list or call.era != state.store_copy.era
+    return call.era < era or (call.needs_complete_list and call.era == era)
 
 
 def build_update(
--- a/src/mustardvale/internal/relay/store_copies.py
+++ b/src/mustardvale/internal/relay/store_copies.py
@@ -253,10 +253,7 @@
 
 
 def discard_memberships(now: float, state: 'states.State') -> 'states.State':
-    """Join with generation 0, list again, and hold no right.
-
-    Joins that are open grant nothing: they may be of the earlier era.
-    """
+    """Join with generation 0, list again, and hold no right."""
     known = state.members
     return dataclasses.replace(
         state,
@@ -285,7 +282,6 @@
         listed_at=now + members.HANDOVER_SECONDS
         if group.listed_generation >= 0
         else group.listed_at,
-        settled_at=max(group.settled_at, now),
     )
 
 
