Test the setting of a first start, and shorten the tests of restores

Nothing checked that the template's bootstrap setting is read. The test compares the template with the fields and builds the settings with both values.

--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -1,13 +1,14 @@
 """Test what follows when the store is restored from an older copy."""
 
 import dataclasses
-import types
+import pathlib
 import typing
 import unittest
 
 import immutables
 
-from mustardvale.internal import events
+from mustardvale import relay_settings
+from mustardvale.internal import events, setting_rules
 from mustardvale.internal.edge import wire
 from mustardvale.internal.relay import (
     calls,
@@ -26,14 +27,6 @@
 NEWER = dataclasses.replace(OLDER, version=8, tenants_by_key=immutables.Map())
 ENTRY = dataclasses.replace(relay_states.build_plain_runner('p1'), sequence=9)
 DROP = calls.RunnerChange('p1', None)
-UPDATE: types.MappingProxyType[str, typing.Any] = types.MappingProxyType(
-    {
-        'list_position': 3,
-        'complete_from': 0,
-        'changes': (DROP,),
-        'configuration_position': 1,
-    }
-)
 
 
 class StoreCase(unittest.TestCase):
@@ -96,10 +89,6 @@
             self.instance.state, self.instance.now
         )
 
-    def list_known(self) -> tuple[runners.Runner, ...]:
-        """Return what the instance knows of all runners."""
-        return tuple(self.instance.state.runners.values())
-
     def is_usable(self) -> bool:
         """Return whether the runner `p1` gets requests."""
         return self.instance.state.runners['p1'].is_usable
@@ -121,9 +110,8 @@
         call = calls.FollowRunners(1, era=1)
         self.answer(call, calls.RunnersRead(2, (DROP,)), 2)
         self.assertEqual(1, self.count_calls(calls.ReadRunners))
-        self.assertEqual(
-            {0}, {known.changed_position for known in self.list_known()}
-        )
+        known = self.instance.state.runners['p1']
+        self.assertEqual(0, known.changed_position)
 
     def test_pages_of_two_eras(self) -> None:
         """Guard against a list that is put together from two eras."""
@@ -301,6 +289,22 @@
             self.join(members.READER_GROUP, era=4)
             self.assertEqual(starts_with_site, self.leads())
 
+    def test_setting(self) -> None:
+        """Guard against a template whose setting is not read."""
+        template = pathlib.Path('deploy/settings.toml.template').read_text()
+        self.assertIn('bootstrap = {{bootstrap|json}}', template)
+        texts = {
+            field.name: field.default or '1' for field in relay_settings.FIELDS
+        }
+        for text in ('true', 'false'):
+            checked = {
+                field.name: setting_rules.convert(field.rule, value)
+                for field in relay_settings.FIELDS
+                for value in ({**texts, 'bootstrap': text}[field.name],)
+            }
+            settings = relay_settings.build_settings(checked)
+            self.assertEqual(text == 'true', settings.is_bootstrap)
+
 
 class CrossingAnswers(StoreCase):
     """Answers of an earlier era count as failed, whatever they contain."""
@@ -322,20 +326,22 @@
 class PeerMessages(StoreCase):
     """Followers and readers of different eras exchange no positions."""
 
-    def receive(self, era: int | None, **fields: typing.Any) -> None:
-        """Deliver an update of a reader of an era."""
-        update = calls.PeerUpdate(
-            **{'confirmed_seconds': 0.0, 'era': era, **UPDATE, **fields}
-        )
+    def receive(
+        self, era: int | None, is_complete: bool = True, age: float = 0.0
+    ) -> None:
+        """Deliver an update of a reader, whose confirmation has an age."""
+        known = self.instance.state
         feed = dataclasses.replace(
-            self.instance.state.peer_feed, requested_at=self.instance.now
+            known.peer_feed, requested_at=self.instance.now
         )
         self.replace(peer_feed=feed)
         self.instance.emit_event(
             events.CallAnswered,
-            call=calls.FollowPeer(1, 1, era=self.instance.state.store_copy.era),
+            call=calls.FollowPeer(1, 1, era=known.store_copy.era),
             address='',
-            answer=update,
+            answer=calls.PeerUpdate(
+                3, 0, (DROP,), 1, age, era=era, is_complete=is_complete
+            ),
         )
 
     def test_follower_behind_its_reader(self) -> None:
@@ -351,27 +357,27 @@
 
     def test_complete_list(self) -> None:
         """Guard against a follower that keeps its position, or drops early."""
-        self.receive(2, is_complete=True)
+        self.receive(2)
         state = self.instance.state
         self.assertEqual(2, state.store_copy.era)
         self.assertEqual(3, state.runner_list.position)
         self.assertTrue(state.runner_list.is_disputed)
         self.assertTrue(self.is_usable())
         self.instance.now += 2.6
-        self.receive(2, is_complete=True)
+        self.receive(2)
         self.assertFalse(self.is_usable())
 
     def test_follower_ahead_of_its_reader(self) -> None:
         """Guard against a reader whose list is from before the restore."""
         self.restore(3)
-        self.receive(2, is_complete=True)
+        self.receive(2)
         self.assertTrue(self.is_usable())
         self.assertEqual(3, self.instance.state.store_copy.era)
         self.assertEqual(1, self.count_calls(calls.ReadRunners))
 
     def test_reader_of_a_release_without_eras(self) -> None:
         """Guard against a rolling update that stops the updates."""
-        self.receive(None)
+        self.receive(None, is_complete=False)
         self.assertFalse(self.is_usable())
 
     def test_confirmation_of_a_reader(self) -> None:
@@ -383,5 +389,5 @@
             self.instance.now += 2.4
             self.read_version(OLDER)
             self.instance.now += 2.4
-            self.receive(era, confirmed_seconds=2.4)
+            self.receive(era, is_complete=False, age=2.4)
             self.assertFalse(self.may_serve())
