Leave a refusal its time to arrive before its connection makes room

Connections whose last answer was written were closed first and at once when a listener or an address was at its limit. Unread input then resets the connection, and the caller may lose its refusal.

They are kept for 0.25 s from their answer on, like connections whose request may be on the way, and go first after that.

tests.test_caller_budgets failed with the old order and passes; 69 tests of the server of callers and of the resource limits pass (93 s).

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -142,8 +142,10 @@
             or self.channel.output
         ):
             return None
+        if self.discard is None:
+            return connection_limits.Waiting(self, self.waiting_since)
         return connection_limits.Waiting(
-            self, self.waiting_since, self.phase is Phase.DISCARDING
+            self, self.discard.started_at, is_answered=True
         )
 
     def on_connected(self, channel: channels.Channel) -> None:
--- a/src/mustardvale/internal/relay/connection_limits.py
+++ b/src/mustardvale/internal/relay/connection_limits.py
@@ -19,8 +19,8 @@
 # Connections that are ended at once to make room, because each choice looks at
 # all connections.
 ENDED_AT_ONCE = 16
-# A connection without a request is kept for this long: its request may be on
-# the way.
+# A connection without a request is kept for this long: its request, or the
+# refusal of an earlier one, may be on the way.
 MINIMUM_WAIT_SECONDS = 0.25
 
 
@@ -95,8 +95,7 @@
     candidates = [
         connection
         for connection in waiting
-        if connection.is_answered
-        or now - connection.waiting_since >= MINIMUM_WAIT_SECONDS
+        if now - connection.waiting_since >= MINIMUM_WAIT_SECONDS
     ]
     chosen = heapq.nsmallest(
         ENDED_AT_ONCE,
--- a/tests/test_caller_budgets.py
+++ b/tests/test_caller_budgets.py
@@ -125,12 +125,13 @@
             )
 
     def test_who_makes_room(self) -> None:
-        """Guard against ending a connection whose request is on the way."""
+        """Guard against ending what a request or a refusal is on the way to."""
         waiting = (
             connection_limits.Waiting('new', 9.9),
             connection_limits.Waiting('idle', 5.0),
             connection_limits.Waiting('older', 1.0),
-            connection_limits.Waiting('answered', 9.9, is_answered=True),
+            connection_limits.Waiting('answered', 9.5, is_answered=True),
+            connection_limits.Waiting('just answered', 9.9, is_answered=True),
         )
         self.assertEqual(
             ('answered', 'older', 'idle'),
