Answer connections that an address may not have more of

They were closed without a word, and a request that had arrived was reset: its caller could not know that it had not run.

They get 503 and are closed. What has arrived is read first, so that the close does not reset the connection.

--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import enum
 import functools
@@ -252,7 +253,7 @@
             address = find_peer_address(accepted)
             verdict = self.resources.decide_connection(listener, address, now)
             if verdict is not connection_limits.Verdict.ACCEPT:
-                accepted.close()
+                refuse_connection(accepted, codec)
                 continue
             connection = CallerConnection(self, listener, codec, address)
             self.connections.add(connection)
@@ -868,6 +869,28 @@
     )
 
 
+def refuse_connection(
+    sock: socket.socket, codec: relay_wire.CallerCodec
+) -> None:
+    """Answer a connection that is not kept, and close it.
+
+    Input that has arrived is read, because unread input resets a connection
+    that is closed.
+    """
+    head, body = codec.encode_error(
+        503, 'overloaded', 'the address has too many connections'
+    )
+    closing = dataclasses.replace(head, closes_connection=True)
+    protocol = build_protocol(channels.RECEIVE_BYTES)
+    output = protocol.send(build_response(closing, len(body))) or b''
+    sock.setblocking(False)
+    with contextlib.suppress(OSError):
+        sock.send(output + (protocol.send(h11.Data(data=body)) or b''))
+        sock.shutdown(socket.SHUT_WR)
+        sock.recv(channels.RECEIVE_BYTES)
+    sock.close()
+
+
 def find_peer_address(sock: socket.socket) -> str:
     """Return the IP address of a peer, or nothing if it has left."""
     try:
--- a/tests/test_resource_limits.py
+++ b/tests/test_resource_limits.py
@@ -268,3 +268,13 @@
     async def test_announced_lengths_that_never_arrive(self) -> None:
         """Guard against bodies of which nothing arrives."""
         await self.run_connections(lambda: send_announced(1000, 0))
+
+    async def test_refused_connections_are_answered(self) -> None:
+        """Guard against a close that does not say whether a request ran."""
+        statuses = set()
+        for _ in range(MAXIMUM_DESCRIPTORS):
+            sock = self.site.connect()
+            self.addCleanup(sock.close)
+            sock.sendall(relay_site.encode_request('/read/x', 'a', b'a'))
+            statuses.add(relay_site.read_answer(sock).status)
+        self.assertEqual({200, 503}, statuses)
