--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import enum
 import functools
@@ -142,8 +143,10 @@
             or self.channel.output
         ):
             return None
+        if self.discard is None:
+            return connection_limits.Waiting(self, self.waiting_since)
         return connection_limits.Waiting(
-            self, self.waiting_since, self.phase is Phase.DISCARDING
+            self, self.discard.started_at, is_answered=True
         )
 
     def on_connected(self, channel: channels.Channel) -> None:
@@ -250,7 +253,7 @@
             address = find_peer_address(accepted)
             verdict = self.resources.decide_connection(listener, address, now)
             if verdict is not connection_limits.Verdict.ACCEPT:
-                accepted.close()
+                refuse_connection(accepted, codec)
                 continue
             connection = CallerConnection(self, listener, codec, address)
             self.connections.add(connection)
@@ -307,7 +310,14 @@
         if connection.phase is Phase.ANSWERING:
             self.limit_pipelined_input(connection, len(received))
         else:
-            self.process_input(connection)
+            event_count = self.process_input(connection)
+            assert connection.channel is not None, 'input needs a channel'
+            connection.channel.receive_bytes = caller_limits.choose_read_bytes(
+                connection.channel.receive_bytes,
+                channels.RECEIVE_BYTES,
+                len(received),
+                event_count,
+            )
 
     def handle_end(self, connection: CallerConnection) -> None:
         """Close a connection without input, once its last answer is written."""
@@ -331,8 +341,12 @@
             assert connection.channel is not None, 'input needs a channel'
             self.channel_table.pause_reading(connection.channel)
 
-    def process_input(self, connection: CallerConnection) -> None:
-        """Parse the input of a connection that waits for a request."""
+    def process_input(self, connection: CallerConnection) -> int:
+        """Parse the input of a connection that waits for a request.
+
+        Returns the number of parsed events.
+        """
+        event_count = 0
         if connection.phase is Phase.IDLE:
             connection.phase = Phase.RECEIVING
             connection.waiting_since = time.monotonic()
@@ -342,6 +356,7 @@
             while has_more:
                 event = connection.protocol.next_event()
                 has_more = handle_protocol_event(event, connection, self)
+                event_count += 1
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint or 400
             self.refuse_request(
@@ -351,6 +366,7 @@
             self.refuse_request(
                 connection, error.status, error.code, error.message
             )
+        return event_count
 
     def send_continue(self, connection: CallerConnection) -> None:
         """Send `100 Continue` to a caller that waits for it."""
@@ -853,6 +869,28 @@
     )
 
 
+def refuse_connection(
+    sock: socket.socket, codec: relay_wire.CallerCodec
+) -> None:
+    """Answer a connection that is not kept, and close it.
+
+    Input that has arrived is read, because unread input resets a connection
+    that is closed.
+    """
+    head, body = codec.encode_error(
+        503, 'overloaded', 'the address has too many connections'
+    )
+    closing = dataclasses.replace(head, closes_connection=True)
+    protocol = build_protocol(channels.RECEIVE_BYTES)
+    output = protocol.send(build_response(closing, len(body))) or b''
+    sock.setblocking(False)
+    with contextlib.suppress(OSError):
+        sock.send(output + (protocol.send(h11.Data(data=body)) or b''))
+        sock.shutdown(socket.SHUT_WR)
+        sock.recv(channels.RECEIVE_BYTES)
+    sock.close()
+
+
 def find_peer_address(sock: socket.socket) -> str:
     """Return the IP address of a peer, or nothing if it has left."""
     try:
