--- a/bench/relay_checks.py
+++ b/bench/relay_checks.py
@@ -49,6 +49,9 @@
 # A fault that began this long before may still last.
 LONGEST_FAULT_SECONDS = 4.0
 MISDIRECTED_STATUS = 421
+KILLING_FAULTS = frozenset(('Kill', 'KillAll'))
+# A kill is recorded at most this long before the process ends.
+KILL_SECONDS = 1.0
 # The site recovers within this time after all faults have ended.
 RECOVERY_SECONDS = 12.0
 MINIMUM_SERVED_SHARE = 0.25
@@ -125,6 +128,32 @@
             )
 
 
+def check_missing_answers(history: History) -> abc.Iterator[Violation]:
+    """Find requests that ended without any answer at a living instance.
+
+    Faults of runners, links and the store, and planned stops, end in an answer
+    with an error status at the latest.
+    """
+    attempts = history.index_attempts()
+    kills = [
+        line
+        for line in history.select('fault')
+        if line.get('kind') in KILLING_FAULTS
+    ]
+    for lost in history.select('lost'):
+        # Without a head, the status is 0.
+        if lost.get('status') or not lost.get('sent'):
+            continue
+        attempt = attempts[lost['id']]
+        is_killed = any(
+            kill['target'] in {'', attempt['entry']}
+            and attempt['at'] - KILL_SECONDS <= kill['at'] <= lost['at']
+            for kill in kills
+        )
+        if not is_killed:
+            yield Violation('an answer to each', lost['id'], lost['problem'])
+
+
 def check_unrequested_runs(history: History) -> abc.Iterator[Violation]:
     """Find runs of unknown or altered requests and of forwarded API keys."""
     attempts = history.index_attempts()
@@ -379,6 +408,7 @@
     check_at_most_once,
     check_refusals,
     check_answers,
+    check_missing_answers,
     check_unrequested_runs,
     check_layers,
     check_run_counts,
--- a/tests/test_relay_checks.py
+++ b/tests/test_relay_checks.py
@@ -60,6 +60,20 @@
     }
 
 
+def build_loss(**fields: typing.Any) -> dict[str, typing.Any]:
+    """Return the line of an attempt whose connection failed."""
+    return {
+        'event': 'lost',
+        'id': 'a1',
+        'status': 0,
+        'sent': True,
+        'problem': 'closed',
+        'sound': True,
+        'at': 100.2,
+        **fields,
+    }
+
+
 def build_config(at: float, *keys: str) -> dict[str, typing.Any]:
     """Return the line of a confirmed configuration."""
     return {'event': 'config', 'at': at, 'keys': keys, 'version': int(at)}
@@ -203,6 +217,27 @@
             'whole answers', build_attempt(), build_run(), other
         )
 
+    def test_request_without_an_answer(self) -> None:
+        """Guard against missing a connection that ends under a request."""
+        stop = {'event': 'fault', 'kind': 'Stop', 'target': 'e0', 'at': 99.9}
+        other = {**stop, 'kind': 'Kill', 'target': 'e1'}
+        self.assert_violation(
+            'an answer to each', build_attempt(), build_loss(), stop, other
+        )
+
+    def test_excused_request_without_an_answer(self) -> None:
+        """Guard against reporting requests that no instance could answer."""
+        kill = {'event': 'fault', 'kind': 'Kill', 'target': 'e0', 'at': 100.1}
+        for lines in (
+            (build_loss(), kill),
+            (build_loss(), {**kill, 'kind': 'KillAll', 'target': ''}),
+            (build_loss(sent=False),),
+        ):
+            with self.subTest(lines=lines):
+                self.assertEqual(
+                    set(), find_broken_promises(build_attempt(), *lines)
+                )
+
     def test_unknown_run(self) -> None:
         """Guard against missing a run without a caller's attempt."""
         self.assert_violation(
