Check that keys in force are not denied

Cause: an instance that kept an older version denied keys of a newer one with 401, and only runs with revoked keys were compared with the versions.

Change: a denial is a violation if each version that may be in force has the key. Confirmations from before a restore of the store do not count.

--- a/bench/relay_checks.py
+++ b/bench/relay_checks.py
@@ -49,6 +49,8 @@
 # A fault that began this long before may still last.
 LONGEST_FAULT_SECONDS = 4.0
 MISDIRECTED_STATUS = 421
+UNAUTHORIZED_STATUS = 401
+RESTORING_FAULT = 'RestoreStore'
 KILLING_FAULTS = frozenset(('Kill', 'KillAll'))
 # A kill is recorded at most this long before the process ends.
 KILL_SECONDS = 1.0
@@ -259,19 +261,58 @@
     be lost. It is out of force `REVOCATION_SECONDS` after the confirmation of a
     newer version.
     """
-    oldest_version = max(
+    oldest_version = find_oldest_version(attempt['at'], confirmed)
+    return any(
+        attempt['key'] in config['keys']
+        for config in sent
+        if config['version'] >= oldest_version
+    )
+
+
+def find_oldest_version(at: float, confirmed: abc.Sequence[Line]) -> int:
+    """Return the oldest version that may be in force at a time, or 0."""
+    return max(
         (
             config['version']
             for config in confirmed
-            if config['at'] + REVOCATION_SECONDS < attempt['at']
+            if config['at'] + REVOCATION_SECONDS < at
         ),
         default=0,
     )
-    return any(
-        attempt['key'] in config['keys']
-        for config in sent
-        if config['version'] >= oldest_version
-    )
+
+
+def check_denied_keys(history: History) -> abc.Iterator[Violation]:
+    """Find denials of keys that all configurations that may be in force have.
+
+    A restored store may show an older version until the operator confirms one
+    again.
+    """
+    attempts = history.index_attempts()
+    confirmed, sent = history.select('config'), history.select('config_sent')
+    restore_times = [
+        line['at']
+        for line in history.select('fault')
+        if line.get('kind') == RESTORING_FAULT
+    ]
+    for answer in history.select('answer'):
+        if answer['status'] != UNAUTHORIZED_STATUS:
+            continue
+        attempt = attempts[answer['id']]
+        restored_at = max(
+            (at for at in restore_times if at < answer['at']), default=0.0
+        )
+        oldest_version = find_oldest_version(
+            attempt['at'],
+            [line for line in confirmed if line['at'] > restored_at],
+        )
+        is_known = oldest_version > 0 and all(
+            attempt['key'] in config['keys']
+            for config in sent
+            if config['version'] >= oldest_version
+            and config['at'] <= answer['at']
+        )
+        if is_known:
+            yield Violation('keys in force', attempt['id'], attempt['key'])
 
 
 def check_draining_runners(history: History) -> abc.Iterator[Violation]:
@@ -415,6 +456,7 @@
     check_retry_budget,
     check_deadlines,
     check_revoked_keys,
+    check_denied_keys,
     check_draining_runners,
     check_leaving_upstreams,
     check_waits,
--- a/tests/test_relay_checks.py
+++ b/tests/test_relay_checks.py
@@ -323,6 +323,17 @@
             build_answer(),
         )
 
+    def test_denied_key(self) -> None:
+        """Guard against missing an instance that keeps an older version."""
+        denial = build_answer(status=401, stamp='', whole=False)
+        restore = {'event': 'fault', 'kind': 'RestoreStore', 'at': 98.0}
+        history = (build_config(50), build_config(90, 'k'), build_attempt())
+        self.assert_violation('keys in force', *history, denial)
+        for line in (build_config(95.5), restore):
+            with self.subTest(line=line):
+                found = find_broken_promises(*history, denial, line)
+                self.assertEqual(set(), found)
+
     def test_draining_runner(self) -> None:
         """Guard against missing a run long after the start of a drain."""
         drain = {'event': 'draining', 'runner': 'p0', 'at': 97.0}
