Check that no stream is cut where no fault breaks streams

Cause: a stream that is cut is allowed for many faults, so the soak never reported one, also where runners had only been silent.

Change: the soak records faults of runners that may break streams off. A cut within the deadline is a violation if there was none of them and no fault of instances or links since 4 s before the attempt.

--- a/bench/relay_checks.py
+++ b/bench/relay_checks.py
@@ -8,10 +8,10 @@
 - of runners: `run`, `refusal`, with the seconds of `retry_after` if the runner
   asks to wait, and `move`, the new chain of a running request;
 - of the operator: `config_sent` for a configuration and `config` for its
-  confirmation, `draining` and `returned` for a runner, `restarted` before its
-  process ends or another one begins, `plan` for a planned fault, `fault` where
-  a fault begins or ends at its `target`, and `settled` when all faults have
-  ended.
+  confirmation, `draining` and `returned` for a runner, `broken` before a fault
+  that may break off its streams, `restarted` before its process ends or another
+  one begins, `plan` for a planned fault, `fault` where a fault begins or ends
+  at its `target`, and `settled` when all faults have ended.
 
 Times are in seconds since the epoch.
 """
@@ -54,6 +54,10 @@
 KILLING_FAULTS = frozenset(('Kill', 'KillAll'))
 # A kill is recorded at most this long before the process ends.
 KILL_SECONDS = 1.0
+# Faults of the store end no stream that has begun.
+HARMLESS_FAULTS = frozenset(('DisturbStore', 'RestoreStore'))
+STREAMED_STATUS = 200
+MILLISECONDS_PER_SECOND = 1000
 # The site recovers within this time after all faults have ended.
 RECOVERY_SECONDS = 12.0
 MINIMUM_SERVED_SHARE = 0.25
@@ -156,6 +160,29 @@
             yield Violation('an answer to each', lost['id'], lost['problem'])
 
 
+def check_cut_streams(history: History) -> abc.Iterator[Violation]:
+    """Find streams that were cut although no fault breaks any stream.
+
+    Silence of runners, a changed configuration and a disturbed store do not.
+    """
+    attempts = history.index_attempts()
+    breaks = [
+        line
+        for line in history.select('fault', 'broken', 'restarted')
+        if line['event'] != 'fault' or line.get('kind') not in HARMLESS_FAULTS
+    ]
+    for lost in history.select('lost'):
+        if lost.get('status') != STREAMED_STATUS or not lost.get('sent'):
+            continue
+        is_late = lost['seconds'] * MILLISECONDS_PER_SECOND >= DEADLINE_MS
+        begins_at = attempts[lost['id']]['at'] - LONGEST_FAULT_SECONDS
+        is_broken = any(
+            begins_at <= line['at'] <= lost['at'] for line in breaks
+        )
+        if not is_late and not is_broken:
+            yield Violation('streams go on', lost['id'], lost['problem'])
+
+
 def check_unrequested_runs(history: History) -> abc.Iterator[Violation]:
     """Find runs of unknown or altered requests and of forwarded API keys."""
     attempts = history.index_attempts()
@@ -450,6 +477,7 @@
     check_refusals,
     check_answers,
     check_missing_answers,
+    check_cut_streams,
     check_unrequested_runs,
     check_layers,
     check_run_counts,
--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -14,6 +14,8 @@
 FAULT_DELAY_SECONDS = 0.4
 # Faults of runners after which another process runs under the same id.
 RESTARTING_FAULTS = frozenset(('down', 'dark', 'draining', 'leaving'))
+# Faults of runners that break no open stream off.
+UNBROKEN_FAULTS = frozenset(('suspended', 'full', 'retry_after_seconds'))
 # Ages of the copies from which the store is restored.
 COPY_SECONDS = (0.5, 2.0, 5.0)
 # Times after a restore until the operator writes its last version again.
--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -168,6 +168,8 @@
     """Activate faults of a runner and record if it drains or ends."""
     faults = dict(fault.faults)
     driver.runner_faults[fault.target] = fault
+    if not faults.keys() <= relay_faults.UNBROKEN_FAULTS:
+        driver.site.record_event('broken', runner=fault.target)
     if faults.get('down'):
         driver.site.record_event('restarted', runner=fault.target)
     if not faults.get('draining'):
--- a/tests/test_relay_checks.py
+++ b/tests/test_relay_checks.py
@@ -238,6 +238,25 @@
                     set(), find_broken_promises(build_attempt(), *lines)
                 )
 
+    def test_cut_stream(self) -> None:
+        """Guard against missing a stream that ends because of a silence."""
+        cut = build_loss(status=200, seconds=1.8)
+        restore = {'event': 'fault', 'kind': 'RestoreStore', 'at': 100.0}
+        broken = {'event': 'broken', 'runner': 'm0', 'at': 97.0}
+        lines = (build_attempt(kind='generate'), build_run())
+        self.assert_violation('streams go on', *lines, cut, restore)
+        for excused in (
+            (cut, broken),
+            (cut, {'event': 'restarted', 'runner': 'm0', 'at': 100.1}),
+            (cut, {**restore, 'kind': 'Stop', 'target': 'e0'}),
+            (build_loss(status=200, seconds=5.0),),
+        ):
+            with self.subTest(lines=excused):
+                found = find_broken_promises(
+                    build_config(1, 'k'), *lines, *excused
+                )
+                self.assertEqual(set(), found)
+
     def test_unknown_run(self) -> None:
         """Guard against missing a run without a caller's attempt."""
         self.assert_violation(
