Check that a refusing runner does not draw requests

Cause: a copy without the backoff after refusals was not found: the retries stay within the budget, and callers see refusals that are allowed.

Change: more than six refusals by one plain runner to one instance within 2 s are a violation while another runner serves that instance.

--- a/bench/relay_checks.py
+++ b/bench/relay_checks.py
@@ -46,6 +46,11 @@
 # A request that arrives this long after a refusal was not sent before it.
 REFUSAL_ARRIVAL_SECONDS = 0.5
 MAXIMUM_ARRIVALS_IN_A_WAIT = 2
+PLAIN_KINDS = frozenset(('read', NON_IDEMPOTENT_KIND))
+# An instance sends the first requests to a runner that refuses at once after 0,
+# 0.3 and 0.9 s, and those that cross a refusal.
+REFUSAL_WINDOW_SECONDS = 2.0
+MAXIMUM_WINDOW_REFUSALS = 6
 # A fault that began this long before may still last.
 LONGEST_FAULT_SECONDS = 4.0
 MISDIRECTED_STATUS = 421
@@ -416,6 +421,39 @@
             )
 
 
+def check_refusing_runners(history: History) -> abc.Iterator[Violation]:
+    """Find plain runners that go on to draw requests which they refuse.
+
+    Only times at which another plain runner refuses nothing and runs requests
+    of the same instance are looked at.
+    """
+    attempts = history.index_attempts()
+    arrivals: dict[str, list[Line]] = collections.defaultdict(list)
+    for line in history.select('run', 'refusal'):
+        attempt = attempts.get(line['id'])
+        if attempt is not None and attempt['kind'] in PLAIN_KINDS:
+            arrivals[attempt['entry']].append(line)
+    for lines in arrivals.values():
+        for number, last in enumerate(lines):
+            recent = [
+                line
+                for line in lines[: number + 1]
+                if line['at'] > last['at'] - REFUSAL_WINDOW_SECONDS
+            ]
+            refusers = collections.Counter(
+                line['runner'] for line in recent if line['event'] == 'refusal'
+            )
+            is_served = any(line['runner'] not in refusers for line in recent)
+            count = refusers[last['runner']]
+            if count > MAXIMUM_WINDOW_REFUSALS and is_served:
+                yield Violation(
+                    'refusing runners',
+                    last['id'],
+                    f'{count} at {last["runner"]}',
+                )
+                break
+
+
 def list_arrivals(
     runner: str, entry: str, history: History
 ) -> abc.Iterator[Line]:
@@ -488,5 +526,6 @@
     check_draining_runners,
     check_leaving_upstreams,
     check_waits,
+    check_refusing_runners,
     check_recovery,
 )
--- a/tests/test_relay_checks.py
+++ b/tests/test_relay_checks.py
@@ -448,6 +448,27 @@
             found = find_broken_promises(build_config(1, 'k'), *allowed)
             self.assertEqual(set(), found)
 
+    def test_refusing_runner(self) -> None:
+        """Guard against missing a runner that refuses and draws requests."""
+
+        def build_history(
+            count: int, *others: dict[str, typing.Any]
+        ) -> tuple[dict[str, typing.Any], ...]:
+            lines = [build_config(1, 'k'), *others]
+            for number in range(count):
+                name, at = f'r{number}', 100 + number / 5
+                lines.append(build_attempt(name, kind='read', at=at))
+                lines.append(build_run(name, event='refusal', at=at))
+            return tuple(lines)
+
+        served = (build_attempt(), build_run(runner='p1', at=100.5))
+        self.assertEqual(
+            {'refusing runners'},
+            find_broken_promises(*build_history(7, *served)),
+        )
+        for allowed in (build_history(6, *served), build_history(9)):
+            self.assertEqual(set(), find_broken_promises(*allowed))
+
     def test_missing_recovery(self) -> None:
         """Guard against missing a site that serves nothing after faults."""
         settled = {'event': 'settled', 'at': 80.0}
