--- a/bench/relay_checks.py
+++ b/bench/relay_checks.py
@@ -8,10 +8,10 @@
 - of runners: `run`, `refusal`, with the seconds of `retry_after` if the runner
   asks to wait, and `move`, the new chain of a running request;
 - of the operator: `config_sent` for a configuration and `config` for its
-  confirmation, `draining` and `returned` for a runner, `restarted` before its
-  process ends or another one begins, `plan` for a planned fault, `fault` where
-  a fault begins or ends at its `target`, and `settled` when all faults have
-  ended.
+  confirmation, `draining` and `returned` for a runner, `broken` before a fault
+  that may break off its streams, `restarted` before its process ends or another
+  one begins, `plan` for a planned fault, `fault` where a fault begins or ends
+  at its `target`, and `settled` when all faults have ended.
 
 Times are in seconds since the epoch.
 """
@@ -46,9 +46,23 @@
 # A request that arrives this long after a refusal was not sent before it.
 REFUSAL_ARRIVAL_SECONDS = 0.5
 MAXIMUM_ARRIVALS_IN_A_WAIT = 2
+PLAIN_KINDS = frozenset(('read', NON_IDEMPOTENT_KIND))
+# An instance sends the first requests to a runner that refuses at once after 0,
+# 0.3 and 0.9 s, and those that cross a refusal.
+REFUSAL_WINDOW_SECONDS = 2.0
+MAXIMUM_WINDOW_REFUSALS = 6
 # A fault that began this long before may still last.
 LONGEST_FAULT_SECONDS = 4.0
 MISDIRECTED_STATUS = 421
+UNAUTHORIZED_STATUS = 401
+RESTORING_FAULT = 'RestoreStore'
+KILLING_FAULTS = frozenset(('Kill', 'KillAll'))
+# A kill is recorded at most this long before the process ends.
+KILL_SECONDS = 1.0
+# Faults of the store end no stream that has begun.
+HARMLESS_FAULTS = frozenset(('DisturbStore', 'RestoreStore'))
+STREAMED_STATUS = 200
+MILLISECONDS_PER_SECOND = 1000
 # The site recovers within this time after all faults have ended.
 RECOVERY_SECONDS = 12.0
 MINIMUM_SERVED_SHARE = 0.25
@@ -125,6 +139,55 @@
             )
 
 
+def check_missing_answers(history: History) -> abc.Iterator[Violation]:
+    """Find requests that ended without any answer at a living instance.
+
+    Faults of runners, links and the store, and planned stops, end in an answer
+    with an error status at the latest.
+    """
+    attempts = history.index_attempts()
+    kills = [
+        line
+        for line in history.select('fault')
+        if line.get('kind') in KILLING_FAULTS
+    ]
+    for lost in history.select('lost'):
+        # Without a head, the status is 0.
+        if lost.get('status') or not lost.get('sent'):
+            continue
+        attempt = attempts[lost['id']]
+        is_killed = any(
+            kill['target'] in {'', attempt['entry']}
+            and attempt['at'] - KILL_SECONDS <= kill['at'] <= lost['at']
+            for kill in kills
+        )
+        if not is_killed:
+            yield Violation('an answer to each', lost['id'], lost['problem'])
+
+
+def check_cut_streams(history: History) -> abc.Iterator[Violation]:
+    """Find streams that were cut although no fault breaks any stream.
+
+    Silence of runners, a changed configuration and a disturbed store do not.
+    """
+    attempts = history.index_attempts()
+    breaks = [
+        line
+        for line in history.select('fault', 'broken', 'restarted')
+        if line['event'] != 'fault' or line.get('kind') not in HARMLESS_FAULTS
+    ]
+    for lost in history.select('lost'):
+        if lost.get('status') != STREAMED_STATUS or not lost.get('sent'):
+            continue
+        is_late = lost['seconds'] * MILLISECONDS_PER_SECOND >= DEADLINE_MS
+        begins_at = attempts[lost['id']]['at'] - LONGEST_FAULT_SECONDS
+        is_broken = any(
+            begins_at <= line['at'] <= lost['at'] for line in breaks
+        )
+        if not is_late and not is_broken:
+            yield Violation('streams go on', lost['id'], lost['problem'])
+
+
 def check_unrequested_runs(history: History) -> abc.Iterator[Violation]:
     """Find runs of unknown or altered requests and of forwarded API keys."""
     attempts = history.index_attempts()
@@ -230,19 +293,58 @@
     be lost. It is out of force `REVOCATION_SECONDS` after the confirmation of a
     newer version.
     """
-    oldest_version = max(
+    oldest_version = find_oldest_version(attempt['at'], confirmed)
+    return any(
+        attempt['key'] in config['keys']
+        for config in sent
+        if config['version'] >= oldest_version
+    )
+
+
+def find_oldest_version(at: float, confirmed: abc.Sequence[Line]) -> int:
+    """Return the oldest version that may be in force at a time, or 0."""
+    return max(
         (
             config['version']
             for config in confirmed
-            if config['at'] + REVOCATION_SECONDS < attempt['at']
+            if config['at'] + REVOCATION_SECONDS < at
         ),
         default=0,
     )
-    return any(
-        attempt['key'] in config['keys']
-        for config in sent
-        if config['version'] >= oldest_version
-    )
+
+
+def check_denied_keys(history: History) -> abc.Iterator[Violation]:
+    """Find denials of keys that all configurations that may be in force have.
+
+    A restored store may show an older version until the operator confirms one
+    again.
+    """
+    attempts = history.index_attempts()
+    confirmed, sent = history.select('config'), history.select('config_sent')
+    restore_times = [
+        line['at']
+        for line in history.select('fault')
+        if line.get('kind') == RESTORING_FAULT
+    ]
+    for answer in history.select('answer'):
+        if answer['status'] != UNAUTHORIZED_STATUS:
+            continue
+        attempt = attempts[answer['id']]
+        restored_at = max(
+            (at for at in restore_times if at < answer['at']), default=0.0
+        )
+        oldest_version = find_oldest_version(
+            attempt['at'],
+            [line for line in confirmed if line['at'] > restored_at],
+        )
+        is_known = oldest_version > 0 and all(
+            attempt['key'] in config['keys']
+            for config in sent
+            if config['version'] >= oldest_version
+            and config['at'] <= answer['at']
+        )
+        if is_known:
+            yield Violation('keys in force', attempt['id'], attempt['key'])
 
 
 def check_draining_runners(history: History) -> abc.Iterator[Violation]:
@@ -319,6 +421,39 @@
             )
 
 
+def check_refusing_runners(history: History) -> abc.Iterator[Violation]:
+    """Find plain runners that go on to draw requests which they refuse.
+
+    Only times at which another plain runner refuses nothing and runs requests
+    of the same instance are looked at.
+    """
+    attempts = history.index_attempts()
+    arrivals: dict[str, list[Line]] = collections.defaultdict(list)
+    for line in history.select('run', 'refusal'):
+        attempt = attempts.get(line['id'])
+        if attempt is not None and attempt['kind'] in PLAIN_KINDS:
+            arrivals[attempt['entry']].append(line)
+    for lines in arrivals.values():
+        for number, last in enumerate(lines):
+            recent = [
+                line
+                for line in lines[: number + 1]
+                if line['at'] > last['at'] - REFUSAL_WINDOW_SECONDS
+            ]
+            refusers = collections.Counter(
+                line['runner'] for line in recent if line['event'] == 'refusal'
+            )
+            is_served = any(line['runner'] not in refusers for line in recent)
+            count = refusers[last['runner']]
+            if count > MAXIMUM_WINDOW_REFUSALS and is_served:
+                yield Violation(
+                    'refusing runners',
+                    last['id'],
+                    f'{count} at {last["runner"]}',
+                )
+                break
+
+
 def list_arrivals(
     runner: str, entry: str, history: History
 ) -> abc.Iterator[Line]:
@@ -379,14 +514,18 @@
     check_at_most_once,
     check_refusals,
     check_answers,
+    check_missing_answers,
+    check_cut_streams,
     check_unrequested_runs,
     check_layers,
     check_run_counts,
     check_retry_budget,
     check_deadlines,
     check_revoked_keys,
+    check_denied_keys,
     check_draining_runners,
     check_leaving_upstreams,
     check_waits,
+    check_refusing_runners,
     check_recovery,
 )
--- a/tests/test_relay_checks.py
+++ b/tests/test_relay_checks.py
@@ -60,6 +60,20 @@
     }
 
 
+def build_loss(**fields: typing.Any) -> dict[str, typing.Any]:
+    """Return the line of an attempt whose connection failed."""
+    return {
+        'event': 'lost',
+        'id': 'a1',
+        'status': 0,
+        'sent': True,
+        'problem': 'closed',
+        'sound': True,
+        'at': 100.2,
+        **fields,
+    }
+
+
 def build_config(at: float, *keys: str) -> dict[str, typing.Any]:
     """Return the line of a confirmed configuration."""
     return {'event': 'config', 'at': at, 'keys': keys, 'version': int(at)}
@@ -203,6 +217,46 @@
             'whole answers', build_attempt(), build_run(), other
         )
 
+    def test_request_without_an_answer(self) -> None:
+        """Guard against missing a connection that ends under a request."""
+        stop = {'event': 'fault', 'kind': 'Stop', 'target': 'e0', 'at': 99.9}
+        other = {**stop, 'kind': 'Kill', 'target': 'e1'}
+        self.assert_violation(
+            'an answer to each', build_attempt(), build_loss(), stop, other
+        )
+
+    def test_excused_request_without_an_answer(self) -> None:
+        """Guard against reporting requests that no instance could answer."""
+        kill = {'event': 'fault', 'kind': 'Kill', 'target': 'e0', 'at': 100.1}
+        for lines in (
+            (build_loss(), kill),
+            (build_loss(), {**kill, 'kind': 'KillAll', 'target': ''}),
+            (build_loss(sent=False),),
+        ):
+            with self.subTest(lines=lines):
+                self.assertEqual(
+                    set(), find_broken_promises(build_attempt(), *lines)
+                )
+
+    def test_cut_stream(self) -> None:
+        """Guard against missing a stream that ends because of a silence."""
+        cut = build_loss(status=200, seconds=1.8)
+        restore = {'event': 'fault', 'kind': 'RestoreStore', 'at': 100.0}
+        broken = {'event': 'broken', 'runner': 'm0', 'at': 97.0}
+        lines = (build_attempt(kind='generate'), build_run())
+        self.assert_violation('streams go on', *lines, cut, restore)
+        for excused in (
+            (cut, broken),
+            (cut, {'event': 'restarted', 'runner': 'm0', 'at': 100.1}),
+            (cut, {**restore, 'kind': 'Stop', 'target': 'e0'}),
+            (build_loss(status=200, seconds=5.0),),
+        ):
+            with self.subTest(lines=excused):
+                found = find_broken_promises(
+                    build_config(1, 'k'), *lines, *excused
+                )
+                self.assertEqual(set(), found)
+
     def test_unknown_run(self) -> None:
         """Guard against missing a run without a caller's attempt."""
         self.assert_violation(
@@ -288,6 +342,17 @@
             build_answer(),
         )
 
+    def test_denied_key(self) -> None:
+        """Guard against missing an instance that keeps an older version."""
+        denial = build_answer(status=401, stamp='', whole=False)
+        restore = {'event': 'fault', 'kind': 'RestoreStore', 'at': 98.0}
+        history = (build_config(50), build_config(90, 'k'), build_attempt())
+        self.assert_violation('keys in force', *history, denial)
+        for line in (build_config(95.5), restore):
+            with self.subTest(line=line):
+                found = find_broken_promises(*history, denial, line)
+                self.assertEqual(set(), found)
+
     def test_draining_runner(self) -> None:
         """Guard against missing a run long after the start of a drain."""
         drain = {'event': 'draining', 'runner': 'p0', 'at': 97.0}
@@ -383,6 +448,27 @@
             found = find_broken_promises(build_config(1, 'k'), *allowed)
             self.assertEqual(set(), found)
 
+    def test_refusing_runner(self) -> None:
+        """Guard against missing a runner that refuses and draws requests."""
+
+        def build_history(
+            count: int, *others: dict[str, typing.Any]
+        ) -> tuple[dict[str, typing.Any], ...]:
+            lines = [build_config(1, 'k'), *others]
+            for number in range(count):
+                name, at = f'r{number}', 100 + number / 5
+                lines.append(build_attempt(name, kind='read', at=at))
+                lines.append(build_run(name, event='refusal', at=at))
+            return tuple(lines)
+
+        served = (build_attempt(), build_run(runner='p1', at=100.5))
+        self.assertEqual(
+            {'refusing runners'},
+            find_broken_promises(*build_history(7, *served)),
+        )
+        for allowed in (build_history(6, *served), build_history(9)):
+            self.assertEqual(set(), find_broken_promises(*allowed))
+
     def test_missing_recovery(self) -> None:
         """Guard against missing a site that serves nothing after faults."""
         settled = {'event': 'settled', 'at': 80.0}
