Split the rank key of waiting requests in two

The key was cut at a constant number of elements to put the usage of an account in the middle, which a reader had to count. Two functions now give what goes before the usage and what after it; the order is the same. The description of a request no longer takes a state that it did not use, and the state of waiting requests names all its fields.

--- a/src/mustardvale/internal/relay/capacity_waits.py
+++ b/src/mustardvale/internal/relay/capacity_waits.py
@@ -23,7 +23,8 @@
 # search takes some milliseconds on a small machine.
 SEARCH_PERIOD_SECONDS = 0.1
 MAXIMUM_FAILED_SEARCHES = 2
-# The last attempt of a request with one of these ends has just been removed.
+# Requests with these outcomes were served, although their last attempt is gone
+# when the end is recorded.
 SERVED_OUTCOMES = frozenset(('request_answered', 'stream_completed'))
 
 
@@ -46,9 +47,11 @@
     """Hold what the order of waiting requests depends on.
 
     `completions` counts the requests of each service that have ended recently,
-    `usage` has the tokens that each client account was given recently. `skipped`
-    counts for each service and urgency how many more urgent requests have been
-    sent since the last one, while requests waited.
+    and `usage` has the tokens that each client account was given recently.
+    `skipped` counts for each service and urgency how many more urgent requests
+    have been sent since the last one, while requests waited. `rounds` has the
+    last failed searches of each service, and `promises` the return times of
+    refused callers, by the fingerprints of their requests.
     """
 
     completions: waiting_order.AmountMap = immutables.Map()
@@ -81,7 +84,7 @@
 
 
 def describe_request(
-    exchange: exchanges.Exchange, state: 'states.State'
+    exchange: exchanges.Exchange,
 ) -> waiting_order.WaitingRequest:
     """Return what the order of waiting requests depends on."""
     return waiting_order.WaitingRequest(
@@ -114,7 +117,7 @@
 ) -> tuple[waiting_order.WaitingRequest, ...]:
     """Return requests of a service in the order in which they are sent."""
     return waiting_order.order_requests(
-        [describe_request(exchange, state) for exchange in group],
+        [describe_request(exchange) for exchange in group],
         state.capacity.usage,
         get_skipped(service, state),
         now,
@@ -165,7 +168,7 @@
     if not held:
         return False
     ordered = order_group((*held, exchange), exchange.service, now, state)
-    return waiting_order.is_behind(describe_request(exchange, state), ordered)
+    return waiting_order.is_behind(describe_request(exchange), ordered)
 
 
 def is_search_due(
@@ -250,7 +253,7 @@
     ]
     ordered = order_group((*others, exchange), exchange.service, now, state)
     return waiting_order.estimate_wait_seconds(
-        describe_request(exchange, state), ordered, rate, skipped
+        describe_request(exchange), ordered, rate, skipped
     )
 
 
@@ -285,7 +288,7 @@
     return tuple(
         one.request_id
         for one in waiting_order.list_yielding(
-            describe_request(exchange, state),
+            describe_request(exchange),
             ordered,
             get_skipped(exchange.service, state),
         )
--- a/src/mustardvale/internal/relay/waiting_order.py
+++ b/src/mustardvale/internal/relay/waiting_order.py
@@ -15,16 +15,13 @@
 
 import immutables
 
-
 # A request that has waited for this long is ranked one level more urgent.
 AGING_SECONDS = 1.5
 # After this many smaller requests were sent first, a large one goes next.
 MAXIMUM_PASSES = 3
-# Starts of more urgent requests after which one of a lower priority has its turn.
-# No priority is then served less than a quarter as often as all together.
+# After this many starts of more urgent requests, a less urgent one goes next. No
+# urgency is then served less than a quarter as often as all together.
 MAXIMUM_SKIPPED_STARTS = 3
-# Number of elements of a rank key that go before the usage of an account.
-RANK_PARTS = 3
 # Completions and usage are remembered with this time constant.
 MEMORY_SECONDS = 10.0
 # Fewer remembered completions say nothing about the capacity.
@@ -33,6 +30,8 @@
 MINIMUM_OBSERVED_SECONDS = 1.0
 # Two equal waits may differ by less than this after rounding.
 ROUNDING_SECONDS = 0.001
+
+# By urgency, the starts of more urgent requests since its own last start.
 SkippedStarts: typing.TypeAlias = 'immutables.Map[int, int]'
 
 
@@ -120,15 +119,16 @@
 ) -> tuple[WaitingRequest, ...]:
     """Return the requests in the order in which they are to be sent."""
     requests = tuple(waiting)
-    ranks = {one.request_id: build_rank_key(one, now) for one in requests}
-    ranked = sorted(requests, key=lambda one: ranks[one.request_id])
+    ranked = sorted(
+        requests, key=lambda one: (build_rank(one, now), build_tie_key(one))
+    )
     tags = assign_tags(ranked, usage, now)
     ordered = sorted(
         requests,
         key=lambda one: (
-            *ranks[one.request_id][:RANK_PARTS],
+            build_rank(one, now),
             tags[one.request_id],
-            *ranks[one.request_id][RANK_PARTS:],
+            build_tie_key(one),
         ),
     )
     due = find_due_request(ordered, skipped)
@@ -157,21 +157,21 @@
     return tags
 
 
-def build_rank_key(one: WaitingRequest, now: float) -> tuple[typing.Any, ...]:
-    """Return the place of a request, apart from the usage of its account.
-
-    The usage goes behind the first `RANK_PARTS` elements.
-    """
+def build_rank(one: WaitingRequest, now: float) -> tuple[int, bool, bool]:
+    """Return what goes before the usage of accounts in the order."""
     return (
-        compute_rank(one, now),
+        compute_aged_urgency(one, now),
         not one.is_overdue,
         not one.is_returning,
-        one.waits_until,
-        one.request_id,
     )
 
 
-def compute_rank(one: WaitingRequest, now: float) -> int:
+def build_tie_key(one: WaitingRequest) -> tuple[float, str]:
+    """Return what orders requests of the same rank and tag."""
+    return one.waits_until, one.request_id
+
+
+def compute_aged_urgency(one: WaitingRequest, now: float) -> int:
     """Return the urgency of a request, raised by the time it has waited."""
     return max(one.urgency - int((now - one.arrived_at) / AGING_SECONDS), 0)
 
