Name the terms that bound the cost of chains

The bounds were tuples that were read by index, the lower bounds of parts were not documented, and 'what no chain stays below' made a reader think twice. The bounds of layers are now a named tuple, and the docs call them lower bounds.

--- a/src/mustardvale/internal/relay/chain_search.py
+++ b/src/mustardvale/internal/relay/chain_search.py
@@ -2,7 +2,7 @@
 
 Both searches keep the cheapest way to each layer that has been reached and
 extend it in the order of layers. They work on plain numbers, because a choice
-tries some hundred parts; the chain is built once, from the parts that are found.
+tries some hundred parts; the chain is built once, from the parts found.
 """
 
 import dataclasses
@@ -50,7 +50,8 @@
 class Way(typing.NamedTuple):
     """Hold the cheapest way to a layer in a zone.
 
-    `position` and `first` are those of its last part.
+    `position` is that of the runner of its last part, and `first` the first
+    layer of that part.
     """
 
     cost: float
@@ -66,6 +67,9 @@
 CostList: typing.TypeAlias = abc.MutableSequence[PartCosts | None]
 # The positions in such a list of the runners that hold each layer.
 PositionsByLayer: typing.TypeAlias = abc.Sequence[abc.Sequence[int]]
+# The end of a part, and a lower bound of its time in seconds for one layer. A
+# choice builds one for each runner; named tuples take much longer to build.
+LeastPart: typing.TypeAlias = tuple[int, float]
 # Returns the cost of a crossing between zones, or `None` if its link is full.
 CrossingLookup: typing.TypeAlias = abc.Callable[[str, str], float | None]
 
@@ -109,8 +113,11 @@
     """Hold what a search considers.
 
     `cost_list` has the costs of each runner by its position, or `None` until
-    the search needs them and calls `build_costs`. `least_costs` has, for each
-    layer, a cost that no chain from there to the end stays below. Chains that cost more than `limit` are not searched.
+    the search needs them and calls `build_costs`. `least_costs` has lower
+    bounds of the cost of chains from each layer to the end. Chains that cost
+    more than `limit` seconds are not searched. `least_parts` has lower bounds
+    by position; only searches of one zone need them, where `cost_list` has a
+    `None`.
     """
 
     cost_list: CostList
@@ -118,7 +125,7 @@
     positions_by_layer: PositionsByLayer
     least_costs: abc.Sequence[float]
     limit: float = math.inf
-    least_parts: abc.Sequence[tuple[int, float]] = ()
+    least_parts: abc.Sequence[LeastPart] = ()
 
     def find_costs(self, position: int) -> PartCosts:
         """Return the costs of a runner."""
@@ -171,8 +178,8 @@
         for position in search.positions_by_layer[layer]:
             costs = cost_list[position]
             if costs is None:
-                end, layer_seconds = search.least_parts[position]
-                part_cost = layer_seconds * (end - layer)
+                end, seconds_per_layer = search.least_parts[position]
+                part_cost = seconds_per_layer * (end - layer)
                 if part_cost + search.least_costs[end] > cost_left:
                     continue
                 costs = build_costs(position)
--- a/src/mustardvale/internal/relay/part_costs.py
+++ b/src/mustardvale/internal/relay/part_costs.py
@@ -21,8 +21,8 @@
 
     `step_seconds` and `sequence_seconds` are the times of a decoding step of
     all layers, without sequences and for each sequence. `prefill_seconds` is
-    the time of the prefill in all layers, on an accelerator whose factors are 1.
-    `other_count` is the number of other instances.
+    the time of the prefill in all layers. All three are those of an accelerator
+    whose factors are 1. `other_count` is the number of other instances.
     """
 
     now: float
@@ -145,7 +145,7 @@
 def compute_least_costs(
     least_terms: abc.Sequence[part_terms.LeastTerms], conditions: Conditions
 ) -> list[float]:
-    """Return a cost that no chain from each layer on stays below.
+    """Return a lower bound of the cost of chains from each layer on.
 
     It is the cost on idle runners without random additions, reduced so that
     rounding cannot raise it.
@@ -161,9 +161,9 @@
 
 
 def compute_least_parts(
-    part_shares: abc.Sequence[tuple[int, float, float]], conditions: Conditions
-) -> list[tuple[int, float]]:
-    """Return the end of each part and its least seconds for each layer."""
+    part_shares: abc.Sequence[part_terms.PartShares], conditions: Conditions
+) -> list[chain_search.LeastPart]:
+    """Return the end of each part, and a lower bound of its layers' times."""
     share = 1 - chain_search.ROUNDING_SHARE
     step = conditions.step_seconds * conditions.output_tokens * share
     prefill = conditions.prefill_seconds * share
--- a/src/mustardvale/internal/relay/part_terms.py
+++ b/src/mustardvale/internal/relay/part_terms.py
@@ -40,9 +40,22 @@
     prefill_share: float
 
 
-# What no chain from a layer to the end stays below: its shares of the engine's
-# step and prefill times, and the number of its parts.
-LeastTerms: typing.TypeAlias = tuple[float, float, float]
+class LeastTerms(typing.NamedTuple):
+    """Hold lower bounds of the terms of all chains from a layer to the end.
+
+    The shares are of the engine's step and prefill times for all layers.
+    """
+
+    step_share: float
+    prefill_share: float
+    part_count: float
+
+
+# The end of a part, and the step and prefill shares of `PartTerms`. Each choice
+# unpacks those of all runners, which takes longer with named tuples.
+PartShares: typing.TypeAlias = tuple[int, float, float]
+# Where a layer has no runner, no chain is cheap enough.
+UNREACHABLE = LeastTerms(math.inf, math.inf, math.inf)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,15 +66,16 @@
     the terms of each, or `None` for a runner that cannot run layers.
     `positions_by_layer` has, for each layer, the positions of the runners that
     hold it. `part_shares` repeats the end and the shares of each part, with
-    zeros for `None`. `least_terms` bounds the cost of chains from each layer on, and
-    `idle_parts` is the cheapest chain for a typical request without any load.
+    zeros for `None`. `least_terms` bounds the cost of chains from each layer
+    on, and `idle_parts` is the cheapest chain for a typical request without any
+    load.
     """
 
     engine: engines.Engine
     listed: tuple[runners.ListedRunner, ...]
     parts: tuple[PartTerms | None, ...]
     positions_by_layer: tuple[tuple[int, ...], ...]
-    part_shares: tuple[tuple[int, float, float], ...]
+    part_shares: tuple[PartShares, ...]
     least_terms: tuple[LeastTerms, ...]
     idle_parts: tuple[chain_search.FoundPart, ...]
 
@@ -126,22 +140,24 @@
 ) -> tuple[LeastTerms, ...]:
     """Return the least terms of chains from each layer on.
 
-    They are infinite where a later layer has no runner.
+    They are infinite where a later layer has no runner. The list is built from
+    the last layer backwards: what follows a layer is its last element.
     """
-    least = [(0.0, 0.0, 0.0)]
+    least = [LeastTerms(0.0, 0.0, 0.0)]
     for layer in reversed(range(len(positions_by_layer))):
         held = [parts[position] for position in positions_by_layer[layer]]
         holders = [part for part in held if part is not None]
         if not holders:
-            least.append((math.inf, math.inf, math.inf))
+            least.append(UNREACHABLE)
             continue
         end = max(part.end for part in holders)
         following = least[-1]
         least.append(
-            (
-                following[0] + min(part.step_share for part in holders),
-                following[1] + min(part.prefill_share for part in holders),
-                least[len(positions_by_layer) - end][2] + 1,
+            LeastTerms(
+                following.step_share + min(part.step_share for part in holders),
+                following.prefill_share
+                + min(part.prefill_share for part in holders),
+                least[len(positions_by_layer) - end].part_count + 1,
             )
         )
     return tuple(reversed(least))
--- a/src/mustardvale/internal/relay/waiting_order.py
+++ b/src/mustardvale/internal/relay/waiting_order.py
@@ -19,8 +19,8 @@
 AGING_SECONDS = 1.5
 # After this many smaller requests were sent first, a large one goes next.
 MAXIMUM_PASSES = 3
-# After this many starts of more urgent requests, a less urgent one goes next. No
-# urgency is then served less than a quarter as often as all together.
+# After this many starts of more urgent requests, a less urgent one goes next.
+# No urgency is then served less than a quarter as often as all together.
 MAXIMUM_SKIPPED_STARTS = 3
 # Completions and usage are remembered with this time constant.
 MEMORY_SECONDS = 10.0
