Define the share of time that callers wait to retry once

Two modules defined the share of the remaining time up to which callers honour a Retry-After, so that one could change without the other. The waits for the first reads now use the one of the return times; its value is the same. The doc comments of the estimate and the refusal say what the times stand for.

--- a/src/mustardvale/internal/relay/startup_admission.py
+++ b/src/mustardvale/internal/relay/startup_admission.py
@@ -199,7 +199,7 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Refuse a request that cannot be checked, until it may be."""
+    """Refuse a request that cannot be checked yet, with a time to retry."""
     drawn = draws.draw(state.seed)
     error = admission.build_unavailable_error(
         event.request,
--- a/src/mustardvale/internal/relay/startup_waits.py
+++ b/src/mustardvale/internal/relay/startup_waits.py
@@ -15,7 +15,7 @@
 
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import effects as relay_effects
-from mustardvale.internal.relay import reducer, requests, timers
+from mustardvale.internal.relay import reducer, requests, return_times, timers
 
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import state as states
@@ -33,8 +33,6 @@
 # The next read after a failed one is sent after 0.25 to 0.4 s.
 MINIMUM_RETRY_SECONDS = 0.5
 MAXIMUM_RETRY_SECONDS = 4.0
-# Callers honour a `Retry-After` up to this share of the time they have left.
-RETRY_TIME_SHARE = 1 / 3
 # Callers that are refused together return spread by up to this share.
 RETRY_SPREAD = 0.5
 
@@ -132,15 +130,15 @@
 ) -> float:
     """Return after how many seconds the store is expected to answer.
 
-    The end of an outage is not known. It is expected to last once more as long
-    as it has lasted. `left_seconds` is the time that the caller has left, if it
-    is known, and `fraction` a random number from 0 to 1.
+    An outage whose end is not known is expected to last as long again as it has
+    lasted (`pending_seconds`). `left_seconds` is the time that the caller has
+    left, if it is known, and `fraction` a random number from 0 to 1.
     """
     seconds = min(
         max(pending_seconds, MINIMUM_RETRY_SECONDS), MAXIMUM_RETRY_SECONDS
     )
     if left_seconds is not None:
-        longest_seconds = max(left_seconds, 0.0) * RETRY_TIME_SHARE
+        longest_seconds = max(left_seconds, 0.0) * return_times.RETRY_TIME_SHARE
         seconds = min(seconds, longest_seconds / (1 + RETRY_SPREAD))
     return seconds * (1 + RETRY_SPREAD * fraction)
 
