Say plainly what updates and faults are compared by

A local name meant something else than the field of the same name in the message, a flag was counted as a number, a tuple was multiplied by a flag, and a fault was compared by a slice of its key. Each is written out now, and some sentences of the doc comments are simpler; nothing is decided differently.

--- a/src/mustardvale/internal/relay/fault_moves.py
+++ b/src/mustardvale/internal/relay/fault_moves.py
@@ -39,7 +39,11 @@
         for fault in added
         if fault.kind is fault_reports.FaultKind.CRASHED
     )
-    stalled = tuple(fault for fault in added if fault not in crashed)
+    stalled = tuple(
+        fault
+        for fault in added
+        if fault.kind is fault_reports.FaultKind.STALLED
+    )
     return (
         recorded.then(
             lambda current: transitions.Transition(
@@ -205,8 +209,8 @@
 ) -> reducer.Transition:
     """Deprioritize a stalled runner, and move the streams that wait for it.
 
-    The runner may serve other streams. Those that are silent only from the fault
-    on are moved once that lasts long enough.
+    The runner may serve other streams. Those that fall silent only with the
+    fault are moved once they have been silent for long enough.
     """
     if not fault_reports.is_of_listed_process(fault, state.runners):
         return transitions.Transition(state)
@@ -261,7 +265,10 @@
 ) -> reducer.Transition:
     """Move the streams that a stalled runner still keeps waiting."""
     for fault in state.faults.faults:
-        is_same = (timer.runner_id, timer.started_at_ms) == fault.key[:2]
+        is_same = (
+            timer.runner_id == fault.runner_id
+            and timer.started_at_ms == fault.started_at_ms
+        )
         is_stalled = fault.kind is fault_reports.FaultKind.STALLED
         is_listed = fault_reports.is_of_listed_process(fault, state.runners)
         if is_same and is_stalled and is_listed:
--- a/src/mustardvale/internal/relay/fault_telling.py
+++ b/src/mustardvale/internal/relay/fault_telling.py
@@ -1,8 +1,8 @@
 """Record faults of runners, and tell the other instances of new ones.
 
 The instance that finds a fault sends it to the readers of all zones. A reader
-answers its waiting followers with it. What an instance has been told it does not
-send on to other readers, so that no fault circulates.
+answers its waiting followers with it. An instance does not send what it has
+been told to other readers, so that no fault circulates.
 """
 
 import dataclasses
@@ -36,11 +36,12 @@
     if not added:
         return transitions.Transition(state)
     is_found_here = origin is not fault_reports.FaultOrigin.TOLD
+    found_here = added if is_found_here else ()
     known = dataclasses.replace(
         state.faults,
         faults=fault_reports.merge(state.faults.faults, added, now),
         position=state.faults.position + 1,
-        unsent=state.faults.unsent + added * is_found_here,
+        unsent=state.faults.unsent + found_here,
     )
     recorded: reducer.Transition = transitions.Transition(
         dataclasses.replace(state, faults=known),
@@ -131,8 +132,8 @@
 def tell_followers(now: float, state: 'states.State') -> reducer.Transition:
     """Answer the followers that lack faults, unless the store is lost.
 
-    Followers are refused while the configuration is not confirmed. A fault is no
-    reason to refuse them earlier.
+    Followers are refused while the configuration is not confirmed, but a fault
+    is no reason to refuse them earlier.
     """
     known = state.configuration
     if known.confirmed_at is None or known.failing_since is not None:
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -71,15 +71,15 @@
 ) -> bool:
     """Return whether an update has all that this instance lacks.
 
-    A reader that has just started does not know the earlier changes, and one
-    that has not seen the last restore of the store has a list of before.
+    A reader that has just started does not know the earlier changes, and the
+    list of one that has not seen the last restore of the store is outdated.
     """
     if store_copies.is_earlier(update.era, state):
         return False
     if update.is_complete:
         return True
-    is_complete = update.complete_from <= (state.runner_list.position or 0)
-    return is_complete and store_copies.is_current(call.era, state)
+    has_all_changes = update.complete_from <= (state.runner_list.position or 0)
+    return has_all_changes and store_copies.is_current(call.era, state)
 
 
 def apply_complete_list(
@@ -92,10 +92,11 @@
     requested again, because changes alone would not resolve them.
     """
     is_settled = store_copies.is_rewritten(now, state)
-    runner_map, disputed = state.runners, 0
+    runner_map = state.runners
+    is_disputed = False
     for change in list_complete(update, state):
         if not is_settled and is_contradicted(change, state):
-            disputed += 1
+            is_disputed = True
         elif change.entry is None:
             runner_map = runners.record_delisting(
                 runner_map, change.runner_id, update.list_position, now
@@ -113,7 +114,7 @@
             unconfirmed_drops=frozenset(),
             read_at=now,
             is_failing=False,
-            is_disputed=bool(disputed),
+            is_disputed=is_disputed,
         ),
         state,
     )
