Explain the shares of the byte budget and the order of readers

Two shares did not say of what they are a share, and the doc of the readers to follow left out that the current one goes first while the store is in doubt. Both are stated now; only comments changed.

--- a/src/mustardvale/internal/relay/byte_budgets.py
+++ b/src/mustardvale/internal/relay/byte_budgets.py
@@ -1,4 +1,4 @@
-"""Decide what callers may send, and who is ended, by the bytes that they hold.
+"""Decide which callers are read or ended, by the bytes that they hold.
 
 One budget counts all connections of an instance. Reading stops before it is
 full; then the holder without progress for longest is ended, or the largest one.
@@ -12,12 +12,14 @@
 from collections import abc
 
 BYTES_PER_MB = 1024 * 1024
-# The code, the configuration and the runners take the rest of the memory.
+# Shares of the memory. Code, configuration and runners take the rest.
 CALLER_SHARE = 0.2
 ANSWER_SHARE = 0.1
 MAXIMUM_ANSWER_BYTES = 32 * BYTES_PER_MB
 # Two answers of the largest permitted size.
 MINIMUM_ANSWER_BYTES = 16 * BYTES_PER_MB
+# Shares of the callers' bytes: the limit of all large holders together, and the
+# amount from which on only one large request is read.
 LARGE_SHARE = 0.75
 NARROW_SHARE = 0.5
 # Holders up to this size are small.
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -36,9 +36,9 @@
 # An instance that the store does not answer asks other instances for this long
 # before it tries the store again.
 STORE_RETRY_SECONDS = 2.0
-# For this long after the store was lost, readers of other zones may be followed,
-# and one that answers is kept: those that this instance would prefer may have
-# lost the store as well.
+# For this long after the store was lost, readers of other zones may be
+# followed. One that answers is kept: those that this instance would prefer may
+# have lost the store as well.
 STORE_DOUBT_SECONDS = 10.0
 MAXIMUM_FOLLOWER_COUNT = 256
 UNAVAILABLE_STATUS = 503
@@ -82,8 +82,9 @@
 ) -> tuple[members.Member, ...]:
     """Return the readers that this instance may follow, the preferred first.
 
-    Those of other zones are a substitute where the store answers neither this
-    instance nor the readers of its zone.
+    While the store is in doubt, the reader that is followed now goes first, and
+    the readers of other zones come last, for the case that the store does not
+    answer those of this zone either.
     """
     readers = rotate(members.list_zone_readers(state), state)
     is_doubtful = is_store_doubtful(now, state)
