Write the refusal of stalled requests once

The server had the same refusal in two places, a method and a function of the same name for different ends, and the rule for 204 was written as 'no body and not 304'. Each now stands once under its own name; statuses, codes and messages are the same. Doc comments of the charges say what is removed.

--- a/src/mustardvale/internal/edge/answer_rules.py
+++ b/src/mustardvale/internal/edge/answer_rules.py
@@ -1,22 +1,26 @@
 """Decide what a valid answer of another process is.
 
 h11 checks the syntax; it accepts any status of three digits, and any bytes
-behind an answer. Each function returns a fault, or an empty text.
+behind an answer. The functions that find a fault return its description, empty
+for none.
 """
 
+import typing
 from collections import abc
 
 FIRST_STATUS = 200
 LAST_STATUS = 599
 SWITCHING_PROTOCOLS = 101
+NO_CONTENT = 204
 # 304 may announce the length of the body that it leaves out.
 NOT_MODIFIED = 304
-STATUSES_WITHOUT_BODY = frozenset((204, NOT_MODIFIED))
+STATUSES_WITHOUT_BODY = frozenset((NO_CONTENT, NOT_MODIFIED))
 VERSION_START = b'1.'
 HEAD_START = b'HTTP/1.'
+# More interim answers to one send than this are a fault of the other process.
 MAXIMUM_INTERIM_ANSWERS = 8
 
-Headers = abc.Iterable[tuple[bytes, bytes]]
+Headers: typing.TypeAlias = abc.Iterable[tuple[bytes, bytes]]
 
 
 def find_head_fault(version: bytes, status: int, headers: Headers) -> str:
@@ -25,8 +29,7 @@
         return 'an answer has an unknown version'
     if not FIRST_STATUS <= status <= LAST_STATUS:
         return f'an answer has the status {status}'
-    is_empty = status in STATUSES_WITHOUT_BODY and status != NOT_MODIFIED
-    if is_empty and announces_body(headers):
+    if status == NO_CONTENT and announces_body(headers):
         return f'an answer with the status {status} announces a body'
     return ''
 
--- a/src/mustardvale/internal/edge/caller_resources.py
+++ b/src/mustardvale/internal/edge/caller_resources.py
@@ -44,7 +44,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Held:
-    """Hold the bytes of all connections by kind."""
+    """Hold the bytes of all connections by kind.
+
+    `output` is queued for callers and `sends` for upstreams. `connections` is
+    what the open connections themselves take.
+    """
 
     received: int
     requests: int
@@ -66,7 +70,7 @@
 
 
 class CallerResources:
-    """Own the budgets of an instance; without limits until they are set."""
+    """Count what callers hold; limit it once limits are set."""
 
     def __init__(
         self, channel_table: channels.ChannelTable, server: Server
@@ -186,7 +190,7 @@
         self.address_counts[connection.listener, connection.address] += 1
 
     def remove_connection(self, connection: 'Connection') -> None:
-        """Return what a closed connection was charged for."""
+        """Remove a closed connection and its charge."""
         if connection not in self.open_connections:
             return
         del self.open_connections[connection]
@@ -323,7 +327,7 @@
         )
 
     def end(self, end: byte_budgets.End) -> None:
-        """End one holder, whose bytes are returned at once."""
+        """End one holder, and stop charging for its bytes."""
         connection = end.key
         self.ended[end.ending.value] += 1
         self.server.end_holder(connection, end.ending)
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -641,12 +641,7 @@
         if connection.channel.output or not connection.is_receiving:
             self.cut_connection(connection)
         elif ending is byte_budgets.Ending.STALLED:
-            self.refuse_request(
-                connection,
-                408,
-                'request_timeout',
-                'the next part of the request took too long',
-            )
+            self.refuse_stalled(connection)
         else:
             self.refuse_request(
                 connection,
@@ -667,15 +662,19 @@
         if connection.phase is Phase.IDLE:
             self.close_unused(connection)
         elif connection.phase is Phase.RECEIVING:
-            self.refuse_request(
-                connection,
-                408,
-                'request_timeout',
-                'the next part of the request took too long',
-            )
+            self.refuse_stalled(connection)
         else:
             self.close_connection(connection)
 
+    def refuse_stalled(self, connection: CallerConnection) -> None:
+        """Refuse an incomplete request whose next part has not arrived."""
+        self.refuse_request(
+            connection,
+            408,
+            'request_timeout',
+            'the next part of the request took too long',
+        )
+
     def close_caller(self, request_id: str) -> None:
         """Abort an answer, so that it does not look complete."""
         connection = self.requests.pop(request_id, None)
@@ -969,7 +968,7 @@
 
 
 @handle_protocol_event.register(h11.EndOfMessage)
-def handle_end(
+def handle_request_end(
     event: h11.EndOfMessage, connection: CallerConnection, server: RelayServer
 ) -> bool:
     """Report a complete request; the next one waits for its answer."""
