Move two log effects out of long functions

The effects are now built in functions of their own; names, fields and order of the events are the same.

--- a/src/mustardvale/internal/relay/dispatch.py
+++ b/src/mustardvale/internal/relay/dispatch.py
@@ -227,19 +227,6 @@
         now,
         drawn.fraction,
     )
-    log_effect = relay_effects.LogDecision(
-        'request_put_off',
-        (
-            ('request', exchange.request.attempt_id),
-            ('route', exchange.route.name),
-            ('tenant', exchange.tenant),
-            ('priority', urgency),
-            ('delay_ms', int(assigned.delay_seconds * 1000)),
-            ('expected_ms', int(assigned.expected_seconds * 1000)),
-            ('waiting', waiting_count),
-            ('ends_per_second', round(rate, 2)),
-        ),
-    )
     promises = return_times.record_promise(
         state.capacity.promises,
         fingerprints.compute_fingerprint(
@@ -259,7 +246,29 @@
         now,
         promised,
         retry_after_seconds=assigned.delay_seconds,
-    ).with_effects(log_effect)
+    ).with_effects(build_put_off_log(exchange, assigned, waiting_count, rate))
+
+
+def build_put_off_log(
+    exchange: exchanges.Exchange,
+    assigned: return_times.ReturnTime,
+    waiting_count: int,
+    rate: float,
+) -> effects.Effect:
+    """Return the effect that logs why a request was put off, and how long."""
+    return relay_effects.LogDecision(
+        'request_put_off',
+        (
+            ('request', exchange.request.attempt_id),
+            ('route', exchange.route.name),
+            ('tenant', exchange.tenant),
+            ('priority', exchange.urgency or 0),
+            ('delay_ms', int(assigned.delay_seconds * 1000)),
+            ('expected_ms', int(assigned.expected_seconds * 1000)),
+            ('waiting', waiting_count),
+            ('ends_per_second', round(rate, 2)),
+        ),
+    )
 
 
 def may_wait_for_silent(
--- a/src/mustardvale/internal/relay/store_copies.py
+++ b/src/mustardvale/internal/relay/store_copies.py
@@ -174,15 +174,33 @@
     era: int, now: float, state: 'states.State'
 ) -> reducer.Transition:
     """Discard what an earlier era has assigned, and log the rise."""
-    before = state.store_copy
     seen = dataclasses.replace(
-        before,
+        state.store_copy,
         era=era,
         restored_at=now,
         confirms_from=now + REWRITE_SECONDS,
         lists_from=now + members.HANDOVER_SECONDS,
         rights_from=now + RIGHT_WAIT_SECONDS,
     )
+    next_state = dataclasses.replace(state, store_copy=seen)
+    for discard in (
+        discard_configuration_position,
+        discard_list_position,
+        discard_memberships,
+    ):
+        next_state = discard(now, next_state)
+    return transitions.Transition(
+        next_state, build_rise_effects(era, now, state)
+    )
+
+
+def build_rise_effects(
+    era: int, now: float, state: 'states.State'
+) -> tuple[effects.Effect, ...]:
+    """Return the effects that count and log a rise of the era.
+
+    `state` is that from before the rise.
+    """
     held = members.is_leader(state, now)
     rise_effects: tuple[effects.Effect, ...] = (
         effects.Count('store_restores', ()),
@@ -191,27 +209,21 @@
             'store_restored',
             (
                 ('era', era),
-                ('before', before.era),
+                ('before', state.store_copy.era),
                 ('position', state.configuration.position),
                 ('list_position', state.runner_list.position),
                 ('held', held),
             ),
         ),
     )
-    if held:
-        rise_effects += (
-            relay_effects.LogDecision(
-                'order_right_changed', (('held', False), ('generation', 0))
-            ),
-        )
-    next_state = dataclasses.replace(state, store_copy=seen)
-    for discard in (
-        discard_configuration_position,
-        discard_list_position,
-        discard_memberships,
-    ):
-        next_state = discard(now, next_state)
-    return transitions.Transition(next_state, rise_effects)
+    if not held:
+        return rise_effects
+    return (
+        *rise_effects,
+        relay_effects.LogDecision(
+            'order_right_changed', (('held', False), ('generation', 0))
+        ),
+    )
 
 
 def discard_configuration_position(
