Split the update for followers, and name the decaying sum

The class of decaying sums had an adjective as its name. The tests of feeds and restored stores pass (115).

--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -340,27 +340,35 @@
     return call.era < era or (call.needs_complete_list and call.era == era)
 
 
-def build_update(
-    call: calls.FollowPeer, now: float, state: 'states.State'
-) -> calls.PeerUpdate:
-    """Return the changes since a follower's position.
+def list_changes(
+    position: int, state: 'states.State'
+) -> tuple[calls.RunnerChange, ...]:
+    """Return the entries that have changed since a position, 0 for all.
 
     Changes at that position are included: a drop that was unconfirmed for a
     while may be recorded at a position that the follower has reached already.
-    Positions of an earlier era of the store do not count.
     """
-    is_complete = needs_complete_list(call, state)
-    changes = tuple(
+    return tuple(
         calls.RunnerChange(
             runner_id, runner.listed if runner.delisted_at is None else None
         )
         for runner_id, runner in state.runners.items()
-        if is_complete or runner.changed_position >= call.list_position
+        if runner.changed_position >= position
     )
+
+
+def build_update(
+    call: calls.FollowPeer, now: float, state: 'states.State'
+) -> calls.PeerUpdate:
+    """Return what a follower lacks, or all entries if it needs them.
+
+    Positions of an earlier era of the store do not count.
+    """
+    is_complete = needs_complete_list(call, state)
     update = calls.PeerUpdate(
         state.runner_list.position or 0,
         state.runner_list.complete_from or 0,
-        changes,
+        list_changes(0 if is_complete else call.list_position, state),
         state.configuration.position or 0,
         now - (state.configuration.confirmed_at or now),
         era=state.store_copy.era,
--- a/src/mustardvale/internal/relay/waiting_order.py
+++ b/src/mustardvale/internal/relay/waiting_order.py
@@ -67,7 +67,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Decaying:
+class DecayingSum:
     """Hold a sum in which what was added long ago counts less.
 
     `since` is when the first amount was added.
@@ -78,7 +78,7 @@
     since: float
 
 
-AmountMap: typing.TypeAlias = 'immutables.Map[str, Decaying]'
+AmountMap: typing.TypeAlias = 'immutables.Map[str, DecayingSum]'
 
 
 def add_amount(
@@ -90,10 +90,10 @@
     since = now
     if known is not None and left >= MINIMUM_COMPLETIONS:
         since = known.since
-    return amounts.set(name, Decaying(left + amount, now, since))
+    return amounts.set(name, DecayingSum(left + amount, now, since))
 
 
-def compute_amount(known: Decaying | None, now: float) -> float:
+def compute_amount(known: DecayingSum | None, now: float) -> float:
     """Return what is left of a sum."""
     if known is None:
         return 0.0
@@ -101,7 +101,7 @@
     return known.amount * math.exp(-elapsed / MEMORY_SECONDS)
 
 
-def compute_rate(known: Decaying | None, now: float) -> float | None:
+def compute_rate(known: DecayingSum | None, now: float) -> float | None:
     """Return the recent amount per second, or `None` if it is not known."""
     amount = compute_amount(known, now)
     if known is None or amount < MINIMUM_COMPLETIONS:
