Keep closed callers and each full listener apart in the limits

One flag stood for all listeners that were found full: a check of another one with room cleared it, so that the full one accepted nobody for up to 0.25 s after it had room. A caller that was ended while its own input was counted was then noted as paused, and stayed noted while the budget was full.

tests.test_caller_resources: both tests fail before (no call to watch the listeners again; the closed connection among the paused ones), and pass now.

--- a/src/mustardvale/internal/edge/caller_resources.py
+++ b/src/mustardvale/internal/edge/caller_resources.py
@@ -90,7 +90,7 @@
         self.address_counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
-        self.has_full_listener = False
+        self.full_listeners: set[str] = set()
         self.received_bytes = 0
         self.request_bytes = 0
         self.large_bytes = 0
@@ -149,10 +149,13 @@
             self.listener_counts[listener], limits
         ):
             self.make_room(listener, None, now)
-        self.has_full_listener = connection_limits.is_listener_full(
+        if connection_limits.is_listener_full(
             self.listener_counts[listener], limits
-        )
-        return not self.has_full_listener
+        ):
+            self.full_listeners.add(listener)
+            return False
+        self.full_listeners.discard(listener)
+        return True
 
     def decide_connection(
         self, listener: str, address: str, now: float
@@ -202,8 +205,8 @@
         self.paused.pop(connection, None)
         self.store_charge(connection, NO_CHARGE)
         self.update_intake()
-        if self.has_full_listener:
-            self.has_full_listener = False
+        if connection.listener in self.full_listeners:
+            self.full_listeners.discard(connection.listener)
             self.channel_table.watch_listeners()
 
     def settle(self, connection: 'Connection', now: float) -> None:
@@ -216,7 +219,8 @@
             return
         if self.intake is byte_budgets.Intake.NONE:
             self.relieve(now)
-        self.pause_excluded((connection,), now)
+        if connection in self.open_connections:
+            self.pause_excluded((connection,), now)
 
     def store_charge(self, connection: 'Connection', charge: Charge) -> None:
         """Replace the charge of a connection."""
