Limit requests to upstreams that start or return

An upstream that was just listed, has recovered or has ended a wait looked idle to every instance, so that all of them sent to it at once. Each instance now keeps an allowance for it, from the share of its capacity that all instances may use. First events and answers in time raise the share, slow answers, refusals and lost sends lower it; instances of a zone share what they find. Used-up upstreams are left out of the candidates, and used only if there is no other.

--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -32,6 +32,11 @@
         'Faults of runners that became known',
         ('kind', 'origin'),
     ),
+    (
+        'upstream_paces',
+        'Limits of upstreams that start or return',
+        ('cause', 'change'),
+    ),
     ('runner_announcements', 'Runners that leave or ask to wait', ('kind',)),
     ('malformed_announcements', 'Unusable headers of runners', ('header',)),
     ('request_waits', 'Requests that waited', ('cause', 'priority', 'outcome')),
--- a/src/mustardvale/internal/relay/announcements.py
+++ b/src/mustardvale/internal/relay/announcements.py
@@ -13,9 +13,11 @@
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import (
     check_schedule,
+    pace_tracking,
     reducer,
     requests,
     runners,
+    upstream_pace,
 )
 
 if typing.TYPE_CHECKING:
@@ -120,7 +122,10 @@
     )
     if runner.waits_until > now:
         return transitions.Transition(waiting)
-    return check_schedule.request_check(now, waiting).with_effects(
+    limited = pace_tracking.begin(
+        (runner_id,), upstream_pace.PaceKind.RETURNED, now, waiting
+    )
+    return check_schedule.request_check(now, limited).with_effects(
         effects.Count('runner_announcements', ('wait',)),
         relay_effects.LogDecision(
             'runner_asks_to_wait',
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -180,6 +180,22 @@
     age_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedPace:
+    """Hold what an instance found of an upstream that starts or returns.
+
+    `share` is the part of its capacity that all instances may use, `slowness`
+    the factor by which it answers slower than expected, and `step` the number of
+    changes so far, of which the highest is the newest.
+    """
+
+    runner_id: str
+    started_at_ms: int
+    share: float
+    slowness: float
+    step: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportFaults:
     """Report faults of runners to a reader."""
@@ -202,7 +218,8 @@
     the store does not answer this instance either. `fault_position` is that of
     the last update of the same reader, or `None` if this instance takes no
     faults of runners. `era` is the era of the store that the positions are from.
-    `needs_complete_list` asks for all entries instead of changes.
+    `needs_complete_list` asks for all entries instead of changes. `paces` is
+    what this instance found of upstreams that start or return.
     """
 
     list_position: int
@@ -213,6 +230,7 @@
     era: int | None = None
     needs_complete_list: bool = False
     fault_position: int | None = None
+    paces: tuple[ReportedPace, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,7 +248,8 @@
     if the follower has been told all up to `fault_position`.
 
     `era` is the era of the store that the reader's positions are from. With
-    `is_complete`, `changes` has all entries that the reader knows.
+    `is_complete`, `changes` has all entries that the reader knows. `paces` is
+    what the zone has found of upstreams that start or return.
     """
 
     list_position: int
@@ -245,6 +264,7 @@
     is_complete: bool = False
     faults: tuple[ReportedFault, ...] = ()
     fault_position: int = 0
+    paces: tuple[ReportedPace, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/choices.py
+++ b/src/mustardvale/internal/relay/choices.py
@@ -15,6 +15,7 @@
     exchanges,
     loads,
     members,
+    pace_tracking,
     part_costs,
     part_terms,
     requests,
@@ -70,10 +71,32 @@
 def choose_target(
     exchange: exchanges.Exchange, now: float, state: 'states.State'
 ) -> Target | None:
-    """Return the upstream for a request, or none if none is usable."""
+    """Return the upstream for a request, or none if none is usable.
+
+    An upstream whose allowance is used up gets a request only if there is no
+    other for it.
+    """
     service = find_service(exchange, state)
     if service is None:
         return None
+    used_up_ids = pace_tracking.list_used_up(now, state)
+    if used_up_ids:
+        elsewhere = dataclasses.replace(
+            exchange, tried_runner_ids=exchange.tried_runner_ids | used_up_ids
+        )
+        target = choose_untried(service, elsewhere, now, state)
+        if target is not None:
+            return target
+    return choose_untried(service, exchange, now, state)
+
+
+def choose_untried(
+    service: configuration.Service,
+    exchange: exchanges.Exchange,
+    now: float,
+    state: 'states.State',
+) -> Target | None:
+    """Return the cheapest upstream that a request has not tried."""
     if service.engine is None:
         return choose_runner(exchange, now, state)
     return choose_chain(service.engine, exchange, now, state)
--- a/src/mustardvale/internal/relay/failed_sends.py
+++ b/src/mustardvale/internal/relay/failed_sends.py
@@ -10,9 +10,11 @@
     dispatch,
     exchanges,
     open_attempts,
+    pace_tracking,
     reducer,
     requests,
     runners,
+    upstream_pace,
 )
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -40,6 +42,12 @@
     failed = exchanges.record_failed_attempt(
         remaining, open_attempt.attempt, problem
     )
+    state = pace_tracking.note_evidence(
+        open_attempt.attempt.runner_id,
+        upstream_pace.Lost(open_attempt.attempt.started_at),
+        now,
+        state,
+    )
     state = open_attempts.store_exchange(
         failed,
         dataclasses.replace(
--- a/src/mustardvale/internal/relay/fault_moves.py
+++ b/src/mustardvale/internal/relay/fault_moves.py
@@ -11,9 +11,11 @@
     fault_telling,
     moves,
     open_attempts,
+    pace_tracking,
     reducer,
     runners,
     timers,
+    upstream_pace,
     withdrawals,
 )
 
@@ -95,6 +97,7 @@
     A process that was started after the crash is used at once.
     """
     runner_map = state.runners
+    excluded_ids: list[str] = []
     for fault in crashed:
         if not fault_reports.is_of_listed_process(fault, runner_map):
             continue
@@ -103,12 +106,18 @@
             runner_map = runners.exclude(
                 runner_map, fault.runner_id, excluded_until
             )
+            excluded_ids.append(fault.runner_id)
         runner_map = runners.deprioritize(
             runner_map,
             fault.runner_id,
             fault.found_at + moves.FAULT_DEPRIORITIZE_SECONDS,
         )
-    return dataclasses.replace(state, runners=runner_map)
+    return pace_tracking.begin(
+        excluded_ids,
+        upstream_pace.PaceKind.RECOVERED,
+        now,
+        dataclasses.replace(state, runners=runner_map),
+    )
 
 
 def leave_crashed(
--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 from collections import abc
 
@@ -17,16 +18,19 @@
     choices,
     completion,
     dispatch,
+    engines,
     exchanges,
     fault_reports,
     fault_telling,
     hedges,
     loads,
     open_attempts,
+    pace_tracking,
     reachability,
     reducer,
     requests,
     runners,
+    upstream_pace,
 )
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -175,8 +179,12 @@
         )
         for runner_id in newly_faulty
     )
+    marked = dataclasses.replace(state, runners=runner_map)
     return transitions.Transition(
-        dataclasses.replace(state, runners=runner_map), log_effects
+        pace_tracking.begin(
+            newly_faulty, upstream_pace.PaceKind.RECOVERED, now, marked
+        ),
+        log_effects,
     )
 
 
@@ -320,13 +328,8 @@
         missing = chains.LayerSpan(
             first.first_layer, last.end_layer, repaired[-1].zone
         )
-        substitutes = chains.find_chain(
-            service.engine,
-            candidates,
-            work,
-            missing,
-            state.seed,
-            choices.build_link_load_lookup(state),
+        substitutes = find_substitutes(
+            service.engine, candidates, work, missing, now, state
         )
         if not substitutes:
             return None
@@ -335,6 +338,33 @@
     return repaired
 
 
+def find_substitutes(
+    engine: engines.Engine,
+    candidates: abc.Sequence[chains.Candidate],
+    work: chains.Work,
+    missing: chains.LayerSpan,
+    now: float,
+    state: 'states.State',
+) -> requests.Chain | None:
+    """Return a chain over missing layers.
+
+    Runners whose allowance is used up are left out if there are others.
+    """
+    find = functools.partial(
+        chains.find_chain,
+        engine,
+        work=work,
+        span=missing,
+        seed=state.seed,
+        find_link_load=choices.build_link_load_lookup(state),
+    )
+    used_up_ids = pace_tracking.list_used_up(now, state)
+    if not used_up_ids:
+        return find(candidates=candidates)
+    free = [item for item in candidates if item.runner_id not in used_up_ids]
+    return find(candidates=free) or find(candidates=candidates)
+
+
 def split_at_faults(
     chain: requests.Chain, faulty: frozenset[str]
 ) -> list[requests.Chain]:
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -17,9 +17,11 @@
     crash_reports,
     fault_reports,
     members,
+    pace_tracking,
     reducer,
     requests,
     timers,
+    upstream_pace,
 )
 from mustardvale.internal.relay import effects as relay_effects
 
@@ -180,6 +182,7 @@
         fault_position=state.faults.followed_position
         if state.faults.followed_reader_id == reader.instance_id
         else 0,
+        paces=upstream_pace.build_reports(state.paces.paces, now),
     )
     return change_reader(reader.instance_id, now, state).with_effects(
         effects.Call(call, reader.peers, ANSWER_TIMEOUT_SECONDS)
@@ -237,12 +240,38 @@
     event: events.CallerRequested,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Keep a follower until the next read, or refuse it.
+    """Note what a follower has found, and keep it or refuse it.
 
     An instance that follows a reader itself, is stopping or has too many
     followers refuses. While the store does not answer, it keeps only followers
     that the store does not answer either: the others can read for themselves.
     """
+    reported = pace_tracking.apply_reports(call.paces, event.at, state)
+    if reported is not state:
+        return tell_paces(event.at, reported).then(
+            lambda current: keep_follower(call, event, current)
+        )
+    return keep_follower(call, event, state)
+
+
+def tell_paces(now: float, state: 'states.State') -> reducer.Transition:
+    """Answer the followers because one has found a new pace.
+
+    Followers are refused while the configuration is not confirmed. A pace is no
+    reason to refuse them earlier.
+    """
+    known = state.configuration
+    if known.confirmed_at is None or known.failing_since is not None:
+        return transitions.Transition(state)
+    return answer_followers(now, state)
+
+
+def keep_follower(
+    call: calls.FollowPeer,
+    event: events.CallerRequested,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Keep a follower until the next read, or refuse it."""
     is_full = len(state.peer_feed.followers) >= MAXIMUM_FOLLOWER_COUNT
     is_reading = state.stopping is None and not is_following(state)
     can_help = call.is_store_lost or not state.runner_list.is_failing
@@ -354,6 +383,7 @@
         era=state.store_copy.era,
         is_complete=is_complete,
         fault_position=state.faults.position,
+        paces=upstream_pace.build_reports(state.paces.paces, now),
     )
     if fault_reports.has_untold(call, state.faults, now):
         update = dataclasses.replace(
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -10,6 +10,7 @@
     crash_tracking,
     fault_moves,
     members,
+    pace_tracking,
     peer_feed,
     reducer,
     runner_list,
@@ -60,7 +61,9 @@
 ) -> reducer.Transition:
     """Apply what an update tells of members, crashes and faults of runners."""
     return (
-        apply_members(update, state)
+        apply_members(
+            update, pace_tracking.apply_reports(update.paces, now, state)
+        )
         .then(lambda current: apply_crashes(update, now, current))
         .then(lambda current: fault_moves.apply_update(update, now, current))
     )
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -12,6 +12,7 @@
 from mustardvale.internal.relay import (
     calls,
     configuration_feed,
+    pace_tracking,
     peer_feed,
     reducer,
     runners,
@@ -255,7 +256,11 @@
     )
     if runner_map is not state.runners:
         next_state = index_runners(next_state)
-    return transitions.Transition(next_state, log_effects)
+    return transitions.Transition(next_state, log_effects).then(
+        lambda current: pace_tracking.begin_listed(
+            state.runners, list_state.read_at or 0.0, current
+        )
+    )
 
 
 def index_runners(state: 'states.State') -> 'states.State':
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -94,7 +94,8 @@
 
     `mean_latency_seconds` and `failure_rate` are exponential moving averages.
     `slowdown` is the factor by which the runner reports to be slower than
-    usual, valid until `slowdown_until`.
+    usual, valid until `slowdown_until`. `has_served` is true once a request of
+    this instance has got its first event or its answer.
     """
 
     listed: ListedRunner
@@ -114,6 +115,7 @@
     failure_rate: float = 0.0
     slowdown: float = 1.0
     slowdown_until: float = 0.0
+    has_served: bool = False
 
     @property
     def is_usable(self) -> bool:
@@ -480,6 +482,16 @@
     )
 
 
+def record_served(runner_map: RunnerMap, runner_id: str) -> RunnerMap:
+    """Record that an upstream has served a request."""
+    known = runner_map.get(runner_id)
+    if known is None or known.has_served:
+        return runner_map
+    return runner_map.set(
+        runner_id, dataclasses.replace(known, has_served=True)
+    )
+
+
 def record_slowdown(
     runner_map: RunnerMap, runner_id: str, slowdown: float, now: float
 ) -> RunnerMap:
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -24,6 +24,7 @@
 from mustardvale.internal.relay import startup_waits
 from mustardvale.internal.relay import stopping as shutdowns
 from mustardvale.internal.relay import store_copies
+from mustardvale.internal.relay import upstream_pace as pace_tables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +81,7 @@
     peer_feed: peer_feeds.PeerFeedState = peer_feeds.PeerFeedState()
     crashes: crash_evidence.CrashState = crash_evidence.CrashState()
     faults: fault_reports.FaultState = fault_reports.FaultState()
+    paces: pace_tables.PaceState = pace_tables.PaceState()
     watches: runner_watches.WatchMap = immutables.Map()
     request_ids_by_send: immutables.Map[str, str] = immutables.Map()
     retry_buckets: retry_budget_tables.RetryBuckets = immutables.Map()
--- a/src/mustardvale/internal/relay/stream_answers.py
+++ b/src/mustardvale/internal/relay/stream_answers.py
@@ -12,6 +12,7 @@
     failed_sends,
     hedges,
     open_attempts,
+    pace_tracking,
     reducer,
     requests,
     runners,
@@ -78,6 +79,10 @@
     next_state = record_events(open_attempt, split, now, state)
     if is_after_silence(open_attempt.attempt, now):
         next_state = record_return(open_attempt.attempt, next_state)
+    if open_attempt.attempt.first_event_at is None and split.has_progress:
+        next_state = pace_tracking.note_answer(
+            exchange, open_attempt.attempt, now, next_state
+        )
     stream_effects: tuple[effects.Effect, ...] = ()
     if not exchange.has_stream_started:
         stream_effects = build_stream_start(exchange, head, now)
--- a/src/mustardvale/internal/relay/upstream_health.py
+++ b/src/mustardvale/internal/relay/upstream_health.py
@@ -6,8 +6,10 @@
 from mustardvale.internal.relay import (
     exchanges,
     open_attempts,
+    pace_tracking,
     requests,
     runners,
+    upstream_pace,
 )
 
 if typing.TYPE_CHECKING:
@@ -39,11 +41,18 @@
     if head.is_unexecuted:
         reported = runners.find_id_by_address(runner_map, head.fault_address)
         at_fault = reported or runner_id
+        state = pace_tracking.note_evidence(
+            at_fault,
+            upstream_pace.Refused(open_attempt.attempt.started_at),
+            now,
+            state,
+        )
         if open_attempt.attempt.chain or head.status == MISDIRECTED_STATUS:
-            until = now + choose_exclusion_seconds(
+            seconds = choose_exclusion_seconds(
                 at_fault, head.status, now, state
             )
-            runner_map = runners.exclude(runner_map, at_fault, until)
+            state = limit_return(at_fault, seconds, now, state)
+            runner_map = runners.exclude(runner_map, at_fault, now + seconds)
         else:
             runner_map = runners.record_refusal(runner_map, at_fault, now)
     elif not open_attempt.exchange.is_stream:
@@ -52,7 +61,25 @@
         runner_map = runners.record_answer(
             runner_map, runner_id, seconds, is_healthy
         )
-    return dataclasses.replace(state, runners=runner_map)
+    updated = dataclasses.replace(state, runners=runner_map)
+    if head.status // 100 != 2 or open_attempt.exchange.is_stream:
+        return updated
+    if open_attempt.attempt.chain:
+        return updated
+    return pace_tracking.note_answer(
+        open_attempt.exchange, open_attempt.attempt, now, updated
+    )
+
+
+def limit_return(
+    runner_id: str, seconds: float, now: float, state: 'states.State'
+) -> 'states.State':
+    """Limit the return of a runner, unless it is excluded as full alone."""
+    if seconds == FULL_EXCLUSION_SECONDS:
+        return state
+    return pace_tracking.begin(
+        (runner_id,), upstream_pace.PaceKind.RECOVERED, now, state
+    )
 
 
 def choose_exclusion_seconds(
@@ -100,4 +127,5 @@
         runner_map = runners.record_unconnected(
             runner_map, attempt.runner_id, now + seconds
         )
-    return dataclasses.replace(state, runners=runner_map)
+    excluded = dataclasses.replace(state, runners=runner_map)
+    return limit_return(attempt.runner_id, seconds, now, excluded)
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -14,9 +14,9 @@
     'configuration calls crash_reports fault_reports loads retry_budgets'
     ' exchanges'
     ' event_stream placement chain_search part_terms chains part_costs'
-    ' fingerprints prompt_blocks',
+    ' fingerprints prompt_blocks upstream_pace',
     'reducer',
-    'members peer_feed idle_connections check_schedule stopping announcements'
+    'members pace_tracking peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits startup_waits store_copies',
     'configuration_feed',
     'runner_list orders',
