Let the turns at a limited upstream end one after the other

Instances that share a fraction of a request took turns that all ended at the same time, each as long as a request. Turns now end one by one and last 16 requests.

--- a/src/mustardvale/internal/relay/upstream_pace.py
+++ b/src/mustardvale/internal/relay/upstream_pace.py
@@ -32,6 +32,8 @@
 SETTLING_SECONDS = loads.AVERAGING_SECONDS
 # Bounds the arrivals in any 100 ms where answers take less than that.
 MINIMUM_TURN_SECONDS = 0.1
+# The last request of a turn is still open while the next instance begins.
+REQUESTS_PER_TURN = 16
 MAXIMUM_PACES = 64
 BASELINE_WEIGHT = 0.1
 
@@ -195,17 +197,17 @@
 def compute_allowance(pace: Pace, place: Place, now: float) -> int:
     """Return how many requests an instance may have open at an upstream.
 
-    A fraction of a request is granted to some instances, which take turns. A
-    turn lasts as long as a request, so that the requests of earlier turns have
-    mostly ended. The instances of a zone differ by their index, so that as many
-    as intended have a turn; the zones differ by the offset.
+    A fraction of a request is granted to some instances, which take turns. The instances of a zone differ by their index, so that as many
+    as intended have a turn, and their turns end one after the other. The zones
+    differ by the offset.
     """
     granted = pace.share * pace.capacity / max(place.instance_count, 1)
     whole = int(granted)
     fraction = granted - whole
     seconds = max(pace.turn_seconds, MINIMUM_TURN_SECONDS) * pace.slowness
-    turn = int((now - pace.began_at) / seconds)
-    position = pace.offset + place.index / place.zone_size - turn * fraction
+    seconds *= REQUESTS_PER_TURN
+    turns = (now - pace.began_at) / seconds
+    position = pace.offset + place.index / place.zone_size - turns * fraction
     return whole + (position - math.floor(position) < fraction)
 
 
--- a/tests/test_relay_pace.py
+++ b/tests/test_relay_pace.py
@@ -11,7 +11,7 @@
 from mustardvale.internal.relay import upstream_pace as paces
 from tests import relay_states
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 
 
 class Bounds(unittest.TestCase):
