Exclude a runner that stalls here although others have told of it

A stall that another instance reports deprioritizes a runner without excluding it. When this instance found the same stall itself, the runner counted as known and was not excluded, so that requests were moved to it as a substitute, and new ones could choose it.

tests.test_relay_runner_faults.Told.test_own_stall_after_a_told_one fails before (excluded until 0.0).

--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -192,6 +192,9 @@
     """Return whether a fault of a runner tells more than what is known."""
     if runner.silent_since and reason != SILENCE_REASON:
         return True
+    # Another instance's report of a stall deprioritizes without excluding.
+    if runner.excluded_until <= now:
+        return True
     return runner.deprioritized_until < now + FAULT_DEPRIORITIZE_SECONDS / 2
 
 
--- a/tests/test_relay_runner_faults.py
+++ b/tests/test_relay_runner_faults.py
@@ -317,6 +317,23 @@
         self.instance.pass_time(0.11)
         self.assertEqual(1, len(self.list_moves()))
 
+    def test_own_stall_after_a_told_one(self) -> None:
+        """Guard against a stalled runner that is chosen as a substitute."""
+        name = self.second.runner_id
+        self.tell(build_report(name, 'stalled'))
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.ProbeRunner(self.first.runner_id),
+            address='',
+            answer=calls.RunnerReport(
+                1,
+                False,
+                stalled=(calls.StalledRequest('a-r1', self.second.address),),
+            ),
+        )
+        runner = self.instance.state.runners[name]
+        self.assertGreater(runner.excluded_until, self.instance.now)
+
     def test_own_stall_is_told(self) -> None:
         """Guard against a fault that each instance has to find."""
         self.instance.state = dataclasses.replace(
