Exclude a runner after a told stall only by the report of a first runner

The commit before excluded a runner at each silent probe as well, so that the probes of a crashed runner did not end with its exclusion: 21 probes where 5 are allowed (tests.test_relay_moves.ReturningRunners, which failed with it).

Now only a first runner's report of a stall does so. tests.test_relay_moves, test_relay_silent_runners, test_relay_runner_faults, test_relay_common_crashes and test_relay_failures pass.

--- a/src/mustardvale/internal/relay/moves.py
+++ b/src/mustardvale/internal/relay/moves.py
@@ -57,6 +57,7 @@
 # A probe without an answer may be due to the network or to this instance. A
 # part that a first runner reports as stalled is at fault by itself.
 SILENCE_REASON = 'unreachable'
+STALL_REASON = 'stalled'
 
 
 def probe_first_runner(
@@ -117,7 +118,7 @@
     faulty = frozenset(runner_id for runner_id in at_fault if runner_id)
     return (
         noted.then(
-            lambda current: mark_faulty(faulty, 'stalled', event.at, current)
+            lambda current: mark_faulty(faulty, STALL_REASON, event.at, current)
         )
         .then(
             lambda current: fault_telling.tell_stalled(
@@ -193,7 +194,7 @@
     if runner.silent_since and reason != SILENCE_REASON:
         return True
     # Another instance's report of a stall deprioritizes without excluding.
-    if runner.excluded_until <= now:
+    if reason == STALL_REASON and runner.excluded_until <= now:
         return True
     return runner.deprioritized_until < now + FAULT_DEPRIORITIZE_SECONDS / 2
 
