Freeze the instances of the model of paced upstreams

Data classes are frozen in this code base; the model changed fields of its instances in place. It replaces them now, and requests name the number of their instance.

tests.test_relay_pace passes as before (13 tests).

--- a/bench/pace_model.py
+++ b/bench/pace_model.py
@@ -29,7 +29,7 @@
 SENDS_PER_SECOND = 8.0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
     """Hold an instance, its open requests and when it reads and sends."""
 
@@ -42,12 +42,12 @@
 
 
 class Request(typing.NamedTuple):
-    """Hold a request at the upstream."""
+    """Hold a request at the upstream; `sender` is the number of its instance."""
 
     sent_at: float
     first_at: float
     ends_at: float
-    sender: Instance
+    sender: int
 
 
 class Run:
@@ -64,7 +64,7 @@
         self.arrivals: list[int] = []
         self.occupied: list[int] = []
         kind = upstream_pace.PaceKind.COLD
-        self.instances = []
+        self.instances: list[Instance] = []
         for number in range(count):
             zone = number % ZONES
             listed_at = self.source.uniform(0, READ_SECONDS)
@@ -85,6 +85,19 @@
                 Instance(zone, place, pace, reads_at, listed_at)
             )
 
+    def change(self, number: int, **changes: typing.Any) -> None:
+        """Replace fields of an instance."""
+        self.instances[number] = dataclasses.replace(
+            self.instances[number], **changes
+        )
+
+    def judge(
+        self, number: int, evidence: upstream_pace.Evidence, now: float
+    ) -> None:
+        """Let an instance judge what a request has shown."""
+        pace = self.instances[number].pace
+        self.change(number, pace=upstream_pace.judge(evidence, pace, now))
+
     def may_send(self, instance: Instance, now: float) -> bool:
         """Return whether an instance may send a request now."""
         pace = instance.pace
@@ -100,51 +113,61 @@
             pace, instance.place, now
         )
 
-    def send(self, sender: Instance, now: float) -> None:
+    def send(self, sender: int, now: float) -> None:
         """Send a request; a queued one begins when an earlier one ends."""
-        sender.wants_at = now + self.source.expovariate(SENDS_PER_SECOND)
+        pause = self.source.expovariate(SENDS_PER_SECOND)
+        self.change(sender, wants_at=now + pause)
         if len(self.held) >= self.capacity * REFUSED_SHARE:
             self.refusal_count += 1
-            refused = upstream_pace.Refused(now)
-            sender.pace = upstream_pace.judge(refused, sender.pace, now)
+            self.judge(sender, upstream_pace.Refused(now), now)
             return
         ends = sorted((request.ends_at for request in self.held), reverse=True)
         begins_at = ends[self.capacity - 1] if ends[self.capacity :] else now
         slowness = self.speeds[now >= COLD_SECONDS]
-        sender.open_count += 1
+        open_count = self.instances[sender].open_count + 1
+        self.change(sender, open_count=open_count)
         first_at = begins_at + FIRST_SECONDS * slowness
         ends_at = begins_at + REQUEST_SECONDS * slowness
         self.held.append(Request(now, first_at, ends_at, sender))
 
-    def share_findings(self, instance: Instance, now: float) -> None:
+    def share_findings(self, number: int, now: float) -> None:
         """Exchange findings with the reader, which tells the zone at once."""
-        zone, merge = instance.zone, upstream_pace.merge_reports
+        instance, merge = self.instances[number], upstream_pace.merge_reports
         own = immutables.Map({RUNNER: instance.pace})
-        known = self.readers.get(zone, own)
+        known = self.readers.get(instance.zone, own)
         told = merge(known, upstream_pace.build_reports(own, now), now)
         own = merge(own, upstream_pace.build_reports(told, now), now)
-        self.readers[zone], instance.pace = told, own[RUNNER]
-        instance.reads_at = now + READ_SECONDS
-        for other in self.instances if told is not known else ():
-            if other.zone == zone:
-                other.reads_at = min(other.reads_at, now + STEP_SECONDS)
+        self.readers[instance.zone] = told
+        self.change(number, pace=own[RUNNER], reads_at=now + READ_SECONDS)
+        if told is known:
+            return
+        for other_number, other in enumerate(self.instances):
+            if other.zone == instance.zone:
+                reads_at = min(other.reads_at, now + STEP_SECONDS)
+                self.change(other_number, reads_at=reads_at)
+
+    def deliver(self, request: Request, now: float) -> None:
+        """Deliver the first event and the end of a request that are due."""
+        if request.first_at <= now < request.first_at + STEP_SECONDS:
+            answered = upstream_pace.Answered(
+                request.sent_at, now - request.sent_at, FIRST_SECONDS
+            )
+            self.judge(request.sender, answered, now)
+        if request.ends_at <= now:
+            open_count = self.instances[request.sender].open_count - 1
+            self.change(request.sender, open_count=open_count)
 
     def advance(self, now: float) -> None:
         """Deliver what has happened and send what may be sent."""
         for request in self.held:
-            sender = request.sender
-            if request.first_at <= now < request.first_at + STEP_SECONDS:
-                answered = upstream_pace.Answered(
-                    request.sent_at, now - request.sent_at, FIRST_SECONDS
-                )
-                sender.pace = upstream_pace.judge(answered, sender.pace, now)
-            sender.open_count -= request.ends_at <= now
+            self.deliver(request, now)
         self.held = [request for request in self.held if request.ends_at > now]
         before = len(self.held) + self.refusal_count
-        for instance in self.instances:
-            if now >= instance.reads_at:
-                self.share_findings(instance, now)
+        for number in range(len(self.instances)):
+            if now >= self.instances[number].reads_at:
+                self.share_findings(number, now)
+            instance = self.instances[number]
             if now >= instance.wants_at and self.may_send(instance, now):
-                self.send(instance, now)
+                self.send(number, now)
         self.arrivals.append(len(self.held) + self.refusal_count - before)
         self.occupied.append(min(len(self.held), self.capacity))
