Bound the time that one answer takes from the loop

Cause: an incomplete event was joined with each piece of the answer and searched again from its beginning, so that 4,000 pieces of 65 bytes took 2.0 s; comments before the first event were, too. All pieces of a read of 64 KB were handled in one turn of the loop, and nothing limited the share of the loop that an answer takes in all.

Change: an incomplete event is kept in parts, and only a piece and the three bytes before it are searched. A connection parses 64 pieces in a turn; answers that exceed their allowance of pieces share one rate. The clients of sends and of calls (store, runners, instances) both use it. The sum over all buffers is computed for each 16 KB instead of for each piece.

--- a/bench/relay_attempts.py
+++ b/bench/relay_attempts.py
@@ -79,7 +79,7 @@
     if not attempt.kind.is_streamed:
         return None
     split = event_stream.split_events(
-        b'', attempt.received, attempt.resumed_after_event
+        event_stream.NO_EVENT, attempt.received, attempt.resumed_after_event
     )
     return split.last_event_id
 
--- a/bench/relay_load_main.py
+++ b/bench/relay_load_main.py
@@ -15,6 +15,7 @@
 from mustardvale.internal.edge import (
     channels,
     http_client,
+    input_pacing,
     logs,
     loop,
     metrics,
@@ -115,7 +116,10 @@
         )
         codec = CallerCodec()
         self.upstreams = relay_client.RelayClient(
-            channels.ChannelTable(poller), codec, self.emit_event
+            channels.ChannelTable(poller),
+            codec,
+            self.emit_event,
+            input_pacing.InputPacer().register(self),
         )
         self.client = http_client.HttpClient(
             codec, self.poller, self.emit_event
--- a/src/mustardvale/internal/edge/connections.py
+++ b/src/mustardvale/internal/edge/connections.py
@@ -4,11 +4,12 @@
 import socket
 import time
 import typing
+from collections import abc
 
 import h11
 import immutables
 
-from mustardvale.internal.edge import wire
+from mustardvale.internal.edge import input_pacing, wire
 
 
 class PendingCall:
@@ -36,15 +37,32 @@
 
 
 class Connection:
-    """Hold one connection and the call that uses it."""
+    """Hold one connection and the call that uses it.
 
-    def __init__(self, address: str, sock: socket.socket) -> None:
+    `continue_parsing` continues the input of the connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        sock: socket.socket,
+        continue_parsing: abc.Callable[['Connection'], None],
+    ) -> None:
         self.address = address
         self.sock = sock
         self.protocol = h11.Connection(h11.CLIENT)
         self.pending: PendingCall | None = None
         self.output = b''
         self.is_connected = False
+        self.continue_parsing = continue_parsing
+        self.allowance = input_pacing.NEW_ANSWER
+        self.is_paced = False
+        # Whether the protocol holds input that was not parsed yet.
+        self.has_unparsed = False
+
+    def continue_input(self) -> None:
+        """Parse what is left of the input, or read on."""
+        self.continue_parsing(self)
 
 
 class AddressPool:
--- a/src/mustardvale/internal/edge/http_client.py
+++ b/src/mustardvale/internal/edge/http_client.py
@@ -16,6 +16,7 @@
 from mustardvale.internal.edge import (
     answer_rules,
     connections,
+    input_pacing,
     timer_queue,
     wire,
 )
@@ -79,6 +80,7 @@
         self.timer_queue = timer_queue.TimerQueue(self.time_out_call).register(
             self
         )
+        self.pacer = input_pacing.InputPacer().register(self)
 
     def start_call(
         self, call: typing.Any, address: str, timeout: float
@@ -110,7 +112,9 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setblocking(False)
-        connection = connections.Connection(pending.address, sock)
+        connection = connections.Connection(
+            pending.address, sock, self.continue_input
+        )
         connection.pending = pending
         pending.connection = connection
         pool.open_count += 1
@@ -133,6 +137,7 @@
     ) -> None:
         """Send the request of a call on an open connection."""
         connection.pending = pending
+        connection.allowance = input_pacing.NEW_ANSWER
         pending.connection = connection
         raw = pending.raw
         request = h11.Request(
@@ -205,7 +210,8 @@
     def on_readable(self, sock: socket.socket) -> None:
         """Read from a connection."""
         connection = self.connections.get(sock)
-        if connection is None:
+        if connection is None or connection.is_paced:
+            # The poller may have reported the input before the pause.
             return
         try:
             received = sock.recv(RECEIVE_BYTES)
@@ -239,18 +245,53 @@
         self, connection: connections.Connection, received: bytes
     ) -> None:
         """Parse received bytes and handle the resulting protocol events."""
+        connection.protocol.receive_data(received)
+        self.parse_input(connection)
+
+    def parse_input(self, connection: connections.Connection) -> None:
+        """Handle the protocol events of a turn, and leave the rest to later."""
+        connection.has_unparsed = False
+        count = 0
         try:
-            connection.protocol.receive_data(received)
             has_more = True
-            while has_more:
+            while has_more and count < input_pacing.PIECES_PER_TURN:
                 has_more = self.handle_next_event(connection)
+                count += 1
             if connection.protocol.their_state is h11.SEND_RESPONSE:
                 self.check_start(connection)
         except h11.RemoteProtocolError as error:
             kind = events.FailureKind.MALFORMED
-            if not received:
+            _, has_ended = connection.protocol.trailing_data
+            if has_ended:
                 kind = events.FailureKind.CLOSED
             self.close_and_fail(connection, kind, str(error))
+        else:
+            self.end_turn(connection, count, has_more)
+
+    def end_turn(
+        self, connection: connections.Connection, count: int, has_more: bool
+    ) -> None:
+        """Stop reading an answer that has to wait for its next turn."""
+        if connection.pending is None:
+            return
+        connection.has_unparsed = has_more
+        if self.pacer.end_turn(connection, count, has_more):
+            self.poller.removeReader(connection.sock)
+
+    def continue_input(self, connection: connections.Connection) -> None:
+        """Parse what is left of the input of an answer, or read on."""
+        if self.connections.get(connection.sock) is not connection:
+            return
+        if connection.has_unparsed:
+            self.parse_input(connection)
+        is_open = connection.sock in self.connections
+        if is_open and not connection.is_paced:
+            self.watch_readable(connection)
+
+    def watch_readable(self, connection: connections.Connection) -> None:
+        """Poll the socket for reading, unless it is polled already."""
+        if not self.poller.isReading(connection.sock):
+            self.poller.addReader(self, connection.sock)
 
     def check_start(self, connection: connections.Connection) -> None:
         """Fail a call if what was received does not begin an answer."""
@@ -291,6 +332,8 @@
             return
         if not pending.raw.is_streamed or pending.status != OK_STATUS:
             return
+        if b'\n' not in body:
+            return
         *lines, rest = bytes(pending.received).split(b'\n')
         pending.received = bytearray(rest)
         for line in lines:
--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -14,7 +14,12 @@
 import h11
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import answer_rules, channels, relay_wire
+from mustardvale.internal.edge import (
+    answer_rules,
+    channels,
+    input_pacing,
+    relay_wire,
+)
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import events as relay_events
 
@@ -53,6 +58,12 @@
         self.reusable_until = 0.0
         self.idle_since = 0.0
         self.idle_seconds = 0.0
+        self.allowance = input_pacing.NEW_ANSWER
+        self.is_paced = False
+        # Whether the protocol holds input that was not parsed yet, and whether
+        # the caller takes no more of the answer for now.
+        self.has_unparsed = False
+        self.is_blocked = False
 
     def on_connected(self, channel: channels.Channel) -> None:
         """Send the request that the connection was opened for."""
@@ -72,6 +83,10 @@
     def on_drained(self, channel: channels.Channel) -> None:
         """Ignore the event: the request has been written."""
 
+    def continue_input(self) -> None:
+        """Parse what is left of the input, or read on."""
+        self.client.continue_input(self)
+
 
 class RelayClient:
     """Send requests, and report the answers and failures as events."""
@@ -81,10 +96,12 @@
         channel_table: channels.ChannelTable,
         codec: relay_wire.SendCodec,
         emit_event: abc.Callable[..., None],
+        pacer: input_pacing.InputPacer,
     ) -> None:
         self.channel_table = channel_table
         self.codec = codec
         self.emit_event = emit_event
+        self.pacer = pacer
         self.idle_connections: dict[str, list[UpstreamConnection]] = {}
         self.sends: dict[str, UpstreamConnection] = {}
         self.maximum_idle_seconds = math.inf
@@ -101,6 +118,8 @@
         connection.effect = effect
         connection.encoded = encoded
         connection.was_sent = False
+        connection.allowance = input_pacing.NEW_ANSWER
+        connection.is_blocked = False
         self.sends[effect.send_id] = connection
         if is_new:
             connection.channel = self.channel_table.connect(
@@ -150,19 +169,48 @@
             assert connection.channel is not None, 'input needs a channel'
             self.channel_table.close(connection.channel)
             return
+        connection.protocol.receive_data(received)
+        self.parse_input(connection)
+
+    def parse_input(self, connection: UpstreamConnection) -> None:
+        """Handle the protocol events of a turn, and leave the rest to later."""
+        connection.has_unparsed = False
+        count = 0
         try:
-            connection.protocol.receive_data(received)
             has_more = True
-            while has_more:
+            while has_more and count < input_pacing.PIECES_PER_TURN:
                 event = connection.protocol.next_event()
                 has_more = handle_protocol_event(event, connection, self)
+                count += 1
             if connection.awaits_head:
                 self.check_start(connection)
         except h11.RemoteProtocolError as error:
             kind = events.FailureKind.MALFORMED
-            if not received:
+            _, has_ended = connection.protocol.trailing_data
+            if has_ended:
                 kind = events.FailureKind.CLOSED
             self.fail_send(connection, kind, str(error))
+        else:
+            self.end_turn(connection, count, has_more)
+
+    def end_turn(
+        self, connection: UpstreamConnection, count: int, has_more: bool
+    ) -> None:
+        """Stop reading an answer that has to wait for its next turn."""
+        if connection.effect is None or connection.channel is None:
+            return
+        connection.has_unparsed = has_more
+        if self.pacer.end_turn(connection, count, has_more):
+            self.channel_table.pause_reading(connection.channel)
+
+    def continue_input(self, connection: UpstreamConnection) -> None:
+        """Parse what is left of the input of an answer, or read on."""
+        if connection.effect is None or connection.is_blocked:
+            return
+        if connection.has_unparsed:
+            self.parse_input(connection)
+        if not connection.is_paced and connection.channel is not None:
+            self.channel_table.resume_reading(connection.channel)
 
     def check_start(self, connection: UpstreamConnection) -> None:
         """Fail a send if what was received does not begin an answer."""
@@ -376,12 +424,22 @@
         """Stop reading the answer to a send until it is resumed."""
         connection = self.sends.get(send_id)
         if connection is not None and connection.channel is not None:
+            connection.is_blocked = True
             self.channel_table.pause_reading(connection.channel)
 
     def resume_send(self, send_id: str) -> None:
-        """Continue to read the answer to a send."""
+        """Continue to read the answer to a send.
+
+        Input that is left is parsed in a turn of its own, because an event of
+        the same connection may be the cause of this call.
+        """
         connection = self.sends.get(send_id)
-        if connection is not None and connection.channel is not None:
+        if connection is None or connection.channel is None:
+            return
+        connection.is_blocked = False
+        if connection.has_unparsed and not connection.is_paced:
+            self.pacer.resume_later(connection)
+        if not connection.is_paced:
             self.channel_table.resume_reading(connection.channel)
 
 
--- a/src/mustardvale/internal/edge/relay_loop.py
+++ b/src/mustardvale/internal/edge/relay_loop.py
@@ -16,6 +16,7 @@
 from mustardvale.internal.edge import (
     bounded_output,
     channels,
+    input_pacing,
     log_budget,
     loop,
     metrics,
@@ -85,7 +86,10 @@
             self.channel_table, codecs.callers, self.emit_event
         )
         self.upstreams = relay_client.RelayClient(
-            self.channel_table, codecs.sends, self.emit_event
+            self.channel_table,
+            codecs.sends,
+            self.emit_event,
+            input_pacing.InputPacer().register(self),
         )
         self.watched = watched_connections.WatchedConnections(
             self.channel_table, self.emit_event
--- a/src/mustardvale/internal/relay/answer_bodies.py
+++ b/src/mustardvale/internal/relay/answer_bodies.py
@@ -20,6 +20,8 @@
 
     def append(self, part: bytes) -> 'AnswerBody':
         """Return the body with one more part."""
+        if not part:
+            return self
         size = self.size + len(part)
         if self.parts and len(self.parts[-1]) < SMALL_PART_BYTES:
             joined = self.parts[-1] + part
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -185,6 +185,7 @@
         open_attempt.attempt, body=body, last_received_at=event.at
     )
     return failed_sends.limit_buffered_bytes(
+        open_attempt.attempt,
         buffered,
         event.at,
         open_attempts.store_attempt(open_attempt, buffered, state),
--- a/src/mustardvale/internal/relay/event_stream.py
+++ b/src/mustardvale/internal/relay/event_stream.py
@@ -1,8 +1,14 @@
-"""Split a stream of server-sent events into complete events."""
+"""Split a stream of server-sent events into complete events.
+
+The time for a stream is in proportion to its size, in whatever pieces it
+arrives: no byte is searched again, or copied with each piece after it.
+"""
 
 import dataclasses
 import re
 
+from mustardvale.internal.relay import answer_bodies
+
 # A blank line ends an event; the format allows three kinds of line endings.
 EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 COMMENT_MARK = b':'
@@ -10,32 +16,59 @@
 EVENT_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d{1,18})(?!\d)')
 
 
+# Bytes of the end of an event that may have arrived before its last byte.
+LONGEST_END_BYTES = 4
+TAIL_BYTES = LONGEST_END_BYTES - 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartialEvent:
+    """Hold the beginning of an event, and its last bytes once more."""
+
+    body: answer_bodies.AnswerBody = answer_bodies.EMPTY_BODY
+    tail: bytes = b''
+
+    def append(self, piece: bytes) -> 'PartialEvent':
+        """Return the beginning with one more piece, which ends no event."""
+        if not piece:
+            return self
+        return PartialEvent(
+            self.body.append(piece), (self.tail + piece)[-TAIL_BYTES:]
+        )
+
+
+NO_EVENT = PartialEvent()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SplitEvents:
-    """Hold complete events, the id of the last one, and the remaining bytes.
+    """Hold complete events, the id of the last one, and the one after them.
 
     `has_progress` is true if any of the events is more than a comment.
     """
 
     complete: bytes
     last_event_id: int | None
-    remainder: bytes
+    partial: PartialEvent
     has_progress: bool
 
 
 def split_events(
-    remainder: bytes, chunk: bytes, after_event_id: int | None
+    partial: PartialEvent, piece: bytes, after_event_id: int | None
 ) -> SplitEvents:
-    """Return the complete events of a remainder and the chunk after it.
+    """Return the events that a piece of a stream completes.
 
     Events with an id up to `after_event_id` are left out, because the caller
     already has them.
     """
-    pending = remainder + chunk
+    if partial.body.size and not EVENT_END.search(partial.tail + piece):
+        return SplitEvents(b'', None, partial.append(piece), has_progress=False)
+    pending = partial.body.join() + piece
+    searched = max(partial.body.size - TAIL_BYTES, 0)
     events = []
     last_event_id = None
     start = 0
-    for match in EVENT_END.finditer(pending):
+    for match in EVENT_END.finditer(pending, searched):
         event = pending[start : match.end()]
         start = match.end()
         number = find_event_id(event)
@@ -46,7 +79,7 @@
     return SplitEvents(
         b''.join(events),
         last_event_id,
-        pending[start:],
+        NO_EVENT.append(pending[start:]),
         last_event_id is not None or not all(map(is_comment, events)),
     )
 
--- a/src/mustardvale/internal/relay/exchanges.py
+++ b/src/mustardvale/internal/relay/exchanges.py
@@ -8,6 +8,7 @@
 from mustardvale.internal.relay import (
     answer_bodies,
     configuration,
+    event_stream,
     requests,
 )
 
@@ -21,7 +22,8 @@
     for it. `last_received_at` is when data last arrived, `first_event_at` when
     the first complete event of a stream did. `process_started_at_ms` is that of
     the process that was listed when the send began. `partial_event` is the beginning of
-    an event that is not complete yet. `pending_chain` is the chain of an order to
+    an event that is not complete yet, and `withheld_events` are comments that
+    are kept back until an event. `pending_chain` is the chain of an order to
     move the request that has not been answered yet.
     """
 
@@ -35,7 +37,8 @@
     body: answer_bodies.AnswerBody = answer_bodies.EMPTY_BODY
     last_received_at: float = 0.0
     first_event_at: float | None = None
-    partial_event: bytes = b''
+    partial_event: event_stream.PartialEvent = event_stream.NO_EVENT
+    withheld_events: answer_bodies.AnswerBody = answer_bodies.EMPTY_BODY
     pending_chain: requests.Chain = ()
     move_count: int = 0
     process_started_at_ms: int = 0
@@ -43,7 +46,8 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the bytes that are kept until the answer goes on."""
-        return self.body.size + len(self.partial_event)
+        incomplete = self.partial_event.body.size
+        return self.body.size + incomplete + self.withheld_events.size
 
     @property
     def loaded_chain(self) -> requests.Chain:
--- a/src/mustardvale/internal/relay/failed_sends.py
+++ b/src/mustardvale/internal/relay/failed_sends.py
@@ -24,6 +24,8 @@
 # Only answers with a large buffer cause a check of all buffers, because it costs
 # time for each open request.
 LARGE_BUFFER_BYTES = 256 * 1024
+# Growth of a large buffer after which all buffers are added up again.
+BUFFER_CHECK_BYTES = 16 * 1024
 
 
 def retry_failed(
@@ -134,13 +136,18 @@
 
 
 def limit_buffered_bytes(
-    changed: exchanges.Attempt, now: float, state: 'states.State'
+    before: exchanges.Attempt,
+    changed: exchanges.Attempt,
+    now: float,
+    state: 'states.State',
 ) -> reducer.Transition:
     """Fail the send with the largest buffer if all buffers are too large.
 
     Faulty upstreams may answer many requests at once with bytes without an end.
     """
-    if changed.buffered_bytes < LARGE_BUFFER_BYTES:
+    checked = before.buffered_bytes // BUFFER_CHECK_BYTES
+    is_checked = changed.buffered_bytes // BUFFER_CHECK_BYTES == checked
+    if changed.buffered_bytes < LARGE_BUFFER_BYTES or is_checked:
         return transitions.Transition(state)
     candidates = [
         open_attempts.OpenAttempt(exchange, attempt)
--- a/src/mustardvale/internal/relay/stream_answers.py
+++ b/src/mustardvale/internal/relay/stream_answers.py
@@ -5,6 +5,7 @@
 
 from mustardvale.internal import effects, transitions
 from mustardvale.internal.relay import (
+    answer_bodies,
     completion,
     crash_tracking,
     event_stream,
@@ -46,12 +47,8 @@
         attempt.partial_event, event.part, exchange.last_event_id
     )
     is_undecided = not exchange.has_stream_started or len(exchange.attempts) > 1
-    if not split.has_progress and is_undecided:
-        return keep_partial(
-            open_attempt, split.complete + split.remainder, event.at, state
-        )
-    if not split.complete:
-        return keep_partial(open_attempt, split.remainder, event.at, state)
+    if not split.complete or (is_undecided and not split.has_progress):
+        return keep_events(open_attempt, split, event.at, state)
     if len(exchange.attempts) == 1:
         return deliver_events(open_attempt, head, split, event.at, state)
     return hedges.abort_others(exchange, attempt, event.at, state).then(
@@ -92,7 +89,8 @@
                 'between_events_seconds', now - exchange.last_event_at
             ),
         )
-    part = effects.StreamPart(exchange.request_id, split.complete)
+    withheld = open_attempt.attempt.withheld_events.join()
+    part = effects.StreamPart(exchange.request_id, withheld + split.complete)
     forwarded = transitions.Transition(next_state, (*stream_effects, part))
     if exchange.has_stream_started or not split.has_progress:
         return forwarded
@@ -117,23 +115,31 @@
     return dataclasses.replace(state, runners=runner_map)
 
 
-def keep_partial(
+def keep_events(
     open_attempt: open_attempts.OpenAttempt,
-    partial: bytes,
+    split: event_stream.SplitEvents,
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Keep the bytes of an incomplete event, which are no progress."""
-    if len(partial) > MAXIMUM_EVENT_BYTES:
+    """Keep an incomplete event and comments, which are no progress."""
+    attempt = open_attempt.attempt
+    kept = dataclasses.replace(
+        attempt,
+        partial_event=split.partial,
+        withheld_events=attempt.withheld_events.append(split.complete),
+    )
+    if kept.buffered_bytes > MAXIMUM_EVENT_BYTES:
         return failed_sends.retry_failed(
             open_attempt,
             f'an event is longer than {MAXIMUM_EVENT_BYTES} bytes',
             now,
             state,
         )
-    kept = dataclasses.replace(open_attempt.attempt, partial_event=partial)
     return failed_sends.limit_buffered_bytes(
-        kept, now, open_attempts.store_attempt(open_attempt, kept, state)
+        attempt,
+        kept,
+        now,
+        open_attempts.store_attempt(open_attempt, kept, state),
     )
 
 
@@ -150,14 +156,19 @@
     """
     exchange, attempt = open_attempt.exchange, open_attempt.attempt
     if not split.has_progress:
-        kept = dataclasses.replace(attempt, partial_event=split.remainder)
+        kept = dataclasses.replace(
+            attempt,
+            partial_event=split.partial,
+            withheld_events=answer_bodies.EMPTY_BODY,
+        )
         return open_attempts.store_attempt(open_attempt, kept, state)
     first = now if attempt.first_event_at is None else attempt.first_event_at
     received = dataclasses.replace(
         attempt,
         last_received_at=now,
         first_event_at=first,
-        partial_event=split.remainder,
+        partial_event=split.partial,
+        withheld_events=answer_bodies.EMPTY_BODY,
     )
     last_event = exchange.last_event_id
     changed = dataclasses.replace(
@@ -191,7 +202,7 @@
     may be one that ended early, with its connection.
     """
     exchange, attempt = open_attempt.exchange, open_attempt.attempt
-    is_truncated = bool(attempt.partial_event)
+    is_truncated = attempt.partial_event.body.size > 0
     if is_truncated or attempt.first_event_at is None:
         return failed_sends.retry_failed(
             open_attempt,
--- a/tests/test_faulty_upstreams.py
+++ b/tests/test_faulty_upstreams.py
@@ -14,6 +14,7 @@
 from mustardvale.internal.edge import (
     connections,
     http_client,
+    input_pacing,
     relay_client,
     wire,
 )
@@ -49,6 +50,7 @@
     def __init__(self) -> None:
         self.is_closed = False
         self.is_connected = True
+        self.is_reading = True
         self.output = b''
 
 
@@ -70,8 +72,13 @@
         """Mark a channel as closed."""
         channel.is_closed = True
 
+    def pause_reading(self, channel: FakeChannel) -> None:
+        """Record that input must not be passed."""
+        channel.is_reading = False
+
     def resume_reading(self, channel: FakeChannel) -> None:
-        """Ignore the call: input is passed by the tests."""
+        """Record that input may be passed again."""
+        channel.is_reading = True
 
 
 class UpstreamClient:
@@ -84,6 +91,7 @@
             typing.cast(typing.Any, self.table),
             typing.cast(typing.Any, front_codec),
             self.record_event,
+            input_pacing.InputPacer(),
         )
 
     def record_event(self, kind: type, **fields: typing.Any) -> None:
@@ -349,7 +357,7 @@
     def test_id_with_too_many_digits(self) -> None:
         """Guard against an id whose conversion raises for its length."""
         event = b'id: ' + b'9' * 5000 + b'\ndata: x\n\n'
-        split = event_stream.split_events(b'', event, 3)
+        split = event_stream.split_events(event_stream.NO_EVENT, event, 3)
         self.assertEqual(event, split.complete)
         self.assertIsNone(split.last_event_id)
 
@@ -390,7 +398,27 @@
 
 
 class FakePoller:
-    """Accept the requests to watch a socket, and watch nothing."""
+    """Accept the requests to watch a socket, and watch nothing.
+
+    `reading` are the sockets that a real poller would watch for input.
+    """
+
+    def __init__(self) -> None:
+        self.reading: set[socket.socket] = set()
+
+    def isReading(self, sock: socket.socket) -> bool:  # noqa: N802
+        """Return whether input is watched."""
+        return sock in self.reading
+
+    def addReader(  # noqa: N802
+        self, source: object, sock: socket.socket
+    ) -> None:
+        """Watch for input."""
+        self.reading.add(sock)
+
+    def removeReader(self, sock: socket.socket) -> None:  # noqa: N802
+        """Stop watching for input."""
+        self.reading.discard(sock)
 
     def isWriting(self, sock: socket.socket) -> bool:  # noqa: N802
         """Return that output is not watched."""
@@ -414,7 +442,9 @@
         self.addCleanup(self.server.close)
         self.addCleanup(self.sock.close)
         self.sock.setblocking(False)
-        self.connection = connections.Connection(ADDRESS, self.sock)
+        self.connection = connections.Connection(
+            ADDRESS, self.sock, self.client.continue_input
+        )
         self.connection.is_connected = True
         self.client.connections[self.sock] = self.connection
         self.pool.open_count = 1
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -342,19 +342,21 @@
         """Guard against events that depend on packet boundaries."""
         whole = b''.join(EVENTS)
         edges = sorted({0, *cuts, len(whole)})
-        remainder, complete, last = b'', b'', after
+        partial, complete, last = event_stream.NO_EVENT, b'', after
         for begin, end in zip(edges, edges[1:], strict=False):
-            split = event_stream.split_events(remainder, whole[begin:end], last)
-            remainder = split.remainder
+            split = event_stream.split_events(partial, whole[begin:end], last)
+            partial = split.partial
             complete += split.complete
             last = last if split.last_event_id is None else split.last_event_id
         self.assertEqual(b''.join(EVENTS[after:]), complete)
-        self.assertEqual(b'', remainder)
+        self.assertEqual(event_stream.NO_EVENT, partial)
 
     def test_line_ends_of_every_form(self) -> None:
         """Guard against missing the end of events with carriage returns."""
         for end in (b'\r\n\r\n', b'\n\n', b'\r\r'):
-            split = event_stream.split_events(b'', b'id: 3' + end, None)
+            split = event_stream.split_events(
+                event_stream.NO_EVENT, b'id: 3' + end, None
+            )
             self.assertEqual(3, split.last_event_id)
 
 
