Split the records and the sharing of crashes from their conclusions

crash_evidence (462 lines) and crash_tracking (459) held types, bounds, conclusions, reports and the reactions to them. crash_records has the types and their bounds, crash_sharing what instances tell each other of crashes and what follows.

--- a/bench/crash_reports.py
+++ b/bench/crash_reports.py
@@ -15,7 +15,10 @@
 import fire
 
 from bench import instance_groups, measurements
-from mustardvale.internal.relay import crash_evidence, crash_tracking
+from mustardvale.internal.relay import (
+    crash_records,
+    crash_sharing,
+)
 
 # Instances and zones of a small, a grown and a large site.
 SITES = ((6, 3), (58, 3), (195, 5))
@@ -33,10 +36,10 @@
         parts: tuple[str, ...] = (f'system-{index}',)
         if not index:
             parts += (HARMFUL,)
-        request = crash_evidence.CrashedRequest('account', parts)
+        request = crash_records.CrashedRequest('account', parts)
         group.apply(
             name,
-            lambda state, request=request: crash_tracking.record_crash(
+            lambda state, request=request: crash_sharing.record_crash(
                 f'runner-{number}/1', (request,), group.now, state
             ),
         )
@@ -46,10 +49,10 @@
     """Let the instances have seen the parts of the other requests begin."""
     parts = [f'system-{index}' for index in range(BYSTANDER_COUNT)]
     for name, state in group.states.items():
-        begun = crash_evidence.record_begun(
+        begun = crash_records.record_begun(
             state.crashes.begun, parts, group.now - 1
         )
-        group.states[name] = crash_tracking.replace_crashes(state, begun=begun)
+        group.states[name] = crash_sharing.replace_crashes(state, begun=begun)
 
 
 def measure(instance_count: int, zone_count: int) -> dict[str, typing.Any]:
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -7,7 +7,7 @@
 
 from mustardvale.internal.relay import (
     configuration,
-    crash_evidence,
+    crash_records,
     requests,
     runners,
 )
@@ -119,7 +119,7 @@
 
     process: str
     age_seconds: float
-    requests: tuple[crash_evidence.CrashedRequest, ...]
+    requests: tuple[crash_records.CrashedRequest, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/crash_reports.py
+++ b/src/mustardvale/internal/relay/crash_reports.py
@@ -8,7 +8,7 @@
 import dataclasses
 import typing
 
-from mustardvale.internal.relay import calls, crash_evidence
+from mustardvale.internal.relay import calls, crash_evidence, crash_records
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -16,7 +16,7 @@
 
 def build_report(
     known: crash_evidence.CrashState,
-    crashes: 'abc.Iterable[crash_evidence.Crash]',
+    crashes: 'abc.Iterable[crash_records.Crash]',
     parts: 'abc.Iterable[str]',
     now: float,
 ) -> calls.ReportCrashes:
@@ -32,7 +32,7 @@
         tuple(
             calls.BegunPart(part, now - known.begun.find(part))
             for part in sorted(parts)
-            if known.begun.find(part) > crash_evidence.NEVER
+            if known.begun.find(part) > crash_records.NEVER
         ),
     )
 
@@ -46,7 +46,7 @@
 
 
 def list_parts(
-    crashes: 'abc.Iterable[crash_evidence.Crash]',
+    crashes: 'abc.Iterable[crash_records.Crash]',
 ) -> frozenset[str]:
     """Return the parts of the prompts that crashes have."""
     return frozenset().union(*(crash.parts for crash in crashes))
@@ -57,18 +57,18 @@
 ) -> crash_evidence.CrashState:
     """Return the evidence with that of a report."""
     crashes = known.crashes
-    for reported in report.crashes[: crash_evidence.MAXIMUM_CRASHES]:
+    for reported in report.crashes[: crash_records.MAXIMUM_CRASHES]:
         if not reported.requests:
             continue
-        crash = crash_evidence.Crash(
+        crash = crash_records.Crash(
             reported.process,
             compute_time(reported.age_seconds, now),
             limit_requests(reported.requests),
         )
-        crashes = crash_evidence.merge_crash(crashes, crash)
+        crashes = crash_records.merge_crash(crashes, crash)
     begun = known.begun
-    for begun_part in report.begun[: crash_evidence.MAXIMUM_BEGUN_PARTS]:
-        begun = crash_evidence.record_begun(
+    for begun_part in report.begun[: crash_records.MAXIMUM_BEGUN_PARTS]:
+        begun = crash_records.record_begun(
             begun,
             (begun_part.part,),
             compute_time(begun_part.age_seconds, now),
@@ -79,13 +79,13 @@
 
 
 def limit_requests(
-    crashed_requests: tuple[crash_evidence.CrashedRequest, ...],
-) -> tuple[crash_evidence.CrashedRequest, ...]:
+    crashed_requests: tuple[crash_records.CrashedRequest, ...],
+) -> tuple[crash_records.CrashedRequest, ...]:
     """Return as many requests and parts as an instance records itself."""
-    kept = crashed_requests[: crash_evidence.MAXIMUM_REQUESTS_PER_CRASH]
+    kept = crashed_requests[: crash_records.MAXIMUM_REQUESTS_PER_CRASH]
     return tuple(
         dataclasses.replace(
-            request, parts=request.parts[: crash_evidence.MAXIMUM_PARTS]
+            request, parts=request.parts[: crash_records.MAXIMUM_PARTS]
         )
         for request in kept
     )
@@ -93,5 +93,5 @@
 
 def compute_time(age_seconds: float, now: float) -> float:
     """Return the time of something that was `age_seconds` ago."""
-    age = min(max(age_seconds, 0.0), crash_evidence.CRASH_RETENTION_SECONDS)
+    age = min(max(age_seconds, 0.0), crash_records.CRASH_RETENTION_SECONDS)
     return now - age
--- a/src/mustardvale/internal/relay/fingerprints.py
+++ b/src/mustardvale/internal/relay/fingerprints.py
@@ -9,7 +9,7 @@
 import hashlib
 import typing
 
-from mustardvale.internal.relay import crash_evidence
+from mustardvale.internal.relay import crash_records
 
 if typing.TYPE_CHECKING:
     from mustardvale.internal.relay import requests
@@ -37,7 +37,7 @@
         digest.update(text.encode('utf-8', 'surrogateescape'))
         digest.update(b'\0')
     digest.update(request.body)
-    return crash_evidence.FINGERPRINT_PREFIX + digest.hexdigest()
+    return crash_records.FINGERPRINT_PREFIX + digest.hexdigest()
 
 
 def list_parts(
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -7,7 +7,7 @@
 from mustardvale.internal.relay import (
     calls,
     configuration_feed,
-    crash_tracking,
+    crash_sharing,
     fault_moves,
     members,
     pace_tracking,
@@ -207,7 +207,7 @@
     """Merge the evidence of crashes that the reader has, if it differs."""
     if update.crashes is None:
         return transitions.Transition(state)
-    return crash_tracking.apply_report(update.crashes, now, state)
+    return crash_sharing.apply_report(update.crashes, now, state)
 
 
 def apply_confirmation(
--- a/src/mustardvale/internal/relay/prompt_blocks.py
+++ b/src/mustardvale/internal/relay/prompt_blocks.py
@@ -9,7 +9,7 @@
 import typing
 
 from mustardvale.internal.relay import (
-    crash_evidence,
+    crash_records,
     exchanges,
     fingerprints,
     requests,
@@ -31,7 +31,7 @@
     client_account: str | None,
     now: float,
     state: 'states.State',
-) -> crash_evidence.Block | None:
+) -> crash_records.Block | None:
     """Return the block because of which a request is refused, if any."""
     for block in list_covering_blocks(request, client_account, state):
         is_over = now >= compute_trial_time(block, state)
@@ -44,7 +44,7 @@
     request: requests.ClientRequest,
     client_account: str | None,
     state: 'states.State',
-) -> list[crash_evidence.Block]:
+) -> list[crash_records.Block]:
     """Return the blocks for a request, whether they have ended or not."""
     if not state.crashes.blocks:
         return []
@@ -57,7 +57,7 @@
 
 
 def compute_trial_time(
-    block: crash_evidence.Block, state: 'states.State'
+    block: crash_records.Block, state: 'states.State'
 ) -> float:
     """Return when this instance may try a request again."""
     return block.blocked_until + compute_turn(state) * TRIAL_SECONDS
@@ -79,7 +79,7 @@
     return len(readers) + position * len(zones) + offset
 
 
-def has_open_trial(block: crash_evidence.Block, state: 'states.State') -> bool:
+def has_open_trial(block: crash_records.Block, state: 'states.State') -> bool:
     """Return whether a request with the parts of a block waits for an event."""
     return any(
         exchange.attempts
@@ -94,9 +94,7 @@
     return not exchange.has_stream_started
 
 
-def has_parts(
-    exchange: exchanges.Exchange, block: crash_evidence.Block
-) -> bool:
+def has_parts(exchange: exchanges.Exchange, block: crash_records.Block) -> bool:
     """Return whether a request has the parts of a block."""
     return block.parts.issubset(
         fingerprints.list_parts(exchange.tenant, exchange.request)
@@ -119,7 +117,7 @@
 
 
 def compute_retry_after_seconds(
-    block: crash_evidence.Block, now: float, state: 'states.State'
+    block: crash_records.Block, now: float, state: 'states.State'
 ) -> float:
     """Return in how many seconds a refused request may be tried again."""
     remaining = compute_trial_time(block, state) - now
--- a/tests/test_relay_harmful_prompts.py
+++ b/tests/test_relay_harmful_prompts.py
@@ -15,10 +15,13 @@
     calls,
     configuration,
     crash_evidence,
+    crash_records,
     crash_reports,
     crash_tracking,
+    crash_sharing,
     members,
     requests,
+    timers,
 )
 from mustardvale.platform import call_codec, front_codec
 from tests import relay_states
@@ -41,25 +44,25 @@
     *prompts: tuple[str, ...],
     crashed_at: float | None = None,
     account: str = 'ann',
-) -> crash_evidence.Crash:
+) -> crash_records.Crash:
     """Return a crash with one request for each prompt, by default in turn."""
-    return crash_evidence.Crash(
+    return crash_records.Crash(
         f'm{number}/1',
         100.0 + number if crashed_at is None else crashed_at,
         tuple(
-            crash_evidence.CrashedRequest(account, parts) for parts in prompts
+            crash_records.CrashedRequest(account, parts) for parts in prompts
         ),
     )
 
 
-def know(*parts: str, at: float = 99.0) -> crash_evidence.BegunParts:
+def know(*parts: str, at: float = 99.0) -> crash_records.BegunParts:
     """Return that requests with some parts have begun to write at a time."""
-    begun = crash_evidence.BegunParts()
-    return crash_evidence.record_begun(begun, parts, at)
+    begun = crash_records.BegunParts()
+    return crash_records.record_begun(begun, parts, at)
 
 
 def list_blocked(
-    begun: crash_evidence.BegunParts, *crashes: crash_evidence.Crash
+    begun: crash_records.BegunParts, *crashes: crash_records.Crash
 ) -> list[set[str]]:
     """Return the combinations of parts that evidence has refused."""
     return [
@@ -171,12 +174,12 @@
 
 CRASHES = strategies.lists(
     strategies.builds(
-        crash_evidence.Crash,
+        crash_records.Crash,
         strategies.integers(0, 40).map('m{}/1'.format),
         strategies.floats(0, 1000),
         strategies.lists(
             strategies.builds(
-                crash_evidence.CrashedRequest,
+                crash_records.CrashedRequest,
                 strategies.sampled_from(('ann', 'bob')),
                 strategies.lists(strategies.text(max_size=2), max_size=4).map(
                     tuple
@@ -194,46 +197,46 @@
 
     @hypothesis.given(CRASHES, strategies.randoms(use_true_random=False))
     def test_order_of_reports_does_not_matter(
-        self, crashes: list[crash_evidence.Crash], random: object
+        self, crashes: list[crash_records.Crash], random: object
     ) -> None:
         """Guard against instances that draw different conclusions."""
-        few = crashes[: crash_evidence.MAXIMUM_CRASHES // 2]
+        few = crashes[: crash_records.MAXIMUM_CRASHES // 2]
         few = [
             dataclasses.replace(crash, requests=crash.requests[:4])
             for crash in few
         ]
-        merged: tuple[crash_evidence.Crash, ...] = ()
+        merged: tuple[crash_records.Crash, ...] = ()
         for crash in few:
-            merged = crash_evidence.merge_crash(merged, crash)
+            merged = crash_records.merge_crash(merged, crash)
         again = merged
         random.shuffle(few)  # type: ignore[attr-defined]
         for crash in few:
-            again = crash_evidence.merge_crash(again, crash)
+            again = crash_records.merge_crash(again, crash)
         self.assertEqual(merged, again)
 
     @hypothesis.given(CRASHES)
     def test_evidence_is_bounded(
-        self, crashes: list[crash_evidence.Crash]
+        self, crashes: list[crash_records.Crash]
     ) -> None:
         """Guard against memory that grows with what callers send."""
-        merged: tuple[crash_evidence.Crash, ...] = ()
+        merged: tuple[crash_records.Crash, ...] = ()
         for crash in crashes:
-            merged = crash_evidence.merge_crash(merged, crash)
-        self.assertLessEqual(len(merged), crash_evidence.MAXIMUM_CRASHES)
+            merged = crash_records.merge_crash(merged, crash)
+        self.assertLessEqual(len(merged), crash_records.MAXIMUM_CRASHES)
         for crash in merged:
             self.assertLessEqual(
-                len(crash.requests), crash_evidence.MAXIMUM_REQUESTS_PER_CRASH
+                len(crash.requests), crash_records.MAXIMUM_REQUESTS_PER_CRASH
             )
         crash_evidence.find_blocks(merged, know())
 
     def test_known_parts_are_bounded(self) -> None:
         """Guard against memory that grows with the number of parts."""
-        begun = crash_evidence.BegunParts()
-        count = 5 * crash_evidence.MAXIMUM_BEGUN_PARTS
+        begun = crash_records.BegunParts()
+        count = 5 * crash_records.MAXIMUM_BEGUN_PARTS
         for number in range(count):
-            begun = crash_evidence.record_begun(begun, (str(number),), number)
+            begun = crash_records.record_begun(begun, (str(number),), number)
         kept = len(begun.recent) + len(begun.older)
-        self.assertLessEqual(kept, 2 * crash_evidence.MAXIMUM_BEGUN_PARTS + 1)
+        self.assertLessEqual(kept, 2 * crash_records.MAXIMUM_BEGUN_PARTS + 1)
         self.assertEqual(begun.find(str(count - 1)), count - 1)
 
 
@@ -491,7 +494,7 @@
             for number in (1, 2, 3)
         )
         bystander = build_crash(3, (COMMON,), account='bob')
-        merged = crash_evidence.merge_crash(crashes, bystander)
+        merged = crash_records.merge_crash(crashes, bystander)
         (block,) = crash_evidence.find_blocks(merged, know())
         self.assertTrue(block.covers('ann', {COMMON}))
         self.assertFalse(block.covers('cem', {COMMON}))
@@ -503,7 +506,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.crash_twice(HARMFUL)
-        self.instance.pass_time(crash_evidence.INITIAL_BLOCK_SECONDS)
+        self.instance.pass_time(crash_records.INITIAL_BLOCK_SECONDS)
 
     def confirm(self) -> None:
         """Confirm the configuration, which keys need."""
@@ -540,7 +543,7 @@
         block = self.instance.state.crashes.blocks[0]
         self.assertEqual(block.crash_count, 3)
         remaining = block.blocked_until - self.instance.now
-        self.assertGreater(remaining, crash_evidence.INITIAL_BLOCK_SECONDS)
+        self.assertGreater(remaining, crash_records.INITIAL_BLOCK_SECONDS)
 
     def test_instances_try_in_turn(self) -> None:
         """Guard against a trial by each instance at the same time."""
@@ -569,10 +572,10 @@
         self, group: instance_groups.Group, name: str, number: int
     ) -> None:
         """Let one instance see a runner crash under a harmful request."""
-        request = crash_evidence.CrashedRequest('ann', (COMMON, HARMFUL))
+        request = crash_records.CrashedRequest('ann', (COMMON, HARMFUL))
         group.apply(
             name,
-            lambda state: crash_tracking.record_crash(
+            lambda state: crash_sharing.record_crash(
                 f'm{number}/1', (request,), group.now, state
             ),
         )
@@ -581,7 +584,7 @@
     def know_common(self, group: instance_groups.Group) -> None:
         """Let one reader have seen the common part begin."""
         name = group.names[0]
-        group.states[name] = crash_tracking.replace_crashes(
+        group.states[name] = crash_sharing.replace_crashes(
             group.states[name], begun=know(COMMON, at=group.now - 1)
         )
 
@@ -635,7 +638,7 @@
             events.TimerFired(
                 at=group.now,
                 wall_time=group.now,
-                timer=crash_tracking.timers.EvidenceExchangeDue(),
+                timer=timers.EvidenceExchangeDue(),
             ),
         )
         self.assertEqual(group.count_blocking(), 6)
@@ -647,7 +650,7 @@
         timer = events.TimerFired(
             at=group.now,
             wall_time=group.now,
-            timer=crash_tracking.timers.EvidenceExchangeDue(),
+            timer=timers.EvidenceExchangeDue(),
         )
         group.reduce(name, timer)
         self.crash(group, name, 1)
@@ -706,7 +709,7 @@
                 calls.ReportedCrash(
                     'm2/1',
                     -1e300,
-                    (crash_evidence.CrashedRequest('bob', many),) * 99,
+                    (crash_records.CrashedRequest('bob', many),) * 99,
                 ),
                 *(calls.ReportedCrash(f'e{n}/1', 0, ()) for n in range(9, 99)),
             ),
@@ -716,7 +719,7 @@
             [crash.process for crash in merged.crashes], ['m1/1', 'm2/1']
         )
         self.assertLessEqual(
-            len(merged.crashes[1].parts), crash_evidence.MAXIMUM_PARTS
+            len(merged.crashes[1].parts), crash_records.MAXIMUM_PARTS
         )
 
     def test_malformed_report_is_refused(self) -> None:
--- a/tests/test_relay_harmful_requests.py
+++ b/tests/test_relay_harmful_requests.py
@@ -9,7 +9,9 @@
 from mustardvale.internal.relay import (
     calls,
     crash_evidence,
+    crash_records,
     crash_tracking,
+    crash_sharing,
     exchanges,
     fingerprints,
     requests,
@@ -220,15 +222,15 @@
     def test_many_requests_of_one_account_displace_no_other(self) -> None:
         """Guard against an account whose name comes first in each crash."""
         crowd = tuple(
-            crash_evidence.CrashedRequest('a', (f'request:{number}',))
+            crash_records.CrashedRequest('a', (f'request:{number}',))
             for number in range(200)
         )
         kept = 0
         for number in range(200):
-            other = crash_evidence.CrashedRequest('z', (f'request:{number}',))
-            (crash,) = crash_evidence.merge_crash(
+            other = crash_records.CrashedRequest('z', (f'request:{number}',))
+            (crash,) = crash_records.merge_crash(
                 (),
-                crash_evidence.Crash('m1/1', 1.0, (*crowd[:20], other)),
+                crash_records.Crash('m1/1', 1.0, (*crowd[:20], other)),
             )
             kept += other in crash.requests
         self.assertGreater(kept, 100)
@@ -261,7 +263,7 @@
         request = relay_states.build_client_request(
             '/write/x', body=HARMFUL_BODY
         )
-        crashed = crash_evidence.CrashedRequest(
+        crashed = crash_records.CrashedRequest(
             'ann', fingerprints.list_parts('ann', request)
         )
         for instance_count, zone_count in SITES:
@@ -271,7 +273,7 @@
                     group.apply(
                         group.names[-number],
                         lambda state, number=number, now=group.now: (
-                            crash_tracking.record_crash(
+                            crash_sharing.record_crash(
                                 f'p{number}/1', (crashed,), now, state
                             )
                         ),
