Refuse requests that crash runners after their first event

Cause: only requests without an event were evidence. A stream that had begun left none, its first event voided what there was, and it was never refused.

Change: each instance keeps the requests that crashes cut, by fingerprint and arrival, with the processes of their chains. Those that crashes at two moments have cut, and some that could not be sent again, are told to the others. Three moments under two arrivals with no whole answer since are a refusal, which holds for open streams too. One arrival is never enough, so that no stream is blamed in a roll; a crash under sound streams alone is told to nobody.

test_streams_that_had_begun_are_no_evidence asked that the runner of such a stream is not checked. It is checked now, so that the test asks for what it guards against: no blame, no suspicion and no report after six such crashes.

--- a/src/mustardvale/internal/edge/relay_metrics.py
+++ b/src/mustardvale/internal/edge/relay_metrics.py
@@ -26,7 +26,7 @@
     ('moves', 'Moved requests by what became of them', ('verdict',)),
     ('reports_lost', 'Reports of runners without an answer', ()),
     ('stray_answers', 'Answers that belonged to another request', ()),
-    ('runner_crashes', 'Crashes under requests without an event', ()),
+    ('runner_crashes', 'Crashes under requests that may be harmful', ()),
     (
         'runner_faults',
         'Faults of runners that became known',
--- a/src/mustardvale/internal/relay/answers.py
+++ b/src/mustardvale/internal/relay/answers.py
@@ -20,6 +20,7 @@
     failed_sends,
     hedges,
     idle_connections,
+    lost_requests,
     open_attempts,
     reducer,
     requests,
@@ -210,9 +211,17 @@
     forward = forward_answer
     if not is_success(head, exchange):
         forward = handle_error_answer
-    return forward(open_attempt, head, event.at, state).then(
-        lambda current: crash_tracking.note_first_event(
-            exchange, event.at, current
+    return (
+        forward(open_attempt, head, event.at, state)
+        .then(
+            lambda current: crash_tracking.note_first_event(
+                exchange, event.at, current
+            )
+        )
+        .then(
+            lambda current: lost_requests.note_completion(
+                exchange, event.at, current
+            )
         )
     )
 
--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -120,6 +120,7 @@
     process: str
     age_seconds: float
     requests: tuple[crash_records.CrashedRequest, ...]
+    lost: tuple[crash_records.LostRequest, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,12 +135,15 @@
 class ReportCrashes:
     """Report crashes of runners, and parts that do not crash them.
 
+    `completed` are fingerprints of requests that were answered whole.
+
     `checksum` is that of all evidence of the sender.
     """
 
     checksum: int
     crashes: tuple[ReportedCrash, ...] = ()
     begun: tuple[BegunPart, ...] = ()
+    completed: tuple[BegunPart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/crash_evidence.py
+++ b/src/mustardvale/internal/relay/crash_evidence.py
@@ -19,7 +19,7 @@
 
 import immutables
 
-from mustardvale.internal.relay import crash_records
+from mustardvale.internal.relay import crash_records, repeated_requests
 
 # Crashes that a part needs to be harmful. A part with which requests have begun
 # to write shortly before needs one more, because most runners that crash have
@@ -246,18 +246,13 @@
     required = (
         MINIMUM_CRASHES_OF_KNOWN_PART if first.is_known else MINIMUM_CRASHES
     )
-    doublings = min(
-        first.crash_count - required, crash_records.MAXIMUM_DOUBLINGS
-    )
-    seconds = min(
-        crash_records.INITIAL_BLOCK_SECONDS * 2**doublings,
-        crash_records.MAXIMUM_BLOCK_SECONDS,
-    )
     return crash_records.Block(
         frozenset(suspicion.part for suspicion in group),
         first.client_accounts,
         first.crash_count,
-        max(first.crashed_at) + seconds,
+        crash_records.compute_block_end(
+            first.crashed_at, first.crash_count - required
+        ),
     )
 
 
@@ -268,9 +263,11 @@
     `suspected` are the parts with which no request has begun since a crash, and
     `held` has the time until which new requests with a part are held back.
     `unconfirmed` has the requests of connections that a runner closed, by its
-    process, until it is known whether it has crashed. `synchronized` has the
-    addresses of the readers with which evidence has been exchanged. `checksum`
-    tells whether two instances have the same evidence.
+    process, until it is known whether it has crashed. `losses` has the requests
+    whose runners may have crashed, by fingerprint, and `completed` when requests
+    under suspicion were answered whole. `synchronized` has the addresses of the
+    readers with which evidence has been exchanged. `checksum` tells whether two
+    instances have the same evidence.
     """
 
     crashes: tuple[crash_records.Crash, ...] = ()
@@ -279,6 +276,9 @@
     blocks: tuple[crash_records.Block, ...] = ()
     held: crash_records.PartTimes = immutables.Map()
     unconfirmed: 'immutables.Map[str, tuple[crash_records.CrashedRequest, ...]]' = immutables.Map()
+    losses: crash_records.LossMap = immutables.Map()
+    completed: crash_records.BegunParts = crash_records.BegunParts()
+    suspected_repeats: frozenset[str] = frozenset()
     synchronized: frozenset[str] = frozenset()
     checksum: int = 0
 
@@ -287,26 +287,38 @@
     """Return the state with the conclusions from its evidence."""
     crashes = crash_records.drop_expired(known.crashes, now)
     suspected = list_suspected(crashes, known.begun)
+    repeats = repeated_requests.list_suspected(crashes, known.completed)
     blocks = find_blocks(crashes, known.begun)
+    unexplained = tuple(
+        crash for crash in crashes if not is_explained(crash, blocks)
+    )
     return dataclasses.replace(
         known,
         crashes=crashes,
         suspected=suspected,
-        blocks=blocks,
+        suspected_repeats=repeats,
+        blocks=blocks
+        + repeated_requests.find_blocks(unexplained, known.completed),
         held=list_held(crashes, known.begun, blocks, now),
-        checksum=compute_checksum(crashes, suspected),
+        checksum=compute_checksum(crashes, suspected | repeats),
     )
 
 
 def compute_checksum(
     crashes: tuple[crash_records.Crash, ...], suspected: frozenset[str]
 ) -> int:
-    """Return a checksum of evidence that does not depend on its times."""
+    """Return a checksum of evidence that does not depend on its times.
+
+    Without lost requests it is that of an earlier release.
+    """
     if not crashes:
         return 0
     text = repr(
         (
-            sorted((crash.process, crash.requests) for crash in crashes),
+            sorted(
+                (crash.process, crash.requests, *crash.lost)
+                for crash in crashes
+            ),
             sorted(suspected),
         )
     )
--- a/src/mustardvale/internal/relay/crash_records.py
+++ b/src/mustardvale/internal/relay/crash_records.py
@@ -26,6 +26,10 @@
 MAXIMUM_CRASHES = 32
 MAXIMUM_REQUESTS_PER_CRASH = 16
 MAXIMUM_PARTS = 18
+MAXIMUM_LOST_PER_CRASH = 16
+# Fingerprints of which an instance keeps losses, and losses of each.
+MAXIMUM_LOST_FINGERPRINTS = 512
+MAXIMUM_LOSSES_PER_FINGERPRINT = 8
 MAXIMUM_BEGUN_PARTS = 2048
 CRASH_RETENTION_SECONDS = 900.0
 
@@ -45,19 +49,61 @@
     parts: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class LostRequest:
+    """Describe a request that a runner was at work on when it crashed.
+
+    `arrival` tells the requests of callers with the same fingerprints apart. It
+    stays the same when a request is sent again.
+    """
+
+    client_account: str
+    fingerprints: tuple[str, ...]
+    arrival: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
-    """Hold the crash of one process of a runner."""
+    """Hold the crash of one process of a runner.
+
+    `requests` had got no event. `lost` are those that may be harmful whether
+    they had got one or not.
+    """
 
     process: str
     crashed_at: float
     requests: tuple[CrashedRequest, ...]
+    lost: tuple[LostRequest, ...] = ()
 
     @property
     def parts(self) -> frozenset[str]:
         """Return the parts of the prompts of all requests."""
         return frozenset().union(*(request.parts for request in self.requests))
 
+    @property
+    def lost_fingerprints(self) -> frozenset[str]:
+        """Return the fingerprints of the lost requests."""
+        return frozenset().union(*(found.fingerprints for found in self.lost))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """Hold a request that a runner of its chain may have lost by a crash.
+
+    `processes` are those of the chain, and `crashed` is the one that is known
+    to have crashed, empty if none is.
+    """
+
+    request_id: str
+    send_id: str
+    request: LostRequest
+    processes: frozenset[str]
+    lost_at: float
+    crashed: str = ''
+
+
+LossMap: typing.TypeAlias = 'immutables.Map[str, tuple[Loss, ...]]'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Block:
@@ -65,13 +111,15 @@
 
     The block is for the client accounts whose requests have crashed runners,
     or for all once there are three. Neither a single account nor one beside a
-    bystander can have the requests of all others refused.
+    bystander can have the requests of all others refused. One that `is_repeat`
+    is for a request that crashes runners after its first event, too.
     """
 
     parts: frozenset[str]
     client_accounts: frozenset[str]
     crash_count: int
     blocked_until: float
+    is_repeat: bool = False
 
     def covers(self, client_account: str, parts: abc.Set[str]) -> bool:
         """Return whether a request is to be refused."""
@@ -99,6 +147,11 @@
         return self.older.get(part, NEVER) if begun_at is None else begun_at
 
 
+def name_process(runner_id: str, started_at_ms: int) -> str:
+    """Return the name of a process of a runner."""
+    return f'{runner_id}/{started_at_ms}'
+
+
 def record_begun(
     begun: BegunParts, parts: abc.Iterable[str], begun_at: float
 ) -> BegunParts:
@@ -123,10 +176,16 @@
     requests = {
         request for crash in (*known, reported) for request in crash.requests
     }
+    lost = {found for crash in (*known, reported) for found in crash.lost}
     merged = Crash(
         reported.process,
         min(crash.crashed_at for crash in (*known, reported)),
         tuple(sorted(requests, key=rank_request)[:MAXIMUM_REQUESTS_PER_CRASH]),
+        tuple(
+            sorted(lost, key=lambda found: rank_lost(reported.process, found))[
+                :MAXIMUM_LOST_PER_CRASH
+            ]
+        ),
     )
     ordered = sorted(
         (*others, merged), key=lambda crash: (crash.crashed_at, crash.process)
@@ -143,6 +202,14 @@
     return zlib.crc32(repr(request).encode()), request
 
 
+def rank_lost(process: str, found: LostRequest) -> tuple[int, LostRequest]:
+    """Return the rank by which the lost requests of a crash are kept.
+
+    It differs from crash to crash, so that none is always displaced.
+    """
+    return zlib.crc32(repr((process, found)).encode()), found
+
+
 def drop_expired(crashes: tuple[Crash, ...], now: float) -> tuple[Crash, ...]:
     """Return the crashes that are recent enough to count."""
     return tuple(
@@ -157,6 +224,18 @@
     return part.startswith(FINGERPRINT_PREFIX)
 
 
+def compute_block_end(
+    crash_times: abc.Iterable[float], extra_crash_count: int
+) -> float:
+    """Return until when a request is refused after its crashes.
+
+    `extra_crash_count` is how many more there were than a block needs.
+    """
+    doublings = min(extra_crash_count, MAXIMUM_DOUBLINGS)
+    seconds = INITIAL_BLOCK_SECONDS * float(2**doublings)
+    return max(crash_times) + min(seconds, MAXIMUM_BLOCK_SECONDS)
+
+
 def count_moments(times: tuple[float, ...]) -> int:
     """Count times, those at about the same moment once."""
     count = 0
--- a/src/mustardvale/internal/relay/crash_sharing.py
+++ b/src/mustardvale/internal/relay/crash_sharing.py
@@ -47,29 +47,78 @@
     state: 'states.State',
 ) -> reducer.Transition:
     """Record the requests of a crash, and tell the other instances."""
-    known = state.crashes.crashes
     crash = crash_records.Crash(process, now, crashed_requests)
-    crashes = crash_records.merge_crash(known, crash)
+    return record_crashes((crash,), now, state)
+
+
+def record_crashes(
+    reported: tuple[crash_records.Crash, ...], now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Record what this instance has found of crashes, and tell the others."""
+    known = state.crashes.crashes
+    crashes = known
+    for crash in reported:
+        crashes = crash_records.merge_crash(crashes, crash)
     if crashes == known:
         return transitions.Transition(state)
     merged = dataclasses.replace(state.crashes, crashes=crashes)
     updated = crash_evidence.update_conclusions(merged, now)
-    is_first = all(crash.process != process for crash in known)
-    log_effect = relay_effects.LogDecision(
+    return (
+        adopt(updated, now, state)
+        .with_effects(
+            *(build_crash_log(crash) for crash in reported),
+            *count_new_crashes(reported, known),
+        )
+        .then(lambda current: share(reported, (), now, current))
+    )
+
+
+def build_crash_log(crash: crash_records.Crash) -> effects.Effect:
+    """Return the log line for what this instance has found of a crash."""
+    return relay_effects.LogDecision(
         'runner_crashed',
         (
-            ('runner', process.partition('/')[0]),
-            ('waiting', len(crashed_requests)),
+            ('runner', crash.process.partition('/')[0]),
+            ('waiting', len(crash.requests)),
             ('parts', sorted(crash_reports.list_parts((crash,)))),
+            ('lost', sorted(found.fingerprints[0] for found in crash.lost)),
         ),
     )
-    return (
-        adopt(updated, now, state)
-        .with_effects(
-            log_effect,
-            *((effects.Count('runner_crashes', ()),) if is_first else ()),
+
+
+def count_new_crashes(
+    reported: tuple[crash_records.Crash, ...],
+    known: tuple[crash_records.Crash, ...],
+) -> tuple[effects.Effect, ...]:
+    """Return the effects that count the crashes that are not known yet."""
+    processes = {crash.process for crash in known}
+    return tuple(
+        effects.Count('runner_crashes', ())
+        for crash in reported
+        if crash.process not in processes
+    )
+
+
+def record_completed(
+    completed_fingerprints: frozenset[str], now: float, state: 'states.State'
+) -> reducer.Transition:
+    """Record that a request under suspicion was answered whole."""
+    completed = crash_records.record_begun(
+        state.crashes.completed, completed_fingerprints, now
+    )
+    updated = crash_evidence.update_conclusions(
+        dataclasses.replace(state.crashes, completed=completed), now
+    )
+    report = calls.ReportCrashes(
+        updated.checksum,
+        completed=crash_reports.build_ages(
+            completed, completed_fingerprints, now
+        ),
+    )
+    return adopt(updated, now, state).then(
+        lambda current: send_report(
+            report, current.members.readers.listed, current
         )
-        .then(lambda current: share((crash,), (), now, current))
     )
 
 
@@ -131,16 +180,18 @@
     now: float,
     state: 'states.State',
 ) -> reducer.Transition:
-    """Fail the open requests with blocked parts that have got no event.
+    """Fail the open requests that may still crash their runners.
 
-    Their runners would crash when they begin to write. A runner drops a request
-    whose connection is closed.
+    A runner drops a request whose connection is closed.
     """
     refused = [
         exchange
         for exchange in state.exchanges.values()
-        if prompt_blocks.is_waiting_for_event(exchange)
-        and any(is_covered(exchange, block) for block in added)
+        if any(
+            prompt_blocks.may_crash(exchange, block)
+            and is_covered(exchange, block)
+            for block in added
+        )
     ]
     return transitions.Transition(state).then_each(
         refused,
--- a/src/mustardvale/internal/relay/crash_tracking.py
+++ b/src/mustardvale/internal/relay/crash_tracking.py
@@ -1,9 +1,10 @@
 """Track crashes of runners and the requests that may have caused them.
 
-When a runner closes the connection of a request before its first event, this
-instance checks whether the runner still accepts connections. If it refuses
-them, it has crashed, and the request is evidence that all instances are told
-of. So is the first event of a request with a part that is under suspicion.
+When a runner closes the connection of a request before its end, this instance
+checks whether the runner still accepts connections. If it refuses them, it has
+crashed. A request without an event is evidence that all instances are told of,
+and so is the first event of a request with a part that is under suspicion.
+`lost_requests` keeps the others.
 """
 
 import dataclasses
@@ -19,6 +20,7 @@
     fault_moves,
     fault_reports,
     fingerprints,
+    lost_requests,
     reducer,
     runners,
 )
@@ -40,25 +42,56 @@
     """Check the runner that closed the connection of a request too early."""
     runner = state.runners.get(attempt.runner_id)
     is_lost = failure.kind is events.FailureKind.CLOSED and attempt.is_sent
-    if runner is None or not is_lost or exchange.has_stream_started:
+    if runner is None or not is_lost:
         return transitions.Transition(state)
-    request = describe_request(exchange)
     process = name_process(attempt, runner, state)
-    if any(crash.process == process for crash in state.crashes.crashes):
-        return crash_sharing.record_crash(process, (request,), now, state)
-    known = state.crashes.unconfirmed.get(process, ())
-    is_full = len(known) >= crash_records.MAXIMUM_REQUESTS_PER_CRASH
-    if is_full or request in known:
+    processes = lost_requests.list_processes(attempt, state) | {process}
+    state = lost_requests.note_loss(exchange, attempt, processes, now, state)
+    waiting = (
+        () if exchange.has_stream_started else (describe_request(exchange),)
+    )
+    if process in list_crash_times(now, state):
+        return record_lost(process, waiting, now, state)
+    if runner.is_exiting and not waiting:
         return transitions.Transition(state)
-    unconfirmed = state.crashes.unconfirmed.set(process, (*known, request))
-    noted = crash_sharing.replace_crashes(state, unconfirmed=unconfirmed)
-    if known:
+    known = state.crashes.unconfirmed.get(process)
+    noted = add_unconfirmed(process, waiting, state)
+    if known is not None:
         return transitions.Transition(noted)
     call = calls.CheckRunner(attempt.runner_id, process)
     check = effects.Call(call, runner.listed.address, CHECK_TIMEOUT_SECONDS)
     return transitions.Transition(noted, (check,))
 
 
+def add_unconfirmed(
+    process: str,
+    waiting: tuple[crash_records.CrashedRequest, ...],
+    state: 'states.State',
+) -> 'states.State':
+    """Keep the requests without an event until a process was checked."""
+    known = state.crashes.unconfirmed.get(process, ())
+    added = tuple(request for request in waiting if request not in known)
+    kept = (*known, *added)[: crash_records.MAXIMUM_REQUESTS_PER_CRASH]
+    return crash_sharing.replace_crashes(
+        state, unconfirmed=state.crashes.unconfirmed.set(process, kept)
+    )
+
+
+def record_lost(
+    process: str,
+    waiting: tuple[crash_records.CrashedRequest, ...],
+    now: float,
+    state: 'states.State',
+) -> reducer.Transition:
+    """Record what a crash has cut: requests without an event, and all others."""
+    recorded: reducer.Transition = transitions.Transition(state)
+    if waiting:
+        recorded = crash_sharing.record_crash(process, waiting, now, state)
+    return recorded.then(
+        lambda current: lost_requests.confirm_crash(process, now, current)
+    )
+
+
 def describe_request(
     exchange: exchanges.Exchange,
 ) -> crash_records.CrashedRequest:
@@ -78,18 +111,31 @@
     not been read yet.
     """
     process = name_listed_process(runner)
-    crashed_at = {
-        crash.process: crash.crashed_at for crash in state.crashes.crashes
-    }
+    crashed_at = list_crash_times(attempt.started_at, state)
     while crashed_at.get(process, attempt.started_at) < attempt.started_at:
         process += RESTARTED_SUFFIX
     return process
 
 
+def list_crash_times(now: float, state: 'states.State') -> dict[str, float]:
+    """Return when each process has crashed that is known to have done so."""
+    crashed_at = {
+        crash_records.name_process(
+            fault.runner_id, fault.started_at_ms
+        ): fault.found_at
+        for fault in state.faults.faults
+        if fault.kind is fault_reports.FaultKind.CRASHED
+        and fault_reports.is_current(fault, now)
+    }
+    for crash in state.crashes.crashes:
+        crashed_at[crash.process] = crash.crashed_at
+    return crashed_at
+
+
 def name_listed_process(runner: runners.Runner) -> str:
     """Return the name of the process in the entry of a runner."""
     listed = runner.listed
-    return f'{listed.runner_id}/{listed.started_at_ms}'
+    return crash_records.name_process(listed.runner_id, listed.started_at_ms)
 
 
 @reducer.on_answer.register(calls.CheckRunner)
@@ -110,13 +156,15 @@
         repeated = dataclasses.replace(call, is_repeated=True)
         check = effects.Call(repeated, event.address, CHECK_TIMEOUT_SECONDS)
         return transitions.Transition(state, (check,))
-    crashed_requests = state.crashes.unconfirmed.get(call.process, ())
+    crashed_requests = state.crashes.unconfirmed.get(call.process)
     state = drop_unconfirmed(call.process, state)
-    if kind is not events.FailureKind.REFUSED or not crashed_requests:
+    if kind is not events.FailureKind.REFUSED or crashed_requests is None:
         return transitions.Transition(state)
-    return crash_sharing.record_crash(
-        call.process, crashed_requests, event.at, state
-    ).then(
+    recorded = record_lost(call.process, crashed_requests, event.at, state)
+    if not crashed_requests:
+        # Those that watch the runner tell the others of its fault.
+        return recorded
+    return recorded.then(
         lambda current: record_fault(
             call.runner_id, call.process, event.at, current
         )
--- a/src/mustardvale/internal/relay/fault_moves.py
+++ b/src/mustardvale/internal/relay/fault_moves.py
@@ -9,6 +9,7 @@
     exchanges,
     fault_reports,
     fault_telling,
+    lost_requests,
     moves,
     open_attempts,
     pace_tracking,
@@ -47,7 +48,13 @@
         if fault.kind is fault_reports.FaultKind.STALLED
     )
     return (
-        recorded.then(
+        recorded.then_each(
+            crashed,
+            lambda fault, current: lost_requests.record_open(
+                fault.runner_id, fault.started_at_ms, now, current
+            ),
+        )
+        .then(
             lambda current: transitions.Transition(
                 avoid_crashed(crashed, now, current)
             )
--- a/src/mustardvale/internal/relay/fingerprints.py
+++ b/src/mustardvale/internal/relay/fingerprints.py
@@ -15,6 +15,9 @@
     from mustardvale.internal.relay import requests
 
 DIGEST_BYTES = 12
+ARRIVAL_BYTES = 6
+# With the query of the target and without it.
+MAXIMUM_COUNT = 2
 
 
 def compute_fingerprints(
@@ -46,3 +49,9 @@
     """Return all parts of a request that crashes may have in common."""
     shared = request.prompt.shared_parts if request.prompt else ()
     return (*shared, *compute_fingerprints(client_account or '', request))
+
+
+def compute_arrival(request: 'requests.ClientRequest') -> str:
+    """Return what tells a request from its repeats by callers."""
+    name = request.attempt_id.encode('utf-8', 'surrogateescape')
+    return hashlib.blake2b(name, digest_size=ARRIVAL_BYTES).hexdigest()
--- a/src/mustardvale/internal/relay/prompt_blocks.py
+++ b/src/mustardvale/internal/relay/prompt_blocks.py
@@ -80,18 +80,22 @@
 
 
 def has_open_trial(block: crash_records.Block, state: 'states.State') -> bool:
-    """Return whether a request with the parts of a block waits for an event."""
+    """Return whether a request with the parts of a block is being tried."""
     return any(
         exchange.attempts
-        and is_waiting_for_event(exchange)
+        and may_crash(exchange, block)
         and has_parts(exchange, block)
         for exchange in state.exchanges.values()
     )
 
 
-def is_waiting_for_event(exchange: exchanges.Exchange) -> bool:
-    """Return whether a request has not begun to write its answer."""
-    return not exchange.has_stream_started
+def may_crash(exchange: exchanges.Exchange, block: crash_records.Block) -> bool:
+    """Return whether a request with the parts of a block is a danger.
+
+    One that has begun to write its answer is none, unless it is refused because
+    it has crashed runners after that.
+    """
+    return block.is_repeat or not exchange.has_stream_started
 
 
 def has_parts(exchange: exchanges.Exchange, block: crash_records.Block) -> bool:
@@ -106,13 +110,14 @@
 ) -> bool:
     """Return whether a request must not be sent to another runner.
 
-    A trial is not sent again. A stream that has begun is no danger.
+    A trial is not sent again.
     """
     request, account = exchange.request, exchange.tenant
-    if exchange.has_stream_started:
-        return False
     if exchange.arrival_count:
-        return bool(list_covering_blocks(request, account, state))
+        return any(
+            may_crash(exchange, block)
+            for block in list_covering_blocks(request, account, state)
+        )
     return find_block(request, account, now, state) is not None
 
 
--- a/src/mustardvale/internal/relay/runners.py
+++ b/src/mustardvale/internal/relay/runners.py
@@ -123,6 +123,11 @@
         is_ready = self.listed.state is ListedState.READY
         return self.delisted_at is None and is_ready and not self.is_leaving
 
+    @property
+    def is_exiting(self) -> bool:
+        """Return whether the process is about to exit as planned."""
+        return self.is_leaving or self.listed.state is ListedState.DRAINING
+
     def wants_no_requests(self, now: float) -> bool:
         """Return whether the process has asked for none in its answers."""
         return self.is_leaving or self.waits_until > now
--- a/src/mustardvale/internal/relay/stream_answers.py
+++ b/src/mustardvale/internal/relay/stream_answers.py
@@ -12,6 +12,7 @@
     exchanges,
     failed_sends,
     hedges,
+    lost_requests,
     open_attempts,
     pace_tracking,
     reducer,
@@ -213,11 +214,19 @@
     remaining, state = completion.end_attempt(
         exchange, open_attempt.attempt, state
     )
-    return completion.finish_exchange(
-        remaining,
-        'stream_completed',
-        (('last_event', exchange.last_event_id),),
-        now,
-        state,
-        is_routine=exchange.send_count == 1,
-    ).with_effects(effects.StreamEnd(exchange.request_id, None))
+    return (
+        completion.finish_exchange(
+            remaining,
+            'stream_completed',
+            (('last_event', exchange.last_event_id),),
+            now,
+            state,
+            is_routine=exchange.send_count == 1,
+        )
+        .with_effects(effects.StreamEnd(exchange.request_id, None))
+        .then(
+            lambda current: lost_requests.note_completion(
+                exchange, now, current
+            )
+        )
+    )
