Confirm keys at a start only in an era of the store that has settled

Cause: a process that sees the era rise waits until the operator has written again, but the first era that a new process sees was taken for one without a restore, and its first read confirmed what the copy shows.

Change: the instance with the right to order records in the store that an era has settled, once the store has confirmed the configuration in it. A process that starts reads this record before the configuration, and waits 2.5 s unless it names the present era. A restore loses the record or leaves that of an earlier era. First starts of a site and sites without a limit for revoked keys are as before. Requests that cannot wait so long are refused at once.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -276,6 +276,34 @@
     """Report that the log no longer has the records after a position."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadSettledEra:
+    """Read the era of the store that was last recorded as settled."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettledEraRead:
+    """Hold the era that was last recorded as settled, if any was."""
+
+    era: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordSettledEra:
+    """Record that an era of the store has settled.
+
+    The record is lost with a restore, and names an earlier era after it, so
+    that it may be executed at any time.
+    """
+
+    era: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettledEraRecorded:
+    """Confirm that an era was recorded as settled."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JoinMembers:
     """Join a group of instances, or renew the membership, for a time.
--- a/src/mustardvale/internal/relay/lifecycle.py
+++ b/src/mustardvale/internal/relay/lifecycle.py
@@ -6,11 +6,11 @@
 from mustardvale.internal import effects, events, pages, transitions
 from mustardvale.internal.relay import (
     completion,
-    configuration_feed,
     members,
     reducer,
     requests,
     runner_list,
+    settled_eras,
     startup_waits,
     stopping,
     timers,
@@ -57,7 +57,7 @@
                 effects.SetTimer(timers.WatchCheckDue(), 0),
             ),
         )
-        .then(lambda current: configuration_feed.poll_next(current, event.at))
+        .then(lambda current: settled_eras.begin(event.at, current))
         .then(lambda current: runner_list.read_next(event.at, current))
         .then(lambda current: members.renew_memberships(current, event.at))
     )
--- a/src/mustardvale/internal/relay/startup_admission.py
+++ b/src/mustardvale/internal/relay/startup_admission.py
@@ -58,6 +58,7 @@
         ),
         is_stopping=state.stopping is not None,
         failing_since=failing_since,
+        keys_usable_from=state.store_copy.confirms_from,
     )
 
 
--- a/src/mustardvale/internal/relay/startup_waits.py
+++ b/src/mustardvale/internal/relay/startup_waits.py
@@ -53,7 +53,8 @@
 class Readiness:
     """Describe what an instance has read since its start.
 
-    `failing_since` is when the reads of the store began to fail, if they do.
+    `failing_since` is when the reads of the store began to fail, if they do,
+    and `keys_usable_from` the time before which keys cannot be checked.
     """
 
     is_configured: bool
@@ -61,6 +62,7 @@
     are_keys_usable: bool
     is_stopping: bool = False
     failing_since: float | None = None
+    keys_usable_from: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,7 +111,10 @@
     if not missing:
         return Verdict.ADMIT
     is_hopeless = readiness.is_stopping or readiness.failing_since is not None
-    if is_hopeless or now >= ends_at:
+    usable_from = now
+    if missing is KEYS_UNCONFIRMED:
+        usable_from = max(readiness.keys_usable_from, now)
+    if is_hopeless or usable_from >= ends_at:
         return Verdict.REFUSE
     return Verdict.WAIT
 
--- a/src/mustardvale/internal/relay/store_copies.py
+++ b/src/mustardvale/internal/relay/store_copies.py
@@ -35,7 +35,9 @@
     `lists_from` lists of members may be incomplete, and before `rights_from` no
     right to order runners is granted. `restored_at` is when a rise was last
     seen. `starts_with_site` is true in a process that starts together with the
-    whole site, so that no other process can hold a right.
+    whole site, so that no other process can hold a right. `settled_era` is the
+    latest era that is known to be recorded as settled. While `awaits_record`,
+    the configuration is not read yet.
     """
 
     era: int | None = None
@@ -44,6 +46,8 @@
     lists_from: float = 0.0
     rights_from: float = 0.0
     starts_with_site: bool = False
+    settled_era: int | None = None
+    awaits_record: bool = False
 
 
 @reducer.reduce.register(relay_events.StoreAnswered)
@@ -139,8 +143,9 @@
 ) -> reducer.Transition:
     """Adopt a higher era; re-evaluate everything that was taken before it.
 
-    A process that has read nothing yet has nothing to re-evaluate. Another one
-    may still hold a right of the era before, unless all start together.
+    A process that has read nothing yet has nothing to re-evaluate. Unless all
+    start together, another one may still hold a right of the era before, and
+    the store may just have been restored.
     """
     known = state.store_copy.era
     if era is None or (known is not None and era <= known):
@@ -151,6 +156,9 @@
             state.store_copy,
             era=era,
             rights_from=now + RIGHT_WAIT_SECONDS if waits else 0.0,
+            confirms_from=now + REWRITE_SECONDS
+            if waits and is_confirmation_limited(state)
+            else 0.0,
         )
         return transitions.Transition(
             dataclasses.replace(state, store_copy=first),
@@ -159,6 +167,27 @@
     return restart_from_copy(era, now, state)
 
 
+def is_confirmation_limited(state: 'states.State') -> bool:
+    """Return whether keys may be used only after a recent confirmation."""
+    return state.limits.key_revocation_seconds is not None
+
+
+def record_settled(
+    era: int | None, now: float, state: 'states.State'
+) -> 'states.State':
+    """Store which era is recorded as settled; it may be the present one.
+
+    Reads that are sent from now on then confirm at once.
+    """
+    known = state.store_copy
+    settled = dataclasses.replace(known, settled_era=era)
+    if era is not None and era == known.era:
+        settled = dataclasses.replace(
+            settled, confirms_from=min(known.confirms_from, now)
+        )
+    return dataclasses.replace(state, store_copy=settled)
+
+
 def has_read_nothing(state: 'states.State') -> bool:
     """Return whether this process has taken nothing from the store yet."""
     known = state.members
--- a/src/mustardvale/internal/relay/timers.py
+++ b/src/mustardvale/internal/relay/timers.py
@@ -55,6 +55,16 @@
     started_at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettledEraLate(timer_base.Timer):
+    """Read the configuration although the settled era is not known yet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettledEraDue(timer_base.Timer):
+    """Check whether the era of the store can be recorded as settled."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchCheckDue(timer_base.Timer):
     """Check which runners this instance watches."""
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -18,6 +18,9 @@
 OPERATOR_TOPIC = 'keyed.op'
 CONFIGURATION_KEY = 'config'
 RUNNER_TOPIC = 'keyed.servers'
+# The instances' own topic, and the key of the era that has settled.
+ERA_TOPIC = 'keyed.mustardvale'
+SETTLED_ERA_KEY = 'settled-era'
 # The group of the readers of all zones. The group of a zone has the zone's name
 # after a dot.
 READER_GROUP = 'mustardvale.entries'
@@ -45,6 +48,8 @@
     calls.JoinMembers,
     calls.LeaveMembers,
     calls.ListMembers,
+    calls.ReadSettledEra,
+    calls.RecordSettledEra,
 )
 # The end offset of the partition, and its first retained offset.
 READ_HEADER = struct.Struct('>QQ')
@@ -137,6 +142,24 @@
     )
 
 
+@encode_call.register(calls.ReadSettledEra)
+def encode_settled_era_read(call: calls.ReadSettledEra) -> wire.RawCall:
+    """Encode a read of the instances' own records."""
+    return encode_newest_read(ERA_TOPIC, '')
+
+
+@encode_call.register(calls.RecordSettledEra)
+def encode_settled_era(call: calls.RecordSettledEra) -> wire.RawCall:
+    """Encode a record of the era that has settled."""
+    key = SETTLED_ERA_KEY.encode()
+    record = bytes((len(key),)) + key + str(call.era).encode()
+    return wire.RawCall(
+        'POST',
+        f'/api/log-append?topic={ERA_TOPIC}&part=0',
+        RECORD_LENGTH.pack(len(record)) + record,
+    )
+
+
 @encode_call.register(calls.JoinMembers)
 def encode_join(call: calls.JoinMembers) -> wire.RawCall:
     """Encode a call that joins the group or renews the membership."""
@@ -243,6 +266,27 @@
     )
 
 
+@decode_success.register(calls.ReadSettledEra)
+def decode_settled_era(
+    call: calls.ReadSettledEra, raw: wire.RawAnswer
+) -> calls.SettledEraRead:
+    """Decode the era that has settled, `None` if no record names one."""
+    for item in msgspec.json.decode(raw.body)['items']:
+        if isinstance(item, dict) and item.get('key') == SETTLED_ERA_KEY:
+            text = base64.b64decode(item['value']).decode('ascii', 'replace')
+            if ERA_PATTERN.fullmatch(text):
+                return calls.SettledEraRead(int(text))
+    return calls.SettledEraRead(None)
+
+
+@decode_success.register(calls.RecordSettledEra)
+def decode_recorded_era(
+    call: calls.RecordSettledEra, raw: wire.RawAnswer
+) -> calls.SettledEraRecorded:
+    """Return that an era was recorded."""
+    return calls.SettledEraRecorded()
+
+
 @decode_success.register(calls.ReadRunners)
 def decode_runner_read(
     call: calls.ReadRunners, raw: wire.RawAnswer
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -19,6 +19,7 @@
     'members pace_tracking peer_feed idle_connections check_schedule stopping announcements'
     ' limit_shares silence_waits startup_waits store_copies',
     'configuration_feed',
+    'settled_eras',
     'runner_list orders',
     'completion crash_sharing lost_requests crash_tracking fault_telling fault_moves runner_watch choices shortages dispatch hedges admission'
     ' open_attempts upstream_health failed_sends stream_answers answers'
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -1,6 +1,8 @@
 """Test what follows when the store is restored from an older copy."""
 
+import base64
 import dataclasses
+import json
 import pathlib
 import typing
 import unittest
@@ -169,12 +171,196 @@
         poll = self.instance.list_calls(calls.FollowConfiguration)[-1].call
         self.assertAlmostEqual(0.5, poll.wait_seconds)
 
-    def test_process_that_starts(self) -> None:
-        """Guard against a start that refuses keys for 2.5 seconds."""
+
+class Starts(StoreCase):
+    """A process that starts knows only what the store and others tell it."""
+
+    def setUp(self) -> None:
+        super().setUp()
         self.forget_reads()
+
+    def start(self) -> None:
+        """Start the process; what it reads is answered by the tests."""
+        self.instance.emit_event(events.InstanceStarted)
+
+    def read_settled(self, settled: int | None, era: int) -> None:
+        """Deliver the record of the era that has settled."""
+        self.answer(calls.ReadSettledEra(), calls.SettledEraRead(settled), era)
+
+    def test_settled_era(self) -> None:
+        """Guard against a start that refuses keys for 2.5 seconds."""
+        self.start()
+        self.assertEqual(0, self.count_calls(calls.ReadConfiguration))
+        self.read_settled(5, era=5)
+        self.assertEqual(1, self.count_calls(calls.ReadConfiguration))
+        self.read_version(NEWER, era=5)
+        self.assertTrue(self.may_serve())
+
+    def test_restored_copy(self) -> None:
+        """Guard against keys that the copy has and the operator took away."""
+        for settled in (None, 4):
+            with self.subTest(settled=settled):
+                self.setUp()
+                self.start()
+                self.read_settled(settled, era=5)
+                self.read_version(OLDER, era=5)
+                self.assertFalse(self.may_serve())
+                self.instance.now += 2.4
+                self.read_version(OLDER, era=5)
+                self.assertFalse(self.may_serve())
+                self.instance.now += 0.2
+                self.read_version(NEWER, era=5)
+                self.assertTrue(self.may_serve())
+
+    def test_record_that_is_not_answered(self) -> None:
+        """Guard against a start that waits for ever, or confirms the copy."""
+        self.start()
+        self.instance.pass_time(0.3)
+        self.assertEqual(1, self.count_calls(calls.ReadConfiguration))
+        self.read_version(OLDER, era=5)
+        self.assertFalse(self.may_serve())
+        self.instance.now += 2.6
+        self.read_version(OLDER, era=5)
+        self.assertTrue(self.may_serve())
+
+    def test_record_that_is_answered_late(self) -> None:
+        """Guard against a read from before the era had settled."""
+        self.start()
+        self.instance.pass_time(0.3)
+        self.read_version(OLDER, era=5)
+        self.instance.now += 0.1
+        self.read_settled(5, era=5)
+        self.assertFalse(self.may_serve())
         self.read_version(NEWER, era=5)
         self.assertTrue(self.may_serve())
 
+    def test_restore_between_the_record_and_the_configuration(self) -> None:
+        """Guard against a settled era that is over."""
+        self.start()
+        self.read_settled(5, era=5)
+        self.read_version(OLDER, era=6)
+        self.assertFalse(self.may_serve())
+
+    def test_restore_during_the_wait(self) -> None:
+        """Guard against a second restore that does not begin a new wait."""
+        self.start()
+        self.read_settled(4, era=5)
+        self.instance.now += 2.0
+        self.read_version(OLDER, era=6)
+        self.instance.now += 1.0
+        self.read_version(OLDER, era=6)
+        self.assertFalse(self.may_serve())
+
+    def test_start_of_the_whole_site(self) -> None:
+        """Guard against a first start that waits."""
+        self.forget_reads(starts_with_site=True)
+        self.start()
+        self.assertEqual(0, self.count_calls(calls.ReadSettledEra))
+        self.read_version(OLDER, era=1)
+        self.assertTrue(self.may_serve())
+
+    def test_keys_that_need_no_confirmation(self) -> None:
+        """Guard against a wait where keys may be used for any time."""
+        self.replace(
+            limits=dataclasses.replace(
+                self.instance.state.limits, key_revocation_seconds=None
+            )
+        )
+        self.start()
+        self.assertEqual(0, self.count_calls(calls.ReadSettledEra))
+        self.read_version(OLDER, era=5)
+        self.assertTrue(self.may_serve())
+
+    def test_request_that_cannot_wait_so_long(self) -> None:
+        """Guard against a wait whose end is known to come too late."""
+        self.start()
+        self.read_settled(None, era=5)
+        self.read_version(OLDER, era=5)
+        self.read_entries(*relay_states.TWO_CHAINS, era=5)
+        self.instance.receive_request('r1', '/model/x', deadline_seconds=3.0)
+        self.assertEqual(503, self.instance.replies['r1'].status)
+
+
+class SettledEras(StoreCase):
+    """One instance records that an era has settled, once it knows that."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        limits = dataclasses.replace(
+            self.instance.state.limits, key_revocation_seconds=5.0
+        )
+        self.replace(limits=limits)
+
+    def lead(self, until: float = 1e9) -> None:
+        """Let the instance hold the right to order runners."""
+        known = self.instance.state.members
+        self.replace(members=dataclasses.replace(known, leader_until=until))
+
+    def check(self) -> list[calls.RecordSettledEra]:
+        """Let the check be due; return what has been recorded so far."""
+        self.instance.emit_event(
+            events.TimerFired, timer=timers.SettledEraDue()
+        )
+        return [
+            call.call
+            for call in self.instance.list_calls(calls.RecordSettledEra)
+        ]
+
+    def test_era_is_recorded_once(self) -> None:
+        """Guard against a record at each check."""
+        self.lead()
+        self.read_version(OLDER, era=1)
+        (record,) = self.check()
+        self.assertEqual(1, record.era)
+        self.answer(record, calls.SettledEraRecorded(), 1)
+        self.assertEqual([record], self.check())
+
+    def test_only_the_leader_records(self) -> None:
+        """Guard against a record of each instance."""
+        self.read_version(OLDER, era=1)
+        self.assertEqual([], self.check())
+
+    def test_restored_store_has_not_settled(self) -> None:
+        """Guard against a record before the operator has written again."""
+        self.read_version(NEWER, era=1)
+        self.restore()
+        self.lead()
+        self.instance.now += 2.6
+        self.read_version(OLDER)
+        self.assertEqual([], self.check())
+        self.read_version(NEWER)
+        self.assertEqual([calls.RecordSettledEra(2)], self.check())
+
+    def test_record_that_is_refused_is_repeated(self) -> None:
+        """Guard against an era that is never recorded."""
+        self.lead()
+        self.read_version(OLDER, era=1)
+        (record,) = self.check()
+        self.answer(record, calls.CallRefused(503), 1)
+        self.assertEqual(1, self.count_calls(calls.RecordSettledEra))
+        self.instance.pass_time(5.0)
+        self.assertEqual(2, self.count_calls(calls.RecordSettledEra))
+
+    def test_encoding(self) -> None:
+        """Guard against a record that is not read back."""
+        raw = call_codec.encode_call(calls.RecordSettledEra(12))
+        self.assertEqual('POST', raw.method)
+        self.assertIn('topic=keyed.mustardvale&', raw.target)
+        (record,) = call_codec.split_records(bytes(16) + raw.body)
+        key, value = call_codec.split_key(record)
+        item = {'key': key, 'value': base64.b64encode(value).decode()}
+        for items, era in (
+            ([item], 12),
+            ([], None),
+            ([{'key': 'other', 'value': ''}, 7, item], 12),
+            ([{'key': key, 'value': base64.b64encode(b'x').decode()}], None),
+        ):
+            answer = wire.RawAnswer(
+                200, immutables.Map(), json.dumps({'items': items}).encode()
+            )
+            read = call_codec.decode_answer(calls.ReadSettledEra(), answer)
+            self.assertEqual(calls.SettledEraRead(era), read)
+
 
 class RemovedKeys(StoreCase):
     """Keys that were removed stay removed."""
