Tie a reader's confirmation to its era and its version

Cause: a follower took the age of its reader's confirmation if both named the same position. After a restore that may be the position of another version, and the confirmation that of the version before the restore.

Change: the era of a confirmation is kept and told, and so is the version. A reader that has confirmed nothing no longer tells an age of 0 s with a fault.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -253,7 +253,9 @@
 
     `era` is the era of the store that the reader's positions are from. With
     `is_complete`, `changes` has all entries that the reader knows. `paces` is
-    what the zone has found of upstreams that start or return.
+    what the zone has found of upstreams that start or return. `confirmed_era`
+    is the era that the configuration was confirmed in, and `confirmed_version`
+    the version that the reader has; earlier releases name neither.
     """
 
     list_position: int
@@ -269,6 +271,8 @@
     faults: tuple[ReportedFault, ...] = ()
     fault_position: int = 0
     paces: tuple[ReportedPace, ...] = ()
+    confirmed_era: int | None = None
+    confirmed_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/configuration_feed.py
+++ b/src/mustardvale/internal/relay/configuration_feed.py
@@ -254,9 +254,10 @@
     state = record_shown_version(read.configuration, state)
     known = state.configuration
     active = known.active
-    confirmed_at = known.confirmed_at
+    confirmed_at, confirmed_era = known.confirmed_at, known.confirmed_era
     if store_copies.may_confirm(call.requested_at, state):
         confirmed_at = max(confirmed_at or 0, call.requested_at)
+        confirmed_era = state.store_copy.era
     change_effects = build_recovery_log(known, now)
     newest = read.configuration
     if newest is not None and (
@@ -271,6 +272,7 @@
         active=active,
         position=read.position,
         confirmed_at=confirmed_at,
+        confirmed_era=confirmed_era,
         failing_since=None,
     )
     services = () if active is None else active.services
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -46,6 +46,8 @@
 UNAVAILABLE_STATUS = 503
 # Several runners often crash together. Their faults travel in one message.
 FAULT_TELLING_SECONDS = 0.003
+# The age of a confirmation that has never been given, which no limit allows.
+NEVER_SECONDS = 1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -386,6 +388,12 @@
     )
 
 
+def compute_confirmation_age(now: float, state: 'states.State') -> float:
+    """Return how long ago the configuration was confirmed, in seconds."""
+    confirmed_at = state.configuration.confirmed_at
+    return NEVER_SECONDS if confirmed_at is None else now - confirmed_at
+
+
 def build_update(
     call: calls.FollowPeer, now: float, state: 'states.State'
 ) -> calls.PeerUpdate:
@@ -394,13 +402,16 @@
     Positions of an earlier era of the store do not count.
     """
     is_complete = needs_complete_list(call, state)
+    active = state.configuration.active
     update = calls.PeerUpdate(
         state.runner_list.position or 0,
         state.runner_list.complete_from or 0,
         list_changes(0 if is_complete else call.list_position, state),
         state.configuration.position or 0,
-        now - (state.configuration.confirmed_at or now),
+        compute_confirmation_age(now, state),
         era=state.store_copy.era,
+        confirmed_era=state.configuration.confirmed_era,
+        confirmed_version=active.version if active else None,
         is_complete=is_complete,
         fault_position=state.faults.position,
         paces=upstream_pace.build_reports(state.paces.paces, now),
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -228,7 +228,9 @@
         update, confirmed_at, state
     ):
         known = dataclasses.replace(
-            known, confirmed_at=max(known.confirmed_at or 0, confirmed_at)
+            known,
+            confirmed_at=max(known.confirmed_at or 0, confirmed_at),
+            confirmed_era=state.store_copy.era,
         )
     return configuration_feed.record_confirmation(known, now, state)
 
@@ -238,10 +240,20 @@
 ) -> bool:
     """Return whether a reader's confirmation holds for this instance.
 
-    A reader that names the same era applies the rules for a restored store
-    itself. The version that this instance has to see again may be another one.
+    A reader applies the rules for a restored store itself, so that what it has
+    confirmed in the present era holds at once. What it has confirmed before, or
+    in an era that it does not name, holds under the rules of this instance. The
+    same position may be that of another version, which the reader still has
+    from before a restore.
     """
-    if update.era is None or not store_copies.is_current(update.era, state):
+    active = state.configuration.active
+    if update.confirmed_version is not None and (
+        active is None or active.version != update.confirmed_version
+    ):
+        return False
+    if update.confirmed_era is None or not store_copies.is_current(
+        update.confirmed_era, state
+    ):
         return store_copies.may_confirm(confirmed_at, state)
     return state.configuration.unshown_version is None
 
--- a/src/mustardvale/internal/relay/settled_eras.py
+++ b/src/mustardvale/internal/relay/settled_eras.py
@@ -132,11 +132,7 @@
     copy, known = state.store_copy, state.configuration
     if copy.settled_era == copy.era or not members.is_leader(state, now):
         return False
-    return (
-        known.confirmed_at is not None
-        and known.unshown_version is None
-        and known.confirmed_at >= copy.confirms_from
-    )
+    return known.confirmed_era == copy.era
 
 
 @reducer.on_answer.register(calls.RecordSettledEra)
--- a/src/mustardvale/internal/relay/state.py
+++ b/src/mustardvale/internal/relay/state.py
@@ -34,7 +34,8 @@
 
     `position` is the position in the log of the store to continue from, and
     `confirmed_at` the time at which the read that last confirmed the
-    configuration was sent. `is_reading` is true while a read is pending or
+    configuration was sent. `confirmed_era` is the era of the store that it was
+    confirmed in. `is_reading` is true while a read is pending or
     scheduled. `failing_since` is when the store stopped to answer these reads,
     and `failed_at` when the last of them failed. `unshown_version` is the
     version that a restored store has not shown again yet, and `None` if it
@@ -44,6 +45,7 @@
     active: configuration.Configuration | None = None
     position: int | None = None
     confirmed_at: float | None = None
+    confirmed_era: int | None = None
     is_reading: bool = False
     failing_since: float | None = None
     failed_at: float | None = None
--- a/tests/test_relay_restored_store.py
+++ b/tests/test_relay_restored_store.py
@@ -16,6 +16,7 @@
     calls,
     configuration_feed,
     members,
+    peer_feed,
     runners,
     store_copies,
     timers,
@@ -530,6 +531,98 @@
             ),
         )
 
+    def confirm(
+        self,
+        confirmed_era: int | None,
+        version: int | None,
+        age: float = 0.5,
+        era: int = 2,
+    ) -> bool:
+        """Deliver a confirmation at the same position; return if it counts."""
+        known = self.instance.state
+        self.replace(
+            peer_feed=dataclasses.replace(
+                known.peer_feed, requested_at=self.instance.now
+            ),
+            configuration=dataclasses.replace(
+                known.configuration, confirmed_at=None
+            ),
+        )
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.FollowPeer(1, 1, era=known.store_copy.era),
+            address='',
+            answer=calls.PeerUpdate(
+                3,
+                0,
+                (),
+                1,
+                age,
+                era=era,
+                is_complete=True,
+                confirmed_era=confirmed_era,
+                confirmed_version=version,
+            ),
+        )
+        return self.may_serve()
+
+    def follow_restored(self) -> None:
+        """Let the instance have read the copy after a restore."""
+        self.restore()
+        self.read_version(OLDER)
+
+    def test_confirmation_from_before_the_restore(self) -> None:
+        """Guard against a confirmation of what the copy does not have."""
+        self.follow_restored()
+        self.assertFalse(self.confirm(1, OLDER.version))
+        self.assertTrue(self.confirm(2, OLDER.version))
+
+    def test_confirmation_of_another_version(self) -> None:
+        """Guard against the same position of an older and a newer version."""
+        self.follow_restored()
+        self.assertFalse(self.confirm(2, NEWER.version))
+
+    def test_confirmation_that_names_no_era(self) -> None:
+        """Guard against a reader of an earlier release after a restore."""
+        self.follow_restored()
+        self.assertFalse(self.confirm(None, None))
+        self.instance.now += 2.4
+        self.assertFalse(self.confirm(None, None))
+        self.instance.now += 1.0
+        self.assertTrue(self.confirm(None, None))
+
+    def test_second_restore_at_the_reader_or_the_follower(self) -> None:
+        """Guard against a confirmation that only one of them has outlived."""
+        self.follow_restored()
+        self.restore(3)
+        self.read_version(OLDER, era=3)
+        self.assertFalse(self.confirm(2, OLDER.version, era=2))
+        self.assertFalse(self.confirm(2, OLDER.version, era=3))
+        self.assertTrue(self.confirm(3, OLDER.version, era=3))
+
+    def test_reader_tells_the_era_of_its_confirmation(self) -> None:
+        """Guard against an age that says nothing of the restore between."""
+        self.read_version(OLDER, era=1)
+        self.instance.ask('f1', calls.FollowPeer(50, 1, era=1))
+        self.restore()
+        self.read_entries(*relay_states.TWO_CHAINS)
+        update = self.instance.replies['f1']
+        self.assertEqual((2, 1), (update.era, update.confirmed_era))
+        self.assertEqual(OLDER.version, update.confirmed_version)
+
+    def test_reader_that_has_confirmed_nothing(self) -> None:
+        """Guard against an update, as of a fault, that confirms all the same."""
+        self.forget_reads()
+        self.read_version(OLDER, era=5)
+        update = peer_feed.build_update(
+            calls.FollowPeer(0, 0, era=5),
+            self.instance.now,
+            self.instance.state,
+        )
+        self.assertIsNone(update.confirmed_era)
+        limit = self.instance.state.limits.key_revocation_seconds or 0.0
+        self.assertGreater(update.confirmed_seconds, limit)
+
     def test_follower_behind_its_reader(self) -> None:
         """Guard against changes that count from a position of another era."""
         for era, is_complete in ((1, True), (3, False), (None, False)):
