Drop heartbeats that are older than any that was read

Cause: an entry that shows no change was not stored, so that the known count of heartbeats stayed that of the last change, and the late ones counted as new.

Change: the highest count that was read is kept for the last processes of each id, apart from the entries, so that a heartbeat without a change still costs no new index. Readers tell it with a removal. On a related path, a read that had a removal and a late heartbeat of the same runner showed the heartbeat only; it shows both now.

The fake store of the tests creates topics on first use, as the store does.

--- a/src/mustardvale/internal/relay/calls.py
+++ b/src/mustardvale/internal/relay/calls.py
@@ -95,10 +95,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerChange:
-    """Hold the new entry of an upstream, or `None` if it was dropped."""
+    """Hold the new entry of an upstream, or `None` if it was dropped.
+
+    `last_heartbeat` is the last one that a reader has read of a dropped process.
+    """
 
     runner_id: str
     entry: runners.ListedRunner | None
+    last_heartbeat: runners.Heartbeat | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mustardvale/internal/relay/peer_feed.py
+++ b/src/mustardvale/internal/relay/peer_feed.py
@@ -16,10 +16,12 @@
     calls,
     crash_reports,
     fault_reports,
+    heartbeat_log,
     members,
     pace_tracking,
     reducer,
     requests,
+    runners,
     timers,
     upstream_pace,
 )
@@ -380,14 +382,26 @@
     while may be recorded at a position that the follower has reached already.
     """
     return tuple(
-        calls.RunnerChange(
-            runner_id, runner.listed if runner.delisted_at is None else None
-        )
+        build_change(runner_id, runner, state)
         for runner_id, runner in state.runners.items()
         if runner.changed_position >= position
     )
 
 
+def build_change(
+    runner_id: str, runner: runners.Runner, state: 'states.State'
+) -> calls.RunnerChange:
+    """Return what a follower is told of an upstream that has changed."""
+    if runner.delisted_at is None:
+        return calls.RunnerChange(runner_id, runner.listed)
+    started_at_ms = runner.listed.started_at_ms
+    last = heartbeat_log.find_last(
+        state.runner_list.heartbeats, runner_id, started_at_ms
+    )
+    last_heartbeat = runners.Heartbeat(started_at_ms, last) if last else None
+    return calls.RunnerChange(runner_id, None, last_heartbeat)
+
+
 def compute_confirmation_age(now: float, state: 'states.State') -> float:
     """Return how long ago the configuration was confirmed, in seconds."""
     confirmed_at = state.configuration.confirmed_at
--- a/src/mustardvale/internal/relay/peer_updates.py
+++ b/src/mustardvale/internal/relay/peer_updates.py
@@ -9,6 +9,7 @@
     configuration_feed,
     crash_sharing,
     fault_moves,
+    heartbeat_log,
     members,
     pace_tracking,
     peer_feed,
@@ -111,7 +112,7 @@
     return runner_list.replace_runners(
         runner_list.remove_expired(runner_map, now),
         dataclasses.replace(
-            state.runner_list,
+            record_last_heartbeats(update, state),
             position=update.list_position,
             complete_from=update.list_position,
             unconfirmed_drops=frozenset(),
@@ -123,6 +124,26 @@
     )
 
 
+def record_last_heartbeats(
+    update: calls.PeerUpdate, state: 'states.State'
+) -> runner_list.RunnerListState:
+    """Remember the last heartbeats of dropped processes.
+
+    This instance may read the store itself later, and late ones with it.
+    """
+    known = state.runner_list
+    heartbeats = known.heartbeats
+    for change in update.changes:
+        if change.last_heartbeat is not None:
+            heartbeats = heartbeat_log.record(
+                heartbeats, change.runner_id, change.last_heartbeat
+            )
+    return dataclasses.replace(
+        known,
+        heartbeats=heartbeat_log.forget_removed(heartbeats, state.runners),
+    )
+
+
 def list_complete(
     update: calls.PeerUpdate, state: 'states.State'
 ) -> tuple[calls.RunnerChange, ...]:
@@ -155,7 +176,7 @@
     Clears the unconfirmed drops of this instance: the reader has already
     confirmed or discarded them.
     """
-    known = state.runner_list
+    known = record_last_heartbeats(update, state)
     position = max(known.position or 0, update.list_position)
     runner_map = state.runners
     for change in update.changes:
--- a/src/mustardvale/internal/relay/runner_list.py
+++ b/src/mustardvale/internal/relay/runner_list.py
@@ -8,10 +8,13 @@
 import dataclasses
 import typing
 
+import immutables
+
 from mustardvale.internal import effects, events, transitions
 from mustardvale.internal.relay import (
     calls,
     configuration_feed,
+    heartbeat_log,
     pace_tracking,
     peer_feed,
     reducer,
@@ -41,7 +44,8 @@
     All changes after `complete_from`, the position of the first complete read,
     are known. `unconfirmed_drops` has the upstreams whose entries were dropped
     shortly after an outage of the store. `is_disputed` is true while a complete
-    list of a reader is older in some entries than what is known.
+    list of a reader is older in some entries than what is known. `heartbeats`
+    has the last ones that were read.
     """
 
     position: int | None = None
@@ -51,6 +55,16 @@
     failed_at: float | None = None
     is_failing: bool = False
     is_disputed: bool = False
+    heartbeats: heartbeat_log.HeartbeatLog = immutables.Map()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppliedChanges:
+    """Hold the upstreams after some changes, and the drops to be confirmed."""
+
+    runner_map: runners.RunnerMap
+    dropped: frozenset[str]
+    heartbeats: heartbeat_log.HeartbeatLog
 
 
 def read_next(now: float, state: 'states.State') -> reducer.Transition:
@@ -181,41 +195,74 @@
     is_after_outage = (
         failed_at is not None and now - failed_at < REREGISTRATION_SECONDS
     )
-    runner_map = state.runners
-    dropped = known.unconfirmed_drops
+    applied = AppliedChanges(
+        state.runners, known.unconfirmed_drops, known.heartbeats
+    )
     for change in changes:
-        if change.entry is None:
-            dropped = dropped | {change.runner_id}
-        else:
-            runner_map = runners.record_heartbeat(
-                runner_map, change.entry, position
-            )
-            dropped = dropped - {change.runner_id}
+        applied = apply_change(change, applied, position)
+        if change.entry is None and not is_after_outage:
+            applied = apply_drops(applied, position, now)
     if not is_after_outage:
-        for runner_id in dropped:
-            runner_map = runners.record_delisting(
-                runner_map, runner_id, position, now
-            )
-        dropped = frozenset()
+        applied = apply_drops(applied, position, now)
     complete_from = known.complete_from
     list_state = RunnerListState(
         position=position,
         complete_from=position if complete_from is None else complete_from,
-        unconfirmed_drops=dropped,
+        unconfirmed_drops=applied.dropped,
         read_at=now,
         failed_at=failed_at,
+        heartbeats=heartbeat_log.forget_removed(
+            applied.heartbeats, applied.runner_map
+        ),
     )
     next_read = effects.SetTimer(
         timers.RunnerListReadDue(), READ_PERIOD_SECONDS
     )
     return (
-        replace_runners(remove_expired(runner_map, now), list_state, state)
+        replace_runners(
+            remove_expired(applied.runner_map, now), list_state, state
+        )
         .with_effects(next_read, *probe_returned(changes, now, state))
         .then(lambda current: peer_feed.answer_followers(now, current))
         .then(lambda current: startup_waits.request_check(now, current))
     )
 
 
+def apply_change(
+    change: calls.RunnerChange, applied: AppliedChanges, position: int
+) -> AppliedChanges:
+    """Apply an entry, or note that it was dropped.
+
+    A heartbeat that the store has executed late changes nothing.
+    """
+    entry = change.entry
+    if entry is None:
+        dropped = applied.dropped | {change.runner_id}
+        return dataclasses.replace(applied, dropped=dropped)
+    if heartbeat_log.is_late(applied.heartbeats, entry):
+        return applied
+    heartbeat = runners.Heartbeat(entry.started_at_ms, entry.sequence)
+    return AppliedChanges(
+        runners.record_heartbeat(applied.runner_map, entry, position),
+        applied.dropped - {change.runner_id},
+        heartbeat_log.record(applied.heartbeats, change.runner_id, heartbeat),
+    )
+
+
+def apply_drops(
+    applied: AppliedChanges, position: int, now: float
+) -> AppliedChanges:
+    """Record the entries that were dropped."""
+    runner_map = applied.runner_map
+    for runner_id in applied.dropped:
+        runner_map = runners.record_delisting(
+            runner_map, runner_id, position, now
+        )
+    return dataclasses.replace(
+        applied, runner_map=runner_map, dropped=frozenset()
+    )
+
+
 def probe_returned(
     changes: tuple[calls.RunnerChange, ...], now: float, state: 'states.State'
 ) -> tuple[effects.Effect, ...]:
--- a/src/mustardvale/platform/call_codec.py
+++ b/src/mustardvale/platform/call_codec.py
@@ -325,17 +325,22 @@
 def decode_runner_changes(
     call: calls.FollowRunners, raw: wire.RawAnswer
 ) -> calls.RunnersRead:
-    """Decode the last new record of each runner."""
-    newest: dict[str, bytes] = {}
+    """Decode the last new record of each runner, and a drop before it.
+
+    A record that the store has executed late may follow the drop.
+    """
+    newest: dict[str, tuple[bytes, ...]] = {}
     count = 0
     for record in split_records(raw.body):
         count += 1
         key, value = split_key(record)
-        newest.pop(key, None)
-        newest[key] = value
+        earlier = newest.pop(key, ())
+        was_dropped = bool(value) and b'' in earlier
+        newest[key] = (b'', value) if was_dropped else (value,)
     changes = tuple(
         calls.RunnerChange(key, runner_codec.decode_entry(key, value))
-        for key, value in newest.items()
+        for key, kept in newest.items()
+        for value in kept
     )
     return calls.RunnersRead(call.position + count, changes)
 
--- a/tests/relay_site.py
+++ b/tests/relay_site.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import collections
 import http.client
 import json
 import pathlib
@@ -117,10 +118,10 @@
     """Answer the store's calls from records in memory."""
 
     def __init__(self) -> None:
-        self.records: dict[str, list[tuple[str, bytes]]] = {
-            'keyed.op': [],
-            'keyed.servers': [],
-        }
+        # A topic is created on first use.
+        self.records: dict[str, list[tuple[str, bytes]]] = (
+            collections.defaultdict(list)
+        )
         self.changed = threading.Condition()
         self.is_unresponsive = False
         self.members: dict[str, float] = {}
--- a/tests/test_relay_late_heartbeats.py
+++ b/tests/test_relay_late_heartbeats.py
@@ -4,9 +4,17 @@
 import typing
 import unittest
 
+import immutables
+
 from mustardvale.internal import events
-from mustardvale.internal.relay import calls, runners
-from mustardvale.platform import runner_codec
+from mustardvale.internal.edge import wire
+from mustardvale.internal.relay import (
+    calls,
+    heartbeat_log,
+    peer_feed,
+    runners,
+)
+from mustardvale.platform import call_codec, runner_codec
 from tests import relay_states
 
 PLAIN_RUNNERS = tuple(
@@ -58,6 +66,84 @@
                 self.beat(sequence)
                 self.assertFalse(self.is_usable())
 
+    def test_late_heartbeats_that_others_have_overtaken(self) -> None:
+        """Guard against two late heartbeats that look like a process at work."""
+        for late in ((13, 14), (14, 13), (13, 14, 15), (13, 13, 15, 14)):
+            with self.subTest(late=late):
+                self.setUp()
+                for sequence in (11, 12, 15, 16):
+                    self.beat(sequence)
+                self.read(None)
+                for sequence in late:
+                    self.beat(sequence)
+                    self.assertFalse(self.is_usable())
+                self.beat(17)
+                self.beat(18)
+                self.assertTrue(self.is_usable())
+
+    def test_removal_and_late_heartbeat_in_one_read(self) -> None:
+        """Guard against a removal that a late heartbeat hides."""
+        self.beat(16)
+        record = b''.join(
+            len(content).to_bytes(4, 'big') + content
+            for content in (
+                b'\x02p1',
+                b'\x02p1{"service":"plain","address":"10.2.0.1:80",'
+                b'"zone":"z","state":"ready","seq":13}',
+            )
+        )
+        read = call_codec.decode_answer(
+            calls.FollowRunners(5),
+            wire.RawAnswer(200, immutables.Map(), bytes(16) + record),
+        )
+        self.assertEqual(7, read.position)
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.FollowRunners(5),
+            address='',
+            answer=read,
+        )
+        self.assertFalse(self.is_usable())
+
+    def test_former_process_beside_a_new_one(self) -> None:
+        """Guard against two late heartbeats of the process before."""
+        self.beat(20, started_at_ms=1)
+        self.beat(1, started_at_ms=2, slots=9)
+        for sequence in (17, 18, 19):
+            self.beat(sequence, started_at_ms=1)
+            self.assertEqual(9, self.instance.state.runners['p1'].listed.slots)
+            self.assertTrue(self.is_usable())
+
+    def test_follower_that_becomes_a_reader(self) -> None:
+        """Guard against late heartbeats that only the former reader can tell."""
+        self.beat(16)
+        self.read(None)
+        told = peer_feed.list_changes(0, self.instance.state)
+        self.setUp()
+        feed = dataclasses.replace(
+            self.instance.state.peer_feed, requested_at=self.instance.now
+        )
+        self.instance.state = dataclasses.replace(
+            self.instance.state, peer_feed=feed
+        )
+        self.instance.emit_event(
+            events.CallAnswered,
+            call=calls.FollowPeer(1, 1),
+            address='',
+            answer=calls.PeerUpdate(1, 1, told, 1, 0.0),
+        )
+        for sequence in (13, 14):
+            self.beat(sequence)
+            self.assertFalse(self.is_usable())
+
+    def test_log_is_bounded(self) -> None:
+        """Guard against memory for each process that ever was."""
+        log: heartbeat_log.HeartbeatLog = immutables.Map()
+        for number in range(1, 100):
+            log = heartbeat_log.record(log, 'p1', runners.Heartbeat(number, 1))
+        self.assertEqual(heartbeat_log.MAXIMUM_PROCESSES, len(log['p1']))
+        self.assertFalse(heartbeat_log.forget_removed(log, immutables.Map()))
+
     def test_draining_holds(self) -> None:
         """Guard against an older heartbeat that calls a runner ready."""
         self.beat(13, state=runners.ListedState.DRAINING)
--- a/tests/test_relay_layers.py
+++ b/tests/test_relay_layers.py
@@ -13,7 +13,7 @@
     ' crash_records repeated_requests crash_evidence answer_bodies byte_budgets connection_limits',
     'configuration calls crash_reports fault_reports loads retry_budgets'
     ' exchanges'
-    ' event_stream placement chain_search part_terms chains part_costs'
+    ' event_stream heartbeat_log placement chain_search part_terms chains part_costs'
     ' fingerprints prompt_blocks waiting_order return_times upstream_pace',
     'reducer',
     'members pace_tracking peer_feed idle_connections check_schedule stopping announcements'
