Name the crashed process of a request that could not be sent again

A request that was lost to a crash and then to a runner that has not crashed was reported with the process of its last loss, which is empty: the evidence had a crash of no process. Found by reading the change; the new test test_loss_at_a_runner_that_has_not_crashed fails before (a crash named ''). The confirmed loss is reported now.

--- a/src/mustardvale/internal/relay/lost_requests.py
+++ b/src/mustardvale/internal/relay/lost_requests.py
@@ -154,10 +154,11 @@
     shared: list[crash_records.Loss] = []
     ended: list[crash_records.Loss] = []
     for kept in confirmed:
+        crashed = [loss for loss in kept if loss.crashed]
         if is_repeated(process, kept, state):
-            shared.extend(loss for loss in kept if loss.crashed)
-        elif kept[-1].request_id not in state.exchanges:
-            ended.append(kept[-1])
+            shared.extend(crashed)
+        elif crashed[-1].request_id not in state.exchanges:
+            ended.append(crashed[-1])
     ended.sort(key=lambda loss: crash_records.rank_lost(process, loss.request))
     crashes: dict[str, crash_records.Crash] = {}
     for loss in (*shared, *ended[:MAXIMUM_ENDED_PER_CRASH]):
--- a/tests/test_relay_repeated_requests.py
+++ b/tests/test_relay_repeated_requests.py
@@ -287,6 +287,24 @@
             self.instance.pass_time(1.0)
         self.assertTrue(self.is_rejected(self.ask(PATH, b'harmful')))
 
+    def test_loss_at_a_runner_that_has_not_crashed(self) -> None:
+        """Guard against a report of a crash that names no process."""
+        for _ in range(2):
+            self.ask(PATH, b'sound')
+            send_id = self.instance.start_send()
+            self.instance.fail_send(send_id)
+            second = self.instance.start_send()
+            self.instance.fail_send(second)
+        checks = self.instance.list_calls(calls.CheckRunner)
+        self.instance.emit_event(
+            events.CallFailed,
+            call=checks[0].call,
+            address=checks[0].address,
+            failure=events.Failure(events.FailureKind.REFUSED, False),
+        )
+        crashes = self.instance.state.crashes.crashes
+        self.assertNotIn('', {crash.process for crash in crashes})
+
     def test_runner_that_leaves_is_no_evidence(self) -> None:
         """Guard against blame for streams that a planned exit has cut."""
         for number in range(4):
