--- a/src/mustardvale/internal/edge/caller_resources.py
+++ b/src/mustardvale/internal/edge/caller_resources.py
@@ -14,9 +14,9 @@
 from mustardvale.internal.relay import byte_budgets, connection_limits
 
 if typing.TYPE_CHECKING:
-    from mustardvale.internal.edge import relay_server
+    from mustardvale.internal.edge import caller_connection
 
-    Connection: typing.TypeAlias = relay_server.CallerConnection
+    Connection: typing.TypeAlias = caller_connection.CallerConnection
 
 NO_LISTENER_LIMITS = connection_limits.ListenerLimits()
 
--- a/src/mustardvale/internal/edge/relay_client.py
+++ b/src/mustardvale/internal/edge/relay_client.py
@@ -19,6 +19,7 @@
     channels,
     input_pacing,
     relay_wire,
+    upstream_connection,
 )
 from mustardvale.internal.relay import effects as relay_effects
 from mustardvale.internal.relay import events as relay_events
@@ -35,59 +36,6 @@
 MAXIMUM_SKIPPED_BYTES = 1024 * 1024
 
 
-class UpstreamConnection:
-    """Hold one connection to an upstream and the send that uses it."""
-
-    def __init__(self, client: 'RelayClient', address: str) -> None:
-        self.client = client
-        self.address = address
-        self.channel: channels.Channel | None = None
-        self.protocol = h11.Connection(h11.CLIENT)
-        self.effect: relay_effects.StartSend | None = None
-        self.encoded: relay_wire.EncodedSend | None = None
-        self.was_sent = False
-        self.skips_answer = False
-        self.skipped_answers = 0
-        self.skipped_bytes = 0
-        self.interim_answers = 0
-        self.awaits_head = True
-        # The status of the answer, and whether bytes may follow its end.
-        self.status = 0
-        self.may_have_rest = False
-        self.is_reused = False
-        self.reusable_until = 0.0
-        self.idle_since = 0.0
-        self.idle_seconds = 0.0
-        self.allowance = input_pacing.NEW_ANSWER
-        self.is_paced = False
-        # Whether the protocol holds input that was not parsed yet, and whether
-        # the caller takes no more of the answer for now.
-        self.has_unparsed = False
-        self.is_blocked = False
-
-    def on_connected(self, channel: channels.Channel) -> None:
-        """Send the request that the connection was opened for."""
-        self.client.send_request(self)
-
-    def on_received(self, channel: channels.Channel, received: bytes) -> None:
-        """Handle input of the upstream."""
-        self.client.handle_input(self, received)
-
-    def on_error(self, channel: channels.Channel, problem: str) -> None:
-        """Fail the send that uses the connection."""
-        kind = events.FailureKind.CLOSED
-        if not channel.is_connected:
-            kind = events.FailureKind.REFUSED
-        self.client.fail_send(self, kind, problem)
-
-    def on_drained(self, channel: channels.Channel) -> None:
-        """Ignore the event: the request has been written."""
-
-    def continue_input(self) -> None:
-        """Parse what is left of the input, or read on."""
-        self.client.continue_input(self)
-
-
 class RelayClient:
     """Send requests, and report the answers and failures as events."""
 
@@ -102,8 +50,10 @@
         self.codec = codec
         self.emit_event = emit_event
         self.pacer = pacer
-        self.idle_connections: dict[str, list[UpstreamConnection]] = {}
-        self.sends: dict[str, UpstreamConnection] = {}
+        self.idle_connections: dict[
+            str, list[upstream_connection.UpstreamConnection]
+        ] = {}
+        self.sends: dict[str, upstream_connection.UpstreamConnection] = {}
         self.maximum_idle_seconds = math.inf
 
     def start_send(self, effect: relay_effects.StartSend) -> None:
@@ -114,7 +64,9 @@
             connection = self.take_idle_connection(effect.address)
         is_new = connection is None
         if connection is None:
-            connection = UpstreamConnection(self, effect.address)
+            connection = upstream_connection.UpstreamConnection(
+                self, effect.address
+            )
         connection.effect = effect
         connection.encoded = encoded
         connection.was_sent = False
@@ -128,7 +80,9 @@
         else:
             self.send_request(connection)
 
-    def take_idle_connection(self, address: str) -> UpstreamConnection | None:
+    def take_idle_connection(
+        self, address: str
+    ) -> upstream_connection.UpstreamConnection | None:
         """Return an idle connection that may be reused, or none."""
         idle = self.idle_connections.get(address, [])
         now = time.monotonic()
@@ -144,7 +98,9 @@
             self.channel_table.close(connection.channel)
         return None
 
-    def send_request(self, connection: UpstreamConnection) -> None:
+    def send_request(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
         """Write a request, and report that its send has started."""
         effect, encoded = connection.effect, connection.encoded
         assert effect is not None, 'a request belongs to a send'
@@ -160,7 +116,9 @@
         self.channel_table.write(connection.channel, output)
 
     def handle_input(
-        self, connection: UpstreamConnection, received: bytes
+        self,
+        connection: upstream_connection.UpstreamConnection,
+        received: bytes,
     ) -> None:
         """Parse input, and handle the protocol events in it."""
         if connection.effect is None:
@@ -172,7 +130,9 @@
         connection.protocol.receive_data(received)
         self.parse_input(connection)
 
-    def parse_input(self, connection: UpstreamConnection) -> None:
+    def parse_input(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
         """Handle the protocol events of a turn, and leave the rest to later."""
         connection.has_unparsed = False
         count = 0
@@ -194,7 +154,10 @@
             self.end_turn(connection, count, has_more)
 
     def end_turn(
-        self, connection: UpstreamConnection, count: int, has_more: bool
+        self,
+        connection: upstream_connection.UpstreamConnection,
+        count: int,
+        has_more: bool,
     ) -> None:
         """Stop reading an answer that has to wait for its next turn."""
         if connection.effect is None or connection.channel is None:
@@ -203,7 +166,9 @@
         if self.pacer.end_turn(connection, count, has_more):
             self.channel_table.pause_reading(connection.channel)
 
-    def continue_input(self, connection: UpstreamConnection) -> None:
+    def continue_input(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
         """Parse what is left of the input of an answer, or read on."""
         if connection.effect is None or connection.is_blocked:
             return
@@ -212,13 +177,15 @@
         if not connection.is_paced and connection.channel is not None:
             self.channel_table.resume_reading(connection.channel)
 
-    def check_start(self, connection: UpstreamConnection) -> None:
+    def check_start(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
         """Fail a send if what was received does not begin an answer."""
         unread, _ = connection.protocol.trailing_data
         self.fail_malformed(connection, answer_rules.find_start_fault(unread))
 
     def fail_malformed(
-        self, connection: UpstreamConnection, fault: str
+        self, connection: upstream_connection.UpstreamConnection, fault: str
     ) -> bool:
         """Fail a send whose answer has a fault; return whether it has."""
         if fault:
@@ -226,7 +193,9 @@
         return bool(fault)
 
     def handle_head(
-        self, connection: UpstreamConnection, event: h11.Response
+        self,
+        connection: upstream_connection.UpstreamConnection,
+        event: h11.Response,
     ) -> bool:
         """Report the head of an answer, or skip an answer to another request."""
         effect = connection.effect
@@ -267,7 +236,9 @@
         )
         return connection.effect is effect
 
-    def handle_data(self, connection: UpstreamConnection, part: bytes) -> bool:
+    def handle_data(
+        self, connection: upstream_connection.UpstreamConnection, part: bytes
+    ) -> bool:
         """Report a part of an answer."""
         effect = connection.effect
         if effect is None:
@@ -279,7 +250,9 @@
         )
         return connection.effect is effect
 
-    def skip_data(self, connection: UpstreamConnection, count: int) -> bool:
+    def skip_data(
+        self, connection: upstream_connection.UpstreamConnection, count: int
+    ) -> bool:
         """Skip a part of another answer; fail a send that skips too much."""
         connection.skipped_bytes += count
         if connection.skipped_bytes <= MAXIMUM_SKIPPED_BYTES:
@@ -293,7 +266,7 @@
 
     def skip_interim_answer(
         self,
-        connection: UpstreamConnection,
+        connection: upstream_connection.UpstreamConnection,
         event: h11.InformationalResponse,
     ) -> bool:
         """Skip an interim answer; fail a send that gets a malformed one."""
@@ -307,7 +280,7 @@
 
     def report_interim_answer(
         self,
-        connection: UpstreamConnection,
+        connection: upstream_connection.UpstreamConnection,
         event: h11.InformationalResponse,
     ) -> bool:
         """Report what an interim answer announces, if anything."""
@@ -322,7 +295,9 @@
         )
         return connection.effect is effect
 
-    def handle_end(self, connection: UpstreamConnection) -> bool:
+    def handle_end(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> bool:
         """Report the end of an answer, and keep its connection idle."""
         effect = connection.effect
         assert effect is not None, 'an answer belongs to a send'
@@ -339,7 +314,9 @@
         self.emit_event(relay_events.SendEnded, send_id=effect.send_id)
         return False
 
-    def await_next_answer(self, connection: UpstreamConnection) -> bool:
+    def await_next_answer(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> bool:
         """Expect the answer after a skipped one; return whether to go on.
 
         A fresh protocol object parses what follows. Encoding the request again
@@ -360,7 +337,9 @@
             connection.protocol.receive_data(unparsed)
         return bool(unparsed)
 
-    def release_connection(self, connection: UpstreamConnection) -> None:
+    def release_connection(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
         channel = connection.channel
         assert channel is not None, 'an answer needs a channel'
@@ -394,7 +373,7 @@
 
     def fail_send(
         self,
-        connection: UpstreamConnection,
+        connection: upstream_connection.UpstreamConnection,
         kind: events.FailureKind,
         detail: str,
     ) -> None:
@@ -482,7 +461,9 @@
 
 @functools.singledispatch
 def handle_protocol_event(
-    event: typing.Any, connection: UpstreamConnection, client: RelayClient
+    event: typing.Any,
+    connection: upstream_connection.UpstreamConnection,
+    client: RelayClient,
 ) -> bool:
     """Handle one protocol event; return whether to read another."""
     return False
@@ -491,7 +472,7 @@
 @handle_protocol_event.register(h11.InformationalResponse)
 def handle_interim_answer(
     event: h11.InformationalResponse,
-    connection: UpstreamConnection,
+    connection: upstream_connection.UpstreamConnection,
     client: RelayClient,
 ) -> bool:
     """Skip an interim answer."""
@@ -500,7 +481,9 @@
 
 @handle_protocol_event.register(h11.Response)
 def handle_head(
-    event: h11.Response, connection: UpstreamConnection, client: RelayClient
+    event: h11.Response,
+    connection: upstream_connection.UpstreamConnection,
+    client: RelayClient,
 ) -> bool:
     """Handle the head of an answer."""
     return client.handle_head(connection, event)
@@ -508,7 +491,9 @@
 
 @handle_protocol_event.register(h11.Data)
 def handle_data(
-    event: h11.Data, connection: UpstreamConnection, client: RelayClient
+    event: h11.Data,
+    connection: upstream_connection.UpstreamConnection,
+    client: RelayClient,
 ) -> bool:
     """Handle a part of the body of an answer."""
     return client.handle_data(connection, bytes(event.data))
@@ -517,7 +502,7 @@
 @handle_protocol_event.register(h11.EndOfMessage)
 def handle_end(
     event: h11.EndOfMessage,
-    connection: UpstreamConnection,
+    connection: upstream_connection.UpstreamConnection,
     client: RelayClient,
 ) -> bool:
     """Handle the end of an answer."""
@@ -527,7 +512,7 @@
 @handle_protocol_event.register(h11.ConnectionClosed)
 def handle_close(
     event: h11.ConnectionClosed,
-    connection: UpstreamConnection,
+    connection: upstream_connection.UpstreamConnection,
     client: RelayClient,
 ) -> bool:
     """Fail the send of a connection that closed before its answer."""
--- a/src/mustardvale/internal/edge/relay_server.py
+++ b/src/mustardvale/internal/edge/relay_server.py
@@ -7,7 +7,6 @@
 import collections
 import contextlib
 import dataclasses
-import enum
 import functools
 import itertools
 import math
@@ -20,6 +19,7 @@
 
 from mustardvale.internal import events
 from mustardvale.internal.edge import (
+    caller_connection,
     caller_limits,
     caller_resources,
     channels,
@@ -47,143 +47,9 @@
 Address = tuple[str, int]
 
 
-class Phase(enum.Enum):
-    """Name the phase of a connection."""
-
-    IDLE = 'idle'
-    RECEIVING = 'receiving'
-    ANSWERING = 'answering'
-    DISCARDING = 'discarding'
-
-
-REQUEST_PHASES = frozenset((Phase.RECEIVING, Phase.ANSWERING))
-
-
-class CloseReason(enum.Enum):
-    """Name why a connection was closed with a request on it."""
-
-    ENDED = 'ended'
-    FAILED = 'failed'
-    CUT = 'cut'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Close:
-    """Describe a connection that was closed with a request on it."""
-
-    phase: Phase
-    reason: CloseReason
-
-
-class CallerConnection:
-    """Track one connection of a caller.
-
-    `waiting_since` is when its phase began, or when the last part of a request
-    arrived.
-    """
-
-    def __init__(
-        self,
-        server: 'RelayServer',
-        listener: str,
-        codec: relay_wire.CallerCodec,
-        address: str = '',
-    ) -> None:
-        self.server = server
-        self.listener = listener
-        self.address = address
-        self.codec = codec
-        self.channel: channels.Channel | None = None
-        self.maximum_header_bytes = server.limits.maximum_header_bytes
-        self.protocol = build_protocol(self.maximum_header_bytes)
-        self.phase = Phase.IDLE
-        self.waiting_since = time.monotonic()
-        self.head: h11.Request | None = None
-        self.method = b''
-        self.body = bytearray()
-        self.pipelined_bytes = 0
-        # What the request that is being answered keeps.
-        self.request_bytes = 0
-        self.requests_in_turn = 0
-        # Pipelined requests wait until the answers before them are read.
-        self.has_deferred_input = False
-        self.request_id = ''
-        self.is_blocked = False
-        self.is_head_sent = False
-        self.discard: lingering_close.Discard | None = None
-        # Answers that begin later than this close the connection.
-        self.kept_until = math.inf
-
-    @property
-    def is_receiving(self) -> bool:
-        """Return whether a request has arrived in part."""
-        return self.phase is Phase.RECEIVING
-
-    def measure_charge(self) -> caller_resources.Charge:
-        """Return the bytes that the connection holds now."""
-        output = 0 if self.channel is None else len(self.channel.output)
-        received = self.pipelined_bytes
-        if self.phase is Phase.RECEIVING:
-            received = len(self.body) + len(self.protocol.trailing_data[0])
-            received += measure_headers(self.head)
-        return caller_resources.Charge(received, self.request_bytes, output)
-
-    def find_progress(self) -> float:
-        """Return when input or output last made progress."""
-        if self.channel is not None and self.channel.output:
-            return self.channel.written_at
-        return self.waiting_since
-
-    def describe_waiting(self) -> connection_limits.Waiting | None:
-        """Describe a connection that may end without loss of an answer."""
-        assert self.channel is not None, 'a connection has a channel'
-        if (
-            self.phase is Phase.ANSWERING
-            or self.has_deferred_input
-            or self.channel.output
-        ):
-            return None
-        if self.discard is None:
-            return connection_limits.Waiting(self, self.waiting_since)
-        return connection_limits.Waiting(
-            self, self.discard.started_at, is_answered=True
-        )
-
-    def on_connected(self, channel: channels.Channel) -> None:
-        """Ignore the event, which only outgoing connections have."""
-
-    def on_received(self, channel: channels.Channel, received: bytes) -> None:
-        """Handle input of the caller, and charge it to the budget."""
-        self.requests_in_turn = 0
-        self.server.handle_input(self, received)
-        self.server.resources.settle(self, time.monotonic())
-
-    def on_error(self, channel: channels.Channel, problem: str) -> None:
-        """Remove the connection."""
-        self.server.count_close(self, CloseReason.FAILED)
-        self.server.remove_connection(self)
-
-    def on_drained(self, channel: channels.Channel) -> None:
-        """Report that the caller has caught up, or close the connection.
-
-        A caller is idle only from the end of its answer on.
-        """
-        if self.phase is Phase.IDLE:
-            self.waiting_since = time.monotonic()
-        self.server.resources.settle(self, time.monotonic())
-        if self.has_deferred_input:
-            self.requests_in_turn = 0
-            self.server.continue_pipeline(self)
-        if self.phase is Phase.DISCARDING:
-            self.server.shut_down_output(self)
-        is_unused = self.phase is Phase.IDLE and not self.has_deferred_input
-        if is_unused and self.server.is_closing:
-            self.server.end_unused(self)
-        if self.is_blocked:
-            self.is_blocked = False
-            self.server.emit_event(
-                events.CallerCaughtUp, request_id=self.request_id
-            )
+REQUEST_PHASES = frozenset(
+    (caller_connection.Phase.RECEIVING, caller_connection.Phase.ANSWERING)
+)
 
 
 class RelayServer:
@@ -201,11 +67,13 @@
         self.limit_history = caller_limits.LimitHistory()
         self.is_closing = False
         self.request_numbers = itertools.count(1)
-        self.connections: set[CallerConnection] = set()
+        self.connections: set[caller_connection.CallerConnection] = set()
         # Connections that wait for their callers to close them, oldest first.
-        self.lingering: dict[CallerConnection, None] = {}
-        self.requests: dict[str, CallerConnection] = {}
-        self.closes: collections.Counter[Close] = collections.Counter()
+        self.lingering: dict[caller_connection.CallerConnection, None] = {}
+        self.requests: dict[str, caller_connection.CallerConnection] = {}
+        self.closes: collections.Counter[caller_connection.Close] = (
+            collections.Counter()
+        )
         self.resources = caller_resources.CallerResources(channel_table, self)
 
     @property
@@ -250,12 +118,14 @@
             accepted = self.channel_table.accept(sock)
             if accepted is None:
                 return
-            address = find_peer_address(accepted)
+            address = caller_connection.find_peer_address(accepted)
             verdict = self.resources.decide_connection(listener, address, now)
             if verdict is not connection_limits.Verdict.ACCEPT:
                 refuse_connection(accepted, codec)
                 continue
-            connection = CallerConnection(self, listener, codec, address)
+            connection = caller_connection.CallerConnection(
+                self, listener, codec, address
+            )
             self.connections.add(connection)
             connection.channel = self.channel_table.add_accepted(
                 accepted, connection
@@ -266,48 +136,56 @@
             )
 
     def count_close(
-        self, connection: CallerConnection, reason: CloseReason
+        self,
+        connection: caller_connection.CallerConnection,
+        reason: caller_connection.CloseReason,
     ) -> None:
         """Count a connection that closes with a request on it."""
         if connection.phase in REQUEST_PHASES:
-            self.closes[Close(connection.phase, reason)] += 1
+            self.closes[caller_connection.Close(connection.phase, reason)] += 1
 
-    def take_closes(self) -> collections.Counter[Close]:
+    def take_closes(self) -> collections.Counter[caller_connection.Close]:
         """Return the connections closed with a request since the last call."""
         closes = self.closes
         self.closes = collections.Counter()
         return closes
 
-    def remove_connection(self, connection: CallerConnection) -> None:
+    def remove_connection(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Remove a closed connection, and report it if a request was open."""
         self.connections.discard(connection)
         self.lingering.pop(connection, None)
         if self.requests.pop(connection.request_id, None) is not None:
             self.emit_event(events.CallerLeft, request_id=connection.request_id)
 
-    def close_connection(self, connection: CallerConnection) -> None:
-        """Close and remove a connection."""
+    def close_connection(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
+        """caller_connection.Close and remove a connection."""
         assert connection.channel is not None, 'a connection has a channel'
         self.channel_table.close(connection.channel)
         self.remove_connection(connection)
 
     def handle_input(
-        self, connection: CallerConnection, received: bytes
+        self, connection: caller_connection.CallerConnection, received: bytes
     ) -> None:
         """Handle input according to the phase of its connection."""
         if not received:
             self.handle_end(connection)
             return
-        if connection.phase is Phase.DISCARDING:
+        if connection.phase is caller_connection.Phase.DISCARDING:
             self.discard_input(connection, received)
             return
-        if connection.phase is Phase.IDLE:
+        if connection.phase is caller_connection.Phase.IDLE:
             received = received.lstrip(LINE_END_BYTES)
             if not received:
                 return
-            renew_protocol(connection, self.limits.maximum_header_bytes)
+            caller_connection.renew_protocol(
+                connection, self.limits.maximum_header_bytes
+            )
         connection.protocol.receive_data(received)
-        if connection.phase is Phase.ANSWERING:
+        if connection.phase is caller_connection.Phase.ANSWERING:
             self.limit_pipelined_input(connection, len(received))
         else:
             event_count = self.process_input(connection)
@@ -319,21 +197,26 @@
                 event_count,
             )
 
-    def handle_end(self, connection: CallerConnection) -> None:
-        """Close a connection without input, once its last answer is written."""
+    def handle_end(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
+        """caller_connection.Close a connection without input, once its last answer is written."""
         assert connection.channel is not None, 'input needs a channel'
-        if connection.phase is Phase.DISCARDING and connection.channel.output:
+        if (
+            connection.phase is caller_connection.Phase.DISCARDING
+            and connection.channel.output
+        ):
             assert connection.discard is not None, 'the phase has a discard'
             connection.discard = lingering_close.complete(
                 connection.discard, time.monotonic()
             )
             self.channel_table.pause_reading(connection.channel)
         else:
-            self.count_close(connection, CloseReason.ENDED)
+            self.count_close(connection, caller_connection.CloseReason.ENDED)
             self.close_connection(connection)
 
     def limit_pipelined_input(
-        self, connection: CallerConnection, count: int
+        self, connection: caller_connection.CallerConnection, count: int
     ) -> None:
         """Pause reading when too much pipelined input is buffered."""
         connection.pipelined_bytes += count
@@ -341,14 +224,16 @@
             assert connection.channel is not None, 'input needs a channel'
             self.channel_table.pause_reading(connection.channel)
 
-    def process_input(self, connection: CallerConnection) -> int:
+    def process_input(
+        self, connection: caller_connection.CallerConnection
+    ) -> int:
         """Parse the input of a connection that waits for a request.
 
         Returns the number of parsed events.
         """
         event_count = 0
-        if connection.phase is Phase.IDLE:
-            connection.phase = Phase.RECEIVING
+        if connection.phase is caller_connection.Phase.IDLE:
+            connection.phase = caller_connection.Phase.RECEIVING
             connection.waiting_since = time.monotonic()
             connection.method = b''
         try:
@@ -368,7 +253,9 @@
             )
         return event_count
 
-    def send_continue(self, connection: CallerConnection) -> None:
+    def send_continue(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Send `100 Continue` to a caller that waits for it."""
         if connection.protocol.they_are_waiting_for_100_continue:
             self.send_event(
@@ -376,7 +263,9 @@
                 h11.InformationalResponse(status_code=100, headers=[]),
             )
 
-    def report_request(self, connection: CallerConnection) -> None:
+    def report_request(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Decode and report a complete request."""
         head = connection.head
         assert head is not None, 'a request ends after its head'
@@ -393,8 +282,10 @@
         connection.head = None
         connection.body.clear()
         request = connection.codec.decode_request(received)
-        connection.phase = Phase.ANSWERING
-        connection.request_bytes = len(received.body) + measure_headers(head)
+        connection.phase = caller_connection.Phase.ANSWERING
+        connection.request_bytes = len(
+            received.body
+        ) + caller_connection.measure_headers(head)
         connection.pipelined_bytes = len(connection.protocol.trailing_data[0])
         connection.is_head_sent = False
         connection.request_id = f'r{next(self.request_numbers)}'
@@ -407,7 +298,7 @@
 
     def refuse_request(
         self,
-        connection: CallerConnection,
+        connection: caller_connection.CallerConnection,
         status: int,
         code: str,
         message: str,
@@ -421,9 +312,11 @@
                 self.send_event(connection, h11.Data(data=body))
         self.discard_rest(connection)
 
-    def discard_rest(self, connection: CallerConnection) -> None:
+    def discard_rest(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Discard what follows the last answer of a connection."""
-        connection.phase = Phase.DISCARDING
+        connection.phase = caller_connection.Phase.DISCARDING
         connection.protocol = request_rest.renew_parser(
             connection.protocol, connection.maximum_header_bytes
         )
@@ -443,7 +336,7 @@
         self.resources.settle(connection, time.monotonic())
 
     def discard_input(
-        self, connection: CallerConnection, received: bytes
+        self, connection: caller_connection.CallerConnection, received: bytes
     ) -> None:
         """Discard input, up to a limit."""
         assert connection.channel is not None, 'input needs a channel'
@@ -460,7 +353,7 @@
             self.close_connection(connection)
 
     def send_event(
-        self, connection: CallerConnection, event: typing.Any
+        self, connection: caller_connection.CallerConnection, event: typing.Any
     ) -> None:
         """Write one protocol event."""
         assert connection.channel is not None, 'a connection has a channel'
@@ -486,7 +379,7 @@
 
     def write_answer(
         self,
-        connection: CallerConnection,
+        connection: caller_connection.CallerConnection,
         head: relay_wire.ReplyHead,
         body: bytes,
     ) -> None:
@@ -541,7 +434,9 @@
         )
 
     def finish_answer(
-        self, connection: CallerConnection, closes_connection: bool
+        self,
+        connection: caller_connection.CallerConnection,
+        closes_connection: bool,
     ) -> None:
         """Wait for the next request, or shut the connection down."""
         self.requests.pop(connection.request_id, None)
@@ -552,14 +447,14 @@
         if connection.channel.is_closed:
             # The answer could not be written. What was read behind its request
             # must not run for a caller that has left.
-            connection.phase = Phase.DISCARDING
+            connection.phase = caller_connection.Phase.DISCARDING
             return
         self.channel_table.resume_reading(connection.channel)
         if closes_connection or connection.protocol.their_state is not h11.DONE:
             self.discard_rest(connection)
             return
         connection.protocol.start_next_cycle()
-        connection.phase = Phase.IDLE
+        connection.phase = caller_connection.Phase.IDLE
         connection.waiting_since = time.monotonic()
         if connection.protocol.trailing_data[0]:
             self.defer_or_continue(connection)
@@ -567,7 +462,9 @@
             connection.pipelined_bytes = 0
         self.resources.settle(connection, time.monotonic())
 
-    def defer_or_continue(self, connection: CallerConnection) -> None:
+    def defer_or_continue(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Read the next pipelined request, or let others go first.
 
         A caller that reads no answers, or sends thousands of requests at once,
@@ -586,7 +483,9 @@
             connection, connection.protocol.trailing_data[0]
         )
 
-    def continue_pipeline(self, connection: CallerConnection) -> None:
+    def continue_pipeline(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Read the next pipelined request that was deferred."""
         connection.has_deferred_input = False
         assert connection.channel is not None, 'input has a channel'
@@ -597,19 +496,23 @@
         self.resources.settle(connection, time.monotonic())
 
     def process_pipelined_input(
-        self, connection: CallerConnection, unread: bytes
+        self, connection: caller_connection.CallerConnection, unread: bytes
     ) -> None:
         """Parse the input behind a request, without leading empty lines."""
         pipelined = unread.lstrip(LINE_END_BYTES)
         if len(pipelined) == len(unread):
             self.process_input(connection)
             return
-        connection.protocol = build_protocol(connection.maximum_header_bytes)
+        connection.protocol = caller_connection.build_protocol(
+            connection.maximum_header_bytes
+        )
         if pipelined:
             connection.protocol.receive_data(pipelined)
             self.process_input(connection)
 
-    def shut_down_output(self, connection: CallerConnection) -> None:
+    def shut_down_output(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Shut down the sending side once all output is written."""
         channel = connection.channel
         assert channel is not None, 'an answer needs a channel'
@@ -623,7 +526,9 @@
             return
         self.begin_linger(connection)
 
-    def begin_linger(self, connection: CallerConnection) -> None:
+    def begin_linger(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Wait for the caller's close; close the oldest of too many."""
         assert connection.discard is not None, 'the phase has a discard'
         connection.discard = lingering_close.restart(
@@ -634,7 +539,9 @@
             self.close_connection(next(iter(self.lingering)))
 
     def end_holder(
-        self, connection: CallerConnection, ending: byte_budgets.Ending
+        self,
+        connection: caller_connection.CallerConnection,
+        ending: byte_budgets.Ending,
     ) -> None:
         """Refuse an incomplete request, or cut an answer that is not read."""
         assert connection.channel is not None, 'a connection has a channel'
@@ -650,23 +557,29 @@
                 'too many requests are being received',
             )
 
-    def cut_connection(self, connection: CallerConnection) -> None:
+    def cut_connection(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Reset a connection, so that its answer does not look complete."""
         assert connection.channel is not None, 'a connection has a channel'
-        self.count_close(connection, CloseReason.CUT)
+        self.count_close(connection, caller_connection.CloseReason.CUT)
         self.channel_table.reset(connection.channel)
         self.remove_connection(connection)
 
-    def end_waiting(self, connection: CallerConnection) -> None:
+    def end_waiting(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """End a connection without a complete request to make room."""
-        if connection.phase is Phase.IDLE:
+        if connection.phase is caller_connection.Phase.IDLE:
             self.close_unused(connection)
-        elif connection.phase is Phase.RECEIVING:
+        elif connection.phase is caller_connection.Phase.RECEIVING:
             self.refuse_stalled(connection)
         else:
             self.close_connection(connection)
 
-    def refuse_stalled(self, connection: CallerConnection) -> None:
+    def refuse_stalled(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Refuse an incomplete request whose next part has not arrived."""
         self.refuse_request(
             connection,
@@ -682,7 +595,7 @@
             return
         connection.request_id = ''
         connection.request_bytes = 0
-        self.count_close(connection, CloseReason.CUT)
+        self.count_close(connection, caller_connection.CloseReason.CUT)
         assert connection.channel is not None, 'a request has a channel'
         self.connections.discard(connection)
         if connection.protocol.their_http_version in VERSIONS_WITHOUT_CHUNKS:
@@ -707,7 +620,9 @@
         self.write_answer(connection, head, body)
         self.finish_answer(connection, closes_connection=True)
 
-    def is_answer_last(self, connection: CallerConnection) -> bool:
+    def is_answer_last(
+        self, connection: caller_connection.CallerConnection
+    ) -> bool:
         """Return whether an answer that begins now closes the connection.
 
         A request that has arrived behind it would get no answer. After a delay
@@ -723,21 +638,23 @@
         )
 
     def rebalance(self, share: float, delay_seconds: float) -> None:
-        """Close a share of the connections, each after an answer."""
+        """caller_connection.Close a share of the connections, each after an answer."""
         kept_until = time.monotonic() + delay_seconds
         count = round(len(self.connections) * share)
         for connection in itertools.islice(self.connections, count):
             connection.kept_until = min(connection.kept_until, kept_until)
 
     def close_idle(self) -> None:
-        """Close idle connections, and the others after their answers."""
+        """caller_connection.Close idle connections, and the others after their answers."""
         self.is_closing = True
         for connection in tuple(self.connections):
-            if connection.phase is Phase.IDLE:
+            if connection.phase is caller_connection.Phase.IDLE:
                 self.close_unused(connection)
 
-    def close_unused(self, connection: CallerConnection) -> None:
-        """Close an idle connection, unless input has arrived meanwhile.
+    def close_unused(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
+        """caller_connection.Close an idle connection, unless input has arrived meanwhile.
 
         Closing a socket with unread input resets it, and the caller cannot know
         whether the request was read.
@@ -747,10 +664,15 @@
             return
         self.channel_table.read_available(connection.channel)
         # The connection is closed later if the end of an answer is queued.
-        if connection.phase is Phase.IDLE and not connection.channel.output:
+        if (
+            connection.phase is caller_connection.Phase.IDLE
+            and not connection.channel.output
+        ):
             self.close_connection(connection)
 
-    def end_unused(self, connection: CallerConnection) -> None:
+    def end_unused(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Shut down a connection whose last answer has just been written.
 
         Input that arrives from now on stays unread: nothing can be answered any
@@ -758,10 +680,10 @@
         """
         assert connection.channel is not None, 'a connection has a channel'
         self.channel_table.read_available(connection.channel)
-        if connection.phase is not Phase.IDLE:
+        if connection.phase is not caller_connection.Phase.IDLE:
             return
         self.channel_table.pause_reading(connection.channel)
-        connection.phase = Phase.DISCARDING
+        connection.phase = caller_connection.Phase.DISCARDING
         now = time.monotonic()
         connection.discard = lingering_close.complete(
             lingering_close.start(now), now
@@ -779,7 +701,7 @@
         for connection in tuple(self.connections):
             assert connection.channel is not None, 'a connection has a channel'
             self.channel_table.read_available(connection.channel)
-            if connection.phase is Phase.RECEIVING:
+            if connection.phase is caller_connection.Phase.RECEIVING:
                 self.refuse_request(
                     connection, 503, 'unavailable', 'the instance stops'
                 )
@@ -802,7 +724,9 @@
                 self.expire_connection(connection)
         self.resources.sweep(time.monotonic())
 
-    def is_expired(self, connection: CallerConnection) -> bool:
+    def is_expired(
+        self, connection: caller_connection.CallerConnection
+    ) -> bool:
         """Return whether a connection has waited too long in its phase."""
         now = time.monotonic()
         if connection in self.resources.paused:
@@ -814,17 +738,24 @@
         waited_seconds = now - connection.waiting_since
         return waited_seconds >= self.compute_timeout(connection.phase, now)
 
-    def compute_timeout(self, phase: Phase, now: float) -> float:
+    def compute_timeout(
+        self, phase: caller_connection.Phase, now: float
+    ) -> float:
         """Return for how many seconds a connection may wait in a phase."""
         match phase:
-            case Phase.IDLE:
+            case caller_connection.Phase.IDLE:
                 return self.limit_history.compute_idle_seconds(now)
-            case Phase.RECEIVING:
+            case caller_connection.Phase.RECEIVING:
                 return self.limit_history.compute_header_seconds(now)
-            case Phase.ANSWERING | Phase.DISCARDING:
+            case (
+                caller_connection.Phase.ANSWERING
+                | caller_connection.Phase.DISCARDING
+            ):
                 return math.inf
 
-    def expire_connection(self, connection: CallerConnection) -> None:
+    def expire_connection(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Refuse an incomplete request, or close the connection.
 
         After a delay of this process, what the caller has sent in time may not
@@ -834,7 +765,7 @@
         self.channel_table.read_available(connection.channel)
         if not self.is_expired(connection):
             return
-        if connection.phase is Phase.RECEIVING:
+        if connection.phase is caller_connection.Phase.RECEIVING:
             self.refuse_request(
                 connection,
                 408,
@@ -848,7 +779,9 @@
         else:
             self.close_connection(connection)
 
-    def extend_wait(self, connection: CallerConnection) -> None:
+    def extend_wait(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Begin the time limit of a phase again."""
         connection.waiting_since = time.monotonic()
         if connection.discard is not None:
@@ -857,7 +790,9 @@
             )
 
 
-def is_delaying_stop(connection: CallerConnection, now: float) -> bool:
+def is_delaying_stop(
+    connection: caller_connection.CallerConnection, now: float
+) -> bool:
     """Return whether the process waits for a connection before it exits."""
     if connection.channel is not None and connection.channel.output:
         return True
@@ -880,7 +815,7 @@
         503, 'overloaded', 'the address has too many connections'
     )
     closing = dataclasses.replace(head, closes_connection=True)
-    protocol = build_protocol(channels.RECEIVE_BYTES)
+    protocol = caller_connection.build_protocol(channels.RECEIVE_BYTES)
     output = protocol.send(build_response(closing, len(body))) or b''
     sock.setblocking(False)
     with contextlib.suppress(OSError):
@@ -890,38 +825,6 @@
     sock.close()
 
 
-def find_peer_address(sock: socket.socket) -> str:
-    """Return the IP address of a peer, or nothing if it has left."""
-    try:
-        host: str = sock.getpeername()[0]
-    except OSError:
-        return ''
-    return host
-
-
-def measure_headers(head: h11.Request | None) -> int:
-    """Return the bytes that the parsed headers of a request take."""
-    if head is None:
-        return 0
-    return len(head.headers) * byte_budgets.HEADER_BYTES
-
-
-def build_protocol(maximum_header_bytes: int) -> h11.Connection:
-    """Return the protocol state of a new connection."""
-    return h11.Connection(
-        h11.SERVER, max_incomplete_event_size=maximum_header_bytes
-    )
-
-
-def renew_protocol(
-    connection: CallerConnection, maximum_header_bytes: int
-) -> None:
-    """Apply a changed limit before the next request; h11 cannot change it."""
-    if connection.maximum_header_bytes != maximum_header_bytes:
-        connection.maximum_header_bytes = maximum_header_bytes
-        connection.protocol = build_protocol(maximum_header_bytes)
-
-
 def build_response(
     head: relay_wire.ReplyHead, length: int | None
 ) -> h11.Response:
@@ -936,7 +839,9 @@
 
 @functools.singledispatch
 def handle_protocol_event(
-    event: typing.Any, connection: CallerConnection, server: RelayServer
+    event: typing.Any,
+    connection: caller_connection.CallerConnection,
+    server: RelayServer,
 ) -> bool:
     """Handle one protocol event; return whether to read another."""
     return False
@@ -944,7 +849,9 @@
 
 @handle_protocol_event.register(h11.Request)
 def handle_head(
-    event: h11.Request, connection: CallerConnection, server: RelayServer
+    event: h11.Request,
+    connection: caller_connection.CallerConnection,
+    server: RelayServer,
 ) -> bool:
     """Store the head of a request, and check the announced length."""
     connection.head = event
@@ -958,7 +865,9 @@
 
 @handle_protocol_event.register(h11.Data)
 def handle_body(
-    event: h11.Data, connection: CallerConnection, server: RelayServer
+    event: h11.Data,
+    connection: caller_connection.CallerConnection,
+    server: RelayServer,
 ) -> bool:
     """Buffer a piece of a body, and extend the time limit of the request."""
     connection.body += event.data
@@ -969,7 +878,9 @@
 
 @handle_protocol_event.register(h11.EndOfMessage)
 def handle_request_end(
-    event: h11.EndOfMessage, connection: CallerConnection, server: RelayServer
+    event: h11.EndOfMessage,
+    connection: caller_connection.CallerConnection,
+    server: RelayServer,
 ) -> bool:
     """Report a complete request; the next one waits for its answer."""
     server.report_request(connection)
--- a/tests/test_lingering_close.py
+++ b/tests/test_lingering_close.py
@@ -9,6 +9,7 @@
 from mustardvale.internal.edge import (
     lingering_close,
     relay_server,
+    caller_connection,
     request_rest,
 )
 from mustardvale.internal.relay import requests
@@ -24,7 +25,7 @@
 
     def upload(
         self, start: bytes
-    ) -> tuple[socket.socket, relay_server.CallerConnection]:
+    ) -> tuple[socket.socket, caller_connection.CallerConnection]:
         """Let the start of an upload arrive."""
         sock, connection = self.accept()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -39,7 +40,7 @@
     def send_part(
         self,
         sock: socket.socket,
-        connection: relay_server.CallerConnection,
+        connection: caller_connection.CallerConnection,
         part: bytes = PART,
         seconds: float = 0.2,
     ) -> None:
@@ -158,7 +159,9 @@
 class PlannedStops(LingerCase):
     """A stop waits for callers who announce how much they still send."""
 
-    def refuse_at_stop(self, start: bytes) -> relay_server.CallerConnection:
+    def refuse_at_stop(
+        self, start: bytes
+    ) -> caller_connection.CallerConnection:
         """Stop the server while an upload is open."""
         _, connection = self.upload(start)
         self.server.close_idle()
--- a/tests/test_relay_rebalancing.py
+++ b/tests/test_relay_rebalancing.py
@@ -5,7 +5,7 @@
 import unittest
 
 from mustardvale.internal import events
-from mustardvale.internal.edge import relay_server
+from mustardvale.internal.edge import relay_server, caller_connection
 from mustardvale.internal.relay import calls
 from mustardvale.internal.relay import effects as relay_effects
 from tests import relay_states
@@ -69,7 +69,7 @@
         unused: typing.Any = None
         self.server = relay_server.RelayServer(unused, unused, unused)
         self.server.connections = {
-            relay_server.CallerConnection(self.server, 'front', unused)
+            caller_connection.CallerConnection(self.server, 'front', unused)
             for _ in range(8)
         }
 
@@ -106,10 +106,12 @@
         )
         self.server = relay_server.RelayServer(channel_table, unused, unused)
 
-    def connect(self, output: bytes) -> relay_server.CallerConnection:
+    def connect(self, output: bytes) -> caller_connection.CallerConnection:
         """Return an idle connection with output that is still queued."""
         unused: typing.Any = None
-        connection = relay_server.CallerConnection(self.server, 'front', unused)
+        connection = caller_connection.CallerConnection(
+            self.server, 'front', unused
+        )
         self.shutdowns: list[int] = []
         channel: typing.Any = types.SimpleNamespace(
             output=bytearray(output),
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -10,7 +10,12 @@
 
 from bench import processes
 from mustardvale.internal import addresses, events
-from mustardvale.internal.edge import caller_limits, channels, relay_server
+from mustardvale.internal.edge import (
+    caller_connection,
+    caller_limits,
+    channels,
+    relay_server,
+)
 from mustardvale.internal.relay import requests
 from mustardvale.platform import front_codec
 from tests import relay_site
@@ -45,9 +50,10 @@
 
     def setUp(self) -> None:
         self.clock = Clock()
-        patched = mock.patch.object(relay_server, 'time', self.clock)
-        patched.start()
-        self.addCleanup(patched.stop)
+        for module in (caller_connection, relay_server):
+            patched = mock.patch.object(module, 'time', self.clock)
+            patched.start()
+            self.addCleanup(patched.stop)
         self.events: list[typing.Any] = []
         self.table = channels.ChannelTable(channels.DirectPoller())
         self.addCleanup(self.table.stop_listening)
@@ -80,7 +86,9 @@
         self.addCleanup(sock.close)
         return sock
 
-    def accept(self) -> tuple[socket.socket, relay_server.CallerConnection]:
+    def accept(
+        self,
+    ) -> tuple[socket.socket, caller_connection.CallerConnection]:
         """Open a connection; return the caller's socket and its record."""
         known = set(self.server.connections)
         sock = self.connect()
@@ -91,7 +99,7 @@
         return sock, connection
 
     def deliver(
-        self, connection: relay_server.CallerConnection, sent: bytes
+        self, connection: caller_connection.CallerConnection, sent: bytes
     ) -> None:
         """Let the server read input of a caller."""
         connection.on_received(connection.channel, sent)
@@ -275,7 +283,7 @@
         self.deliver(connection, b'POST /read/x HTTP/1.1\r\n')
         self.change_limits(header_timeout_seconds=3.0)
         self.pass_time(2)
-        self.assertIs(relay_server.Phase.RECEIVING, connection.phase)
+        self.assertIs(caller_connection.Phase.RECEIVING, connection.phase)
         self.pass_time(1.1)
         self.assertEqual(408, relay_site.read_answer(sock).status)
 
@@ -285,14 +293,16 @@
         self.deliver(connection, b'POST /read/x HTTP/1.1\r\n')
         self.change_limits(header_timeout_seconds=0.2)
         self.pass_time(0.9)
-        self.assertIs(relay_server.Phase.RECEIVING, connection.phase)
+        self.assertIs(caller_connection.Phase.RECEIVING, connection.phase)
 
 
 class PipelinedRequests(ServerCase):
     """A request that was read behind another one is answered too."""
 
     def read_both(
-        self, sock: socket.socket, connection: relay_server.CallerConnection
+        self,
+        sock: socket.socket,
+        connection: caller_connection.CallerConnection,
     ) -> None:
         """Let two pipelined requests arrive."""
         for attempt_id in ('a1', 'a2'):
@@ -300,7 +310,9 @@
                 connection, relay_site.encode_request('/read/x', attempt_id)
             )
 
-    def await_input(self, connection: relay_server.CallerConnection) -> None:
+    def await_input(
+        self, connection: caller_connection.CallerConnection
+    ) -> None:
         """Wait until the kernel has delivered input of a caller."""
         readable, _, _ = select.select(
             [connection.channel.sock], [], [], DELIVERY_SECONDS
