Play starts beside restores and endless answers in the soak

Two kinds that are drawn only if they are named: restarts_beside_restore kills one or all instances, restores the store and starts them before the operator has written again, and runner_endless lets runners send events without an end in pieces of 16 bytes.

--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -67,6 +67,18 @@
     rewrite_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartBesideRestore(Fault):
+    """Kill some entry instances, and start them in the restored store.
+
+    The operator writes its last version again `rewrite_seconds` after them.
+    """
+
+    names: tuple[str, ...]
+    copy_seconds: float
+    rewrite_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DisturbRunner(fault_plans.Disturb):
     """Activate faults of a runner and clear them at the end.
@@ -165,6 +177,18 @@
     )
 
 
+def draw_restarts_beside_restore(
+    random_source: RandomSource, targets: FaultTargets
+) -> RestartBesideRestore:
+    """Draw restarts of one or all instances beside a restore of the store."""
+    count = random_source.choice((1, len(targets.entries)))
+    return RestartBesideRestore(
+        tuple(random_source.sample(targets.entries, count)),
+        random_source.choice(COPY_SECONDS),
+        random_source.choice(REWRITE_SECONDS),
+    )
+
+
 def build_link_fault(target: str, **faults: typing.Any) -> DisturbLink:
     """Return a fault that activates faults of a link."""
     return DisturbLink(target, tuple(faults.items()))
@@ -313,6 +337,10 @@
             random_source.choice(COPY_SECONDS),
             random_source.choice(REWRITE_SECONDS),
         ),
+        'restarts_beside_restore': draw_restarts_beside_restore,
+        'runner_endless': lambda random_source, targets: build_runner_fault(
+            random_source.choice(targets.model_runners), endless=2
+        ),
     }
 )
 
--- a/bench/relay_soak.py
+++ b/bench/relay_soak.py
@@ -164,6 +164,35 @@
     driver.rewrite_if_restored()
 
 
+@fault_run.begin_fault.register(relay_faults.RestartBesideRestore)
+def begin_restarts(
+    fault: relay_faults.RestartBesideRestore, driver: SoakDriver
+) -> None:
+    """Kill instances, restore the store, and start them before the rewrite."""
+    kills = [fault_plans.Kill(name) for name in fault.names]
+    for kill in kills:
+        driver.record_fault(kill)
+        fault_run.begin_fault(kill, driver)
+    driver.record_fault(
+        relay_faults.RestoreStore(fault.copy_seconds, fault.rewrite_seconds)
+    )
+    driver.was_restored |= driver.try_control(
+        driver.site.set_store_faults, restore_seconds=fault.copy_seconds
+    )
+    for kill in kills:
+        fault_run.end_fault(kill, driver)
+    time.sleep(fault.rewrite_seconds)
+    driver.rewrite_if_restored()
+
+
+@fault_run.end_fault.register(relay_faults.RestartBesideRestore)
+def end_restarts(
+    fault: relay_faults.RestartBesideRestore, driver: SoakDriver
+) -> None:
+    """Write the configuration again if the store has not confirmed it."""
+    driver.rewrite_if_restored()
+
+
 @fault_run.end_fault.register(relay_faults.DisturbStore)
 def end_store_fault(
     fault: relay_faults.DisturbStore, driver: SoakDriver
--- a/standins/layered_runners.py
+++ b/standins/layered_runners.py
@@ -28,6 +28,9 @@
 # The connection of a request that waits for an unresponsive part of its chain
 # is closed after this time.
 STALL_TIMEOUT_SECONDS = 2.5
+# An event without an end has about 20,000 of these pieces in a second.
+ENDLESS_PIECE = b'x' * 16
+ENDLESS_PIECES_IN_TURN = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +62,8 @@
     """Hold a run and the number of its next event.
 
     `begun` is set once the head has been sent. `waiting_since` is the monotonic
-    time since when the run stalls, if it does.
+    time since when the run stalls, if it does. `is_endless` is true once it
+    sends an event without an end.
     """
 
     run: runner_messages.RunRequest
@@ -67,6 +71,7 @@
     next_event: int
     begun: bool = False
     waiting_since: float | None = None
+    is_endless: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -420,6 +425,8 @@
             remove_run(request_id, state), (*head_effects, end)
         )
     encoded = reference_text.encode_event(run.digest, number)
+    if running.is_endless or runner.faults.endless:
+        return send_endless(request_id, running, runner, head_effects, state)
     if runner.faults.cut:
         return cut_stream(request_id, runner, encoded, head_effects, state)
     advanced = dataclasses.replace(
@@ -438,6 +445,35 @@
     )
 
 
+def send_endless(
+    request_id: str,
+    running: ActiveRun,
+    runner: runner_messages.Runner,
+    head_effects: tuple[effects.Effect, ...],
+    state: State,
+) -> Transition:
+    """Send more pieces of an event without an end."""
+    if not running.is_endless:
+        left = runner.faults.endless - 1
+        faults = dataclasses.replace(runner.faults, endless=left)
+        state = put_runner(dataclasses.replace(runner, faults=faults), state)
+    sending = dataclasses.replace(
+        running, begun=True, waiting_since=None, is_endless=True
+    )
+    state = dataclasses.replace(
+        state, active_runs=state.active_runs.set(request_id, sending)
+    )
+    piece = effects.StreamPart(request_id, ENDLESS_PIECE)
+    return transitions.Transition(
+        state,
+        (
+            *head_effects,
+            *(piece for _ in range(ENDLESS_PIECES_IN_TURN)),
+            effects.SetTimer(EventDue(request_id), EVENT_INTERVAL_SECONDS),
+        ),
+    )
+
+
 def cut_stream(
     request_id: str,
     runner: runner_messages.Runner,
--- a/standins/runner_messages.py
+++ b/standins/runner_messages.py
@@ -14,7 +14,8 @@
     requests that it has got. One that is `full` refuses runs, and one that is `draining`
     refuses chains. The connections of the next `lose_answers` runs without a
     chain are closed instead of an answer. The next `cut` streams are closed in
-    the middle of an event. One that is `leaving` says so in its answers to
+    the middle of an event. The next `endless` streams have an event without an
+    end, in small pieces. One that is `leaving` says so in its answers to
     requests and reports. Refusals because a runner is full ask to wait for
     `retry_after_seconds`, unless that is 0. `born` restarts the runner without
     layers.
@@ -28,6 +29,7 @@
     full: bool = False
     lose_answers: int = 0
     cut: int = 0
+    endless: int = 0
     leaving: bool = False
     retry_after_seconds: float = 0
     born: bool = False
--- a/tests/test_relay_soak.py
+++ b/tests/test_relay_soak.py
@@ -11,6 +11,12 @@
 # was in force.
 SEEDS_AND_SECONDS = ((1, 6.0), (49, 12.0))
 
+RESTORING_KINDS = (
+    'runner_endless',
+    'runner_endless',
+    'restarts_beside_restore',
+    'revoke',
+)
 ANNOUNCING_KINDS = (
     'runner_leaves',
     'runner_leaves_as_listed',
@@ -53,6 +59,17 @@
         for log in pathlib.Path(outcome.directory).glob('*.log'):
             self.assertNotIn('Traceback', log.read_text(), log)
 
+    def test_starts_beside_restores_and_endless_answers(self) -> None:
+        """Guard against keys that a restored store brings back at a start.
+
+        Runners send events without an end meanwhile, and keys are removed.
+        """
+        outcome = relay_soak.run(7001, 12.0, RESTORING_KINDS)
+        self.assertEqual((), outcome.violations, outcome.directory)
+        self.assertIn('RestartBesideRestore', str(outcome.faults))
+        self.assertIn('endless', str(outcome.faults))
+        self.assertGreater(outcome.outcome_counts['200'], 0)
+
     def test_runners_that_announce(self) -> None:
         """Guard against runners that leave or ask to wait and get requests."""
         outcome = relay_soak.run(4202, 12.0, ANNOUNCING_KINDS)
