--- a/tests/test_relay_repeated_requests.py
+++ b/tests/test_relay_repeated_requests.py
@@ -341,6 +341,24 @@
         self.assertEqual(sent + 2, len(self.instance.sends))
 
 
+class PlainAnswers(test_relay_harmful_requests.RepeatedRequests):
+    """A request to a plain service crashes its runner within its answer."""
+
+    def test_answer_that_is_cut_each_time(self) -> None:
+        """Guard against crashes without end after a head and a part."""
+        for _ in range(crash_records.MAXIMUM_CRASHES):
+            sent = len(self.instance.sends)
+            if self.is_rejected(self.ask('/write/x')):
+                break
+            self.assertEqual(sent + 1, len(self.instance.sends))
+            send_id = self.instance.start_send()
+            self.instance.deliver_answer(
+                send_id, relay_states.build_head(), b'half'
+            )
+            self.crash_runner(send_id)
+        self.assertLessEqual(len(self.instance.sends), 3)
+
+
 class SharedEvidence(unittest.TestCase):
     """All instances of a site refuse a request that some have seen crash."""
 
