Open the crowd of a test before its first answer is read

Cause: it opened 160 connections one after the other and read each answer in between, so that on a busy machine the first idle ones had waited for 0.25 s, and were ended to make room for the next. With a pause of 5 ms in its loop it fails on the untouched code as well, and 1 of 3 runs beside a load average of 20 failed without one.

--- a/tests/test_resource_limits.py
+++ b/tests/test_resource_limits.py
@@ -271,10 +271,13 @@
 
     async def test_refused_connections_are_answered(self) -> None:
         """Guard against a close that does not say whether a request ran."""
-        statuses = set()
+        # All connect before the first answer is read: idle connections are ended
+        # to make room for new ones once they have waited for a while.
+        crowd = []
         for _ in range(MAXIMUM_DESCRIPTORS):
             sock = self.site.connect()
             self.addCleanup(sock.close)
             sock.sendall(relay_site.encode_request('/read/x', 'a', b'a'))
-            statuses.add(relay_site.read_answer(sock).status)
+            crowd.append(sock)
+        statuses = {relay_site.read_answer(sock).status for sock in crowd}
         self.assertEqual({200, 503}, statuses)
