--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -22,6 +23,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ADDRESS = '127.0.0.1'
+# Below the ports of outgoing connections.
+PORTS = (10_000, 32_000)
+TAKEN_PORTS = set()
 HOST = 'desk.example'
 KEY = 'key-of-ann'
 PARTITIONS = 8
@@ -30,10 +34,18 @@
 
 
 def find_free_port():
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((ADDRESS, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, and that no outgoing connection takes."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in TAKEN_PORTS:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((ADDRESS, port))
+            except OSError:
+                continue
+        TAKEN_PORTS.add(port)
+        return port
 
 
 async def read_head(reader):
@@ -65,6 +77,7 @@
         self.groups = {}
         self.has_news = asyncio.Condition()
         self.era = None
+        self.is_down = False
         self.port = find_free_port()
 
     async def start(self):
@@ -115,7 +128,11 @@
         }
 
     def join(self, call):
-        """Add or keep a member; hand it the partitions that are free."""
+        """Add or keep a member; hand it the partitions that are free.
+
+        A partition that moves is no longer listed, and is free once its owner
+        has joined with the generation that it was told then.
+        """
         now = time.monotonic()
         group = self.groups.setdefault(
             call['group'], {'generation': 0, 'members': {}, 'owners': {}}
@@ -135,7 +152,11 @@
         for part, owner in wanted.items():
             if owner == member and part not in owners:
                 owners[part] = member
-        held = [[t, p, 0] for (t, p), o in sorted(owners.items()) if o == member]
+        held = [
+            [topic, part, 0]
+            for (topic, part), owner in sorted(owners.items())
+            if owner == member and wanted[topic, part] == member
+        ]
         return {'generation': group['generation'], 'parts': held}
 
     async def serve(self, reader, writer):
@@ -164,6 +185,8 @@
 
     async def answer(self, path, fields, body):
         """Return the status and the body of an answer."""
+        if self.is_down:
+            return 503, b'{}'
         if path == '/api/log-newest':
             topic = fields['topic']
             rows = [
@@ -241,7 +264,9 @@
         self.store = store
         self.on_request = on_request
         self.work_seconds = work_seconds
+        self.count = 0
         self.is_leaving = False
+        self.writers = set()
         self.port = find_free_port()
         self.born = int(time.time() * 1000)
 
@@ -252,23 +277,35 @@
 
     async def beat(self):
         """Write the entry of this runner again and again."""
-        count = 0
         while True:
-            count += 1
-            entry = {
-                'service': self.service,
-                'address': f'{ADDRESS}:{self.port}',
-                'zone': 'zone-a',
-                'version': 1,
-                'slots': 6,
-                'state': 'ready',
-                'cold-left-ms': 0,
-                'seq': count,
-                'born': self.born,
-            }
-            await self.store.append('keyed.servers', self.name, encode(entry))
+            self.count += 1
+            await self.write_entry(self.count)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def write_entry(self, count):
+        """Have the store execute the heartbeat with a count."""
+        entry = {
+            'service': self.service,
+            'address': f'{ADDRESS}:{self.port}',
+            'zone': 'zone-a',
+            'version': 1,
+            'slots': 6,
+            'state': 'ready',
+            'cold-left-ms': 0,
+            'seq': count,
+            'born': self.born,
+        }
+        await self.store.append('keyed.servers', self.name, encode(entry))
+
+    async def pause_heartbeats(self):
+        """Wait until the next heartbeat is due, and stop them; return the count."""
+        count = self.count
+        while self.count == count:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(HEARTBEAT_SECONDS - 0.05)
+        self.heartbeats.cancel()
+        return self.count
+
     async def leave(self):
         """Remove the entry without reporting `draining`, and serve on."""
         self.is_leaving = True
@@ -276,11 +313,15 @@
         await self.store.append('keyed.servers', self.name, b'')
 
     def exit(self):
-        """Accept no connection any more."""
+        """End: close the port and all connections, also of running work."""
         self.server.close()
+        self.heartbeats.cancel()
+        for writer in self.writers:
+            writer.transport.abort()
 
     async def serve(self, reader, writer):
         """Answer the requests of one connection."""
+        self.writers.add(writer)
         try:
             while True:
                 _, headers, _ = await read_message(reader)
@@ -304,6 +345,7 @@
         except (asyncio.IncompleteReadError, OSError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
